--- /dev/null
+++ b/agent/main.go
@@ -0,0 +1,4 @@
+// Command agent is a placeholder until its app package lands.
+package main
+
+func main() {}
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,4 @@
+// Command entry is a placeholder until its app package lands.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/call/attempt.go
@@ -0,0 +1,139 @@
+// Package call defines one attempt of a request and the frames that travel
+// between an entry and the agent that runs it.
+package call
+
+import (
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// The kinds of failure.
+const (
+	KindID    Kind = "attempt ID is not 16 bytes"
+	KindField Kind = "invalid field"
+)
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+// IDSize is the length of an attempt ID in bytes.
+const IDSize = 16
+
+// Class is the inferred urgency of a request; a smaller value is more urgent.
+type Class int32
+
+// The classes of urgency, most urgent first.
+const (
+	// ClassPerson marks a request that somebody waits for.
+	ClassPerson Class = 0
+	// ClassSoon marks a request needed shortly but not watched.
+	ClassSoon Class = 1
+	// ClassLong marks a long run.
+	ClassLong Class = 2
+	// Classes is the number of classes.
+	Classes = 3
+)
+
+// String returns the class's short name.
+func (c Class) String() string {
+	switch c {
+	case ClassPerson:
+		return "person"
+	case ClassSoon:
+		return "soon"
+	case ClassLong:
+		return "long"
+	}
+	return fmt.Sprintf("class%d", int32(c))
+}
+
+// Attempt is one try of one request at one agent.
+type Attempt struct {
+	// ID is unique to this attempt: IDSize random bytes. A retry has another.
+	ID []byte `protobuf:"bytes,1,opt" json:"id"`
+	// Try counts attempts of the same request from 0.
+	Try int32 `protobuf:"varint,2,opt" json:"try"`
+	// Workspace is the one whose key came with the request, or the route's
+	// for a route open to all.
+	Workspace string `protobuf:"bytes,3,opt" json:"workspace"`
+	// Route is the name of the matched route.
+	Route string `protobuf:"bytes,4,opt" json:"route"`
+	// Model is the base model; empty for a plain service.
+	Model string `protobuf:"bytes,5,opt" json:"model"`
+	// Adapter is the adapter's name; empty for a plain service.
+	Adapter string `protobuf:"bytes,6,opt" json:"adapter"`
+	// Version is fixed at admission and never changes, also when the answer
+	// is resumed elsewhere.
+	Version string `protobuf:"bytes,7,opt" json:"version"`
+	// Service is the plain service's name; empty for a model engine.
+	Service string `protobuf:"bytes,8,opt" json:"service"`
+	// Class is the inferred urgency.
+	Class Class `protobuf:"varint,9,opt" json:"class"`
+	// Tokens is how many tokens may be generated under the reservation so far.
+	Tokens int64 `protobuf:"varint,10,opt" json:"tokens"`
+	// MaxTokens is how many tokens the answer may have in all.
+	MaxTokens int64 `protobuf:"varint,11,opt" json:"max_tokens"`
+	// Prompt is the estimated length of the prompt in tokens.
+	Prompt int64 `protobuf:"varint,12,opt" json:"prompt"`
+	// Offset is the number of answer tokens that the caller already has.
+	Offset int64 `protobuf:"varint,13,opt" json:"offset"`
+	// Delivered is the answer text that the caller already has; its length in
+	// tokens is Offset.
+	Delivered string `protobuf:"bytes,14,opt" json:"delivered"`
+	// Repeat says that the request is idempotent.
+	Repeat bool `protobuf:"varint,15,opt" json:"repeat"`
+	// Agent is the agent incarnation that the attempt is meant for; any other
+	// refuses it.
+	Agent uint64 `protobuf:"varint,16,opt" json:"agent"`
+	// Digest identifies the request's content, for suspects and quarantine.
+	Digest []byte `protobuf:"bytes,17,opt" json:"digest"`
+	// Left is the time left until the caller gives up; a duration because
+	// clocks differ. Zero means no limit.
+	Left time.Duration `protobuf:"varint,18,opt" json:"left"`
+	// Prefix holds hashes of the prompt's leading blocks, shortest first.
+	Prefix []uint64 `protobuf:"varint,19,rep" json:"prefix"`
+	// Method and Path are the plain service's request line.
+	Method string `protobuf:"bytes,20,opt" json:"method"`
+	// Path includes the query.
+	Path string `protobuf:"bytes,21,opt" json:"path"`
+	// Header holds the caller's header without keys.
+	Header []Field `protobuf:"bytes,22,rep" json:"header"`
+	// Body is the plain service's request body, or the engine's prompt
+	// request as JSON without keys.
+	Body []byte `protobuf:"bytes,23,opt" json:"body"`
+	// Suspect says that the request may have crashed an endpoint before and
+	// must not share one with another suspect.
+	Suspect bool `protobuf:"varint,24,opt" json:"suspect"`
+}
+
+// Field is one header field.
+type Field struct {
+	Name  string `protobuf:"bytes,1,opt" json:"name"`
+	Value string `protobuf:"bytes,2,opt" json:"value"`
+}
+
+// Check reports the first invalid field.
+func (a *Attempt) Check() error {
+	if len(a.ID) != IDSize {
+		return &Error{Op: "check attempt", Kind: KindID}
+	}
+	if a.Class < ClassPerson || a.Class >= Classes {
+		return &Error{Op: "check class", Kind: KindField}
+	}
+	if a.Offset < 0 || a.Tokens < 0 || a.MaxTokens < 0 || a.Prompt < 0 || a.Left < 0 {
+		return &Error{Op: "check sizes", Kind: KindField}
+	}
+	if (a.Service == "") == (a.Adapter == "") {
+		return &Error{Op: "check target", Kind: KindField}
+	}
+	return nil
+}
+
+// Name returns the attempt's ID as text for logs.
+func (a *Attempt) Name() string { return hex.EncodeToString(a.ID) }
--- /dev/null
+++ b/pkg/conf/config.go
@@ -0,0 +1,128 @@
+// Package conf holds what operators configure, with its checks.
+package conf
+
+import (
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+)
+
+// Config is a whole configuration. A committed one is immutable.
+type Config struct {
+	// Number counts accepted configurations from 1; a submission carries the
+	// number that it wants to be.
+	Number uint64 `protobuf:"varint,1,opt" json:"number"`
+	// Workspaces by name.
+	Workspaces map[string]Workspace `protobuf:"bytes,2,rep" json:"workspaces"`
+	// Keys by the SHA-256 digest of the key in lower-case hexadecimal. Keys
+	// themselves are never written down.
+	Keys map[string]Key `protobuf:"bytes,3,rep" json:"keys"`
+	// Adapters by name.
+	Adapters map[string]Adapter `protobuf:"bytes,4,rep" json:"adapters"`
+	// Routes by name.
+	Routes map[string]Route `protobuf:"bytes,5,rep" json:"routes"`
+	// Weights order the four measures of service quality.
+	Weights Weights `protobuf:"bytes,6,opt" json:"weights"`
+}
+
+// Workspace is a tenant's allowance.
+type Workspace struct {
+	// Rate is the sustained allowance in tokens per second, prompt and answer
+	// together. It is positive.
+	Rate int64 `protobuf:"varint,1,opt" json:"rate"`
+	// Burst is the allowance that may be used at once, in tokens. It is
+	// positive.
+	Burst int64 `protobuf:"varint,2,opt" json:"burst"`
+	// Goal is the service level for the workspace's requests.
+	Goal Goal `protobuf:"bytes,3,opt" json:"goal"`
+}
+
+// Key ties a caller's key to a workspace.
+type Key struct {
+	// Workspace is the one that requests with this key run for.
+	Workspace string `protobuf:"bytes,1,opt" json:"workspace"`
+	// Note tells operators whose key it is.
+	Note string `protobuf:"bytes,2,opt" json:"note"`
+}
+
+// Adapter is a LoRA adapter on a base model.
+type Adapter struct {
+	// Model is the base model's name.
+	Model string `protobuf:"bytes,1,opt" json:"model"`
+	// Workspace owns the adapter: its keys may call it by name without a
+	// route. Empty means that only routes lead to it.
+	Workspace string `protobuf:"bytes,2,opt" json:"workspace"`
+	// Versions that exist in the weight store.
+	Versions []string `protobuf:"bytes,3,rep" json:"versions"`
+	// Current is the version that new requests run on. It is one of Versions.
+	Current string `protobuf:"bytes,4,opt" json:"current"`
+}
+
+// Route kinds.
+const (
+	// KindModel leads to an adapter on the model engines.
+	KindModel = "model"
+	// KindService leads to a plain service.
+	KindService = "service"
+)
+
+// Route ties callers to an adapter or to a plain service.
+type Route struct {
+	// Kind is KindModel or KindService.
+	Kind string `protobuf:"bytes,1,opt" json:"kind"`
+	// Path is the URL path prefix of a service route, starting with "/". The
+	// longest matching prefix wins.
+	Path string `protobuf:"bytes,2,opt" json:"path"`
+	// Methods restricts a service route; empty allows every method.
+	Methods []string `protobuf:"bytes,3,rep" json:"methods"`
+	// Name is what callers put into "model" to reach a model route.
+	Name string `protobuf:"bytes,4,opt" json:"name"`
+	// Adapter is the adapter of a model route.
+	Adapter string `protobuf:"bytes,5,opt" json:"adapter"`
+	// Service is the name under which endpoints of a service route announce
+	// themselves.
+	Service string `protobuf:"bytes,6,opt" json:"service"`
+	// Workspaces may use the route. An open route names exactly one, whose
+	// allowance pays for callers without a key.
+	Workspaces []string `protobuf:"bytes,7,rep" json:"workspaces"`
+	// Open routes need no key.
+	Open bool `protobuf:"varint,8,opt" json:"open"`
+	// Once says that a request must run at most once. Completions and reads
+	// are idempotent without it.
+	Once bool `protobuf:"varint,9,opt" json:"once"`
+	// Window is how long a resend of a request that runs at most once gets
+	// the recorded answer. Zero means DefaultWindow.
+	Window span.Duration `protobuf:"varint,10,opt" json:"window"`
+	// Cost is what one call of a service route counts, in tokens.
+	Cost int64 `protobuf:"varint,11,opt" json:"cost"`
+	// Goal is the service level of the route; zero fields fall back to the
+	// workspace's.
+	Goal Goal `protobuf:"bytes,12,opt" json:"goal"`
+	// KeyHeader, KeyQuery and KeyCookie name further places where callers put
+	// keys; they are removed before a request goes on.
+	KeyHeader []string `protobuf:"bytes,13,rep" json:"key_header"`
+	// KeyQuery names query parameters that carry keys.
+	KeyQuery []string `protobuf:"bytes,14,rep" json:"key_query"`
+	// KeyCookie names cookies that carry keys.
+	KeyCookie []string `protobuf:"bytes,15,rep" json:"key_cookie"`
+}
+
+// Goal is a service level.
+type Goal struct {
+	// First is the longest good time to the first token of an answer.
+	First span.Duration `protobuf:"varint,1,opt" json:"first"`
+	// Gap is the longest good mean time between two tokens.
+	Gap span.Duration `protobuf:"varint,2,opt" json:"gap"`
+	// Share of the requests that must be good, from 0 to 1.
+	Share float64 `protobuf:"fixed64,3,opt" json:"share"`
+}
+
+// Weights say how much each measure counts; larger counts more.
+type Weights struct {
+	// Stalls weighs the time that requests wait for loads.
+	Stalls float64 `protobuf:"fixed64,1,opt" json:"stalls"`
+	// Batch weighs full batches.
+	Batch float64 `protobuf:"fixed64,2,opt" json:"batch"`
+	// Worst weighs the worst-served workspace.
+	Worst float64 `protobuf:"fixed64,3,opt" json:"worst"`
+	// Refused weighs refusals within the allowance.
+	Refused float64 `protobuf:"fixed64,4,opt" json:"refused"`
+}
--- /dev/null
+++ b/pkg/lease/lease.go
@@ -0,0 +1,81 @@
+// Package lease is the holder's side of an authority lease.
+package lease
+
+import (
+	"sync"
+	"time"
+)
+
+// Length is how long a lease lasts, counted by the holder from when it sent
+// the renewal and by the grantor from when it answered.
+const Length = 3 * time.Second
+
+// Drift is added by the grantor, so that its end of the lease is the later
+// one although clocks run at different speeds.
+const Drift = 200 * time.Millisecond
+
+// Lease is one holder's authority. It uses the monotonic clock only.
+type Lease struct {
+	mutex  sync.Mutex
+	sent   map[uint64]time.Time
+	until  time.Time
+	closed bool
+}
+
+// Sent notes that the renewal with this number is about to be sent.
+func (l *Lease) Sent(seq uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.sent == nil {
+		l.sent = map[uint64]time.Time{}
+	}
+	l.sent[seq] = time.Now()
+}
+
+// Renew extends the lease by length from when renewal seq was sent. Answers to
+// renewals that were never sent are ignored.
+func (l *Lease) Renew(seq uint64, length time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	sent, ok := l.sent[seq]
+	if !ok || l.closed {
+		return
+	}
+	for old := range l.sent {
+		if old <= seq {
+			delete(l.sent, old)
+		}
+	}
+	if until := sent.Add(length); until.After(l.until) {
+		l.until = until
+	}
+}
+
+// Reset forgets renewals under way, for a new stream that counts from the
+// start. The lease itself goes on.
+func (l *Lease) Reset() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.sent = nil
+}
+
+// Valid reports whether the holder may act now.
+func (l *Lease) Valid() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return !l.closed && time.Now().Before(l.until)
+}
+
+// Until returns the end of the lease.
+func (l *Lease) Until() time.Time {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.until
+}
+
+// End gives the lease up for good.
+func (l *Lease) End() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.closed = true
+}
--- /dev/null
+++ b/pkg/plane/feed.go
@@ -0,0 +1,173 @@
+// Package plane holds the messages between daemons and control.
+package plane
+
+import (
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+)
+
+// Method names of the streams that daemons and replicas open.
+const (
+	// MethodFeed is a long stream: Hello, then Beats from the daemon and
+	// Updates from control.
+	MethodFeed = "feed"
+	// MethodGrant exchanges one GrantAsk for one GrantReply, at the leader.
+	MethodGrant = "grant"
+	// MethodClaim exchanges one ClaimAsk for one ClaimReply, at the leader.
+	MethodClaim = "claim"
+	// MethodPermit is a long stream at the leader: PermitAsks from an agent,
+	// Permits from control.
+	MethodPermit = "permit"
+	// MethodSubmit exchanges one Submit for one Submitted, at the leader.
+	MethodSubmit = "submit"
+	// MethodStatus exchanges one StatusAsk for one Status.
+	MethodStatus = "status"
+	// MethodAdmin exchanges one AdminAsk for one AdminReply, at the leader.
+	MethodAdmin = "admin"
+	// MethodFetch exchanges one FetchAsk for one Fetched: the committed
+	// configuration.
+	MethodFetch = "fetch"
+	// MethodAttempt is a stream of one attempt between entry and agent.
+	MethodAttempt = "attempt"
+	// MethodProbe exchanges one call.Probe for one call.Verdict at an agent.
+	MethodProbe = "probe"
+)
+
+// Kind classifies refusals by control.
+type Kind string
+
+// The kinds of refusal.
+const (
+	KindNone     Kind = ""
+	KindConflict Kind = "conflict"
+	KindInvalid  Kind = "invalid"
+	KindLeader   Kind = "no-leader"
+	KindTimeout  Kind = "timeout"
+	KindMissing  Kind = "missing"
+	KindFull     Kind = "full"
+	KindUnproven Kind = "unproven"
+)
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+// Hello opens a daemon's feed.
+type Hello struct {
+	// Role is RoleEntry or RoleAgent.
+	Role string `protobuf:"bytes,1,opt"`
+	// Name is the daemon's, one for each VM.
+	Name string `protobuf:"bytes,2,opt"`
+	// Incarnation is new at each start of the process.
+	Incarnation uint64 `protobuf:"varint,3,opt"`
+	DataCentre  string `protobuf:"bytes,4,opt"`
+	// Number is the configuration that the daemon has; 0 for none.
+	Number uint64 `protobuf:"varint,5,opt"`
+	// Vector is what the daemon has of the roster.
+	Vector []roster.Mark `protobuf:"bytes,6,rep"`
+	// Fenced says that the agent's engine refuses orders with an old fencing
+	// number.
+	Fenced bool `protobuf:"varint,7,opt"`
+}
+
+// Daemon roles.
+const (
+	RoleEntry = "entry"
+	RoleAgent = "agent"
+)
+
+// Check reports the first invalid field.
+func (h *Hello) Check() error {
+	if h.Role != RoleEntry && h.Role != RoleAgent {
+		return &Error{Op: "check role", Kind: KindInvalid}
+	}
+	if h.Name == "" || h.Incarnation == 0 {
+		return &Error{Op: "check daemon", Kind: KindInvalid}
+	}
+	return nil
+}
+
+// Beat is a daemon's heartbeat, once a second and at once after a change.
+type Beat struct {
+	// Seq counts the beats of the stream; the Update that answers it repeats
+	// it, so that the daemon counts its lease from when it sent the beat.
+	Seq uint64 `protobuf:"varint,1,opt"`
+	// Number is the configuration in force at the daemon.
+	Number uint64 `protobuf:"varint,2,opt"`
+	// Record is an agent's report, when it changed.
+	Record *roster.Record `protobuf:"bytes,3,opt"`
+	// Bans is the quarantine revision in force at the daemon.
+	Bans uint64 `protobuf:"varint,4,opt"`
+	// Burn holds an entry's counts of good and bad requests since its last
+	// beat.
+	Burn []Burn `protobuf:"bytes,5,rep"`
+	// Bye says that the daemon ends and gives its lease back.
+	Bye bool `protobuf:"varint,6,opt"`
+	// Crash reports requests that were at an endpoint when it died.
+	Crash []Crash `protobuf:"bytes,7,rep"`
+}
+
+// Burn counts the requests of one goal, workspace and route.
+type Burn struct {
+	Workspace string `protobuf:"bytes,1,opt" json:"workspace"`
+	Route     string `protobuf:"bytes,2,opt" json:"route"`
+	// Good met the goal; Bad did not.
+	Good int64 `protobuf:"varint,3,opt" json:"good"`
+	Bad  int64 `protobuf:"varint,4,opt" json:"bad"`
+}
+
+// Crash names the requests that an endpoint ran when it died.
+type Crash struct {
+	// Agent and Incarnation say which endpoint and Count which of its deaths,
+	// so that a report sent twice counts once.
+	Agent       string `protobuf:"bytes,1,opt" json:"agent"`
+	Incarnation uint64 `protobuf:"varint,2,opt" json:"incarnation"`
+	Count       uint64 `protobuf:"varint,3,opt" json:"count"`
+	// Digests are those of the requests at the endpoint.
+	Digests [][]byte `protobuf:"bytes,4,rep" json:"digests"`
+}
+
+// Update answers a beat, or carries news without one (Seq 0).
+type Update struct {
+	// Seq is the beat answered; the lease is renewed only then.
+	Seq uint64 `protobuf:"varint,1,opt"`
+	// Lease is how long the daemon may act on its configuration, counted from
+	// when it sent beat Seq. Zero renews nothing.
+	Lease span.Duration `protobuf:"varint,2,opt"`
+	// Number is the newest committed configuration known to be.
+	Number uint64 `protobuf:"varint,3,opt"`
+	// Config is nil when the daemon is up to date.
+	Config *conf.Delta `protobuf:"bytes,4,opt"`
+	// Roster is nil when nothing changed.
+	Roster *roster.Delta `protobuf:"bytes,5,opt"`
+	// Fence is an agent's fencing number; zero before it may order its engine.
+	Fence uint64 `protobuf:"varint,6,opt"`
+	// Bans is the whole quarantine, when BansRevision differs from the beat's.
+	Bans         []Ban  `protobuf:"bytes,7,rep"`
+	BansRevision uint64 `protobuf:"varint,8,opt"`
+	// Superseded says that a later incarnation of the daemon exists; this one
+	// must stop.
+	Superseded bool `protobuf:"varint,9,opt"`
+	// Loads is the fleet's load budget in loads per second; Agents the number
+	// of engines it is shared by. An agent cut off from the coordinator uses
+	// Loads/Agents.
+	Loads  float64 `protobuf:"fixed64,10,opt"`
+	Agents int32   `protobuf:"varint,11,opt"`
+}
+
+// Ban is a quarantined or suspected request.
+type Ban struct {
+	// Digest is the request's content digest.
+	Digest []byte `protobuf:"bytes,1,opt" json:"digest"`
+	// Suspect says that the request may still run, apart from other suspects.
+	Suspect bool `protobuf:"varint,2,opt" json:"suspect"`
+	// Deaths is the number of endpoint deaths it was present at, and Alone
+	// how many of them it was the only suspect of.
+	Deaths int32 `protobuf:"varint,3,opt" json:"deaths"`
+	Alone  int32 `protobuf:"varint,4,opt" json:"alone"`
+	// Until is when the ban ends, in nanoseconds of committed time.
+	Until int64 `protobuf:"varint,5,opt" json:"until"`
+	// Left is the time until then when the message was sent.
+	Left span.Duration `protobuf:"varint,6,opt" json:"left"`
+}
--- /dev/null
+++ b/pkg/roster/record.go
@@ -0,0 +1,118 @@
+// Package roster holds what daemons know of the endpoints.
+package roster
+
+import (
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// KindField says that a record has an invalid field.
+const KindField Kind = "invalid field"
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+// Record is an agent's report about itself and the endpoint beside it.
+type Record struct {
+	// Agent is the agent's name, one for each endpoint VM.
+	Agent string `protobuf:"bytes,1,opt" json:"agent"`
+	// Incarnation is new at each start of the agent process.
+	Incarnation uint64 `protobuf:"varint,2,opt" json:"incarnation"`
+	// Beat counts the reports of this incarnation. Of two records with equal
+	// Fence the one with the larger Beat is newer.
+	Beat uint64 `protobuf:"varint,3,opt" json:"beat"`
+	// Fence is the fencing number that control gave this incarnation; a later
+	// incarnation of the same agent has a larger one.
+	Fence uint64 `protobuf:"varint,4,opt" json:"fence"`
+	// Address is where entries reach the agent, as IP:port.
+	Address string `protobuf:"bytes,5,opt" json:"address"`
+	// DataCentre is where the agent runs.
+	DataCentre string `protobuf:"bytes,6,opt" json:"data_centre"`
+	// Model is the engine's base model; empty for a plain service.
+	Model string `protobuf:"bytes,7,opt" json:"model"`
+	// Service is the plain service's name; empty for an engine.
+	Service string `protobuf:"bytes,8,opt" json:"service"`
+	// Slots is the number of adapters that the engine holds at once.
+	Slots int32 `protobuf:"varint,9,opt" json:"slots"`
+	// Places is the number of requests that the endpoint runs at once.
+	Places int32 `protobuf:"varint,10,opt" json:"places"`
+	// Fenced says that the engine refuses orders with an old fencing number.
+	Fenced bool `protobuf:"varint,11,opt" json:"fenced"`
+	// Ready says that the endpoint takes work; a leaving or lost one does not.
+	Ready bool `protobuf:"varint,12,opt" json:"ready"`
+	// Leaving says that the endpoint finishes its work and takes none.
+	Leaving bool `protobuf:"varint,13,opt" json:"leaving"`
+	// Resident lists the adapters whose weights are in a slot or arriving.
+	Resident []Resident `protobuf:"bytes,14,rep" json:"resident"`
+	// Running is the number of requests at the endpoint.
+	Running int32 `protobuf:"varint,15,opt" json:"running"`
+	// Queued is the number of requests waiting at the agent, by class.
+	Queued []int32 `protobuf:"varint,16,rep" json:"queued"`
+	// Speed is the recent time for one answer token, in microseconds.
+	Speed int64 `protobuf:"varint,17,opt" json:"speed"`
+	// Origin is the control replica that last changed the record and Counter
+	// that replica's count of changes at the time.
+	Origin  uint64 `protobuf:"varint,18,opt" json:"origin"`
+	Counter uint64 `protobuf:"varint,19,opt" json:"counter"`
+	// Gone marks the record of a dead agent, kept so that its removal spreads.
+	Gone bool `protobuf:"varint,20,opt" json:"gone"`
+	// Digests lists the content digests of the requests at the endpoint, so
+	// that they can be suspected when it dies.
+	Digests [][]byte `protobuf:"bytes,21,rep" json:"digests"`
+	// Age is how long ago the origin replica heard from the agent, in
+	// nanoseconds, when the record was sent.
+	Age int64 `protobuf:"varint,22,opt" json:"age"`
+}
+
+// Resident is one adapter version at an endpoint.
+type Resident struct {
+	Adapter string `protobuf:"bytes,1,opt" json:"adapter"`
+	Version string `protobuf:"bytes,2,opt" json:"version"`
+	// Loading says that the weights are not there yet.
+	Loading bool `protobuf:"varint,3,opt" json:"loading"`
+}
+
+// Check reports the first invalid field.
+func (r *Record) Check() error {
+	if r.Agent == "" || r.Incarnation == 0 {
+		return &Error{Op: "check record", Kind: KindField}
+	}
+	if r.Slots < 0 || r.Places < 0 || r.Running < 0 {
+		return &Error{Op: "check sizes", Kind: KindField}
+	}
+	return nil
+}
+
+// Newer reports whether r replaces old: a larger fencing number wins, then a
+// larger beat of the same incarnation.
+func (r *Record) Newer(old *Record) bool {
+	if r.Fence != old.Fence {
+		return r.Fence > old.Fence
+	}
+	if r.Incarnation != old.Incarnation {
+		return r.Incarnation > old.Incarnation
+	}
+	if r.Beat != old.Beat {
+		return r.Beat > old.Beat
+	}
+	return r.Gone && !old.Gone
+}
+
+// Mark is one replica's counter in a version vector.
+type Mark struct {
+	Origin  uint64 `protobuf:"varint,1,opt" json:"origin"`
+	Counter uint64 `protobuf:"varint,2,opt" json:"counter"`
+}
+
+// Delta holds the records that a holder of the vector Since did not have.
+type Delta struct {
+	// Sender is the replica that answers.
+	Sender  uint64   `protobuf:"varint,4,opt" json:"sender"`
+	Records []Record `protobuf:"bytes,1,rep" json:"records"`
+	// Vector holds for each origin the highest counter covered.
+	Vector []Mark `protobuf:"bytes,2,rep" json:"vector"`
+	// Whole says that records missing here are gone.
+	Whole bool `protobuf:"varint,3,opt" json:"whole"`
+}
--- /dev/null
+++ b/pkg/span/error.go
@@ -0,0 +1,12 @@
+package span
+
+import "github.com/tanagerspindle/tanagerspindle/pkg/fault"
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// KindText says that a duration is not text such as "250ms".
+const KindText Kind = "want text such as \"250ms\""
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
--- /dev/null
+++ b/stubs/model/model.go
@@ -0,0 +1,2 @@
+// Package model is a stand-in model engine.
+package model
