--- /dev/null
+++ b/ctrl/node/group_test.go
@@ -0,0 +1,202 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/event"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
+	"github.com/tanagerspindle/tanagerspindle/pkg/vnet"
+
+	"github.com/tanagerspindle/tanagerspindle/ctrl/disk"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/node"
+)
+
+var verbose = flag.Bool("events", false, "print the replicas' events")
+
+// group is a control group in one synctest bubble.
+type group struct {
+	t        *testing.T
+	seed     uint64
+	network  *vnet.Network
+	peers    []node.Peer
+	disks    map[string]*disk.Memory
+	replicas map[string]*replica
+	// every is the number of entries between snapshots.
+	every uint64
+}
+
+// replica is one run of a node with a map of strings as its state.
+type replica struct {
+	*node.Node
+	name   string
+	mutex  sync.Mutex
+	state  map[string]string
+	cancel context.CancelFunc
+	ended  chan struct{}
+	err    error
+}
+
+func inBubble(t *testing.T, seed uint64, size int, test func(g *group)) {
+	// yamux keeps timers in a sync.Pool, and a timer of one bubble must not
+	// be used in another: two collections empty the pool.
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, func(t *testing.T) {
+		g := &group{
+			t: t, seed: seed, network: vnet.New(),
+			disks: map[string]*disk.Memory{}, replicas: map[string]*replica{},
+		}
+		g.network.Latency = func(string, string) time.Duration { return 2 * time.Millisecond }
+		for i := range size {
+			name := fmt.Sprintf("c%d", i+1)
+			g.peers = append(g.peers, node.Peer{Name: name, Address: name + ":1"})
+			g.disks[name] = &disk.Memory{}
+		}
+		for _, peer := range g.peers {
+			g.start(peer.Name)
+		}
+		test(g)
+		for name := range maps.Clone(g.replicas) {
+			g.stop(name)
+		}
+		time.Sleep(5 * time.Minute)
+	})
+}
+
+func (g *group) start(name string) *replica {
+	g.seed++
+	r := &replica{name: name, state: map[string]string{}, ended: make(chan struct{})}
+	var log event.Log
+	if *verbose {
+		log = event.New(os.Stderr, name)
+	}
+	r.Node = &node.Node{
+		Host: host.Host{
+			VM: name, Meter: meter.New(), Log: log,
+			Dial: g.network.Dialer(name), Listen: g.network.Listen,
+		},
+		Name: name, Address: name + ":1", Peers: g.peers,
+		Disk: g.disks[name].Disk(), Seed: g.seed, SnapshotEntries: g.every,
+		Apply: r.apply, Snapshot: r.snapshot, Restore: r.restore,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	listener, err := g.network.Listen(name + ":1")
+	require.NoError(g.t, err)
+	serving, end := context.WithCancel(context.Background())
+	go func() { _ = link.Serve(serving, listener, r.Handlers()) }()
+	go func() {
+		r.err = r.Run(ctx)
+		end()
+		close(r.ended)
+	}()
+	g.replicas[name] = r
+	return r
+}
+
+// stop ends a replica in order.
+func (g *group) stop(name string) {
+	r := g.replicas[name]
+	delete(g.replicas, name)
+	r.cancel()
+	<-r.ended
+}
+
+// crash ends a replica as the loss of power does.
+func (g *group) crash(name string) {
+	g.disks[name].Crash()
+	g.network.Crash(name)
+	g.stop(name)
+}
+
+func (r *replica) apply(e node.Entry) []byte {
+	key, value, _ := strings.Cut(string(e.Data), "=")
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.state[key] = value
+	return fmt.Appendf(nil, "%d", len(r.state))
+}
+
+func (r *replica) snapshot() ([]byte, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return json.Marshal(r.state)
+}
+
+func (r *replica) restore(data []byte) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.state = map[string]string{}
+	return json.Unmarshal(data, &r.state)
+}
+
+func (r *replica) get(key string) string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.state[key]
+}
+
+// leader waits for a leader whose place a majority confirms.
+func (g *group) leader() *replica {
+	for range 2000 {
+		for _, r := range g.replicas {
+			if r.Status().Leading {
+				return r
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	g.t.Fatal("no leader within 20 s")
+	return nil
+}
+
+// put proposes until it is acknowledged, at whichever replica leads.
+func (g *group) put(key, value string) {
+	for range 300 {
+		for _, name := range sorted(g.replicas) {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			_, err := g.replicas[name].Propose(ctx, []byte(key+"="+value))
+			cancel()
+			if err == nil {
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	g.t.Fatalf("%s=%s was never acknowledged", key, value)
+}
+
+// read returns a key's value behind a barrier.
+func (g *group) read(name, key string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	_, err := g.replicas[name].Barrier(ctx)
+	require.NoError(g.t, err, name)
+	return g.replicas[name].get(key)
+}
+
+func sorted(replicas map[string]*replica) []string {
+	var names []string
+	for i := range 9 {
+		name := fmt.Sprintf("c%d", i+1)
+		if replicas[name] != nil {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/ctrl/node/handlers.go
@@ -0,0 +1,126 @@
+package node
+
+import (
+	"context"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
+
+	"github.com/tanagerspindle/tanagerspindle/ctrl/member"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
+)
+
+// The methods of the streams between replicas.
+const (
+	methodRaft    = "raft"
+	methodJoin    = "join"
+	methodBarrier = "barrier"
+)
+
+// barrierAsk asks the leader for a read round.
+type barrierAsk struct {
+	Replica uint64 `protobuf:"varint,1,opt"`
+}
+
+// barrierReply answers it.
+type barrierReply struct {
+	// Index must be applied before the read; 0 says that the replica does
+	// not lead.
+	Index uint64 `protobuf:"varint,1,opt"`
+}
+
+// Handlers returns what the other replicas call. The listener that serves
+// them must outlive Run by the time of the hand-over.
+func (n *Node) Handlers() map[string]link.Handler {
+	n.setUp()
+	return map[string]link.Handler{
+		methodRaft:    n.serveRaft,
+		methodJoin:    n.serveJoin,
+		methodBarrier: n.serveBarrier,
+	}
+}
+
+func (n *Node) serveRaft(ctx context.Context, stream *wire.Stream) error {
+	var sender hello
+	if err := stream.Receive(&sender); err != nil {
+		return err
+	}
+	n.outlets.learn(sender)
+	for {
+		var received batch
+		if err := stream.Receive(&received); err != nil {
+			return err
+		}
+		for i := range received.Messages {
+			if err := n.post(ctx, event{message: &received.Messages[i]}); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (n *Node) serveBarrier(ctx context.Context, stream *wire.Stream) error {
+	var ask barrierAsk
+	if err := stream.Receive(&ask); err != nil {
+		return err
+	}
+	index, err := n.localRound(ctx)
+	if err != nil {
+		return err
+	}
+	return stream.Send(&barrierReply{Index: index})
+}
+
+func (n *Node) serveJoin(ctx context.Context, stream *wire.Stream) error {
+	var ask member.Ask
+	if err := stream.Receive(&ask); err != nil {
+		return err
+	}
+	var answer member.Answer
+	if err := n.call(ctx, func(l *loop) { answer = l.answer(ask) }); err != nil {
+		return err
+	}
+	return stream.Send(&answer)
+}
+
+// answer says who this replica is and, if it leads, admits an empty one.
+func (l *loop) answer(ask member.Ask) member.Answer {
+	status := l.core.Status()
+	if status.Leading && ask.Empty && !known(status, ask.ID) {
+		l.admit(status, ask)
+	}
+	return l.describe(status)
+}
+
+func (l *loop) describe(status raft.Status) member.Answer {
+	return member.Answer{
+		ID: status.ID, Name: l.node.Name, Address: l.node.Address, Empty: status.Empty, Peers: l.peers,
+	}
+}
+
+func (l *loop) admit(status raft.Status, ask member.Ask) {
+	expected := false
+	for _, name := range l.repair.Names {
+		expected = expected || name == ask.Name
+	}
+	for _, m := range status.Members {
+		expected = expected || m.Name == ask.Name
+	}
+	if !expected {
+		l.node.Host.Log.Write("join-refused", "name", ask.Name, "replica", ask.ID)
+		return
+	}
+	l.change(raft.Change{
+		Operation: raft.OperationLearn,
+		Member:    raft.Member{ID: ask.ID, Name: ask.Name, Address: ask.Address},
+	})
+}
+
+func known(status raft.Status, id uint64) bool {
+	for _, m := range status.Members {
+		if m.ID == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/ctrl/node/join.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/tanagerspindle/tanagerspindle/ctrl/member"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
+)
+
+// joinInterval is the time between two rounds of questions of a replica that
+// belongs to no group.
+const joinInterval = 500 * time.Millisecond
+
+// join asks the peers until this replica is a member.
+func (n *Node) join(ctx context.Context) {
+	ticker := time.NewTicker(joinInterval)
+	defer ticker.Stop()
+	for {
+		status := n.status.Load()
+		if known(*status, status.ID) {
+			return
+		}
+		answers := n.askPeers(ctx, *status)
+		_ = n.call(ctx, func(l *loop) {
+			if members, ok := member.Bootstrap(l.describe(l.core.Status()), answers); ok {
+				l.step(raft.Input{Bootstrap: members})
+			}
+		})
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// askPeers returns the answers of those peers that gave one in time.
+func (n *Node) askPeers(ctx context.Context, status raft.Status) []member.Answer {
+	ctx, cancel := context.WithTimeout(ctx, joinInterval)
+	defer cancel()
+	ask := member.Ask{ID: status.ID, Name: n.Name, Address: n.Address, Empty: status.Empty}
+	asked := pool.NewWithResults[*member.Answer]()
+	for _, peer := range n.Peers {
+		out := n.outlets.to(peer.Address)
+		if out == nil {
+			continue
+		}
+		asked.Go(func() *member.Answer {
+			session, err := out.get(ctx)
+			if err != nil {
+				return nil
+			}
+			var answer member.Answer
+			if err := call(ctx, session, methodJoin, &ask, &answer); err != nil {
+				n.Host.Log.Write("peer-silent", "name", peer.Name, "err", err)
+				return nil
+			}
+			return &answer
+		})
+	}
+	var answers []member.Answer
+	for _, answer := range asked.Wait() {
+		if answer != nil {
+			answers = append(answers, *answer)
+		}
+	}
+	return answers
+}
--- /dev/null
+++ b/ctrl/node/node_test.go
@@ -0,0 +1,21 @@
+package node_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestGroupsOfEverySizeCommit(t *testing.T) {
+	for _, size := range []int{1, 3, 5} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			inBubble(t, 1, size, func(g *group) {
+				g.put("a", "1")
+				for _, name := range sorted(g.replicas) {
+					require.Equal(t, "1", g.read(name, "a"), name)
+				}
+			})
+		})
+	}
+}
