Keep repeated fields of over 10 elements out of the protobuf decoder

segmentio/encoding v0.5.4 grows a decoded slice with typedslicecopy called with three words for each slice where the runtime takes two. Under Go 1.26 the eleventh element of ANY repeated field (messages, strings, numbers) ends the process with SIGSEGV in growSlice; ten fit in the first slice. The same waits for every wire type with a longer list (roster, bans, wishes, digests), and for pkg/codec to mend.

Here entries and messages are packed, each behind its length, in one bytes field; the membership is bounded to 10.

--- a/ctrl/member/join.go
+++ b/ctrl/member/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
 )
@@ -31,8 +32,8 @@
 	Address string `protobuf:"bytes,3,opt"`
 	Empty   bool   `protobuf:"varint,4,opt"`
 	// Peers are the names and addresses of the group that the peer was told
-	// of, in order.
-	Peers []string `protobuf:"bytes,5,rep"`
+	// of, in order, with a comma behind each.
+	Peers string `protobuf:"bytes,5,opt"`
 }
 
 // Bootstrap returns the first membership of a new group, if self has to make
@@ -40,12 +41,12 @@
 // and self has the first name. One replica decides alone, since two that each
 // gathered the IDs could gather different ones while a disk is replaced.
 func Bootstrap(self Answer, answers []Answer) ([]raft.Member, bool) {
-	if !self.Empty || len(answers)+1 != len(self.Peers) {
+	if !self.Empty || len(answers)+1 != strings.Count(self.Peers, ",") {
 		return nil, false
 	}
 	members := []raft.Member{voter(self)}
 	for _, answer := range answers {
-		if !answer.Empty || answer.Name <= self.Name || !slices.Equal(answer.Peers, self.Peers) {
+		if !answer.Empty || answer.Name <= self.Name || answer.Peers != self.Peers {
 			return nil, false
 		}
 		members = append(members, voter(answer))
--- a/ctrl/node/handlers.go
+++ b/ctrl/node/handlers.go
@@ -51,8 +51,12 @@
 		if err := stream.Receive(&received); err != nil {
 			return err
 		}
-		for i := range received.Messages {
-			if err := n.post(ctx, event{message: &received.Messages[i]}); err != nil {
+		messages, err := unpack(received.Packed)
+		if err != nil {
+			return err
+		}
+		for _, m := range messages {
+			if err := n.post(ctx, event{message: m}); err != nil {
 				return err
 			}
 		}
--- a/ctrl/node/loop.go
+++ b/ctrl/node/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -22,7 +23,7 @@
 	store    *snap.Store
 	repair   member.Repair
 	// peers describes the group that the replica was told of, in order.
-	peers []string
+	peers string
 
 	// pending is what the core ordered and is not yet carried out.
 	pending   raft.Output
@@ -50,11 +51,13 @@
 		reads:   map[uint64]chan uint64{},
 		wanted:  map[string]bool{},
 	}
+	var peers []string
 	for _, peer := range n.Peers {
 		l.repair.Names = append(l.repair.Names, peer.Name)
-		l.peers = append(l.peers, peer.Name+"="+peer.Address)
+		peers = append(peers, peer.Name+"="+peer.Address+",")
 	}
-	slices.Sort(l.peers)
+	slices.Sort(peers)
+	l.peers = strings.Join(peers, "")
 	l.publish()
 	return l
 }
--- a/ctrl/node/outlet.go
+++ b/ctrl/node/outlet.go
@@ -40,21 +40,6 @@
 	return nil
 }
 
-// batch is every later message of the stream.
-type batch struct {
-	Messages []raft.Message `protobuf:"bytes,1,rep"`
-}
-
-// Check reports the first invalid field.
-func (b *batch) Check() error {
-	for i := range b.Messages {
-		if err := b.Messages[i].Check(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // outlets are the sessions to the other replicas, one for each address.
 type outlets struct {
 	node      *Node
@@ -240,7 +225,11 @@
 		if len(messages) == 0 {
 			return nil
 		}
-		if err := stream.Send(&batch{Messages: messages}); err != nil {
+		packed, err := pack(messages)
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(&batch{Packed: packed}); err != nil {
 			return err
 		}
 	}
--- a/ctrl/raft/members.go
+++ b/ctrl/raft/members.go
@@ -104,6 +104,9 @@
 			return nil, KindMember
 		}
 		members = slices.DeleteFunc(members, func(m Member) bool { return !m.Voter && m.Name == change.Member.Name })
+		if len(members) >= MaxMembers {
+			return nil, KindFull
+		}
 		learner := change.Member
 		learner.Voter = false
 		members = append(members, learner)
--- a/ctrl/raft/types.go
+++ b/ctrl/raft/types.go
@@ -21,6 +21,7 @@
 	KindBehind   Kind = "the learner has not synced everything committed"
 	KindMember   Kind = "no such member, or it is in that state already"
 	KindConflict Kind = "a committed entry would be replaced"
+	KindFull     Kind = "the group has as many members as it may have"
 	KindGap      Kind = "entries are missing before the log's first one"
 )
 
@@ -51,6 +52,11 @@
 	Data []byte    `protobuf:"bytes,5,opt"`
 }
 
+// MaxMembers is the most members, learners included, that a group may have.
+// It is also what the protobuf library decodes of a repeated field without
+// crashing; see Pack.
+const MaxMembers = 10
+
 // Member is one replica of the group.
 type Member struct {
 	// ID was made with the replica's data folder.
@@ -124,8 +130,9 @@
 	// entry acknowledged or the entry refused.
 	Index uint64 `protobuf:"varint,5,opt"`
 	// LogTerm is the term of the entry at Index.
-	LogTerm uint64  `protobuf:"varint,6,opt"`
-	Commit  uint64  `protobuf:"varint,7,opt"`
+	LogTerm uint64 `protobuf:"varint,6,opt"`
+	Commit  uint64 `protobuf:"varint,7,opt"`
+	// Entries travel beside the message, in the form of Pack.
 	Entries []Entry `protobuf:"bytes,8,rep"`
 	Reject  bool    `protobuf:"varint,9,opt"`
 	// Hint and HintTerm tell the leader where the logs may agree.
