Drive the consensus core and whole replicas through faults

Faults found and mended by it: a new learner was sent nothing until the next change (its first entry lay behind the log's end); a log whose newer segment replaced entries before its own base was refused after compaction;

go test -race ./ctrl/... passes.

--- a/ctrl/disk/memory.go
+++ b/ctrl/disk/memory.go
@@ -14,6 +14,9 @@
 	// Tear returns how many of n unsynced bytes at a file's end survive a
 	// crash; nil keeps none.
 	Tear func(n int) int
+	// Fail, unless nil, is asked before each sync of a file or of the folder;
+	// if it says so, the process crashes there.
+	Fail func() bool
 	// Syncs counts the file syncs.
 	Syncs int
 
@@ -159,6 +162,7 @@
 			return nil
 		},
 		Sync: func() error {
+			u.fail()
 			if err := u.enter(); err != nil {
 				return err
 			}
@@ -208,7 +212,15 @@
 	return nil
 }
 
+// fail crashes the process if the test wants it to.
+func (u *usage) fail() {
+	if u.memory.Fail != nil && u.memory.Fail() {
+		u.memory.Crash()
+	}
+}
+
 func (u *usage) sync() error {
+	u.fail()
 	if err := u.enter(); err != nil {
 		return err
 	}
--- a/ctrl/node/barrier.go
+++ b/ctrl/node/barrier.go
@@ -117,6 +117,7 @@
 // localRound makes a read round at this replica; 0 says that it does not
 // lead.
 func (n *Node) localRound(ctx context.Context) (uint64, error) {
+	n.Host.Meter.Add("read_rounds", 1)
 	answer := make(chan uint64, 1)
 	if err := n.post(ctx, event{run: func(l *loop) {
 		l.readID++
--- a/ctrl/node/failure_test.go
+++ b/ctrl/node/failure_test.go
@@ -1,28 +1,327 @@
 package node_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/ctrl/disk"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/node"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/wlog"
 )
 
+// others returns the names of all replicas but one.
+func (g *group) others(name string) []string {
+	var names []string
+	for _, peer := range g.peers {
+		if peer.Name != name {
+			names = append(names, peer.Name)
+		}
+	}
+	return names
+}
+
+// fill acknowledges changes from..to-1; check reads them behind a barrier.
+func (g *group) fill(from, to int) {
+	for i := from; i < to; i++ {
+		g.put(fmt.Sprint("k", i), fmt.Sprint(i))
+	}
+}
+
+func (g *group) check(to int) {
+	for _, name := range sorted(g.replicas) {
+		g.read(name, "k0")
+		for i := range to {
+			require.Equal(g.t, fmt.Sprint(i), g.replicas[name].get(fmt.Sprint("k", i)), name)
+		}
+	}
+}
+
+// refused proposes at one replica and wants no acknowledgement.
+func (g *group) refused(name string, within time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	_, err := g.replicas[name].Propose(ctx, []byte("never=1"))
+	require.Error(g.t, err, name)
+}
+
+// voters returns the names of the voters and of the learners at a leader.
+func voters(r *replica) (names, learners []string) {
+	for _, m := range r.Status().Members {
+		if m.Voter {
+			names = append(names, m.Name)
+		} else {
+			learners = append(learners, m.Name)
+		}
+	}
+	return names, learners
+}
+
 func TestLeaderCrashLosesNothingAcknowledged(t *testing.T) {
 	inBubble(t, 2, 3, func(g *group) {
-		for i := range 40 {
-			g.put(fmt.Sprint("k", i), fmt.Sprint(i))
-			if i%10 == 9 {
-				name := g.leader().name
-				g.crash(name)
-				time.Sleep(time.Second)
-				g.start(name)
-			}
+		for i := range 4 {
+			g.fill(10*i, 10*i+10)
+			name := g.leader().name
+			g.crash(name)
+			time.Sleep(time.Second)
+			g.start(name)
 		}
-		for _, name := range sorted(g.replicas) {
-			for i := range 40 {
-				require.Equal(t, fmt.Sprint(i), g.read(name, fmt.Sprint("k", i)), name)
+		g.check(40)
+	})
+}
+
+func TestCutOffLeaderStopsLeading(t *testing.T) {
+	cuts := map[string]func(g *group, leader string){
+		"both ways": func(g *group, leader string) { g.network.Isolate(leader, g.others(leader)...) },
+		"sending": func(g *group, leader string) {
+			for _, other := range g.others(leader) {
+				g.network.Cut(leader, other)
+			}
+		},
+		"hearing": func(g *group, leader string) {
+			for _, other := range g.others(leader) {
+				g.network.Cut(other, leader)
 			}
+		},
+	}
+	for name, cut := range cuts {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, 3, 3, func(g *group) {
+				g.fill(0, 5)
+				old := g.leader()
+				cut(g, old.name)
+				g.refused(old.name, 700*time.Millisecond)
+				time.Sleep(time.Second)
+				require.False(t, old.Status().Leading)
+				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+				_, err := old.Barrier(ctx)
+				cancel()
+				require.ErrorIs(t, err, &node.Error{Kind: node.KindTimeout})
+				g.fill(5, 10)
+				g.network.Rejoin(old.name, g.others(old.name)...)
+				g.check(10)
+				// Who is heard but hears nothing may get its change committed by
+				// the next leader, but then everywhere.
+				never := g.read(old.name, "never")
+				require.True(t, never == "" || name == "hearing")
+				require.Equal(t, never, g.read(g.others(old.name)[0], "never"))
+			})
+		})
+	}
+}
+
+func TestFollowerCutOneWayDisturbsNobody(t *testing.T) {
+	inBubble(t, 4, 3, func(g *group) {
+		g.fill(0, 2)
+		leader := g.leader()
+		term := leader.Status().Term
+		follower := g.others(leader.name)[0]
+		for _, other := range g.others(follower) {
+			g.network.Cut(other, follower)
+		}
+		time.Sleep(time.Minute)
+		g.fill(2, 4)
+		require.Equal(t, term, g.leader().Status().Term)
+		for _, other := range g.others(follower) {
+			g.network.Heal(other, follower)
+		}
+		g.check(4)
+		require.Equal(t, term, g.leader().Status().Term)
+	})
+}
+
+func TestSilentSessionsAreReplaced(t *testing.T) {
+	inBubble(t, 5, 3, func(g *group) {
+		g.fill(0, 2)
+		leader := g.leader().name
+		for _, other := range g.others(leader) {
+			g.network.Silence(leader, other)
+		}
+		time.Sleep(6 * time.Second)
+		g.fill(2, 4)
+		g.check(4)
+	})
+}
+
+func TestLostDiskIsReplacedAndASecondLossSurvived(t *testing.T) {
+	for _, order := range []string{"ordered", "by itself"} {
+		t.Run(order, func(t *testing.T) {
+			inBubble(t, 6, 3, func(g *group) {
+				g.every = 20
+				g.fill(0, 50)
+				leader := g.leader()
+				lost, second := g.others(leader.name)[0], g.others(leader.name)[1]
+				old := g.replicas[lost].Status().ID
+				g.crash(lost)
+				g.disks[lost].Wipe()
+				g.start(lost)
+				g.fill(50, 60)
+				if order == "ordered" {
+					ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+					require.NoError(t, leader.Replace(ctx, lost))
+					cancel()
+				} else {
+					time.Sleep(15 * time.Second)
+				}
+				names, learners := voters(g.leader())
+				require.ElementsMatch(t, []string{"c1", "c2", "c3"}, names)
+				require.Empty(t, learners)
+				require.NotEqual(t, old, g.replicas[lost].Status().ID)
+
+				g.network.Lose(second)
+				g.stop(second)
+				g.fill(60, 70)
+				g.check(70)
+				g.crash(leader.name)
+				g.start(leader.name)
+				g.check(70)
+			})
+		})
+	}
+}
+
+func TestLearnerDoesNotCount(t *testing.T) {
+	inBubble(t, 7, 3, func(g *group) {
+		g.fill(0, 5)
+		leader := g.leader()
+		lost, second := g.others(leader.name)[0], g.others(leader.name)[1]
+		g.crash(lost)
+		g.disks[lost].Wipe()
+		g.start(lost)
+		time.Sleep(2 * time.Second)
+		_, learners := voters(leader)
+		require.Equal(t, []string{lost}, learners)
+		g.crash(second)
+		g.refused(leader.name, 3*time.Second)
+		time.Sleep(time.Minute)
+		g.refused(leader.name, 3*time.Second)
+		g.start(second)
+		g.fill(5, 10)
+		g.check(10)
+	})
+}
+
+func TestReplacementsLossDoesNotStopTheRest(t *testing.T) {
+	inBubble(t, 8, 3, func(g *group) {
+		g.fill(0, 5)
+		lost := g.others(g.leader().name)[0]
+		for range 2 {
+			g.crash(lost)
+			g.disks[lost].Wipe()
+			g.start(lost)
+			time.Sleep(10500 * time.Millisecond)
+		}
+		g.crash(lost)
+		g.fill(5, 10)
+		g.check(10)
+	})
+}
+
+func TestAllRestartAfterHundredsOfChanges(t *testing.T) {
+	inBubble(t, 9, 3, func(g *group) {
+		g.every = 100
+		g.fill(0, 450)
+		for _, peer := range g.peers {
+			g.crash(peer.Name)
+		}
+		for _, peer := range g.peers {
+			g.start(peer.Name)
+		}
+		g.check(450)
+	})
+}
+
+func TestLateFollowerGetsASnapshot(t *testing.T) {
+	inBubble(t, 10, 3, func(g *group) {
+		g.every = 100
+		g.put("big", string(make([]byte, 2<<20)))
+		late := g.others(g.leader().name)[0]
+		g.crash(late)
+		g.fill(0, 1500)
+		g.start(late)
+		g.check(1500)
+		require.Len(t, g.replicas[late].get("big"), 2<<20)
+		g.crash(late)
+		g.start(late)
+		g.check(1500)
+	})
+}
+
+func TestStopHandsTheLeadershipOver(t *testing.T) {
+	inBubble(t, 11, 3, func(g *group) {
+		g.fill(0, 3)
+		name := g.leader().name
+		start := time.Now()
+		g.stop(name)
+		g.leader()
+		require.Less(t, time.Since(start), 100*time.Millisecond)
+		g.fill(3, 5)
+		require.NoError(t, g.replicas[g.others(name)[0]].err)
+	})
+}
+
+func TestMoveNamesTheLeader(t *testing.T) {
+	inBubble(t, 12, 3, func(g *group) {
+		g.fill(0, 3)
+		leader := g.leader()
+		target := g.others(leader.name)[1]
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		require.ErrorIs(t, g.replicas[target].Move(ctx, target), &node.Error{Kind: node.KindNotLeader})
+		require.ErrorIs(t, leader.Move(ctx, "c9"), &node.Error{Kind: node.KindMissing})
+		require.NoError(t, leader.Move(ctx, target))
+		require.Equal(t, target, g.leader().name)
+		g.fill(3, 5)
+		require.Equal(t, target, g.replicas[leader.name].Status().Leader)
+	})
+}
+
+func TestDamagedLogIsRefused(t *testing.T) {
+	inBubble(t, 13, 3, func(g *group) {
+		g.fill(0, 20)
+		name := g.others(g.leader().name)[0]
+		g.crash(name)
+		g.disks[name].Change("0000000000000001.log", func(data []byte) []byte {
+			data[len(data)/2] ^= 1
+			return data
+		})
+		r := g.start(name)
+		<-r.ended
+		require.ErrorIs(t, r.err, &wlog.Error{Kind: wlog.KindDamage})
+		g.fill(20, 25)
+	})
+}
+
+func TestReplicaWithAForeignNameIsNotAdmitted(t *testing.T) {
+	inBubble(t, 14, 3, func(g *group) {
+		g.fill(0, 2)
+		g.disks["c9"] = &disk.Memory{}
+		g.start("c9")
+		time.Sleep(5 * time.Second)
+		names, learners := voters(g.leader())
+		require.Len(t, names, 3)
+		require.Empty(t, learners)
+	})
+}
+
+func TestConcurrentBarriersShareRounds(t *testing.T) {
+	inBubble(t, 15, 3, func(g *group) {
+		g.fill(0, 2)
+		leader := g.leader()
+		before := leader.Host.Meter.Value("read_rounds")
+		errs := make(chan error, 500)
+		for range 500 {
+			go func() {
+				_, err := leader.Barrier(context.Background())
+				errs <- err
+			}()
+		}
+		for range 500 {
+			require.NoError(t, <-errs)
 		}
+		require.LessOrEqual(t, leader.Host.Meter.Value("read_rounds")-before, int64(5))
 	})
 }
--- a/ctrl/node/group_test.go
+++ b/ctrl/node/group_test.go
@@ -70,11 +70,13 @@
 		for _, peer := range g.peers {
 			g.start(peer.Name)
 		}
+		defer func() {
+			for name := range maps.Clone(g.replicas) {
+				g.stop(name)
+			}
+			time.Sleep(5 * time.Minute)
+		}()
 		test(g)
-		for name := range maps.Clone(g.replicas) {
-			g.stop(name)
-		}
-		time.Sleep(5 * time.Minute)
 	})
 }
 
--- a/ctrl/raft/core.go
+++ b/ctrl/raft/core.go
@@ -85,6 +85,10 @@
 		}
 	}
 	c.restartTimer()
+	if members := c.members(); len(members) == 1 && members[0].Voter {
+		// Nobody else can lead, so there is nobody to wait for.
+		c.elapsed = c.timeout
+	}
 	return c, nil
 }
 
--- a/ctrl/raft/election.go
+++ b/ctrl/raft/election.go
@@ -119,7 +119,7 @@
 	c.transfer = 0
 	c.rounds = nil
 	c.peers = map[uint64]*progress{}
-	c.refreshPeers()
+	c.refreshPeers(c.log.last() + 1)
 	c.appendOwn(EntryEmpty, nil)
 	c.replicate()
 }
--- a/ctrl/raft/members.go
+++ b/ctrl/raft/members.go
@@ -142,11 +142,13 @@
 		return
 	}
 	c.appendOwn(EntryMembers, data)
-	c.refreshPeers()
+	c.refreshPeers(c.log.last())
 }
 
-// refreshPeers makes the progress records match the membership in force.
-func (c *Core) refreshPeers() {
+// refreshPeers makes the progress records match the membership in force. New
+// ones begin with the entry next, which must be in the log soon, or nothing
+// would be sent.
+func (c *Core) refreshPeers(next uint64) {
 	if c.role != roleLeader {
 		return
 	}
@@ -155,7 +157,7 @@
 	for _, member := range c.members() {
 		c.peers[member.ID] = old[member.ID]
 		if old[member.ID] == nil {
-			c.peers[member.ID] = &progress{next: c.log.last() + 1}
+			c.peers[member.ID] = &progress{next: next}
 		}
 	}
 }
--- a/ctrl/snap/snap.go
+++ b/ctrl/snap/snap.go
@@ -138,5 +138,11 @@
 			return &Error{Op: "remove " + name, Kind: KindWrite, Err: err}
 		}
 	}
+	if len(unused) == 0 {
+		return nil
+	}
+	if err := s.Disk.Sync(); err != nil {
+		return &Error{Op: "sync folder", Kind: KindWrite, Err: err}
+	}
 	return nil
 }
--- a/ctrl/wlog/reader.go
+++ b/ctrl/wlog/reader.go
@@ -138,10 +138,13 @@
 	}
 	for _, entry := range entries {
 		first := r.last.Index + 1 - uint64(len(r.entries))
-		if entry.Index < first || entry.Index > r.last.Index+1 {
+		if entry.Index > r.last.Index+1 {
 			return damage(name, offset, fmt.Sprintf("entry %d does not follow %d", entry.Index, r.last.Index))
 		}
-		r.entries = append(r.entries[:entry.Index-first], entry)
+		// An entry before the oldest segment's base replaces some that were
+		// in a segment removed since.
+		kept := max(entry.Index, first) - first
+		r.entries = append(r.entries[:kept], entry)
 		r.last = mark{Index: entry.Index, Term: entry.Term}
 	}
 	return nil
--- /dev/null
+++ b/ctrl/wlog/wlog_test.go
@@ -0,0 +1,144 @@
+package wlog_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/ctrl/disk"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/wlog"
+)
+
+const firstFile = "0000000000000001.log"
+
+func entry(index, term uint64) raft.Entry {
+	return raft.Entry{Index: index, Term: term, Time: 1, Kind: raft.EntryCommand, Data: fmt.Appendf(nil, "data %d", index)}
+}
+
+func open(t *testing.T, memory *disk.Memory) (*wlog.Log, wlog.Content) {
+	t.Helper()
+	log, content, err := wlog.Open(memory.Disk(), raft.Snapshot{})
+	require.NoError(t, err)
+	return log, content
+}
+
+// fill writes one entry per record and returns the size after each.
+func fill(t *testing.T, memory *disk.Memory, count uint64) []int {
+	t.Helper()
+	log, _ := open(t, memory)
+	sizes := []int{int(log.Bytes)}
+	for i := range count {
+		require.NoError(t, log.Append(nil, []raft.Entry{entry(i+1, 1)}))
+		sizes = append(sizes, int(log.Bytes))
+	}
+	return sizes
+}
+
+func TestAppendIsSyncedOnceAndLasts(t *testing.T) {
+	memory := &disk.Memory{}
+	log, _ := open(t, memory)
+	before := memory.Syncs
+	hard := &raft.HardState{Term: 3, Vote: 9}
+	require.NoError(t, log.Append(hard, []raft.Entry{entry(1, 2), entry(2, 3)}))
+	require.Equal(t, 1, memory.Syncs-before)
+	require.NoError(t, log.Append(nil, []raft.Entry{entry(2, 4), entry(3, 4)}))
+	memory.Crash()
+
+	_, content := open(t, memory)
+	require.Equal(t, *hard, content.Hard)
+	require.Equal(t, []raft.Entry{entry(1, 2), entry(2, 4), entry(3, 4)}, content.Entries)
+}
+
+func TestTornTailIsCutAtEveryByte(t *testing.T) {
+	memory := &disk.Memory{}
+	sizes := fill(t, memory, 3)
+	whole, err := memory.Disk().Read(firstFile)
+	require.NoError(t, err)
+	for size := sizes[2]; size < sizes[3]; size++ {
+		for _, zeros := range []int{0, 5, sizes[3] - size} {
+			memory.Change(firstFile, func([]byte) []byte { return append(whole[:size:size], make([]byte, zeros)...) })
+			log, content := open(t, memory)
+			require.Len(t, content.Entries, 2, "cut at %d, %d zeros", size, zeros)
+			require.NoError(t, log.Append(nil, []raft.Entry{entry(3, 2)}))
+			_, content = open(t, memory)
+			require.Equal(t, entry(3, 2), content.Entries[2])
+		}
+	}
+}
+
+func TestDamageBeforeTheTailIsRefused(t *testing.T) {
+	memory := &disk.Memory{}
+	sizes := fill(t, memory, 3)
+	whole, err := memory.Disk().Read(firstFile)
+	require.NoError(t, err)
+	for at := range sizes[2] {
+		memory.Change(firstFile, func([]byte) []byte {
+			damaged := append([]byte(nil), whole...)
+			damaged[at] ^= 0x10
+			return damaged
+		})
+		_, _, err := wlog.Open(memory.Disk(), raft.Snapshot{})
+		require.ErrorIs(t, err, &wlog.Error{Kind: wlog.KindDamage}, "byte %d", at)
+		record := 0
+		for i, size := range sizes {
+			if at >= size {
+				record = sizes[i]
+			}
+		}
+		require.ErrorContains(t, err, fmt.Sprintf("%s at offset %d", firstFile, record), "byte %d", at)
+	}
+}
+
+func TestDamageInAnOlderSegmentIsRefused(t *testing.T) {
+	memory := &disk.Memory{}
+	log, _ := open(t, memory)
+	log.SegmentBytes = 1
+	for i := range uint64(3) {
+		require.NoError(t, log.Append(nil, []raft.Entry{entry(i+1, 1)}))
+	}
+	second := "0000000000000003.log"
+	whole, err := memory.Disk().Read(second)
+	require.NoError(t, err)
+	memory.Change(second, func(data []byte) []byte { return data[:len(data)-1] })
+	_, _, err = wlog.Open(memory.Disk(), raft.Snapshot{})
+	require.ErrorIs(t, err, &wlog.Error{Kind: wlog.KindDamage})
+	require.ErrorContains(t, err, second)
+
+	memory.Change(second, func([]byte) []byte { return whole })
+	require.NoError(t, memory.Disk().Remove(second))
+	_, _, err = wlog.Open(memory.Disk(), raft.Snapshot{})
+	require.ErrorIs(t, err, &wlog.Error{Kind: wlog.KindDamage})
+}
+
+func TestCompactKeepsWhatTheSnapshotLacks(t *testing.T) {
+	memory := &disk.Memory{}
+	fill(t, memory, 10)
+	log, _ := open(t, memory)
+	snapshot := raft.Snapshot{Index: 6, Term: 1}
+	require.NoError(t, log.Compact(snapshot.Index))
+	require.NoError(t, log.Append(nil, []raft.Entry{entry(11, 1)}))
+	require.NoError(t, log.Compact(10))
+	names, err := memory.Disk().List()
+	require.NoError(t, err)
+	require.NotContains(t, names, firstFile)
+
+	_, content, err := wlog.Open(memory.Disk(), raft.Snapshot{Index: 10, Term: 1})
+	require.NoError(t, err)
+	require.Equal(t, []raft.Entry{entry(11, 1)}, content.Entries)
+}
+
+func TestFailedSyncMakesTheLogUnusable(t *testing.T) {
+	memory := &disk.Memory{}
+	log, _ := open(t, memory)
+	memory.Fail = func() bool { return true }
+	require.ErrorIs(t, log.Append(nil, []raft.Entry{entry(1, 1)}), &wlog.Error{Kind: wlog.KindWrite})
+	memory.Fail = nil
+	require.ErrorIs(t, log.Append(nil, []raft.Entry{entry(1, 1)}), &wlog.Error{Kind: wlog.KindBroken})
+}
+
+func TestSnapshotWithoutLogIsRefused(t *testing.T) {
+	_, _, err := wlog.Open((&disk.Memory{}).Disk(), raft.Snapshot{Index: 4, Term: 1})
+	require.ErrorIs(t, err, &wlog.Error{Kind: wlog.KindDamage})
+}
