--- a/ctrl/node/failure_test.go
+++ b/ctrl/node/failure_test.go
@@ -73,6 +73,26 @@
 	})
 }
 
+func TestNothingIsAcknowledgedBeforeItsSync(t *testing.T) {
+	for _, size := range []int{1, 3} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			inBubble(t, 16, size, func(g *group) {
+				g.fill(0, 3)
+				leader := g.leader()
+				failing := leader.name
+				if size > 1 {
+					failing = g.others(leader.name)[0]
+					g.crash(g.others(leader.name)[1])
+				}
+				g.disks[failing].Fail = func() bool { return true }
+				g.refused(leader.name, time.Second)
+				<-g.replicas[failing].ended
+				require.ErrorIs(t, g.replicas[failing].err, &node.Error{Kind: node.KindDisk})
+			})
+		})
+	}
+}
+
 func TestCutOffLeaderStopsLeading(t *testing.T) {
 	cuts := map[string]func(g *group, leader string){
 		"both ways": func(g *group, leader string) { g.network.Isolate(leader, g.others(leader)...) },
--- a/ctrl/node/node_test.go
+++ b/ctrl/node/node_test.go
@@ -19,3 +19,14 @@
 		})
 	}
 }
+
+func TestBarrierSeesAllThatWasAcknowledged(t *testing.T) {
+	inBubble(t, 17, 3, func(g *group) {
+		for i := range 20 {
+			g.put("a", fmt.Sprint(i))
+			for _, name := range sorted(g.replicas) {
+				require.Equal(t, fmt.Sprint(i), g.read(name, "a"), name)
+			}
+		}
+	})
+}
--- a/ctrl/raft/snapshot.go
+++ b/ctrl/raft/snapshot.go
@@ -36,6 +36,14 @@
 		c.send(Message{Kind: MessageAppendReply, To: m.From, Index: c.commit, Read: m.Read})
 		return
 	}
+	if term, known := c.log.termAt(chunk.Snapshot.Index); known && term == chunk.Snapshot.Term {
+		// The log goes on behind the snapshot, and that part may already be
+		// acknowledged.
+		c.incoming = nil
+		c.commitTo(chunk.Snapshot.Index)
+		c.send(Message{Kind: MessageAppendReply, To: m.From, Index: chunk.Snapshot.Index, Read: m.Read})
+		return
+	}
 	if c.incoming == nil || c.incoming.Snapshot.Index != chunk.Snapshot.Index || chunk.Offset == 0 {
 		c.incoming = &Install{Snapshot: chunk.Snapshot}
 	}
