--- /dev/null
+++ b/pkg/roster/origin.go
@@ -0,0 +1,165 @@
+package roster
+
+import (
+	"reflect"
+	"time"
+)
+
+// Report takes an agent's own report at the replica that hears it, and
+// reports whether the record changed. A report without change only notes that
+// the agent was heard. An older incarnation or beat than the one held changes
+// nothing.
+func (r *Roster) Report(origin uint64, record Record) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.prepare()
+	old := r.records[record.Agent]
+	if old != nil && !r.takes(old, &record) {
+		return false
+	}
+	now := time.Now()
+	if old != nil {
+		record.Turn = old.Turn
+		if old.Beat == record.Beat && old.Incarnation == record.Incarnation && same(old, &record, origin) {
+			old.heard = now
+			return false
+		}
+		if old.Beat == record.Beat {
+			record.Turn++
+		}
+	}
+	record.Gone = false
+	r.change(origin, record, now)
+	return true
+}
+
+// takes reports whether a live report may replace the held record.
+func (r *Roster) takes(old *held, record *Record) bool {
+	if record.Fence != old.Fence {
+		return record.Fence > old.Fence
+	}
+	if record.Incarnation != old.Incarnation {
+		return record.Incarnation > old.Incarnation
+	}
+	return record.Beat >= old.Beat
+}
+
+// same reports whether a report of the beat already held brings no news.
+func same(old *held, record *Record, origin uint64) bool {
+	if old.Gone || old.Origin != origin {
+		return false
+	}
+	shown := *record
+	shown.Origin, shown.Counter, shown.Age, shown.Gone = old.Origin, old.Counter, old.Age, old.Gone
+	return reflect.DeepEqual(shown, old.Record)
+}
+
+// Touch notes that an incarnation was heard at the replica without a report,
+// and takes its record over when another replica heard it last. It reports
+// whether the record changed.
+func (r *Roster) Touch(origin uint64, agent string, incarnation uint64) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	old := r.records[agent]
+	if old == nil || old.Incarnation != incarnation {
+		return false
+	}
+	now := time.Now()
+	if old.Origin == origin && !old.Gone {
+		old.heard = now
+		return false
+	}
+	record := old.Record
+	record.Gone = false
+	record.Turn++
+	r.change(origin, record, now)
+	return true
+}
+
+// Expire marks the agents that the origin replica itself heard last, and not
+// for age, as gone and returns their records. Removals older than some
+// minutes are forgotten.
+func (r *Roster) Expire(origin uint64, age time.Duration) []Record {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	var gone []Record
+	for agent, old := range r.records {
+		if old.Gone {
+			r.forget(agent, old, now)
+			continue
+		}
+		if old.Origin != origin || now.Sub(old.heard) < age {
+			continue
+		}
+		gone = append(gone, r.remove(origin, old, now))
+	}
+	return gone
+}
+
+func (r *Roster) forget(agent string, old *held, now time.Time) {
+	if now.Sub(old.heard) < tombLife {
+		return
+	}
+	r.forgotten[old.Origin] = max(r.forgotten[old.Origin], old.Counter)
+	delete(r.records, agent)
+}
+
+// Leave marks an incarnation that said goodbye as gone.
+func (r *Roster) Leave(origin uint64, agent string, incarnation uint64) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	old := r.records[agent]
+	if old == nil || old.Gone || old.Incarnation != incarnation {
+		return false
+	}
+	r.remove(origin, old, time.Now())
+	return true
+}
+
+// remove marks a record as gone and returns it as it was.
+func (r *Roster) remove(origin uint64, old *held, now time.Time) Record {
+	former := old.Record
+	record := Record{
+		Agent: old.Agent, Incarnation: old.Incarnation, Beat: old.Beat, Fence: old.Fence,
+		Address: old.Address, Turn: old.Turn + 1, Gone: true,
+	}
+	r.change(origin, record, now)
+	return former
+}
+
+// Adopt takes over the agents of a replica that has gone silent, as if they
+// had been heard just now: unless another replica hears them, Expire removes
+// them after its age. It reports whether there were any.
+func (r *Roster) Adopt(origin, from uint64) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	found := false
+	for _, old := range r.records {
+		if old.Gone || old.Origin != from || from == origin {
+			continue
+		}
+		record := old.Record
+		record.Turn++
+		r.change(origin, record, now)
+		found = true
+	}
+	return found
+}
+
+// change stores a record under the origin's next counter. The first counter is
+// at least the clock, in microseconds, so that a replica that restarts with an
+// empty roster uses no counter twice, also when its peers know fewer of its
+// changes than some daemon does.
+func (r *Roster) change(origin uint64, record Record, now time.Time) {
+	counter := r.vector[origin]
+	if !r.counting {
+		counter = max(counter, uint64(now.UnixMicro()))
+		r.counting = true
+	}
+	counter++
+	r.vector[origin] = counter
+	record.Origin, record.Counter, record.Age = origin, counter, 0
+	r.records[record.Agent] = &held{Record: record, heard: now}
+}
--- a/pkg/roster/record.go
+++ b/pkg/roster/record.go
@@ -64,6 +64,9 @@
 	// Age is how long ago the origin replica heard from the agent, in
 	// nanoseconds, when the record was sent.
 	Age int64 `protobuf:"varint,22,opt" json:"age"`
+	// Turn counts the changes that control made to a record of one Beat:
+	// another replica hears the agent now, or nobody does. Agents leave it 0.
+	Turn uint64 `protobuf:"varint,23,opt" json:"turn"`
 }
 
 // Resident is one adapter version at an endpoint.
@@ -86,7 +89,9 @@
 }
 
 // Newer reports whether r replaces old: a larger fencing number wins, then a
-// larger beat of the same incarnation.
+// larger beat of the same incarnation, then a larger turn. Of two replicas
+// that took the same turn, the one that hears the agent wins, then the one
+// with the larger ID, so that every holder keeps the same record.
 func (r *Record) Newer(old *Record) bool {
 	if r.Fence != old.Fence {
 		return r.Fence > old.Fence
@@ -97,7 +102,16 @@
 	if r.Beat != old.Beat {
 		return r.Beat > old.Beat
 	}
-	return r.Gone && !old.Gone
+	if r.Turn != old.Turn {
+		return r.Turn > old.Turn
+	}
+	if r.Gone != old.Gone {
+		return old.Gone
+	}
+	if r.Origin != old.Origin {
+		return r.Origin > old.Origin
+	}
+	return r.Counter > old.Counter
 }
 
 // Mark is one replica's counter in a version vector.
