--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -3,13 +3,35 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
+	"time"
 
+	"github.com/sourcegraph/conc"
+
+	"github.com/tanagerspindle/tanagerspindle/ctrl/feeds"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/quota"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
 )
 
+const (
+	// commitTimeout bounds one commit.
+	commitTimeout = 3 * time.Second
+	// leaderTimeout is how long a stream for the leader waits for one to be
+	// known.
+	leaderTimeout = 3 * time.Second
+	// leaderInterval is the time between two looks for a leader.
+	leaderInterval = 50 * time.Millisecond
+	// expireInterval is the time between two looks at what expires.
+	expireInterval = time.Second
+)
+
 // Kind classifies the failures of this package.
 type Kind string
 
@@ -18,6 +40,7 @@
 	KindListen Kind = "cannot listen"
 	KindNode   Kind = "replica stopped"
 	KindLeader Kind = "no leader"
+	KindState  Kind = "bad result"
 )
 
 // Error is this package's error type.
@@ -47,13 +70,148 @@
 	Flight int
 	// Watch runs beside the replica and submits the operators' folder; nil
 	// does nothing. It must return when ctx ends.
-	Watch func(ctx context.Context, submit func(context.Context, *plane.Submit) (*plane.Submitted, error)) error
+	Watch func(ctx context.Context) error
 	// Permit serves plane.MethodPermit at the leader; nil closes the stream.
-	Permit func(ctx context.Context, stream *wire.Stream) error
+	// PermitReset is called with the term when the leadership is gained.
+	Permit      func(ctx context.Context, stream *wire.Stream) error
+	PermitReset func(term uint64)
+
+	once    sync.Once
+	replica replica
+	machine state.Machine
+	roster  roster.Roster
+	feeds   *feeds.Feeds
+	quota   *quota.Owner
+}
+
+// replica is the replicated log as the daemon uses it.
+type replica struct {
+	run      func(ctx context.Context) error
+	handlers func() map[string]link.Handler
+	propose  func(ctx context.Context, data []byte) ([]byte, error)
+	barrier  func(ctx context.Context) error
+	status   func() status
+	open     func(ctx context.Context, name, method string) (*wire.Stream, error)
+	move     func(ctx context.Context, name string) error
+	replace  func(ctx context.Context, name string) error
+}
+
+// status is one replica's view of the log.
+type status struct {
+	id      uint64
+	leader  string
+	term    uint64
+	commit  uint64
+	leading bool
+	members []plane.Member
+}
+
+// prepare builds the parts once.
+func (d *Daemon) prepare() {
+	d.once.Do(func() {
+		if d.replica.run == nil {
+			d.replica = d.newReplica()
+		}
+		d.feeds = &feeds.Feeds{
+			Host: d.Host, Name: d.Name, Peers: d.others(), Loads: d.Loads,
+			Replica: func() uint64 { return d.replica.status().id },
+			Machine: &d.machine, Roster: &d.roster,
+			Propose: d.propose, Barrier: d.replica.barrier, Open: d.replica.open,
+		}
+		d.machine.Changed = d.feeds.Changed
+		d.quota = &quota.Owner{
+			Host: d.Host, Config: d.config, Horizon: d.machine.Horizon, Propose: d.reserve,
+		}
+	})
 }
 
-// Run serves until ctx ends, then hands the leadership over and stops.
+func (d *Daemon) others() []string {
+	var names []string
+	for _, peer := range d.Peers {
+		if peer.Name != d.Name {
+			names = append(names, peer.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// lead follows the leadership of this replica.
+func (d *Daemon) lead(term uint64, leading bool) {
+	d.Host.Log.Write("leadership", "term", term, "leading", leading)
+	d.quota.Lead(term, leading)
+	if leading && d.PermitReset != nil {
+		d.PermitReset(term)
+	}
+}
+
+// Run serves until ctx ends. Then it closes the daemons' feeds, hands the
+// leadership over and stops.
 func (d *Daemon) Run(ctx context.Context) error {
-	<-ctx.Done()
+	d.prepare()
+	listener, err := d.Host.Listen(d.Address)
+	if err != nil {
+		return &Error{Op: "listen on " + d.Address, Kind: KindListen, Err: err}
+	}
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
+	working, stopWorking := context.WithCancel(ctx)
+	defer stopWorking()
+	var servers, workers conc.WaitGroup
+	servers.Go(func() { _ = link.Serve(serving, listener, d.handlers()) })
+	workers.Go(func() { d.feeds.Run(working) })
+	workers.Go(func() { d.quota.Run(working) })
+	workers.Go(func() { d.expire(working) })
+	workers.Go(func() { d.watch(working) })
+	release := context.AfterFunc(ctx, d.feeds.Close)
+	defer release()
+	err = d.replica.run(ctx)
+	stopWorking()
+	workers.Wait()
+	stopServing()
+	servers.Wait()
+	if err != nil && ctx.Err() == nil {
+		return &Error{Op: "run replica", Kind: KindNode, Err: err}
+	}
 	return nil
 }
+
+func (d *Daemon) watch(ctx context.Context) {
+	if d.Watch == nil {
+		return
+	}
+	if err := d.Watch(ctx); err != nil && ctx.Err() == nil {
+		d.Host.Log.Write("watch-ended", "err", err)
+	}
+}
+
+// expire moves committed time on while something is due to expire.
+func (d *Daemon) expire(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !d.replica.status().leading || !d.machine.Due(time.Now().UnixNano()) {
+			continue
+		}
+		if _, err := d.propose(ctx, &state.Command{}); err != nil {
+			d.Host.Log.Write("expiry-not-committed", "err", err)
+		}
+	}
+}
+
+// Status returns this replica's view.
+func (d *Daemon) Status() *plane.Status {
+	d.prepare()
+	now := d.replica.status()
+	list, _ := d.machine.Bans()
+	return &plane.Status{
+		Replica: now.id, Name: d.Name, Leader: now.leader, Term: now.term, Commit: now.commit,
+		Number: d.machine.Number(), Members: now.members, Endpoints: d.roster.All(), Bans: list,
+		Burn: d.feeds.Burn(), Entries: d.feeds.Entries(),
+	}
+}
--- /dev/null
+++ b/ctrl/daemon/leader.go
@@ -0,0 +1,215 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
+	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
+)
+
+const (
+	// leaderPrefix marks a method that is not forwarded any further.
+	leaderPrefix = "leader/"
+	// methodPropose commits a command for another replica.
+	methodPropose = "propose"
+)
+
+// proposeAsk carries an encoded state.Command to the leader.
+type proposeAsk struct {
+	Data []byte `protobuf:"bytes,1,opt"`
+}
+
+// proposeReply carries the encoded state.Result back.
+type proposeReply struct {
+	Refused plane.Kind `protobuf:"bytes,1,opt"`
+	Data    []byte     `protobuf:"bytes,2,opt"`
+}
+
+// handlers returns all methods that the replica serves.
+func (d *Daemon) handlers() map[string]link.Handler {
+	served := d.replica.handlers()
+	if served == nil {
+		served = map[string]link.Handler{}
+	}
+	served[plane.MethodFeed] = d.feeds.Serve
+	served["exchange"] = d.feeds.Exchange
+	served[plane.MethodStatus] = d.serveStatus
+	served[plane.MethodFetch] = d.serveFetch
+	leader := map[string]link.Handler{
+		plane.MethodGrant:  d.serveGrant,
+		plane.MethodClaim:  d.serveClaim,
+		plane.MethodSubmit: d.serveSubmit,
+		plane.MethodAdmin:  d.serveAdmin,
+		plane.MethodPermit: d.servePermit,
+		methodPropose:      d.servePropose,
+	}
+	for method, serve := range leader {
+		served[method] = d.atLeader(method, serve)
+		served[leaderPrefix+method] = d.ifLeading(serve)
+	}
+	return served
+}
+
+// ifLeading serves a stream only at the leader.
+func (d *Daemon) ifLeading(serve link.Handler) link.Handler {
+	return func(ctx context.Context, stream *wire.Stream) error {
+		if !d.replica.status().leading {
+			return &Error{Op: "serve", Kind: KindLeader}
+		}
+		return serve(ctx, stream)
+	}
+}
+
+// atLeader serves a stream here when this replica leads, and otherwise copies
+// it to the leader and back.
+func (d *Daemon) atLeader(method string, serve link.Handler) link.Handler {
+	return func(ctx context.Context, stream *wire.Stream) error {
+		now, err := d.findLeader(ctx)
+		if err != nil {
+			return err
+		}
+		if now.leading {
+			return serve(ctx, stream)
+		}
+		onward, err := d.openLeader(ctx, now.leader, method)
+		if err != nil {
+			return err
+		}
+		return relay(ctx, stream, onward)
+	}
+}
+
+// findLeader waits until a leader is known, for a bounded time.
+func (d *Daemon) findLeader(ctx context.Context) (status, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
+	defer cancel()
+	for {
+		now := d.replica.status()
+		if now.leading || now.leader != "" && now.leader != d.Name {
+			return now, nil
+		}
+		select {
+		case <-ctx.Done():
+			return status{}, &Error{Op: "find leader", Kind: KindLeader, Err: ctx.Err()}
+		case <-time.After(leaderInterval):
+		}
+	}
+}
+
+func (d *Daemon) openLeader(ctx context.Context, leader, method string) (*wire.Stream, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
+	defer cancel()
+	return d.replica.open(ctx, leader, leaderPrefix+method)
+}
+
+// relay copies bytes between two streams until one of them ends.
+func relay(ctx context.Context, near, far *wire.Stream) error {
+	ended := make(chan error, 2)
+	for _, pair := range [][2]*wire.Stream{{near, far}, {far, near}} {
+		go func() {
+			_, err := io.Copy(pair[1].Conn(), pair[0].Reader())
+			ended <- err
+		}()
+	}
+	var err error
+	select {
+	case err = <-ended:
+	case <-ctx.Done():
+		ended <- nil
+	}
+	_ = near.Close()
+	_ = far.Close()
+	<-ended
+	return err
+}
+
+// propose commits a command at the leader, wherever that is.
+func (d *Daemon) propose(ctx context.Context, command *state.Command) (*state.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	data, err := codec.Encode(command)
+	if err != nil {
+		return nil, err
+	}
+	if d.replica.status().leading {
+		data, err = d.replica.propose(ctx, data)
+	} else {
+		data, err = d.proposeAtLeader(ctx, data)
+	}
+	if err != nil {
+		return nil, err
+	}
+	result := &state.Result{}
+	if err := codec.Decode(data, result); err != nil {
+		return nil, err
+	}
+	if result.Refused != plane.KindNone {
+		return nil, &Error{Op: "propose", Kind: KindState}
+	}
+	return result, nil
+}
+
+func (d *Daemon) proposeAtLeader(ctx context.Context, data []byte) ([]byte, error) {
+	reply := &proposeReply{}
+	if err := d.callLeader(ctx, methodPropose, &proposeAsk{Data: data}, reply); err != nil {
+		return nil, err
+	}
+	if reply.Refused != plane.KindNone {
+		return nil, &Error{Op: "propose", Kind: KindLeader}
+	}
+	return reply.Data, nil
+}
+
+// callLeader exchanges one message with the leader, which is not this replica.
+func (d *Daemon) callLeader(ctx context.Context, method string, ask, reply any) error {
+	now, err := d.findLeader(ctx)
+	if err != nil {
+		return err
+	}
+	if now.leading {
+		return &Error{Op: method, Kind: KindLeader}
+	}
+	stream, err := d.openLeader(ctx, now.leader, method)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	defer stream.Bind(ctx)()
+	if err := stream.Send(ask); err != nil {
+		return err
+	}
+	return stream.Receive(reply)
+}
+
+func (d *Daemon) servePropose(ctx context.Context, stream *wire.Stream) error {
+	ask := &proposeAsk{}
+	if err := stream.Receive(ask); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	data, err := d.replica.propose(ctx, ask.Data)
+	if err != nil {
+		return stream.Send(&proposeReply{Refused: plane.KindLeader})
+	}
+	return stream.Send(&proposeReply{Data: data})
+}
+
+func (d *Daemon) reserve(ctx context.Context, horizons []state.Horizon) error {
+	if !d.replica.status().leading {
+		return &Error{Op: "reserve tokens", Kind: KindLeader}
+	}
+	_, err := d.propose(ctx, &state.Command{Horizons: horizons})
+	return err
+}
+
+func (d *Daemon) config() *conf.Config {
+	config, _ := d.machine.Config()
+	return config
+}
--- /dev/null
+++ b/ctrl/daemon/serve.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"context"
+	"crypto/sha256"
+
+	"github.com/tanagerspindle/tanagerspindle/ctrl/ledger"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
+)
+
+func (d *Daemon) serveStatus(_ context.Context, stream *wire.Stream) error {
+	if err := stream.Receive(&plane.StatusAsk{}); err != nil {
+		return err
+	}
+	return stream.Send(d.Status())
+}
+
+func (d *Daemon) serveFetch(ctx context.Context, stream *wire.Stream) error {
+	if err := stream.Receive(&plane.FetchAsk{}); err != nil {
+		return err
+	}
+	return stream.Send(d.Fetch(ctx))
+}
+
+// Fetch returns the committed configuration after a quorum round.
+func (d *Daemon) Fetch(ctx context.Context) *plane.Fetched {
+	d.prepare()
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if err := d.replica.barrier(ctx); err != nil {
+		return &plane.Fetched{Refused: plane.KindLeader}
+	}
+	config, author := d.machine.Config()
+	return &plane.Fetched{Config: config, Author: author}
+}
+
+func (d *Daemon) serveGrant(ctx context.Context, stream *wire.Stream) error {
+	ask := &plane.GrantAsk{}
+	if err := stream.Receive(ask); err != nil {
+		return err
+	}
+	return stream.Send(d.quota.Grant(ctx, ask))
+}
+
+func (d *Daemon) serveClaim(ctx context.Context, stream *wire.Stream) error {
+	ask := &plane.ClaimAsk{}
+	if err := stream.Receive(ask); err != nil {
+		return err
+	}
+	return stream.Send(d.claim(ctx, ask))
+}
+
+// claim commits one step of a request that runs at most once.
+func (d *Daemon) claim(ctx context.Context, ask *plane.ClaimAsk) *plane.ClaimReply {
+	if !validClaim(ask) {
+		return &plane.ClaimReply{Refused: plane.KindInvalid}
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if ask.Verb == plane.VerbAsk {
+		if err := d.replica.barrier(ctx); err != nil {
+			return &plane.ClaimReply{Refused: plane.KindTimeout}
+		}
+		return d.machine.Claim(ask)
+	}
+	ask.Outcome = cutOutcome(ask.Outcome)
+	result, err := d.propose(ctx, &state.Command{Claim: ask})
+	if err != nil || result.Claim == nil {
+		return &plane.ClaimReply{Refused: plane.KindTimeout}
+	}
+	return result.Claim
+}
+
+func validClaim(ask *plane.ClaimAsk) bool {
+	if len(ask.Key) == 0 || len(ask.Key) > 2*sha256.Size {
+		return false
+	}
+	switch ask.Verb {
+	case plane.VerbAsk:
+		return true
+	case plane.VerbClaim, plane.VerbDone, plane.VerbUnknown, plane.VerbVoid:
+		return len(ask.Attempt) == call.IDSize
+	}
+	return false
+}
+
+// cutOutcome drops the body of an answer that is too large to record, before
+// it takes room in the log.
+func cutOutcome(outcome *call.Outcome) *call.Outcome {
+	if outcome == nil || len(outcome.Body) <= ledger.MostBody {
+		return outcome
+	}
+	cut := *outcome
+	if len(cut.Sum) == 0 {
+		sum := sha256.Sum256(cut.Body)
+		cut.Sum = sum[:]
+	}
+	cut.Body, cut.Header, cut.Cut = nil, nil, true
+	return &cut
+}
+
+func (d *Daemon) serveAdmin(ctx context.Context, stream *wire.Stream) error {
+	ask := &plane.AdminAsk{}
+	if err := stream.Receive(ask); err != nil {
+		return err
+	}
+	return stream.Send(d.admin(ctx, ask))
+}
+
+// admin carries out an operator's order to control itself.
+func (d *Daemon) admin(ctx context.Context, ask *plane.AdminAsk) *plane.AdminReply {
+	switch ask.Order {
+	case plane.OrderMove:
+		return adminReply(d.replica.move(ctx, ask.Name))
+	case plane.OrderReplace:
+		return adminReply(d.replica.replace(ctx, ask.Name))
+	case plane.OrderLift:
+		result, err := d.propose(ctx, &state.Command{Lift: ask.Digest})
+		if err == nil && !result.Lifted {
+			return &plane.AdminReply{Refused: plane.KindMissing, Detail: "no such quarantine"}
+		}
+		return adminReply(err)
+	}
+	return &plane.AdminReply{Refused: plane.KindInvalid, Detail: "unknown order"}
+}
+
+func adminReply(err error) *plane.AdminReply {
+	if err == nil {
+		return &plane.AdminReply{}
+	}
+	return &plane.AdminReply{Refused: plane.KindTimeout, Detail: err.Error()}
+}
+
+func (d *Daemon) servePermit(ctx context.Context, stream *wire.Stream) error {
+	if d.Permit == nil {
+		return nil
+	}
+	return d.Permit(ctx, stream)
+}
--- /dev/null
+++ b/ctrl/daemon/submit.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
+	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
+)
+
+// mostWait bounds how long a submission waits to be in force.
+const mostWait = 30 * time.Second
+
+func (d *Daemon) serveSubmit(ctx context.Context, stream *wire.Stream) error {
+	ask := &plane.Submit{}
+	if err := stream.Receive(ask); err != nil {
+		return err
+	}
+	return stream.Send(d.submit(ctx, ask))
+}
+
+// Submit submits a configuration at the leader, wherever that is. After an
+// error the submission may or may not have been accepted: submit it again.
+func (d *Daemon) Submit(ctx context.Context, ask *plane.Submit) (*plane.Submitted, error) {
+	d.prepare()
+	now, err := d.findLeader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if now.leading {
+		return d.submit(ctx, ask), nil
+	}
+	reply := &plane.Submitted{}
+	if err := d.callLeader(ctx, plane.MethodSubmit, ask, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// submit decides a submission at the leader and waits until it is in force, if
+// asked to.
+func (d *Daemon) submit(ctx context.Context, ask *plane.Submit) *plane.Submitted {
+	reply := d.decide(ctx, ask)
+	d.Host.Log.Write("configuration-submitted", "author", ask.Author, "refused", reply.Refused, "newest", reply.Number)
+	if reply.Refused != plane.KindNone || ask.Wait <= 0 {
+		return reply
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(ask.Wait.Std(), mostWait))
+	defer cancel()
+	reply.InForce, reply.Lagging = d.feeds.Wait(ctx, ask.Config.Number)
+	return reply
+}
+
+// decide commits the submission if it is the next number and valid, and
+// otherwise says what holds the number.
+func (d *Daemon) decide(ctx context.Context, ask *plane.Submit) *plane.Submitted {
+	if ask.Config == nil {
+		return d.refuse(plane.KindInvalid, "the submission is empty")
+	}
+	if err := codec.Check(ask.Config); err != nil {
+		return d.refuse(plane.KindInvalid, err.Error())
+	}
+	sum, err := state.Sum(ask.Config)
+	if err != nil {
+		return d.refuse(plane.KindInvalid, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if err := d.replica.barrier(ctx); err != nil {
+		return d.refuse(plane.KindLeader, err.Error())
+	}
+	current, _ := d.machine.Config()
+	if ask.Config.Number != numberOf(current)+1 {
+		return d.machine.Judge(ask.Config.Number, sum)
+	}
+	proposal := &state.Proposal{Sum: sum, Author: ask.Author, Delta: conf.Diff(current, ask.Config)}
+	result, err := d.propose(ctx, &state.Command{Config: proposal})
+	if err != nil {
+		return d.refuse(plane.KindTimeout, "not known to be accepted, submit it again: "+err.Error())
+	}
+	return result.Config
+}
+
+func numberOf(config *conf.Config) uint64 {
+	if config == nil {
+		return 0
+	}
+	return config.Number
+}
+
+func (d *Daemon) refuse(kind plane.Kind, detail string) *plane.Submitted {
+	return &plane.Submitted{Refused: kind, Detail: detail, Number: d.machine.Number()}
+}
--- /dev/null
+++ b/ctrl/feeds/peers.go
@@ -0,0 +1,196 @@
+package feeds
+
+import (
+	"context"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
+)
+
+const (
+	// MethodExchange is a long stream between replicas: Ask from the one that
+	// opens it, then News from the other.
+	MethodExchange = "exchange"
+	// peerInterval is the longest time between two messages to a peer.
+	peerInterval = 500 * time.Millisecond
+	// peerSilence is how long a peer may send nothing before the agents that
+	// it heard are adopted.
+	peerSilence = 2 * time.Second
+	// reopenDelay is the pause before a broken exchange is opened again.
+	reopenDelay = 200 * time.Millisecond
+)
+
+// Ask opens an exchange.
+type Ask struct {
+	Replica uint64 `protobuf:"varint,1,opt"`
+	Name    string `protobuf:"bytes,2,opt"`
+	// Vector is what the asking replica has of the roster.
+	Vector []roster.Mark `protobuf:"bytes,3,rep"`
+}
+
+// News is what one replica tells another.
+type News struct {
+	Replica uint64 `protobuf:"varint,1,opt"`
+	// Number is the configuration applied at the sender. Daemons that hold a
+	// lease from it and have an older one in force are in Lagging.
+	Number  uint64   `protobuf:"varint,2,opt"`
+	Lagging []string `protobuf:"bytes,3,rep"`
+	// Entries are the entries connected to the sender.
+	Entries []string      `protobuf:"bytes,4,rep"`
+	Roster  *roster.Delta `protobuf:"bytes,5,opt"`
+	// Burn holds counts that came to the sender since its last message.
+	Burn []plane.Burn `protobuf:"bytes,6,rep"`
+}
+
+// peer is another replica as this one sees it.
+type peer struct {
+	// heard is when last arrived.
+	heard time.Time
+	last  News
+	// news wakes the exchange that the peer opened here; nil without one.
+	news chan struct{}
+	// burn holds counts that the peer has not been sent.
+	burn map[goal]plane.Burn
+}
+
+// listen keeps an exchange with a peer open until ctx ends.
+func (f *Feeds) listen(ctx context.Context, name string) {
+	for ctx.Err() == nil {
+		if err := f.listenOnce(ctx, name); err != nil && ctx.Err() == nil {
+			f.Host.Log.Write("exchange-ended", "peer", name, "err", err)
+		}
+		pause(ctx, reopenDelay, nil)
+	}
+}
+
+func (f *Feeds) listenOnce(ctx context.Context, name string) error {
+	opening, cancel := context.WithTimeout(ctx, roundTimeout)
+	defer cancel()
+	stream, err := f.Open(opening, name, MethodExchange)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	defer stream.Bind(ctx)()
+	if err := stream.Send(&Ask{Replica: f.Replica(), Name: f.Name, Vector: f.Roster.Vector()}); err != nil {
+		return err
+	}
+	for {
+		news := News{}
+		if err := stream.SetDeadline(time.Now().Add(2 * peerSilence)); err != nil {
+			return err
+		}
+		if err := stream.Receive(&news); err != nil {
+			return err
+		}
+		f.take(name, &news)
+	}
+}
+
+// take merges what a peer told.
+func (f *Feeds) take(name string, news *News) {
+	changed := false
+	if news.Roster != nil {
+		changed = len(f.Roster.Merge(news.Roster)) > 0
+		news.Roster = nil
+	}
+	f.burn.add(news.Burn)
+	f.mutex.Lock()
+	p := f.peers[name]
+	p.heard, p.last = time.Now(), *news
+	f.mutex.Unlock()
+	if changed {
+		f.Changed()
+		return
+	}
+	f.wakeWaiters()
+}
+
+// adopt takes over the agents of peers that have gone silent.
+func (f *Feeds) adopt(now time.Time) {
+	var silent []uint64
+	f.mutex.Lock()
+	for _, p := range f.peers {
+		if p.last.Replica != 0 && now.Sub(p.heard) > peerSilence {
+			silent = append(silent, p.last.Replica)
+		}
+	}
+	f.mutex.Unlock()
+	changed := false
+	for _, replica := range silent {
+		changed = f.Roster.Adopt(f.Replica(), replica) || changed
+	}
+	if changed {
+		f.Changed()
+	}
+}
+
+// Exchange serves the stream that another replica opened.
+func (f *Feeds) Exchange(ctx context.Context, stream *wire.Stream) error {
+	f.prepare()
+	defer stream.Bind(ctx)()
+	ask := Ask{}
+	if err := stream.Receive(&ask); err != nil {
+		return &Error{Op: "receive ask", Kind: KindStream, Err: err}
+	}
+	news := make(chan struct{}, 1)
+	f.mutex.Lock()
+	p := f.peers[ask.Name]
+	if p == nil {
+		p = &peer{burn: map[goal]plane.Burn{}}
+		f.peers[ask.Name] = p
+	}
+	p.news = news
+	f.mutex.Unlock()
+	vector := ask.Vector
+	for ctx.Err() == nil {
+		message := f.tell(p, &vector)
+		if err := stream.Send(message); err != nil {
+			f.untold(p, message.Burn)
+			return err
+		}
+		pause(ctx, newsInterval, nil)
+		pause(ctx, peerInterval-newsInterval, news)
+	}
+	return nil
+}
+
+// tell makes the next message to a peer that has the given vector.
+func (f *Feeds) tell(p *peer, vector *[]roster.Mark) *News {
+	message := &News{Replica: f.Replica(), Number: f.Machine.Number()}
+	if !covers(*vector, f.Roster.Vector()) {
+		message.Roster = f.Roster.Since(*vector)
+		message.Roster.Whole = false
+		message.Roster.Sender = message.Replica
+		*vector = joinVectors(*vector, message.Roster.Vector)
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	message.Lagging = f.lagging(message.Number)
+	message.Entries = f.ownEntries()
+	for key, count := range p.burn {
+		message.Burn = append(message.Burn, count)
+		delete(p.burn, key)
+	}
+	return message
+}
+
+// untold keeps counts for the next exchange.
+func (f *Feeds) untold(p *peer, counts []plane.Burn) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, count := range counts {
+		p.add(count)
+	}
+}
+
+func (p *peer) add(count plane.Burn) {
+	key := goal{workspace: count.Workspace, route: count.Route}
+	sum := p.burn[key]
+	sum.Workspace, sum.Route = count.Workspace, count.Route
+	sum.Good += count.Good
+	sum.Bad += count.Bad
+	p.burn[key] = sum
+}
--- /dev/null
+++ b/ctrl/feeds/update.go
@@ -0,0 +1,105 @@
+package feeds
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
+)
+
+// compose makes the message for a member and reports whether it has news. For
+// an answer (seq not 0) it is called after the beat's quorum round, so that
+// the state read here is at least as new as that round.
+func (f *Feeds) compose(m *member, seq uint64) (update *plane.Update, news bool) {
+	update = &plane.Update{Seq: seq, Number: f.Machine.Number()}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.hello.Role == plane.RoleAgent && !f.composeAgent(m, update) {
+		update.Superseded = true
+		return update, true
+	}
+	if update.Fence != 0 && !m.fenced {
+		m.fenced, news = true, true
+	}
+	if delta := f.Machine.Deltas(m.number); delta != nil && m.number < update.Number {
+		update.Config, m.number, m.sent = delta, delta.To, time.Now()
+		update.Number = max(update.Number, delta.To)
+		news = true
+	}
+	if m.hello.Role == plane.RoleEntry && f.composeRoster(m, update) {
+		news = true
+	}
+	if revision := f.Machine.BansRevision(); revision != m.bans {
+		update.Bans, update.BansRevision = f.Machine.Bans()
+		m.bans = update.BansRevision
+		news = true
+	}
+	if update.BansRevision == 0 {
+		update.BansRevision = m.bans
+	}
+	return update, news
+}
+
+// composeAgent adds what only agents need. It returns false when a later
+// incarnation of the agent exists.
+func (f *Feeds) composeAgent(m *member, update *plane.Update) bool {
+	newest, wait, ok := f.Machine.Fence(m.hello.Name)
+	if !ok || newest.Incarnation != m.hello.Incarnation {
+		return false
+	}
+	if wait == 0 || m.hello.Fenced {
+		update.Fence = newest.Number
+	}
+	update.Loads = f.Loads
+	for _, record := range f.Roster.All() {
+		if record.Model != "" {
+			update.Agents++
+		}
+	}
+	return true
+}
+
+// composeRoster adds the records that an entry does not have, without what
+// only control needs.
+func (f *Feeds) composeRoster(m *member, update *plane.Update) bool {
+	if covers(m.vector, f.Roster.Vector()) && !f.Roster.Behind(m.vector) {
+		return false
+	}
+	delta := f.Roster.Since(m.vector)
+	delta.Sender = f.Replica()
+	for i := range delta.Records {
+		delta.Records[i].Digests = nil
+	}
+	m.vector = joinVectors(m.vector, delta.Vector)
+	if len(delta.Records) == 0 && !delta.Whole {
+		return false
+	}
+	update.Roster = delta
+	return true
+}
+
+// covers reports whether the first vector has every mark of the second.
+func covers(vector, other []roster.Mark) bool {
+	for _, mark := range other {
+		at := slices.IndexFunc(vector, func(m roster.Mark) bool { return m.Origin == mark.Origin })
+		if at < 0 || vector[at].Counter < mark.Counter {
+			return false
+		}
+	}
+	return true
+}
+
+// joinVectors returns the larger mark of each origin.
+func joinVectors(vector, other []roster.Mark) []roster.Mark {
+	joined := slices.Clone(vector)
+	for _, mark := range other {
+		at := slices.IndexFunc(joined, func(m roster.Mark) bool { return m.Origin == mark.Origin })
+		if at < 0 {
+			joined = append(joined, mark)
+			continue
+		}
+		joined[at].Counter = max(joined[at].Counter, mark.Counter)
+	}
+	return joined
+}
--- /dev/null
+++ b/ctrl/ledger/ledger.go
@@ -0,0 +1,260 @@
+// Package ledger holds the claims of requests that must run at most once and
+// their outcomes. It is part of the replicated machine: the same steps in the
+// same order give the same state at every replica.
+package ledger
+
+import (
+	"bytes"
+	"container/heap"
+	"crypto/sha256"
+	"slices"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+const (
+	// MostClaims is the number of claims kept at once.
+	MostClaims = 1 << 18
+	// MostBytes is the memory that claims and outcomes may take, in bytes, by
+	// the ledger's own count.
+	MostBytes = 256 << 20
+	// MostBody is the largest answer recorded in full, in bytes.
+	MostBody = 64 << 10
+	// defaultWindow is how long a claim without a window is kept.
+	defaultWindow = 24 * time.Hour
+	// openLife is how long a claim without an outcome is kept at least.
+	openLife = 24 * time.Hour
+	// claimBytes is what a claim takes besides its fields, in bytes.
+	claimBytes = 512
+	// outcomeBytes is reserved in each claim for an outcome without body.
+	outcomeBytes = 512
+)
+
+// Claim is one claim as it stands.
+type Claim struct {
+	Key         []byte           `protobuf:"bytes,1,opt"`
+	Attempt     []byte           `protobuf:"bytes,2,opt"`
+	Entry       string           `protobuf:"bytes,3,opt"`
+	Agent       string           `protobuf:"bytes,4,opt"`
+	Incarnation uint64           `protobuf:"varint,5,opt"`
+	Sum         []byte           `protobuf:"bytes,6,opt"`
+	Workspace   string           `protobuf:"bytes,7,opt"`
+	Route       string           `protobuf:"bytes,8,opt"`
+	Window      int64            `protobuf:"varint,9,opt"`
+	State       plane.ClaimState `protobuf:"bytes,10,opt"`
+	Outcome     *call.Outcome    `protobuf:"bytes,11,opt"`
+	// Until is when the claim is forgotten, in nanoseconds of committed time.
+	Until int64 `protobuf:"varint,12,opt"`
+
+	// place is the claim's index in the ledger's heap.
+	place int
+}
+
+// Ledger is the table of claims. The zero value is empty and ready for use by
+// one goroutine.
+type Ledger struct {
+	// Most and Bytes bound the table; zero means MostClaims and MostBytes.
+	// They must be equal at every replica.
+	Most  int
+	Bytes int64
+
+	claims map[string]*Claim
+	due    queue
+	used   int64
+}
+
+// Apply takes one step at a committed time and returns how the claim stands
+// after it.
+func (l *Ledger) Apply(ask *plane.ClaimAsk, now int64) *plane.ClaimReply {
+	l.Expire(now)
+	claim := l.claims[string(ask.Key)]
+	if ask.Verb == plane.VerbClaim {
+		return l.claim(claim, ask, now)
+	}
+	if claim == nil {
+		return &plane.ClaimReply{State: plane.ClaimNone}
+	}
+	if claim.State != plane.ClaimTaken || !bytes.Equal(claim.Attempt, ask.Attempt) {
+		return claim.describe()
+	}
+	switch ask.Verb {
+	case plane.VerbDone:
+		l.finish(claim, ask.Outcome, now)
+	case plane.VerbUnknown:
+		l.close(claim, plane.ClaimUnknown, now)
+	case plane.VerbVoid:
+		l.remove(claim)
+		return &plane.ClaimReply{State: plane.ClaimNone}
+	}
+	return claim.describe()
+}
+
+func (l *Ledger) claim(claim *Claim, ask *plane.ClaimAsk, now int64) *plane.ClaimReply {
+	if claim == nil {
+		return l.open(ask, now)
+	}
+	if len(ask.Sum) > 0 && len(claim.Sum) > 0 && !bytes.Equal(ask.Sum, claim.Sum) {
+		return &plane.ClaimReply{State: plane.ClaimMixed}
+	}
+	reply := claim.describe()
+	if claim.State == plane.ClaimTaken && bytes.Equal(claim.Attempt, ask.Attempt) {
+		reply.State = plane.ClaimOwned
+	}
+	return reply
+}
+
+func (l *Ledger) open(ask *plane.ClaimAsk, now int64) *plane.ClaimReply {
+	claim := &Claim{
+		Key: ask.Key, Attempt: ask.Attempt, Entry: ask.Entry, Agent: ask.Agent, Incarnation: ask.Incarnation,
+		Sum: ask.Sum, Workspace: ask.Workspace, Route: ask.Route, Window: int64(ask.Window), State: plane.ClaimTaken,
+	}
+	if claim.Window <= 0 {
+		claim.Window = int64(defaultWindow)
+	}
+	if len(l.claims) >= l.most() || l.used+claim.size() > l.bytes() {
+		return &plane.ClaimReply{Refused: plane.KindFull, State: plane.ClaimNone}
+	}
+	claim.Until = now + max(claim.Window, int64(openLife))
+	l.add(claim)
+	reply := claim.describe()
+	reply.State = plane.ClaimOwned
+	return reply
+}
+
+// finish records an outcome. One that is too large, or for which no memory is
+// left, keeps its status and digest only.
+func (l *Ledger) finish(claim *Claim, outcome *call.Outcome, now int64) {
+	kept := &call.Outcome{}
+	if outcome != nil {
+		*kept = *outcome
+	}
+	if len(kept.Sum) == 0 && !kept.Cut {
+		sum := sha256.Sum256(kept.Body)
+		kept.Sum = sum[:]
+	}
+	if len(kept.Body) > MostBody || l.used+outcomeSize(kept) > l.bytes() {
+		kept.Cut, kept.Body, kept.Header = true, nil, nil
+	}
+	l.used -= claim.size()
+	claim.Outcome = kept
+	l.used += claim.size()
+	l.close(claim, plane.ClaimDone, now)
+}
+
+// close gives a claim its final state; its window starts now.
+func (l *Ledger) close(claim *Claim, state plane.ClaimState, now int64) {
+	claim.State = state
+	claim.Until = now + claim.Window
+	heap.Fix(&l.due, claim.place)
+}
+
+// Expire forgets the claims whose window is over at a committed time.
+func (l *Ledger) Expire(now int64) {
+	for len(l.due) > 0 && l.due[0].Until <= now {
+		l.remove(l.due[0])
+	}
+}
+
+// Due returns the committed time at which the next claim is forgotten; false
+// when there is none.
+func (l *Ledger) Due() (int64, bool) {
+	if len(l.due) == 0 {
+		return 0, false
+	}
+	return l.due[0].Until, true
+}
+
+// Size returns the number of claims and the memory they take, in bytes.
+func (l *Ledger) Size() (claims int, bytes int64) { return len(l.claims), l.used }
+
+// Snapshot returns all claims, sorted by key.
+func (l *Ledger) Snapshot() []Claim {
+	claims := make([]Claim, 0, len(l.claims))
+	for _, claim := range l.claims {
+		claims = append(claims, *claim)
+	}
+	slices.SortFunc(claims, func(a, b Claim) int { return bytes.Compare(a.Key, b.Key) })
+	return claims
+}
+
+// Restore replaces the table.
+func (l *Ledger) Restore(claims []Claim) {
+	l.claims, l.due, l.used = nil, nil, 0
+	for i := range claims {
+		l.add(&claims[i])
+	}
+}
+
+func (l *Ledger) add(claim *Claim) {
+	if l.claims == nil {
+		l.claims = map[string]*Claim{}
+	}
+	l.claims[string(claim.Key)] = claim
+	heap.Push(&l.due, claim)
+	l.used += claim.size()
+}
+
+func (l *Ledger) remove(claim *Claim) {
+	heap.Remove(&l.due, claim.place)
+	delete(l.claims, string(claim.Key))
+	l.used -= claim.size()
+}
+
+func (l *Ledger) most() int {
+	if l.Most == 0 {
+		return MostClaims
+	}
+	return l.Most
+}
+
+func (l *Ledger) bytes() int64 {
+	if l.Bytes == 0 {
+		return MostBytes
+	}
+	return l.Bytes
+}
+
+func (c *Claim) size() int64 {
+	fields := 2*len(c.Key) + len(c.Attempt) + len(c.Entry) + len(c.Agent) + len(c.Sum) + len(c.Workspace) + len(c.Route)
+	return int64(claimBytes+outcomeBytes+fields) + outcomeSize(c.Outcome)
+}
+
+func outcomeSize(outcome *call.Outcome) int64 {
+	if outcome == nil {
+		return 0
+	}
+	size := len(outcome.Body)
+	for _, field := range outcome.Header {
+		size += len(field.Name) + len(field.Value)
+	}
+	return int64(size)
+}
+
+func (c *Claim) describe() *plane.ClaimReply {
+	return &plane.ClaimReply{State: c.State, Attempt: c.Attempt, Agent: c.Agent, Incarnation: c.Incarnation, Outcome: c.Outcome}
+}
+
+// queue is a heap of claims by the time they are forgotten.
+type queue []*Claim
+
+func (q queue) Len() int           { return len(q) }
+func (q queue) Less(i, j int) bool { return q[i].Until < q[j].Until }
+
+func (q queue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].place, q[j].place = i, j
+}
+
+func (q *queue) Push(x any) {
+	claim := x.(*Claim)
+	claim.place = len(*q)
+	*q = append(*q, claim)
+}
+
+func (q *queue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
--- /dev/null
+++ b/ctrl/quota/grant.go
@@ -0,0 +1,155 @@
+package quota
+
+import (
+	"context"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+// Grant answers an entry's ask. The same Seq of the same incarnation gets the
+// same reply. Refused is KindLeader when the replica does not lead.
+func (o *Owner) Grant(ctx context.Context, ask *plane.GrantAsk) *plane.GrantReply {
+	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	own, fresh := o.enter(ask)
+	if own == nil {
+		return &plane.GrantReply{Refused: plane.KindLeader}
+	}
+	if !fresh {
+		select {
+		case <-own.done:
+			return own.reply
+		case <-ctx.Done():
+			return &plane.GrantReply{Refused: plane.KindTimeout}
+		}
+	}
+	reply := o.serve(ctx, ask)
+	own.reply = reply
+	close(own.done)
+	return reply
+}
+
+// enter finds the answer of a Seq or makes room for it; nil when the replica
+// does not lead.
+func (o *Owner) enter(ask *plane.GrantAsk) (own *answer, fresh bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if !o.leading {
+		return nil, false
+	}
+	who := caller{entry: ask.Entry, incarnation: ask.Incarnation}
+	kept := o.entries[who]
+	if kept == nil {
+		kept = &replies{bySeq: map[uint64]*answer{}}
+		o.entries[who] = kept
+	}
+	kept.last = time.Now()
+	if own = kept.bySeq[ask.Seq]; own != nil {
+		return own, false
+	}
+	own = &answer{done: make(chan struct{})}
+	kept.bySeq[ask.Seq] = own
+	kept.order = append(kept.order, ask.Seq)
+	if len(kept.order) > mostReplies {
+		delete(kept.bySeq, kept.order[0])
+		kept.order = kept.order[1:]
+	}
+	return own, true
+}
+
+// serve grants what the reserves hold and waits for a commit where one would
+// bring more.
+func (o *Owner) serve(ctx context.Context, ask *plane.GrantAsk) *plane.GrantReply {
+	reply := &plane.GrantReply{Grants: make([]plane.Grant, len(ask.Asks))}
+	open := make([]int, 0, len(ask.Asks))
+	for i := range ask.Asks {
+		open = append(open, i)
+	}
+	o.giveBack(ask)
+	for {
+		short, round, leading := o.pass(ask, reply, open)
+		if !leading {
+			reply.Refused = plane.KindLeader
+			return reply
+		}
+		if len(short) == 0 {
+			return reply
+		}
+		o.nudge()
+		select {
+		case <-round:
+		case <-ctx.Done():
+			return reply
+		}
+		open = short
+	}
+}
+
+// nudge asks for a record at once.
+func (o *Owner) nudge() {
+	select {
+	case o.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (o *Owner) giveBack(ask *plane.GrantAsk) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	now := time.Now()
+	for i := range ask.Asks {
+		s := o.spaces[ask.Asks[i].Workspace]
+		if s == nil || ask.Asks[i].Unused <= 0 {
+			continue
+		}
+		s.advance(now)
+		s.giveBack(ask.Entry, &ask.Asks[i])
+	}
+}
+
+// pass answers the open asks and returns those for which a commit would bring
+// enough, with the end of the present record.
+func (o *Owner) pass(ask *plane.GrantAsk, reply *plane.GrantReply, open []int) (short []int, round chan struct{}, leading bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if !o.leading {
+		return nil, nil, false
+	}
+	o.follow()
+	now := time.Now()
+	for _, i := range open {
+		wish := &ask.Asks[i]
+		s := o.space(wish.Workspace)
+		if s == nil {
+			reply.Grants[i] = plane.Grant{Workspace: wish.Workspace, Missing: true}
+			continue
+		}
+		s.advance(now)
+		o.next++
+		given, waits := s.grant(o.term<<32|o.next&(1<<32-1), ask.Entry, wish, now)
+		reply.Grants[i] = given
+		if waits {
+			short = append(short, i)
+		}
+	}
+	return short, o.round, true
+}
+
+// space returns the bucket of a workspace; nil when there is none.
+func (o *Owner) space(name string) *space {
+	if s := o.spaces[name]; s != nil {
+		return s
+	}
+	if o.config == nil {
+		return nil
+	}
+	limits, ok := o.config.Workspaces[name]
+	if !ok {
+		return nil
+	}
+	horizon, seen, known := o.Horizon(name)
+	s := newSpace(name, limits, horizon, seen, known)
+	o.spaces[name] = s
+	return s
+}
--- /dev/null
+++ b/ctrl/quota/quota.go
@@ -0,0 +1,232 @@
+// Package quota owns the token buckets of all workspaces at the leader and
+// leases tokens to entries.
+//
+// Tokens are granted only out of a reserve that the log already counts as
+// granted; a record moves the reserves of all active workspaces. A successor
+// starts from the last record as if its whole reserve had been granted, and
+// accrues from the local time at which it applied the record, so that neither
+// a change of leader nor a wrong clock gives tokens away twice.
+package quota
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+const (
+	// tick is the time between two looks at the reserves.
+	tick = 250 * time.Millisecond
+	// reserveLife is how long a committed reserve may be granted.
+	reserveLife = time.Second
+	// shortestLife and longestLife bound how long a grant may be spent.
+	shortestLife = 100 * time.Millisecond
+	longestLife  = 2 * time.Second
+	// clockDrift is added where a successor waits for what a former leader
+	// granted.
+	clockDrift = 50 * time.Millisecond
+	// wantLife is how long an entry's wish counts as present.
+	wantLife = time.Second
+	// ticketLife is how long a place in line is kept after the entry was
+	// expected to ask again.
+	ticketLife = time.Second
+	// shortestWait is the least waiting time told to an entry.
+	shortestWait = 5 * time.Millisecond
+	// grantTimeout bounds how long an ask waits for a commit.
+	grantTimeout = time.Second
+	// commitTimeout bounds one record.
+	commitTimeout = 2 * time.Second
+	// mostReplies is how many replies are kept for each entry, for resends.
+	mostReplies = 16
+	// entryLife is how long a silent entry's replies are kept.
+	entryLife = time.Minute
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// KindLost says that the leadership was lost.
+const KindLost Kind = "leadership lost"
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+// Owner grants tokens while its replica leads. Its fields are set before Run.
+type Owner struct {
+	// Host gives log and meter.
+	Host host.Host
+	// Config returns the committed configuration; nil before the first.
+	Config func() *conf.Config
+	// Horizon returns the committed reservation of a workspace and the local
+	// time at which it was applied.
+	Horizon func(workspace string) (state.Horizon, time.Time, bool)
+	// Propose commits one record.
+	Propose func(ctx context.Context, horizons []state.Horizon) error
+
+	mutex   sync.Mutex
+	term    uint64
+	leading bool
+	spaces  map[string]*space
+	entries map[caller]*replies
+	config  *conf.Config
+	next    uint64
+	kick    chan struct{}
+	// round is closed at the end of the present record.
+	round chan struct{}
+}
+
+// caller is one incarnation of an entry.
+type caller struct {
+	entry       string
+	incarnation uint64
+}
+
+// replies are the last answers to one caller.
+type replies struct {
+	last  time.Time
+	order []uint64
+	bySeq map[uint64]*answer
+}
+
+// answer is closed once its reply is there.
+type answer struct {
+	done  chan struct{}
+	reply *plane.GrantReply
+}
+
+func (o *Owner) prepare() {
+	if o.kick != nil {
+		return
+	}
+	o.kick = make(chan struct{}, 1)
+	o.round = make(chan struct{})
+}
+
+// Lead tells the owner that its replica gained or lost the leadership.
+func (o *Owner) Lead(term uint64, leading bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.prepare()
+	o.term, o.leading = term, leading
+	o.spaces, o.entries = map[string]*space{}, map[caller]*replies{}
+	o.endRound()
+}
+
+func (o *Owner) endRound() {
+	close(o.round)
+	o.round = make(chan struct{})
+}
+
+// Run moves the reserves until ctx ends.
+func (o *Owner) Run(ctx context.Context) {
+	o.mutex.Lock()
+	o.prepare()
+	o.mutex.Unlock()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			o.smooth()
+		case <-o.kick:
+		}
+		o.record(ctx)
+	}
+}
+
+// smooth follows the use of each workspace and drops what is idle.
+func (o *Owner) smooth() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.follow()
+	now := time.Now()
+	for name, s := range o.spaces {
+		s.advance(now)
+		s.smooth()
+		if s.idle() {
+			delete(o.spaces, name)
+		}
+	}
+	for who, kept := range o.entries {
+		if now.Sub(kept.last) > entryLife {
+			delete(o.entries, who)
+		}
+	}
+}
+
+// follow brings the buckets to the committed configuration.
+func (o *Owner) follow() {
+	config := o.Config()
+	if config == nil || config == o.config {
+		return
+	}
+	o.config = config
+	now := time.Now()
+	for name, s := range o.spaces {
+		limits, ok := config.Workspaces[name]
+		if !ok {
+			delete(o.spaces, name)
+			continue
+		}
+		s.advance(now)
+		s.bucket.Set(limits.Rate, limits.Burst)
+	}
+}
+
+// record commits the reserves of the workspaces that need one, in one entry of
+// the log.
+func (o *Owner) record(ctx context.Context) {
+	term, proposed, horizons := o.collect()
+	if len(horizons) == 0 {
+		o.settle(term, proposed, nil, true)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	err := o.Propose(ctx, horizons)
+	if err != nil {
+		o.Host.Log.Write("quota-record-failed", "workspaces", len(horizons), "err", err)
+	}
+	o.settle(term, proposed, horizons, err == nil)
+}
+
+func (o *Owner) collect() (term uint64, proposed time.Time, horizons []state.Horizon) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	now := time.Now()
+	if !o.leading {
+		return o.term, now, nil
+	}
+	for _, name := range slices.Sorted(maps.Keys(o.spaces)) {
+		horizon, ok := o.spaces[name].topUp(now)
+		if ok {
+			horizons = append(horizons, horizon)
+		}
+	}
+	return o.term, now, horizons
+}
+
+// settle ends a record, unless the leadership changed meanwhile.
+func (o *Owner) settle(term uint64, proposed time.Time, horizons []state.Horizon, committed bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	defer o.endRound()
+	if term != o.term || !o.leading {
+		return
+	}
+	for _, horizon := range horizons {
+		if s := o.spaces[horizon.Workspace]; s != nil {
+			s.settle(committed, proposed)
+		}
+	}
+}
--- /dev/null
+++ b/ctrl/state/command.go
@@ -0,0 +1,100 @@
+package state
+
+import (
+	"github.com/tanagerspindle/tanagerspindle/ctrl/bans"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/ledger"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+// Command is one entry of the replicated log. Each field that is set is
+// applied, in the order below. An empty command only moves committed time on.
+type Command struct {
+	// Config proposes the next configuration.
+	Config *Proposal `protobuf:"bytes,1,opt"`
+	// Claim is one step of a request that runs at most once.
+	Claim *plane.ClaimAsk `protobuf:"bytes,2,opt"`
+	// Horizons move the token reservations of active workspaces.
+	Horizons []Horizon `protobuf:"bytes,3,rep"`
+	// Enrols gives fencing numbers to agent incarnations.
+	Enrols []Enrol `protobuf:"bytes,4,rep"`
+	// Ends names agent incarnations that said goodbye.
+	Ends []Enrol `protobuf:"bytes,5,rep"`
+	// Crashes names requests that were at endpoints when they died.
+	Crashes []plane.Crash `protobuf:"bytes,6,rep"`
+	// Clears holds digests of suspects that ended well.
+	Clears [][]byte `protobuf:"bytes,7,rep"`
+	// Lift is a digest whose quarantine an operator ends.
+	Lift []byte `protobuf:"bytes,8,opt"`
+}
+
+// Proposal is a configuration that wants to be the next one.
+type Proposal struct {
+	// Sum is the digest of the whole configuration.
+	Sum []byte `protobuf:"bytes,1,opt"`
+	// Author is who submitted it.
+	Author string `protobuf:"bytes,2,opt"`
+	// Delta leads from the configuration that the proposal replaces.
+	Delta *conf.Delta `protobuf:"bytes,3,opt"`
+}
+
+// Horizon is the state of one workspace's token bucket as if every token
+// reserved by the leader had been granted.
+type Horizon struct {
+	Workspace string `protobuf:"bytes,1,opt"`
+	// Level is what is left in the bucket, in tokens.
+	Level int64 `protobuf:"varint,2,opt"`
+	// Held is the number of tokens reserved or granted that may not be spent
+	// yet.
+	Held int64 `protobuf:"varint,3,opt"`
+}
+
+// Enrol names one incarnation of an agent.
+type Enrol struct {
+	Agent       string `protobuf:"bytes,1,opt"`
+	Incarnation uint64 `protobuf:"varint,2,opt"`
+}
+
+// Result is what a command gave.
+type Result struct {
+	// Refused is KindInvalid when the command could not be decoded.
+	Refused plane.Kind        `protobuf:"bytes,1,opt"`
+	Config  *plane.Submitted  `protobuf:"bytes,2,opt"`
+	Claim   *plane.ClaimReply `protobuf:"bytes,3,opt"`
+	// Fences answers Enrols in their order; 0 says that a later incarnation
+	// exists.
+	Fences []uint64 `protobuf:"varint,4,rep"`
+	// Lifted says that Lift named a ban.
+	Lifted bool `protobuf:"varint,5,opt"`
+}
+
+// Decided is one number of the configuration's history.
+type Decided struct {
+	Number uint64 `protobuf:"varint,1,opt"`
+	Sum    []byte `protobuf:"bytes,2,opt"`
+	Author string `protobuf:"bytes,3,opt"`
+}
+
+// Fence is the newest incarnation of an agent and its fencing number.
+type Fence struct {
+	Agent       string `protobuf:"bytes,1,opt"`
+	Incarnation uint64 `protobuf:"varint,2,opt"`
+	// Number grows with each new incarnation of any agent.
+	Number uint64 `protobuf:"varint,3,opt"`
+	// Former holds the last incarnations before it, oldest first.
+	Former []uint64 `protobuf:"varint,4,rep"`
+	// Ended says that the incarnation said goodbye.
+	Ended bool `protobuf:"varint,5,opt"`
+}
+
+// image is a snapshot of the machine.
+type image struct {
+	Time     int64          `protobuf:"varint,1,opt"`
+	Config   *conf.Config   `protobuf:"bytes,2,opt"`
+	History  []Decided      `protobuf:"bytes,3,rep"`
+	Claims   []ledger.Claim `protobuf:"bytes,4,rep"`
+	Horizons []Horizon      `protobuf:"bytes,5,rep"`
+	Fences   []Fence        `protobuf:"bytes,6,rep"`
+	Next     uint64         `protobuf:"varint,7,opt"`
+	Bans     *bans.Table    `protobuf:"bytes,8,opt"`
+}
--- /dev/null
+++ b/ctrl/state/machine.go
@@ -0,0 +1,226 @@
+// Package state holds the replicated machine of control: configuration,
+// claims, token reservations, fencing numbers and quarantine. Replicas that
+// apply the same log hold the same state.
+package state
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/ctrl/bans"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/ledger"
+	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// The kinds of failure.
+const (
+	KindEncode   Kind = "cannot encode"
+	KindSnapshot Kind = "bad snapshot"
+	KindHistory  Kind = "history is gone"
+)
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+// Machine is the replicated state. Apply, Snapshot and Restore are called from
+// one goroutine; the other methods from any. Its fields are set before use.
+type Machine struct {
+	// Changed is called after each applied entry that daemons may have to
+	// hear of; nil does nothing.
+	Changed func()
+
+	mutex sync.Mutex
+	// time is the committed time in nanoseconds; it never decreases.
+	time int64
+	// config is nil before the first one. A committed one is immutable.
+	config  *conf.Config
+	history []Decided
+	// deltas lead to config in sequence, the last ones only.
+	deltas   []*conf.Delta
+	ledger   ledger.Ledger
+	horizons map[string]reservation
+	fences   map[string]*fence
+	next     uint64
+	bans     bans.Bans
+}
+
+// reservation is a horizon with the local time at which it was applied.
+type reservation struct {
+	Horizon
+	seen time.Time
+}
+
+// fence is a Fence with the local time at which the agent's former
+// incarnations can no longer hold a lease.
+type fence struct {
+	Fence
+	free time.Time
+}
+
+// Apply applies one committed entry at its committed time, in nanoseconds, and
+// returns the encoded Result.
+func (m *Machine) Apply(at int64, data []byte) []byte {
+	command := &Command{}
+	if err := codec.Decode(data, command); err != nil {
+		return encodeResult(&Result{Refused: plane.KindInvalid})
+	}
+	result, news := m.apply(at, command)
+	if news && m.Changed != nil {
+		m.Changed()
+	}
+	return encodeResult(result)
+}
+
+func encodeResult(result *Result) []byte {
+	data, err := codec.Encode(result)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// apply reports with the result whether feeds have news to carry.
+func (m *Machine) apply(at int64, command *Command) (*Result, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.time = max(m.time, at)
+	number, revision, next := m.number(), m.bans.Revision(), m.next
+	result := &Result{}
+	if command.Config != nil {
+		result.Config = m.propose(command.Config)
+	}
+	if command.Claim != nil {
+		result.Claim = m.ledger.Apply(command.Claim, m.time)
+	}
+	for _, horizon := range command.Horizons {
+		m.reserve(horizon)
+	}
+	for _, enrol := range command.Enrols {
+		result.Fences = append(result.Fences, m.enrol(enrol))
+	}
+	for _, end := range command.Ends {
+		m.end(end)
+	}
+	m.applyBans(command, result)
+	m.ledger.Expire(m.time)
+	return result, number != m.number() || revision != m.bans.Revision() || next != m.next
+}
+
+func (m *Machine) applyBans(command *Command, result *Result) {
+	for i := range command.Crashes {
+		m.bans.Apply(&command.Crashes[i], m.time)
+	}
+	for _, digest := range command.Clears {
+		m.bans.Clear(digest)
+	}
+	if len(command.Lift) > 0 {
+		result.Lifted = m.bans.Lift(command.Lift)
+	}
+	m.bans.Expire(m.time)
+}
+
+// Snapshot returns the encoded state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	shown := &image{
+		Time: m.time, Config: m.config, History: m.history, Claims: m.ledger.Snapshot(),
+		Next: m.next, Bans: m.bans.Snapshot(),
+	}
+	for _, horizon := range m.horizons {
+		shown.Horizons = append(shown.Horizons, horizon.Horizon)
+	}
+	slices.SortFunc(shown.Horizons, func(a, b Horizon) int { return strings.Compare(a.Workspace, b.Workspace) })
+	for _, fence := range m.fences {
+		shown.Fences = append(shown.Fences, fence.Fence)
+	}
+	slices.SortFunc(shown.Fences, func(a, b Fence) int { return cmp.Compare(a.Number, b.Number) })
+	data, err := codec.Encode(shown)
+	if err != nil {
+		return nil, &Error{Op: "snapshot", Kind: KindEncode, Err: err}
+	}
+	return data, nil
+}
+
+// Restore replaces the state by a snapshot.
+func (m *Machine) Restore(data []byte) error {
+	shown := &image{}
+	if err := codec.Decode(data, shown); err != nil {
+		return &Error{Op: "restore", Kind: KindSnapshot, Err: err}
+	}
+	m.restore(shown)
+	if m.Changed != nil {
+		m.Changed()
+	}
+	return nil
+}
+
+func (m *Machine) restore(shown *image) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	now := time.Now()
+	m.time, m.config, m.history, m.deltas = shown.Time, shown.Config, shown.History, nil
+	m.ledger.Restore(shown.Claims)
+	m.bans.Restore(shown.Bans)
+	m.next = shown.Next
+	m.horizons = map[string]reservation{}
+	for _, horizon := range shown.Horizons {
+		m.horizons[horizon.Workspace] = reservation{Horizon: horizon, seen: now}
+	}
+	m.fences = map[string]*fence{}
+	for _, former := range shown.Fences {
+		m.fences[former.Agent] = &fence{Fence: former, free: m.freeAt(former, now)}
+	}
+}
+
+// Time returns the committed time in nanoseconds.
+func (m *Machine) Time() int64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.time
+}
+
+// Due reports whether something expires before the given committed time.
+func (m *Machine) Due(at int64) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	claim, ok := m.ledger.Due()
+	if ok && claim <= at {
+		return true
+	}
+	ban, ok := m.bans.Due()
+	return ok && ban <= at
+}
+
+// Claim returns how the claim of a key stands.
+func (m *Machine) Claim(ask *plane.ClaimAsk) *plane.ClaimReply {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	read := *ask
+	read.Verb = plane.VerbAsk
+	return m.ledger.Apply(&read, m.time)
+}
+
+// Bans returns the suspects and quarantined requests, and the revision of the
+// list.
+func (m *Machine) Bans() ([]plane.Ban, uint64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.bans.List(m.time), m.bans.Revision()
+}
+
+// BansRevision returns the revision of the list of bans.
+func (m *Machine) BansRevision() uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.bans.Revision()
+}
--- /dev/null
+++ b/pkg/bucket/bucket.go
@@ -0,0 +1,111 @@
+// Package bucket holds the arithmetic of a token bucket in whole tokens,
+// without rounding in the bucket's favour.
+package bucket
+
+import (
+	"math/bits"
+	"time"
+)
+
+// Bucket accrues Rate tokens per second up to Burst. It is used by one
+// goroutine at a time.
+type Bucket struct {
+	rate, burst int64
+	level       int64
+	// at is the time up to which accrual is in level.
+	at time.Time
+}
+
+// New returns a bucket that holds level tokens at a time. Rate is in tokens
+// per second and burst in tokens; both are at least 1.
+func New(rate, burst, level int64, at time.Time) *Bucket {
+	b := &Bucket{rate: max(rate, 1), burst: max(burst, 1), at: at}
+	b.level = min(max(level, 0), b.burst)
+	return b
+}
+
+// Set changes rate and burst from the time of the last Advance on.
+func (b *Bucket) Set(rate, burst int64) {
+	b.rate, b.burst = max(rate, 1), max(burst, 1)
+	b.level = min(b.level, b.burst)
+}
+
+// Advance accrues tokens until now, to at most the burst less held, which is
+// the number of tokens taken and not known to be spent. A now in the past
+// changes nothing.
+func (b *Bucket) Advance(now time.Time, held int64) {
+	room := b.burst - held - b.level
+	gap := now.Sub(b.at)
+	if gap <= 0 {
+		return
+	}
+	if room <= 0 {
+		b.at = now
+		return
+	}
+	earned := b.earned(gap)
+	if earned >= room {
+		b.level += room
+		b.at = now
+		return
+	}
+	b.level += earned
+	b.at = b.at.Add(b.time(earned))
+}
+
+// earned returns the whole tokens of a time, at most those of a full bucket.
+func (b *Bucket) earned(gap time.Duration) int64 {
+	high, low := bits.Mul64(uint64(b.rate), uint64(gap))
+	if high >= uint64(time.Second) {
+		return b.burst
+	}
+	tokens, _ := bits.Div64(high, low, uint64(time.Second))
+	if tokens > uint64(b.burst) {
+		return b.burst
+	}
+	return int64(tokens)
+}
+
+// time returns how long tokens take to accrue, rounded up.
+func (b *Bucket) time(tokens int64) time.Duration {
+	high, low := bits.Mul64(uint64(tokens), uint64(time.Second))
+	if high >= uint64(b.rate) {
+		return time.Duration(1<<63 - 1)
+	}
+	gap, rest := bits.Div64(high, low, uint64(b.rate))
+	if rest > 0 {
+		gap++
+	}
+	if gap > 1<<63-1 {
+		return time.Duration(1<<63 - 1)
+	}
+	return time.Duration(gap)
+}
+
+// Level returns the tokens in the bucket after the last Advance.
+func (b *Bucket) Level() int64 { return b.level }
+
+// Burst returns the most tokens that the bucket holds.
+func (b *Bucket) Burst() int64 { return b.burst }
+
+// Rate returns the tokens that accrue in a second.
+func (b *Bucket) Rate() int64 { return b.rate }
+
+// Take removes up to want tokens and returns how many.
+func (b *Bucket) Take(want int64) int64 {
+	taken := max(min(want, b.level), 0)
+	b.level -= taken
+	return taken
+}
+
+// Put gives tokens back, up to the burst.
+func (b *Bucket) Put(tokens int64) { b.level = min(b.level+tokens, b.burst) }
+
+// Wait returns how long it takes until the bucket holds want tokens, if
+// nothing is taken.
+func (b *Bucket) Wait(want int64) time.Duration {
+	if want <= b.level {
+		return 0
+	}
+	return b.time(want - b.level)
+}
--- a/pkg/plane/feed.go
+++ b/pkg/plane/feed.go
@@ -106,6 +106,9 @@
 	Bye bool `protobuf:"varint,6,opt"`
 	// Crash reports requests that were at an endpoint when it died.
 	Crash []Crash `protobuf:"bytes,7,rep"`
+	// Cleared holds digests of suspected requests that ended well at the
+	// agent's endpoint.
+	Cleared [][]byte `protobuf:"bytes,8,rep"`
 }
 
 // Burn counts the requests of one goal, workspace and route.
--- a/pkg/roster/origin.go
+++ b/pkg/roster/origin.go
@@ -117,6 +117,19 @@
 	return true
 }
 
+// Lost marks an incarnation as gone whose connection to the origin replica
+// broke at a time, unless it has been heard since, here or by another replica.
+// It returns the last record.
+func (r *Roster) Lost(origin uint64, agent string, incarnation uint64, at time.Time) (Record, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	old := r.records[agent]
+	if old == nil || old.Gone || old.Incarnation != incarnation || old.Origin != origin || old.heard.After(at) {
+		return Record{}, false
+	}
+	return r.remove(origin, old, time.Now()), true
+}
+
 // remove marks a record as gone and returns it as it was.
 func (r *Roster) remove(origin uint64, old *held, now time.Time) Record {
 	former := old.Record
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -116,6 +116,13 @@
 	return delta
 }
 
+// Behind reports whether the holder of a vector needs the whole roster.
+func (r *Roster) Behind(vector []Mark) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(vector) > 0 && r.behind(vectorOf(vector))
+}
+
 func (r *Roster) behind(has map[uint64]uint64) bool {
 	for origin, counter := range r.forgotten {
 		if has[origin] < counter {
