--- /dev/null
+++ b/pkg/uplink/uplink_test.go
@@ -0,0 +1,57 @@
+package uplink_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/uplink"
+	"github.com/tanagerspindle/tanagerspindle/pkg/vnet"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
+)
+
+// named answers every call with a number that tells which replica it was.
+func named(number uint64) map[string]link.Handler {
+	return map[string]link.Handler{"who": func(_ context.Context, stream *wire.Stream) error {
+		if err := stream.Receive(&call.Probe{}); err != nil {
+			return err
+		}
+		return stream.Send(&call.Verdict{Incarnation: number})
+	}}
+}
+
+func TestUplinkLeavesASilentReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := vnet.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		for number, address := range []string{"c0:1", "c1:1"} {
+			listener, err := network.Listen(address)
+			require.NoError(t, err)
+			go func() { _ = link.Serve(ctx, listener, named(uint64(number))) }()
+		}
+		up := &uplink.Uplink{Host: host.Host{Dial: network.Dialer("e")}, Replicas: []string{"c0:1", "c1:1"}}
+		go up.Run(ctx)
+
+		var verdict call.Verdict
+		require.NoError(t, up.Call(ctx, "who", &call.Probe{}, &verdict))
+		require.Equal(t, uint64(0), verdict.Incarnation)
+
+		network.Isolate("e", "c0")
+		start := time.Now()
+		require.Eventually(t, func() bool {
+			attempt, end := context.WithTimeout(ctx, 200*time.Millisecond)
+			defer end()
+			err := up.Call(attempt, "who", &call.Probe{}, &verdict)
+			return err == nil && verdict.Incarnation == 1
+		}, time.Minute, 100*time.Millisecond)
+		require.Less(t, time.Since(start), link.PingInterval+link.PingTimeout+2*time.Second)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
--- /dev/null
+++ b/stubs/crowd/crowd.go
@@ -0,0 +1,185 @@
+package crowd
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// Crowd is all callers of one run.
+type Crowd struct {
+	// Tenants are the workspaces' traffic.
+	Tenants []Tenant
+	// Entries are the addresses behind the balancer, used in turn.
+	Entries []string
+	// Client sends the requests.
+	Client *http.Client
+	// Seed fixes every draw.
+	Seed uint64
+	// Length is how long requests are sent; halfway through it popularity
+	// shifts and the floods begin.
+	Length time.Duration
+
+	mutex    sync.Mutex
+	requests []*Request
+	turn     int
+	start    time.Time
+}
+
+// Run sends the traffic and returns every request once the last has ended.
+func (c *Crowd) Run(ctx context.Context) []*Request {
+	c.start = time.Now()
+	var callers conc.WaitGroup
+	stream := c.Seed << 20
+	spawn := func(act func(*rand.Rand)) {
+		stream++
+		random := rand.New(rand.NewPCG(c.Seed, stream))
+		callers.Go(func() { act(random) })
+	}
+	for index := range c.Tenants {
+		tenant := &c.Tenants[index]
+		for range tenant.People {
+			spawn(func(random *rand.Rand) { c.person(ctx, tenant, random) })
+		}
+		for range tenant.Jobs {
+			spawn(func(random *rand.Rand) { c.jobs(ctx, tenant, random, 0) })
+		}
+		for range tenant.Flood {
+			spawn(func(random *rand.Rand) { c.jobs(ctx, tenant, random, c.Length/2) })
+		}
+		if tenant.Lookups > 0 {
+			spawn(func(random *rand.Rand) { c.lookups(ctx, tenant, random) })
+		}
+		if tenant.Filings > 0 {
+			spawn(func(random *rand.Rand) { c.filings(ctx, tenant, random) })
+		}
+	}
+	callers.Wait()
+	return c.requests
+}
+
+func (c *Crowd) over() bool { return time.Since(c.start) >= c.Length }
+
+// pause waits and reports whether sending goes on.
+func (c *Crowd) pause(ctx context.Context, length time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(length):
+	}
+	return !c.over()
+}
+
+func (c *Crowd) entry() string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.turn++
+	return c.Entries[c.turn%len(c.Entries)]
+}
+
+func (c *Crowd) record(request *Request) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.requests = append(c.requests, request)
+}
+
+// adapter draws an adapter; in the second half the ranks are shifted by a
+// third of the list.
+func (c *Crowd) adapter(tenant *Tenant, ranks *popularity, random *rand.Rand) string {
+	rank := ranks.draw(random)
+	if time.Since(c.start) >= c.Length/2 {
+		rank = (rank + len(tenant.Adapters)/3) % len(tenant.Adapters)
+	}
+	return tenant.Adapters[rank]
+}
+
+func (c *Crowd) person(ctx context.Context, tenant *Tenant, random *rand.Rand) {
+	ranks := newPopularity(len(tenant.Adapters))
+	if !c.pause(ctx, time.Duration(random.Int64N(int64(thinkTime)))) {
+		return
+	}
+	for {
+		adapter := c.adapter(tenant, ranks, random)
+		request := &Request{
+			Sort: SortPerson, Workspace: tenant.Workspace, Adapter: adapter, Stream: true,
+			Prompt: prompt(random, adapter, 20+random.IntN(60)), MaxTokens: between(random, personTokens),
+		}
+		c.complete(ctx, tenant.Desk, request)
+		if !c.pause(ctx, exponential(random, thinkTime)) {
+			return
+		}
+	}
+}
+
+func (c *Crowd) jobs(ctx context.Context, tenant *Tenant, random *rand.Rand, delay time.Duration) {
+	ranks := newPopularity(len(tenant.Adapters))
+	if !c.pause(ctx, delay+time.Duration(random.Int64N(int64(jobPause)))) {
+		return
+	}
+	for {
+		c.job(ctx, tenant, random, c.adapter(tenant, ranks, random))
+		if !c.pause(ctx, exponential(random, jobPause)) {
+			return
+		}
+	}
+}
+
+func (c *Crowd) job(ctx context.Context, tenant *Tenant, random *rand.Rand, adapter string) {
+	work := make([]*Request, 0, jobSize)
+	for range jobSize {
+		work = append(work, &Request{
+			Sort: SortBatch, Workspace: tenant.Workspace, Adapter: adapter,
+			Prompt: prompt(random, adapter, 60+random.IntN(120)), MaxTokens: between(random, batchTokens),
+		})
+	}
+	var lanes conc.WaitGroup
+	for lane := range jobWidth {
+		lanes.Go(func() {
+			for index := lane; index < len(work) && !c.over(); index += jobWidth {
+				c.complete(ctx, tenant.Night, work[index])
+			}
+		})
+	}
+	lanes.Wait()
+}
+
+func (c *Crowd) lookups(ctx context.Context, tenant *Tenant, random *rand.Rand) {
+	var flight conc.WaitGroup
+	defer flight.Wait()
+	for c.pause(ctx, exponential(random, perSecond(tenant.Lookups))) {
+		request := &Request{Sort: SortLookup, Workspace: tenant.Workspace}
+		number := random.IntN(100000)
+		flight.Go(func() { c.call(ctx, tenant.Desk, http.MethodGet, fmt.Sprintf("/register/%d", number), request) })
+	}
+}
+
+func (c *Crowd) filings(ctx context.Context, tenant *Tenant, random *rand.Rand) {
+	var flight conc.WaitGroup
+	defer flight.Wait()
+	for count := 0; c.pause(ctx, exponential(random, perSecond(tenant.Filings))); count++ {
+		key := fmt.Sprintf("%s-%d-%d", tenant.Workspace, c.Seed, count)
+		resend := random.Float64() < resendShare
+		wait := time.Duration(random.Int64N(int64(2 * time.Second)))
+		flight.Go(func() {
+			request := &Request{Sort: SortFiling, Workspace: tenant.Workspace, Key: key}
+			c.call(ctx, tenant.Desk, http.MethodPost, "/filings", request)
+		})
+		if !resend {
+			continue
+		}
+		flight.Go(func() {
+			time.Sleep(wait)
+			request := &Request{Sort: SortFiling, Workspace: tenant.Workspace, Key: key, Resend: true}
+			c.call(ctx, tenant.Desk, http.MethodPost, "/filings", request)
+		})
+	}
+}
+
+func perSecond(rate float64) time.Duration {
+	return time.Duration(float64(time.Second) / rate)
+}
