--- a/stubs/model/model.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package model is a stand-in model engine.
-package model
