Load and check the operators' folder

Cause: daemons and the command line need one reading of the operators' files. Change: pkg/strict merges JSON with comments by name order and decodes it strictly with the place of every fault; pkg/conf adds Load, Check, Default and the checks of cross references, ranges and collisions. Faults never repeat a value or a name that may be a key. Measured: go test -race ./pkg/conf: ok; one fault of each kind gives exactly one message in TestCheckFindsEachFault.

--- /dev/null
+++ b/pkg/conf/error.go
@@ -0,0 +1,31 @@
+package conf
+
+import (
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+	"github.com/tanagerspindle/tanagerspindle/pkg/strict"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// The kinds of failure.
+const (
+	// KindRead says that the folder or a file in it cannot be read.
+	KindRead Kind = "cannot read"
+	// KindFaults says that the configuration has the faults that are the
+	// cause, a strict.Faults.
+	KindFaults Kind = "faults in the configuration"
+	// KindDelta says that a delta does not fit the configuration it is
+	// applied to.
+	KindDelta Kind = "delta does not fit"
+)
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+func failed(op string, faults strict.Faults) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	return &Error{Op: op, Kind: KindFaults, Err: hideSecrets(faults.Sorted())}
+}
--- /dev/null
+++ b/pkg/conf/load.go
@@ -0,0 +1,81 @@
+package conf
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/strict"
+)
+
+// suffixes are the endings of the files that are read.
+var suffixes = []string{".json", ".jsonc", ".hujson"}
+
+// Load reads the files of an operators' folder in the order of their names,
+// merges them, fills in the defaults and checks the result. Later files win
+// and null deletes a record or field. All faults are reported at once, as an
+// Error whose cause is strict.Faults; then no configuration is returned.
+func Load(dir string) (*Config, error) {
+	names, err := listFiles(dir)
+	if err != nil {
+		return nil, err
+	}
+	document := strict.New()
+	for _, name := range names {
+		text, err := os.ReadFile(filepath.Join(dir, name))
+		if err != nil {
+			return nil, &Error{Op: "load " + dir, Kind: KindRead, Err: err}
+		}
+		document.Merge(name, text)
+	}
+	return decode(document)
+}
+
+// listFiles returns the names of the files to read, sorted. Hidden files and
+// the temporary files of editors do not match.
+func listFiles(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, &Error{Op: "load " + dir, Kind: KindRead, Err: err}
+	}
+	var names []string
+	for _, entry := range entries {
+		if !entry.IsDir() && isConfig(entry.Name()) {
+			names = append(names, entry.Name())
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func isConfig(name string) bool {
+	if strings.HasPrefix(name, ".") || strings.HasPrefix(name, "#") || strings.HasPrefix(name, "~") {
+		return false
+	}
+	return slices.Contains(suffixes, filepath.Ext(name))
+}
+
+func decode(document *strict.Document) (*Config, error) {
+	config := &Config{Weights: Default().Weights}
+	decoder := strict.Decoder{Fresh: fresh}
+	decoder.Decode(document, config)
+	document.Check(config.faults())
+	if err := failed("load", document.Faults); err != nil {
+		return nil, err
+	}
+	return config, nil
+}
+
+// fresh returns what a record starts from.
+func fresh(kind reflect.Type) reflect.Value {
+	defaults := Default()
+	switch kind {
+	case reflect.TypeFor[Workspace]():
+		return reflect.ValueOf(defaults.Workspace)
+	case reflect.TypeFor[Route]():
+		return reflect.ValueOf(defaults.Route)
+	}
+	return reflect.Zero(kind)
+}
--- /dev/null
+++ b/pkg/conf/route.go
@@ -0,0 +1,185 @@
+package conf
+
+import (
+	"net/http"
+	"path"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// maxWindow is the longest window of a route; control keeps each outcome
+// that long.
+const maxWindow = 31 * DefaultWindow
+
+var (
+	// reserved are the paths that the entry answers itself.
+	reserved = []string{"/v1/completions", "/v1/chat/completions", "/v1/models", "/live", "/ready"}
+	// untouchable are headers that a request cannot do without.
+	untouchable = []string{"Host", "Content-Length", "Transfer-Encoding", "Connection", "Content-Type"}
+	tokenShape  = regexp.MustCompile("^[A-Za-z0-9!#$%&'*+.^_`|~-]+$")
+	methodShape = regexp.MustCompile(`^[A-Z]+$`)
+)
+
+func (k *checker) checkRoute(name string, r Route) {
+	k.checkRecord("routes", name)
+	switch r.Kind {
+	case KindModel:
+		k.checkModelRoute(name, r)
+	case KindService:
+		k.checkServiceRoute(name, r)
+	default:
+		k.fail([]string{"routes", name, "kind"}, "must be %q or %q", KindModel, KindService)
+	}
+	k.checkAllowed(name, r)
+	k.checkGoal(r.Goal, "routes", name, "goal")
+	if r.Window < 0 || r.Window.Std() > maxWindow {
+		k.fail([]string{"routes", name, "window"}, "must be from 0s to %s", maxWindow)
+	}
+	if r.Cost < 0 || r.Cost > maxRate {
+		k.fail([]string{"routes", name, "cost"}, "must be from 0 to %d", int64(maxRate))
+	}
+	k.checkKeyPlaces(name, r)
+}
+
+func (k *checker) checkModelRoute(name string, r Route) {
+	k.checkName(r.Name, "routes", name, "name")
+	if _, ok := k.config.Adapters[r.Adapter]; !ok {
+		k.fail([]string{"routes", name, "adapter"}, "no such adapter")
+	}
+	k.checkAbsent(name, KindService, map[string]bool{
+		"path":    r.Path != "",
+		"methods": len(r.Methods) > 0,
+		"service": r.Service != "",
+		"once":    r.Once,
+	})
+}
+
+func (k *checker) checkServiceRoute(name string, r Route) {
+	k.checkName(r.Service, "routes", name, "service")
+	k.checkPath(name, r.Path)
+	for _, method := range r.Methods {
+		if !methodShape.MatchString(method) || method == http.MethodConnect {
+			k.fail([]string{"routes", name, "methods"}, "%q is not an HTTP method in capitals that can be forwarded", method)
+		}
+	}
+	k.checkUnique(r.Methods, "routes", name, "methods")
+	k.checkAbsent(name, KindModel, map[string]bool{"name": r.Name != "", "adapter": r.Adapter != ""})
+}
+
+func (k *checker) checkAbsent(name, kind string, present map[string]bool) {
+	for _, field := range sorted(present) {
+		if present[field] {
+			k.fail([]string{"routes", name, field}, "only for routes of kind %q", kind)
+		}
+	}
+}
+
+func (k *checker) checkPath(name, route string) {
+	field := []string{"routes", name, "path"}
+	if !strings.HasPrefix(route, "/") || path.Clean(route) != route || strings.ContainsAny(route, "?#% \\") {
+		k.fail(field, "must be a clean URL path such as \"/filings\", without a slash at the end")
+		return
+	}
+	for _, own := range reserved {
+		if route == own || strings.HasPrefix(route, own+"/") {
+			k.fail(field, "%s is answered by the entry itself", own)
+		}
+	}
+}
+
+func (k *checker) checkAllowed(name string, r Route) {
+	field := []string{"routes", name, "workspaces"}
+	if r.Open && len(r.Workspaces) != 1 {
+		k.fail(field, "an open route names exactly one workspace, which pays")
+	}
+	if !r.Open && len(r.Workspaces) == 0 {
+		k.fail(field, "must name at least one workspace")
+	}
+	k.checkUnique(r.Workspaces, field...)
+	for _, workspace := range r.Workspaces {
+		k.checkWorkspaceName(workspace, field...)
+	}
+}
+
+func (k *checker) checkKeyPlaces(name string, r Route) {
+	for _, header := range r.KeyHeader {
+		canonical := http.CanonicalHeaderKey(header)
+		if !tokenShape.MatchString(header) || slices.Contains(untouchable, canonical) {
+			k.fail([]string{"routes", name, "key_header"}, "%q cannot carry a key", header)
+		}
+	}
+	for _, query := range r.KeyQuery {
+		if query == "" {
+			k.fail([]string{"routes", name, "key_query"}, "a parameter has no name")
+		}
+	}
+	for _, cookie := range r.KeyCookie {
+		if !tokenShape.MatchString(cookie) {
+			k.fail([]string{"routes", name, "key_cookie"}, "%q is not a cookie's name", cookie)
+		}
+	}
+}
+
+// checkPaths finds service routes that no request could tell apart: equal
+// paths with a method in common. A path inside another is no fault, since the
+// longest prefix wins.
+func (k *checker) checkPaths() {
+	taken := map[string][]string{}
+	for _, name := range sorted(k.config.Routes) {
+		route := k.config.Routes[name]
+		if route.Kind != KindService {
+			continue
+		}
+		for _, other := range taken[route.Path] {
+			if shareMethod(route.Methods, k.config.Routes[other].Methods) {
+				k.fail([]string{"routes", name, "path"}, "route %q has the same path and a method in common", other)
+			}
+		}
+		taken[route.Path] = append(taken[route.Path], name)
+	}
+}
+
+func shareMethod(a, b []string) bool {
+	if len(a) == 0 || len(b) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(a, func(method string) bool { return slices.Contains(b, method) })
+}
+
+// checkModelNames finds names that lead some caller to two adapters.
+func (k *checker) checkModelNames() {
+	taken := map[string][]string{}
+	for _, name := range sorted(k.config.Routes) {
+		route := k.config.Routes[name]
+		if route.Kind != KindModel {
+			continue
+		}
+		for _, other := range taken[route.Name] {
+			if shareCaller(route, k.config.Routes[other]) {
+				k.fail([]string{"routes", name, "name"}, "route %q has the same name and a caller in common", other)
+			}
+		}
+		taken[route.Name] = append(taken[route.Name], name)
+		k.checkOwned(name, route)
+	}
+}
+
+// checkOwned finds a route that hides an adapter of the same name from the
+// workspace that owns it.
+func (k *checker) checkOwned(name string, route Route) {
+	adapter, ok := k.config.Adapters[route.Name]
+	if !ok || route.Adapter == route.Name || adapter.Workspace == "" {
+		return
+	}
+	if route.Open || slices.Contains(route.Workspaces, adapter.Workspace) {
+		k.fail([]string{"routes", name, "name"}, "workspace %q owns another adapter of this name", adapter.Workspace)
+	}
+}
+
+func shareCaller(a, b Route) bool {
+	if a.Open || b.Open {
+		return true
+	}
+	return slices.ContainsFunc(a.Workspaces, func(w string) bool { return slices.Contains(b.Workspaces, w) })
+}
--- /dev/null
+++ b/pkg/conf/secret.go
@@ -0,0 +1,50 @@
+package conf
+
+import (
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/strict"
+)
+
+// hidden replaces a name that may be a secret.
+const hidden = "(hidden)"
+
+var (
+	digestShape = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	// secretShape matches words long enough to be a key.
+	secretShape = regexp.MustCompile(`[A-Za-z0-9_\-+/=]{20,}`)
+	letter      = regexp.MustCompile(`[A-Za-z]`)
+	digit       = regexp.MustCompile(`[0-9]`)
+)
+
+// holdsSecret reports whether a text holds a word that looks like a key in
+// the clear: long, with letters and digits.
+func holdsSecret(text string) bool {
+	return slices.ContainsFunc(secretShape.FindAllString(text, -1), func(word string) bool {
+		return letter.MatchString(word) && digit.MatchString(word)
+	})
+}
+
+// hideSecrets takes names that may be keys out of the fields of faults: all
+// but the names of records, which people choose and need to see.
+func hideSecrets(faults strict.Faults) strict.Faults {
+	for i := range faults {
+		path := slices.Clone(faults[i].Path)
+		for at := range path {
+			if isSecretName(path, at) {
+				path[at] = hidden
+			}
+		}
+		faults[i].Path, faults[i].Field = path, strings.Join(path, ".")
+	}
+	return faults
+}
+
+func isSecretName(path []string, at int) bool {
+	if at != 1 {
+		return holdsSecret(path[at])
+	}
+	return path[0] == "keys" && !digestShape.MatchString(path[at])
+}
