Add daemon settings and the process around a daemon

Cause: each daemon needs checked settings, signals, metrics and TLS. Change: pkg/setup reads one file per process and lists all faults at once; pkg/launch builds host.Host from it, shows expvar on the private listener only, ends the context at the first signal and the process at the second. Mutual TLS admits the own authority and refuses a stranger, a client with a foreign or without a certificate, and plain TCP.

--- /dev/null
+++ b/pkg/launch/launch.go
@@ -0,0 +1,163 @@
+// Package launch runs one daemon as a process: settings, log, private
+// metrics, signals and exit code.
+package launch
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/event"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
+	"github.com/tanagerspindle/tanagerspindle/pkg/setup"
+)
+
+// Exit codes of a daemon.
+const (
+	// ExitStopped follows a planned stop.
+	ExitStopped = 0
+	// ExitFailed says that the daemon ended by a failure.
+	ExitFailed = 1
+	// ExitUsage says that the arguments or the settings are wrong.
+	ExitUsage = 2
+	// ExitForced says that a second signal cut a planned stop short.
+	ExitForced = 130
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// The kinds of failure.
+const (
+	KindRole        Kind = "settings are for another role"
+	KindUsage       Kind = "want one argument, the settings file"
+	KindExposed     Kind = "not allowed to listen beyond loopback"
+	KindListen      Kind = "cannot listen"
+	KindDial        Kind = "cannot connect"
+	KindCertificate Kind = "handshake failed"
+)
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+// Serve runs a daemon until ctx ends; then it drains and returns nil.
+type Serve func(ctx context.Context, h host.Host, s *setup.Setup) error
+
+// Program is one process. Its fields are set before Main.
+type Program struct {
+	// Role is the one that the settings must be for.
+	Role string
+	// Arguments are those of the command line, without the program's name.
+	Arguments []string
+	// Output takes the log and messages.
+	Output io.Writer
+	// Signals carries requests to stop. The first ends the context of Serve;
+	// the second ends the process at once.
+	Signals <-chan os.Signal
+	// Serve runs the daemon.
+	Serve Serve
+}
+
+// Run runs a daemon of the given role with the arguments and signals of this
+// process, and returns its exit code.
+func Run(role string, serve Serve) int {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	p := Program{Role: role, Arguments: os.Args[1:], Output: os.Stderr, Signals: signals, Serve: serve}
+	return p.Main()
+}
+
+// Main runs the program and returns its exit code.
+func (p *Program) Main() int {
+	settings, err := p.load()
+	if err != nil {
+		_, _ = io.WriteString(p.Output, err.Error()+"\n")
+		return ExitUsage
+	}
+	h, err := p.host(settings)
+	if err != nil {
+		_, _ = io.WriteString(p.Output, err.Error()+"\n")
+		return ExitUsage
+	}
+	return p.serve(h, settings)
+}
+
+func (p *Program) load() (*setup.Setup, error) {
+	flags := flag.NewFlagSet(p.Role, flag.ContinueOnError)
+	flags.SetOutput(p.Output)
+	if err := flags.Parse(p.Arguments); err != nil {
+		return nil, &Error{Op: "read arguments", Kind: KindUsage, Err: err}
+	}
+	if flags.NArg() != 1 {
+		return nil, &Error{Op: "read arguments", Kind: KindUsage}
+	}
+	settings, err := setup.Load(flags.Arg(0))
+	if err != nil {
+		return nil, err
+	}
+	if settings.Role != p.Role {
+		return nil, &Error{Op: "start " + p.Role, Kind: KindRole}
+	}
+	return settings, nil
+}
+
+func (p *Program) host(s *setup.Setup) (host.Host, error) {
+	network, err := newNetwork(s)
+	if err != nil {
+		return host.Host{}, err
+	}
+	return host.Host{
+		VM:         s.Name,
+		DataCentre: s.DataCentre,
+		Log:        event.New(p.Output, s.Role+"/"+s.Name),
+		Meter:      meter.New(),
+		Dial:       network.dial,
+		Listen:     network.listen,
+	}, nil
+}
+
+// serve runs the daemon beside its metrics until it ends or a second signal
+// comes.
+func (p *Program) serve(h host.Host, s *setup.Setup) int {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	closeMetrics, err := serveMetrics(h, s.Metrics)
+	if err != nil {
+		h.Log.Write("failed", "err", err)
+		return ExitFailed
+	}
+	defer closeMetrics()
+	ended := make(chan error, 1)
+	go func() { ended <- p.Serve(ctx, h, s) }()
+	h.Log.Write("started", "role", s.Role, "data_centre", s.DataCentre)
+	stopping := false
+	for {
+		select {
+		case err := <-ended:
+			return report(h, err)
+		case got := <-p.Signals:
+			if stopping {
+				h.Log.Write("forced", "signal", got)
+				return ExitForced
+			}
+			stopping = true
+			h.Log.Write("stopping", "signal", got)
+			cancel()
+		}
+	}
+}
+
+func report(h host.Host, err error) int {
+	if err != nil {
+		h.Log.Write("failed", "err", err)
+		return ExitFailed
+	}
+	h.Log.Write("stopped")
+	return ExitStopped
+}
--- /dev/null
+++ b/pkg/setup/setup_test.go
@@ -0,0 +1,95 @@
+package setup
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+	"github.com/tanagerspindle/tanagerspindle/pkg/strict"
+)
+
+func TestLoadFillsDefaults(t *testing.T) {
+	settings, err := Load("testdata/ctrl.json")
+	require.NoError(t, err)
+	text, err := json.MarshalIndent(settings, "", "  ")
+	require.NoError(t, err)
+	goldie.New(t).Assert(t, "ctrl", append(text, '\n'))
+}
+
+func TestLoadListsAllFaultsAtOnce(t *testing.T) {
+	_, err := Load("testdata/bad.json")
+	require.ErrorIs(t, err, &Error{Kind: KindFaults})
+	var faults strict.Faults
+	require.ErrorAs(t, err, &faults)
+	goldie.New(t).Assert(t, "bad", []byte(faults.Error()+"\n"))
+}
+
+func TestLoadFailsWithoutFile(t *testing.T) {
+	_, err := Load("testdata/none.json")
+	require.ErrorIs(t, err, &Error{Kind: KindRead})
+}
+
+func TestCheckFindsEachFault(t *testing.T) {
+	for name, test := range map[string]struct {
+		base  func() *Setup
+		field string
+		spoil func(*Setup)
+	}{
+		"role":              {entry, "role", func(s *Setup) { s.Role = "boss" }},
+		"name":              {entry, "name", func(s *Setup) { s.Name = "" }},
+		"data centre":       {entry, "data_centre", func(s *Setup) { s.DataCentre = "a b" }},
+		"entry's listen":    {entry, "listen", func(s *Setup) { s.Listen = "127.0.0.1:1" }},
+		"exposed http":      {entry, "http", func(s *Setup) { s.HTTP = "0.0.0.0:80" }},
+		"host name":         {entry, "http", func(s *Setup) { s.HTTP = "localhost:80" }},
+		"no control":        {entry, "control", func(s *Setup) { s.Control = nil }},
+		"control twice":     {entry, "control", func(s *Setup) { s.Control = append(s.Control, s.Control[0]) }},
+		"entry with data":   {entry, "data", func(s *Setup) { s.Data = "/x" }},
+		"drain":             {entry, "drain", func(s *Setup) { s.Drain = 0 }},
+		"settle":            {entry, "settle", func(s *Setup) { s.Settle = span.Duration(-1) }},
+		"exposed metrics":   {entry, "metrics", func(s *Setup) { s.Metrics = "10.0.0.1:80" }},
+		"public metrics":    {entry, "metrics", func(s *Setup) { s.Open, s.Metrics = true, "0.0.0.0:80" }},
+		"half certificates": {entry, "certificate", func(s *Setup) { s.Key = "k.pem" }},
+		"agent's listen":    {agent, "listen", func(s *Setup) { s.Open, s.Listen = true, "0.0.0.0:1" }},
+		"agent's peers":     {agent, "peers", func(s *Setup) { s.Peers = []Peer{{}} }},
+		"even peers":        {control, "peers", func(s *Setup) { s.Peers = append(s.Peers, Peer{"c2", "127.0.0.1:2"}) }},
+		"without itself":    {control, "peers", func(s *Setup) { s.Name = "c9" }},
+		"no data":           {control, "data", func(s *Setup) { s.Data = "" }},
+		"loads":             {control, "loads", func(s *Setup) { s.Loads = 0 }},
+		"flight":            {control, "flight", func(s *Setup) { s.Flight = 0 }},
+		"control's http":    {control, "http", func(s *Setup) { s.HTTP = "127.0.0.1:1" }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			settings := test.base()
+			require.NoError(t, settings.Check())
+			test.spoil(settings)
+			var faults strict.Faults
+			require.ErrorAs(t, settings.Check(), &faults)
+			require.Len(t, faults, 1, fmt.Sprint(faults))
+			require.Equal(t, test.field, faults[0].Field)
+		})
+	}
+}
+
+func entry() *Setup {
+	s := Default()
+	s.Role, s.Name, s.DataCentre = RoleEntry, "e1", "surat"
+	s.HTTP, s.Control = "127.0.0.1:8080", []string{"127.0.0.1:7001"}
+	return &s
+}
+
+func agent() *Setup {
+	s := entry()
+	s.Role, s.Listen = RoleAgent, "127.0.0.1:7100"
+	return s
+}
+
+func control() *Setup {
+	s := Default()
+	s.Role, s.Name, s.DataCentre = RoleControl, "c1", "surat"
+	s.Listen, s.Data, s.Peers = "127.0.0.1:7001", "/data", []Peer{{"c1", "127.0.0.1:7001"}}
+	return &s
+}
--- a/pkg/strict/document.go
+++ b/pkg/strict/document.go
@@ -53,6 +53,7 @@
 		d.Broken = true
 		return
 	}
+	d.root.file, d.root.line, d.root.column = root.file, root.line, root.column
 	overlay(d.root, root)
 }
 
