--- a/pkg/conf/error.go
+++ b/pkg/conf/error.go
@@ -12,6 +12,9 @@
 const (
 	// KindRead says that the folder or a file in it cannot be read.
 	KindRead Kind = "cannot read"
+	// KindEmpty says that the folder has no file to read. A folder that was
+	// moved away or not mounted must not pass for an empty configuration.
+	KindEmpty Kind = "no .json, .jsonc or .hujson file"
 	// KindFaults says that the configuration has the faults that are the
 	// cause, a strict.Faults.
 	KindFaults Kind = "faults in the configuration"
--- a/pkg/conf/load.go
+++ b/pkg/conf/load.go
@@ -1,12 +1,15 @@
 package conf
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"reflect"
 	"slices"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/tanagerspindle/tanagerspindle/pkg/strict"
 )
 
@@ -18,19 +21,52 @@
 // and null deletes a record or field. All faults are reported at once, as an
 // Error whose cause is strict.Faults; then no configuration is returned.
 func Load(dir string) (*Config, error) {
-	names, err := listFiles(dir)
+	files, err := readFiles(dir)
 	if err != nil {
 		return nil, err
 	}
 	document := strict.New()
+	for _, file := range files {
+		document.Merge(file.name, file.text)
+	}
+	return decode(document)
+}
+
+// Sum returns a fast hash of the names and bytes that Load would read, to see
+// whether anything changed.
+func Sum(dir string) (uint64, error) {
+	files, err := readFiles(dir)
+	if err != nil {
+		return 0, err
+	}
+	sum := xxhash.New()
+	for _, file := range files {
+		_, _ = fmt.Fprintf(sum, "%q %d ", file.name, len(file.text))
+		_, _ = sum.Write(file.text)
+	}
+	return sum.Sum64(), nil
+}
+
+// file is one file of an operators' folder.
+type file struct {
+	name string
+	text []byte
+}
+
+func readFiles(dir string) ([]file, error) {
+	names, err := listFiles(dir)
+	if err != nil {
+		return nil, err
+	}
+	files := make([]file, 0, len(names))
 	for _, name := range names {
 		text, err := os.ReadFile(filepath.Join(dir, name))
 		if err != nil {
 			return nil, &Error{Op: "load " + dir, Kind: KindRead, Err: err}
 		}
-		document.Merge(name, text)
+		files = append(files, file{name: name, text: text})
 	}
-	return decode(document)
+	return files, nil
 }
 
 // listFiles returns the names of the files to read, sorted. Hidden files and
@@ -46,6 +82,9 @@
 			names = append(names, entry.Name())
 		}
 	}
+	if len(names) == 0 {
+		return nil, &Error{Op: "load " + dir, Kind: KindEmpty}
+	}
 	slices.Sort(names)
 	return names, nil
 }
--- a/pkg/conf/load_test.go
+++ b/pkg/conf/load_test.go
@@ -51,7 +51,9 @@
 	}
 }
 
-func TestLoadFailsWithoutFolder(t *testing.T) {
+func TestLoadFailsWithoutFolderOrFiles(t *testing.T) {
 	_, err := Load(filepath.Join(t.TempDir(), "none"))
 	require.ErrorIs(t, err, &Error{Kind: KindRead})
+	_, err = Load(t.TempDir())
+	require.ErrorIs(t, err, &Error{Kind: KindEmpty})
 }
