Decode protobuf without the library's list growth

A roster of eleven endpoints, or a delta that drops eleven keys, took a daemon down. Ruled out: our types; a struct of one []string shows it. Change: codec.Decode reads the wire format itself, by reflection and with bounds checks; encoding stays with the library.

--- a/pkg/codec/codec.go
+++ b/pkg/codec/codec.go
@@ -40,7 +40,7 @@
 // Decode fills message, a pointer to a struct, from its protobuf form and
 // then calls its Check method where it has one.
 func Decode(data []byte, message any) error {
-	if err := proto.Unmarshal(data, message); err != nil {
+	if err := unmarshal(data, message); err != nil {
 		return &Error{Op: "decode", Kind: KindDecode, Err: err}
 	}
 	return Check(message)
--- a/pkg/codec/codec_test.go
+++ b/pkg/codec/codec_test.go
@@ -1,6 +1,8 @@
 package codec_test
 
 import (
+	"bytes"
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -59,3 +61,44 @@
 	_, err := codec.Encode(&outer{Items: []inner{{Size: 1}}})
 	require.ErrorIs(t, err, &codec.Error{Kind: codec.KindEncode})
 }
+
+// The library's decoder crashed the process at the eleventh element.
+func TestLongListsAndMapsSurvive(t *testing.T) {
+	for _, size := range []int{10, 11, 200, 3000} {
+		delta := &conf.Delta{From: 1, To: 2, Put: &conf.Config{Number: 2, Keys: map[string]conf.Key{}}}
+		record := roster.Record{Agent: "a", Incarnation: 1}
+		for i := range size {
+			name := fmt.Sprint("name-", i)
+			delta.DropKeys = append(delta.DropKeys, name)
+			delta.Put.Keys[name] = conf.Key{Workspace: name}
+			record.Queued = append(record.Queued, int32(i-5))
+			record.Digests = append(record.Digests, []byte(name))
+			record.Resident = append(record.Resident, roster.Resident{Adapter: name, Loading: i%2 == 0})
+		}
+		update := &plane.Update{Seq: 1, Config: delta, Roster: &roster.Delta{Records: []roster.Record{record, record}}}
+		data, err := codec.Encode(update)
+		require.NoError(t, err)
+		back := &plane.Update{}
+		require.NoError(t, codec.Decode(data, back))
+		require.Empty(t, back.Config.Put.Adapters)
+		put := back.Config.Put
+		put.Workspaces, put.Adapters, put.Routes = nil, nil, nil
+		require.Equal(t, update, back)
+	}
+}
+
+// Damaged input gives an error or other values, and never a crash.
+func TestDamagedInputIsAnError(t *testing.T) {
+	update := &plane.Update{Seq: 4, Loads: 2.5, Config: &conf.Delta{To: 2, Put: &conf.Config{Keys: map[string]conf.Key{"k": {Workspace: "w"}}}}}
+	data, err := codec.Encode(update)
+	require.NoError(t, err)
+	for i := range data {
+		require.NotPanics(t, func() { _ = codec.Decode(data[:i], &plane.Update{}) })
+		for bit := range 8 {
+			flipped := bytes.Clone(data)
+			flipped[i] ^= 1 << bit
+			require.NotPanics(t, func() { _ = codec.Decode(flipped, &plane.Update{}) })
+		}
+	}
+	require.ErrorIs(t, codec.Decode(data[:len(data)-1], &plane.Update{}), &codec.Error{Kind: codec.KindDecode})
+}
