--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -9,7 +9,10 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/tanagerspindle/tanagerspindle/ctrl/disk"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/feeds"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/node"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/permit"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/quota"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
@@ -17,7 +20,6 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
-	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
 )
 
 const (
@@ -64,59 +66,37 @@
 	Peers []Peer
 	// Folder holds the replica's data.
 	Folder string
+	// Disk replaces Folder, and Seed makes IDs and timeouts repeatable, in
+	// tests.
+	Disk *disk.Disk
+	Seed uint64
 	// Loads is the fleet's load budget, in loads per second, and Flight the
 	// most loads in progress at once.
 	Loads  float64
 	Flight int
-	// Watch runs beside the replica and submits the operators' folder; nil
-	// does nothing. It must return when ctx ends.
+	// Watch runs beside the replica and submits the operators' folder, by
+	// Fetch and Submit; nil does nothing. It must return when ctx ends.
 	Watch func(ctx context.Context) error
-	// Permit serves plane.MethodPermit at the leader; nil closes the stream.
-	// PermitReset is called with the term when the leadership is gained.
-	Permit      func(ctx context.Context, stream *wire.Stream) error
-	PermitReset func(term uint64)
 
 	once    sync.Once
-	replica replica
+	node    *node.Node
+	permits *permit.Coordinator
 	machine state.Machine
 	roster  roster.Roster
 	feeds   *feeds.Feeds
 	quota   *quota.Owner
 }
 
-// replica is the replicated log as the daemon uses it.
-type replica struct {
-	run      func(ctx context.Context) error
-	handlers func() map[string]link.Handler
-	propose  func(ctx context.Context, data []byte) ([]byte, error)
-	barrier  func(ctx context.Context) error
-	status   func() status
-	open     func(ctx context.Context, name, method string) (*wire.Stream, error)
-	move     func(ctx context.Context, name string) error
-	replace  func(ctx context.Context, name string) error
-}
-
-// status is one replica's view of the log.
-type status struct {
-	id      uint64
-	leader  string
-	term    uint64
-	commit  uint64
-	leading bool
-	members []plane.Member
-}
-
 // prepare builds the parts once.
 func (d *Daemon) prepare() {
 	d.once.Do(func() {
-		if d.replica.run == nil {
-			d.replica = d.newReplica()
-		}
+		d.permits = &permit.Coordinator{Host: d.Host, Loads: d.Loads, Flight: d.Flight}
+		d.node = d.newNode()
 		d.feeds = &feeds.Feeds{
 			Host: d.Host, Name: d.Name, Peers: d.others(), Loads: d.Loads,
-			Replica: func() uint64 { return d.replica.status().id },
+			Replica: func() uint64 { return d.node.Status().ID },
 			Machine: &d.machine, Roster: &d.roster,
-			Propose: d.propose, Barrier: d.replica.barrier, Open: d.replica.open,
+			Propose: d.propose, Barrier: d.barrier, Open: d.node.Open,
 		}
 		d.machine.Changed = d.feeds.Changed
 		d.quota = &quota.Owner{
@@ -125,6 +105,26 @@
 	})
 }
 
+// newNode returns the replicated log, which drives the machine.
+func (d *Daemon) newNode() *node.Node {
+	n := &node.Node{
+		Host: d.Host, Name: d.Name, Address: d.Address, Folder: d.Folder, Disk: d.Disk, Seed: d.Seed,
+		Apply:    func(entry node.Entry) []byte { return d.machine.Apply(entry.Time, entry.Data) },
+		Snapshot: d.machine.Snapshot,
+		Restore:  d.machine.Restore,
+		Leading:  d.lead,
+	}
+	for _, peer := range d.Peers {
+		n.Peers = append(n.Peers, node.Peer(peer))
+	}
+	return n
+}
+
+func (d *Daemon) barrier(ctx context.Context) error {
+	_, err := d.node.Barrier(ctx)
+	return err
+}
+
 func (d *Daemon) others() []string {
 	var names []string
 	for _, peer := range d.Peers {
@@ -140,8 +140,8 @@
 func (d *Daemon) lead(term uint64, leading bool) {
 	d.Host.Log.Write("leadership", "term", term, "leading", leading)
 	d.quota.Lead(term, leading)
-	if leading && d.PermitReset != nil {
-		d.PermitReset(term)
+	if leading {
+		d.permits.Reset(term)
 	}
 }
 
@@ -161,11 +161,12 @@
 	servers.Go(func() { _ = link.Serve(serving, listener, d.handlers()) })
 	workers.Go(func() { d.feeds.Run(working) })
 	workers.Go(func() { d.quota.Run(working) })
+	workers.Go(func() { d.permits.Run(working) })
 	workers.Go(func() { d.expire(working) })
 	workers.Go(func() { d.watch(working) })
 	release := context.AfterFunc(ctx, d.feeds.Close)
 	defer release()
-	err = d.replica.run(ctx)
+	err = d.node.Run(ctx)
 	stopWorking()
 	workers.Wait()
 	stopServing()
@@ -195,7 +196,7 @@
 			return
 		case <-ticker.C:
 		}
-		if !d.replica.status().leading || !d.machine.Due(time.Now().UnixNano()) {
+		if !d.node.Status().Leading || !d.machine.Due(time.Now().UnixNano()) {
 			continue
 		}
 		if _, err := d.propose(ctx, &state.Command{}); err != nil {
@@ -207,11 +208,11 @@
 // Status returns this replica's view.
 func (d *Daemon) Status() *plane.Status {
 	d.prepare()
-	now := d.replica.status()
+	now := d.node.Status()
 	list, _ := d.machine.Bans()
 	return &plane.Status{
-		Replica: now.id, Name: d.Name, Leader: now.leader, Term: now.term, Commit: now.commit,
-		Number: d.machine.Number(), Members: now.members, Endpoints: d.roster.All(), Bans: list,
+		Replica: now.ID, Name: d.Name, Leader: now.Leader, Term: now.Term, Commit: now.Commit,
+		Number: d.machine.Number(), Members: now.Members, Endpoints: d.roster.All(), Bans: list,
 		Burn: d.feeds.Burn(), Entries: d.feeds.Entries(),
 	}
 }
--- a/ctrl/daemon/leader.go
+++ b/ctrl/daemon/leader.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/ctrl/node"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
 	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
@@ -33,7 +34,7 @@
 
 // handlers returns all methods that the replica serves.
 func (d *Daemon) handlers() map[string]link.Handler {
-	served := d.replica.handlers()
+	served := d.node.Handlers()
 	if served == nil {
 		served = map[string]link.Handler{}
 	}
@@ -46,7 +47,7 @@
 		plane.MethodClaim:  d.serveClaim,
 		plane.MethodSubmit: d.serveSubmit,
 		plane.MethodAdmin:  d.serveAdmin,
-		plane.MethodPermit: d.servePermit,
+		plane.MethodPermit: d.permits.Handle,
 		methodPropose:      d.servePropose,
 	}
 	for method, serve := range leader {
@@ -59,7 +60,7 @@
 // ifLeading serves a stream only at the leader.
 func (d *Daemon) ifLeading(serve link.Handler) link.Handler {
 	return func(ctx context.Context, stream *wire.Stream) error {
-		if !d.replica.status().leading {
+		if !d.node.Status().Leading {
 			return &Error{Op: "serve", Kind: KindLeader}
 		}
 		return serve(ctx, stream)
@@ -74,10 +75,10 @@
 		if err != nil {
 			return err
 		}
-		if now.leading {
+		if now.Leading {
 			return serve(ctx, stream)
 		}
-		onward, err := d.openLeader(ctx, now.leader, method)
+		onward, err := d.openLeader(ctx, now.Leader, method)
 		if err != nil {
 			return err
 		}
@@ -86,17 +87,17 @@
 }
 
 // findLeader waits until a leader is known, for a bounded time.
-func (d *Daemon) findLeader(ctx context.Context) (status, error) {
+func (d *Daemon) findLeader(ctx context.Context) (node.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
 	defer cancel()
 	for {
-		now := d.replica.status()
-		if now.leading || now.leader != "" && now.leader != d.Name {
+		now := d.node.Status()
+		if now.Leading || now.Leader != "" && now.Leader != d.Name {
 			return now, nil
 		}
 		select {
 		case <-ctx.Done():
-			return status{}, &Error{Op: "find leader", Kind: KindLeader, Err: ctx.Err()}
+			return node.Status{}, &Error{Op: "find leader", Kind: KindLeader, Err: ctx.Err()}
 		case <-time.After(leaderInterval):
 		}
 	}
@@ -105,7 +106,7 @@
 func (d *Daemon) openLeader(ctx context.Context, leader, method string) (*wire.Stream, error) {
 	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
 	defer cancel()
-	return d.replica.open(ctx, leader, leaderPrefix+method)
+	return d.node.Open(ctx, leader, leaderPrefix+method)
 }
 
 // relay copies bytes between two streams until one of them ends.
@@ -137,8 +138,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if d.replica.status().leading {
-		data, err = d.replica.propose(ctx, data)
+	if d.node.Status().Leading {
+		data, err = d.node.Propose(ctx, data)
 	} else {
 		data, err = d.proposeAtLeader(ctx, data)
 	}
@@ -172,10 +173,10 @@
 	if err != nil {
 		return err
 	}
-	if now.leading {
+	if now.Leading {
 		return &Error{Op: method, Kind: KindLeader}
 	}
-	stream, err := d.openLeader(ctx, now.leader, method)
+	stream, err := d.openLeader(ctx, now.Leader, method)
 	if err != nil {
 		return err
 	}
@@ -194,7 +195,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	data, err := d.replica.propose(ctx, ask.Data)
+	data, err := d.node.Propose(ctx, ask.Data)
 	if err != nil {
 		return stream.Send(&proposeReply{Refused: plane.KindLeader})
 	}
@@ -202,7 +203,7 @@
 }
 
 func (d *Daemon) reserve(ctx context.Context, horizons []state.Horizon) error {
-	if !d.replica.status().leading {
+	if !d.node.Status().Leading {
 		return &Error{Op: "reserve tokens", Kind: KindLeader}
 	}
 	_, err := d.propose(ctx, &state.Command{Horizons: horizons})
--- a/ctrl/daemon/serve.go
+++ b/ctrl/daemon/serve.go
@@ -7,6 +7,7 @@
 	"github.com/tanagerspindle/tanagerspindle/ctrl/ledger"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
 )
@@ -22,19 +23,24 @@
 	if err := stream.Receive(&plane.FetchAsk{}); err != nil {
 		return err
 	}
-	return stream.Send(d.Fetch(ctx))
+	config, author, err := d.Fetch(ctx)
+	if err != nil {
+		return stream.Send(&plane.Fetched{Refused: plane.KindLeader})
+	}
+	return stream.Send(&plane.Fetched{Config: config, Author: author})
 }
 
-// Fetch returns the committed configuration after a quorum round.
-func (d *Daemon) Fetch(ctx context.Context) *plane.Fetched {
+// Fetch returns the committed configuration, nil before the first one, and its
+// author, after a quorum round.
+func (d *Daemon) Fetch(ctx context.Context) (config *conf.Config, author string, err error) {
 	d.prepare()
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	if err := d.replica.barrier(ctx); err != nil {
-		return &plane.Fetched{Refused: plane.KindLeader}
+	if err := d.barrier(ctx); err != nil {
+		return nil, "", err
 	}
-	config, author := d.machine.Config()
-	return &plane.Fetched{Config: config, Author: author}
+	config, author = d.machine.Config()
+	return config, author, nil
 }
 
 func (d *Daemon) serveGrant(ctx context.Context, stream *wire.Stream) error {
@@ -61,7 +67,7 @@
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	if ask.Verb == plane.VerbAsk {
-		if err := d.replica.barrier(ctx); err != nil {
+		if err := d.barrier(ctx); err != nil {
 			return &plane.ClaimReply{Refused: plane.KindTimeout}
 		}
 		return d.machine.Claim(ask)
@@ -114,9 +120,9 @@
 func (d *Daemon) admin(ctx context.Context, ask *plane.AdminAsk) *plane.AdminReply {
 	switch ask.Order {
 	case plane.OrderMove:
-		return adminReply(d.replica.move(ctx, ask.Name))
+		return adminReply(d.node.Move(ctx, ask.Name))
 	case plane.OrderReplace:
-		return adminReply(d.replica.replace(ctx, ask.Name))
+		return adminReply(d.node.Replace(ctx, ask.Name))
 	case plane.OrderLift:
 		result, err := d.propose(ctx, &state.Command{Lift: ask.Digest})
 		if err == nil && !result.Lifted {
@@ -133,10 +139,3 @@
 	}
 	return &plane.AdminReply{Refused: plane.KindTimeout, Detail: err.Error()}
 }
-
-func (d *Daemon) servePermit(ctx context.Context, stream *wire.Stream) error {
-	if d.Permit == nil {
-		return nil
-	}
-	return d.Permit(ctx, stream)
-}
--- a/ctrl/daemon/submit.go
+++ b/ctrl/daemon/submit.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
-	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
@@ -30,7 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if now.leading {
+	if now.Leading {
 		return d.submit(ctx, ask), nil
 	}
 	reply := &plane.Submitted{}
@@ -60,16 +59,13 @@
 	if ask.Config == nil {
 		return d.refuse(plane.KindInvalid, "the submission is empty")
 	}
-	if err := codec.Check(ask.Config); err != nil {
-		return d.refuse(plane.KindInvalid, err.Error())
-	}
-	sum, err := state.Sum(ask.Config)
-	if err != nil {
+	if err := ask.Config.Check(); err != nil {
 		return d.refuse(plane.KindInvalid, err.Error())
 	}
+	sum := ask.Config.Digest()
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	if err := d.replica.barrier(ctx); err != nil {
+	if err := d.barrier(ctx); err != nil {
 		return d.refuse(plane.KindLeader, err.Error())
 	}
 	current, _ := d.machine.Config()
--- a/ctrl/state/command.go
+++ b/ctrl/state/command.go
@@ -31,7 +31,7 @@
 // Proposal is a configuration that wants to be the next one.
 type Proposal struct {
 	// Sum is the digest of the whole configuration.
-	Sum []byte `protobuf:"bytes,1,opt"`
+	Sum string `protobuf:"bytes,1,opt"`
 	// Author is who submitted it.
 	Author string `protobuf:"bytes,2,opt"`
 	// Delta leads from the configuration that the proposal replaces.
@@ -71,7 +71,7 @@
 // Decided is one number of the configuration's history.
 type Decided struct {
 	Number uint64 `protobuf:"varint,1,opt"`
-	Sum    []byte `protobuf:"bytes,2,opt"`
+	Sum    string `protobuf:"bytes,2,opt"`
 	Author string `protobuf:"bytes,3,opt"`
 }
 
--- a/ctrl/state/config.go
+++ b/ctrl/state/config.go
@@ -1,16 +1,10 @@
 package state
 
 import (
-	"bytes"
-	"crypto/sha256"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"sort"
 
-	"github.com/segmentio/encoding/proto"
-
-	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 )
@@ -23,27 +17,6 @@
 	mostDeltas = 256
 )
 
-// Sum returns the digest of a configuration's content, its number left out.
-// Lists that are empty and lists that are missing count as equal, because the
-// log does not tell them apart.
-func Sum(config *conf.Config) ([]byte, error) {
-	carried, err := codec.Encode(config)
-	if err != nil {
-		return nil, err
-	}
-	plain := &conf.Config{}
-	if err := proto.Unmarshal(carried, plain); err != nil {
-		return nil, &Error{Op: "digest configuration", Kind: KindEncode, Err: err}
-	}
-	plain.Number = 0
-	data, err := json.Marshal(plain)
-	if err != nil {
-		return nil, &Error{Op: "digest configuration", Kind: KindEncode, Err: err}
-	}
-	sum := sha256.Sum256(data)
-	return sum[:], nil
-}
-
 func (m *Machine) number() uint64 {
 	if m.config == nil {
 		return 0
@@ -83,13 +56,13 @@
 }
 
 // Judge answers a submission of a number that is not the next one.
-func (m *Machine) Judge(number uint64, sum []byte) *plane.Submitted {
+func (m *Machine) Judge(number uint64, sum string) *plane.Submitted {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	return m.judge(number, sum)
 }
 
-func (m *Machine) judge(number uint64, sum []byte) *plane.Submitted {
+func (m *Machine) judge(number uint64, sum string) *plane.Submitted {
 	reply := &plane.Submitted{Number: m.number()}
 	if number == 0 || number > m.number() {
 		reply.Refused = plane.KindInvalid
@@ -103,7 +76,7 @@
 		return reply
 	}
 	reply.Winner = m.history[at].Author
-	if bytes.Equal(m.history[at].Sum, sum) {
+	if m.history[at].Sum == sum {
 		return reply
 	}
 	reply.Refused = plane.KindConflict
