--- a/ctrl/feeds/serve.go
+++ b/ctrl/feeds/serve.go
@@ -73,12 +73,17 @@
 	return err
 }
 
-// admit proves that this replica is up to date and gets an agent's fencing
-// number.
+// admit gets an agent's fencing number and then proves that this replica is
+// up to date, the number included.
 func (f *Feeds) admit(ctx context.Context, m *member) error {
-	if _, err := f.barriers.do(ctx, struct{}{}); err != nil {
+	if err := f.enrol(ctx, m); err != nil {
 		return err
 	}
+	_, err := f.barriers.do(ctx, struct{}{})
+	return err
+}
+
+func (f *Feeds) enrol(ctx context.Context, m *member) error {
 	if m.hello.Role != plane.RoleAgent {
 		return nil
 	}
--- a/ctrl/quota/quota.go
+++ b/ctrl/quota/quota.go
@@ -115,11 +115,15 @@
 	o.round = &round{done: make(chan struct{})}
 }
 
-// Lead tells the owner that its replica gained or lost the leadership.
+// Lead tells the owner that its replica gained or lost the leadership. It may
+// be told the same twice.
 func (o *Owner) Lead(term uint64, leading bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	o.prepare()
+	if o.leading && leading && o.term == term {
+		return
+	}
 	o.term, o.leading = term, leading
 	o.spaces, o.entries = map[string]*space{}, map[caller]*replies{}
 	o.endRound(true)
