Compute burn rates and the windows that page

Cause: the report and the operators' page need one definition of burn. Change: pkg/burn holds the multiwindow, multi-burn-rate rules of The Site Reliability Workbook as pure arithmetic over plane.Window counts.

--- /dev/null
+++ b/pkg/burn/burn.go
@@ -0,0 +1,180 @@
+// Package burn computes how fast goals use up their error budgets, and which
+// windows call an operator.
+//
+// The rules are the multiwindow, multi-burn-rate alerts of "Alerting on SLOs",
+// chapter 5 of The Site Reliability Workbook (Beyer and others, O'Reilly
+// 2018): a burn rate of 14.4 over 1 h uses 2% of a 30-day budget, and one of 6
+// over 6 h uses 5%. A long window says that the loss matters and a short one
+// that it still goes on, so that the call ends soon after the cause. The
+// workbook's short window is a twelfth of the long one; here both rules share
+// the 5 min one, which only ends the call of the slow rule sooner.
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+)
+
+// Window lengths.
+const (
+	Short  = 5 * time.Minute
+	Medium = time.Hour
+	Long   = 6 * time.Hour
+)
+
+const (
+	// budgetPeriod is the time that an error budget is for.
+	budgetPeriod = 30 * 24 * time.Hour
+	// fewest is the number of requests in the long window of a rule below
+	// which it calls nobody: one bad request among few is no trend.
+	fewest = 10
+)
+
+// Lengths returns the windows that goals are counted over, shortest first.
+func Lengths() []time.Duration { return []time.Duration{Short, Medium, Long} }
+
+// rule calls an operator when both windows burn at rate or faster.
+type rule struct {
+	long, short time.Duration
+	rate        float64
+}
+
+// rules are sorted with the most urgent first.
+var rules = []rule{
+	{long: Medium, short: Short, rate: 14.4},
+	{long: Long, short: Short, rate: 6},
+}
+
+// Report is the burn of all goals, those that call an operator first, then by
+// workspace and route.
+type Report struct {
+	Goals []Goal `json:"goals"`
+}
+
+// Goal is the burn of one route for one workspace.
+type Goal struct {
+	Workspace string `json:"workspace"`
+	Route     string `json:"route"`
+	// Share of the requests must be good.
+	Share float64 `json:"share"`
+	// Budget is the share that may be bad.
+	Budget float64 `json:"budget"`
+	// Windows, shortest first.
+	Windows []Window `json:"windows"`
+	// Pages lists the long windows whose rule calls an operator.
+	Pages []span.Duration `json:"pages"`
+}
+
+// Window is the burn over one length of time.
+type Window struct {
+	Length span.Duration `json:"length"`
+	Good   int64         `json:"good"`
+	Bad    int64         `json:"bad"`
+	// Within is the share of good requests; 1 when there were none.
+	Within float64 `json:"within"`
+	// Rate is how many times faster than allowed the budget is used: at 1 it
+	// lasts just as long as the period it is for.
+	Rate float64 `json:"rate"`
+	// Spent is the share of a 30-day budget used in this window, if the rest
+	// of the 30 days has the traffic of this window.
+	Spent float64 `json:"spent"`
+}
+
+// New computes the report of counts. Counts of the same goal and length are
+// added up.
+func New(counts []plane.Window) *Report {
+	type key struct{ workspace, route string }
+	goals := map[key]*Goal{}
+	for _, count := range counts {
+		k := key{count.Workspace, count.Route}
+		if goals[k] == nil {
+			goals[k] = &Goal{Workspace: count.Workspace, Route: count.Route, Share: count.Share, Budget: 1 - count.Share}
+		}
+		goals[k].add(count)
+	}
+	report := &Report{Goals: make([]Goal, 0, len(goals))}
+	for _, goal := range goals {
+		goal.finish()
+		report.Goals = append(report.Goals, *goal)
+	}
+	slices.SortFunc(report.Goals, func(a, b Goal) int {
+		return cmp.Or(urgency(a)-urgency(b), cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Route, b.Route))
+	})
+	return report
+}
+
+// urgency is smaller for goals that call an operator.
+func urgency(g Goal) int {
+	if len(g.Pages) > 0 {
+		return 0
+	}
+	return 1
+}
+
+func (g *Goal) add(count plane.Window) {
+	for i := range g.Windows {
+		if g.Windows[i].Length == count.Length {
+			g.Windows[i].Good += count.Good
+			g.Windows[i].Bad += count.Bad
+			return
+		}
+	}
+	g.Windows = append(g.Windows, Window{Length: count.Length, Good: count.Good, Bad: count.Bad})
+}
+
+func (g *Goal) finish() {
+	slices.SortFunc(g.Windows, func(a, b Window) int { return cmp.Compare(a.Length, b.Length) })
+	for i := range g.Windows {
+		g.Windows[i].finish(g.Budget)
+	}
+	g.Pages = []span.Duration{}
+	for _, r := range rules {
+		if g.calls(r) {
+			g.Pages = append(g.Pages, span.Duration(r.long))
+		}
+	}
+}
+
+func (w *Window) finish(budget float64) {
+	w.Within = 1
+	total := w.Good + w.Bad
+	if total == 0 {
+		return
+	}
+	w.Within = float64(w.Good) / float64(total)
+	w.Rate = Rate(w.Good, w.Bad, 1-budget)
+	w.Spent = w.Rate * float64(w.Length.Std()) / float64(budgetPeriod)
+}
+
+// Rate returns how many times faster than a goal allows its budget is used:
+// the share of bad requests divided by the share that may be bad. It is 0
+// without requests and when the goal allows no bad request at all.
+func Rate(good, bad int64, share float64) float64 {
+	if good+bad == 0 || share >= 1 {
+		return 0
+	}
+	return float64(bad) / float64(good+bad) / (1 - share)
+}
+
+func (g *Goal) calls(r rule) bool {
+	long, short := g.window(r.long), g.window(r.short)
+	if long == nil || short == nil || long.Good+long.Bad < fewest {
+		return false
+	}
+	// Sums of floats may fall short of the rate by their last digit.
+	const tolerance = 1e-9
+	return long.Rate >= r.rate-tolerance && short.Rate >= r.rate-tolerance
+}
+
+func (g *Goal) window(length time.Duration) *Window {
+	for i := range g.Windows {
+		if g.Windows[i].Length.Std() == length {
+			return &g.Windows[i]
+		}
+	}
+	return nil
+}
