--- a/pkg/launch/network.go
+++ b/pkg/launch/network.go
@@ -47,6 +47,16 @@
 	return n, nil
 }
 
+// Dial returns a function that connects to the system's processes as the
+// settings' certificates say.
+func Dial(s *setup.Setup) (func(ctx context.Context, address string) (net.Conn, error), error) {
+	n, err := newNetwork(s)
+	if err != nil {
+		return nil, err
+	}
+	return n.dial, nil
+}
+
 func (n *network) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
--- /dev/null
+++ b/spindle/cmds/ban.go
@@ -0,0 +1,89 @@
+package cmds
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+)
+
+// listedBan is one quarantined or suspected request.
+type listedBan struct {
+	Digest  string        `json:"digest"`
+	Suspect bool          `json:"suspect"`
+	Deaths  int32         `json:"deaths"`
+	Alone   int32         `json:"alone"`
+	Left    span.Duration `json:"left"`
+}
+
+func (p *Program) ban() *cli.Command {
+	return &cli.Command{
+		Name:   "ban",
+		Usage:  "list and lift quarantines of requests that crash endpoints",
+		Action: requireCommand,
+		Commands: []*cli.Command{
+			{Name: "list", Usage: "list quarantined and suspected requests", Action: p.listBans},
+			{Name: "lift", Usage: "end the quarantine of DIGEST", ArgsUsage: "DIGEST", Action: p.liftBan},
+		},
+	}
+}
+
+func (p *Program) listBans(ctx context.Context, c *cli.Command) error {
+	if err := noArgument(c); err != nil {
+		return err
+	}
+	view, err := p.overview(ctx, c)
+	if err != nil {
+		return err
+	}
+	list := make([]listedBan, 0, len(view.Bans))
+	for _, ban := range view.Bans {
+		list = append(list, listedBan{
+			Digest: hex.EncodeToString(ban.Digest), Suspect: ban.Suspect, Deaths: ban.Deaths, Alone: ban.Alone, Left: ban.Left,
+		})
+	}
+	return p.show(c, list, banText(list))
+}
+
+func banText(list []listedBan) string {
+	if len(list) == 0 {
+		return "no quarantined or suspected requests\n"
+	}
+	var text strings.Builder
+	table := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "DIGEST\tSTATE\tDEATHS\tALONE\tLEFT")
+	for _, ban := range list {
+		state := "quarantined"
+		if ban.Suspect {
+			state = "suspect"
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%s\n", ban.Digest, state, ban.Deaths, ban.Alone, ban.Left)
+	}
+	_ = table.Flush()
+	return text.String()
+}
+
+func (p *Program) liftBan(ctx context.Context, c *cli.Command) error {
+	text, err := argument(c, "the digest")
+	if err != nil {
+		return err
+	}
+	digest, err := hex.DecodeString(text)
+	if err != nil || len(digest) == 0 {
+		return &Error{Op: c.FullName(), Kind: KindUsage, Err: fmt.Errorf("the digest is not hexadecimal")}
+	}
+	control, err := p.control(c)
+	if err != nil {
+		return err
+	}
+	if err := control.order(ctx, &plane.AdminAsk{Order: plane.OrderLift, Digest: digest}); err != nil {
+		return err
+	}
+	return p.show(c, ordered{Order: plane.OrderLift, Name: text}, "the quarantine of "+text+" is lifted\n")
+}
--- /dev/null
+++ b/spindle/cmds/check.go
@@ -0,0 +1,62 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/strict"
+)
+
+// checked is the result of check.
+type checked struct {
+	Faults     strict.Faults `json:"faults"`
+	Workspaces int           `json:"workspaces"`
+	Keys       int           `json:"keys"`
+	Adapters   int           `json:"adapters"`
+	Routes     int           `json:"routes"`
+}
+
+func (p *Program) check() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check an operators' folder without changing anything",
+		ArgsUsage: "DIR",
+		Action: func(_ context.Context, c *cli.Command) error {
+			dir, err := argument(c, "the folder")
+			if err != nil {
+				return err
+			}
+			return p.checkFolder(c, dir)
+		},
+	}
+}
+
+func (p *Program) checkFolder(c *cli.Command, dir string) error {
+	config, err := conf.Load(dir)
+	if err != nil {
+		return p.showFaults(c, err)
+	}
+	result := checked{
+		Faults: strict.Faults{}, Workspaces: len(config.Workspaces), Keys: len(config.Keys),
+		Adapters: len(config.Adapters), Routes: len(config.Routes),
+	}
+	text := fmt.Sprintf("no faults: %d workspaces, %d keys, %d adapters, %d routes\n",
+		result.Workspaces, result.Keys, result.Adapters, result.Routes)
+	return p.show(c, result, text)
+}
+
+// showFaults prints each fault on a line of its own and returns the failure.
+func (p *Program) showFaults(c *cli.Command, err error) error {
+	var faults strict.Faults
+	if !errors.As(err, &faults) {
+		return &Error{Op: c.FullName(), Kind: KindFaults, Err: err}
+	}
+	if err := p.show(c, checked{Faults: faults}, faults.Error()+"\n"); err != nil {
+		return err
+	}
+	return &Error{Op: c.FullName(), Kind: KindFaults, Err: fmt.Errorf("%d faults; nothing was changed", len(faults))}
+}
--- /dev/null
+++ b/spindle/cmds/control.go
@@ -0,0 +1,134 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/launch"
+	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/setup"
+)
+
+const (
+	// askTimeout bounds one question to one replica, beyond what the question
+	// itself waits for.
+	askTimeout = 5 * time.Second
+	// orderTimeout is how long an order may take at control; a replacement has
+	// to copy the log first.
+	orderTimeout = 25 * time.Second
+	// retryDelay is the pause before the replicas are tried again.
+	retryDelay = 300 * time.Millisecond
+)
+
+// control asks the replicas of control, one after the other.
+type control struct {
+	dial      func(ctx context.Context, address string) (net.Conn, error)
+	addresses []string
+	// timeout bounds the search for a replica that answers.
+	timeout time.Duration
+}
+
+func (p *Program) control(c *cli.Command) (*control, error) {
+	addresses := c.StringSlice(flagControl)
+	if len(addresses) == 0 {
+		return nil, &Error{Op: c.FullName(), Kind: KindUsage, Err: fmt.Errorf("name control's addresses with --control or SPINDLE_CONTROL")}
+	}
+	dial := p.Dial
+	if dial == nil {
+		var err error
+		dial, err = launch.Dial(&setup.Setup{
+			Certificate: c.String(flagCertificate), Key: c.String(flagKey), Authority: c.String(flagAuthority),
+		})
+		if err != nil {
+			return nil, &Error{Op: c.FullName(), Kind: KindUsage, Err: err}
+		}
+	}
+	return &control{dial: dial, addresses: addresses, timeout: c.Duration(flagTimeout)}, nil
+}
+
+// call asks one replica.
+func (k *control) call(ctx context.Context, address, method string, wait time.Duration, request, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+askTimeout)
+	defer cancel()
+	session, err := link.Dial(ctx, k.dial, address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = session.Close() }()
+	return session.Call(ctx, method, request, reply)
+}
+
+// ask asks the replicas in turn until one answers with more than a request to
+// ask again. Only questions that may be asked twice go this way. When there is
+// no answer in time, the last failure tells why.
+func ask[Reply any](ctx context.Context, k *control, method string, wait time.Duration, request any, refused func(*Reply) plane.Kind) (*Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, k.timeout+wait)
+	defer cancel()
+	var last error
+	for {
+		for _, address := range k.addresses {
+			reply := new(Reply)
+			err := k.call(ctx, address, method, wait, request, reply)
+			if err == nil && !waiting(refused(reply)) {
+				return reply, nil
+			}
+			if ctx.Err() == nil || last == nil {
+				last = explain(err, address)
+			}
+		}
+		if !pause(ctx) {
+			return nil, &Error{Op: "spindle", Kind: KindUnreachable, Err: last}
+		}
+	}
+}
+
+// waiting reports whether a refusal only says to ask again.
+func waiting(kind plane.Kind) bool {
+	return kind == plane.KindLeader || kind == plane.KindTimeout
+}
+
+func explain(err error, address string) error {
+	if err == nil {
+		return fmt.Errorf("%s answers that control has no leader", address)
+	}
+	return err
+}
+
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(retryDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (k *control) fetch(ctx context.Context) (*plane.Fetched, error) {
+	return ask(ctx, k, plane.MethodFetch, 0, &plane.FetchAsk{},
+		func(reply *plane.Fetched) plane.Kind { return reply.Refused })
+}
+
+func (k *control) submit(ctx context.Context, submit *plane.Submit) (*plane.Submitted, error) {
+	return ask(ctx, k, plane.MethodSubmit, submit.Wait.Std(), submit,
+		func(reply *plane.Submitted) plane.Kind { return reply.Refused })
+}
+
+// order gives control an order and turns a refusal into an error.
+func (k *control) order(ctx context.Context, order *plane.AdminAsk) error {
+	reply, err := ask(ctx, k, plane.MethodAdmin, orderTimeout, order,
+		func(reply *plane.AdminReply) plane.Kind { return reply.Refused })
+	if err != nil {
+		return err
+	}
+	if reply.Refused != plane.KindNone {
+		return &Error{Op: "spindle " + string(order.Order), Kind: KindFaults, Err: fmt.Errorf("%s: %s", reply.Refused, reply.Detail)}
+	}
+	return nil
+}
--- /dev/null
+++ b/spindle/cmds/move.go
@@ -0,0 +1,43 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+// ordered is the result of an order.
+type ordered struct {
+	Order plane.Order `json:"order"`
+	Name  string      `json:"name"`
+}
+
+func (p *Program) move() *cli.Command {
+	return p.named("move", plane.OrderMove, "hand control's leadership to the replica NAME", "leads")
+}
+
+// named returns the command of an order about one control replica.
+func (p *Program) named(command string, order plane.Order, usage, done string) *cli.Command {
+	return &cli.Command{
+		Name:      command,
+		Usage:     usage,
+		ArgsUsage: "NAME",
+		Action: func(ctx context.Context, c *cli.Command) error {
+			name, err := argument(c, "the replica's name")
+			if err != nil {
+				return err
+			}
+			control, err := p.control(c)
+			if err != nil {
+				return err
+			}
+			if err := control.order(ctx, &plane.AdminAsk{Order: order, Name: name}); err != nil {
+				return err
+			}
+			return p.show(c, ordered{Order: order, Name: name}, fmt.Sprintf("%s %s\n", name, done))
+		},
+	}
+}
