--- /dev/null
+++ b/entry/chain/chain.go
@@ -0,0 +1,147 @@
+// Package chain runs a caller's request through a list of filters.
+package chain
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// KindEmpty says that the last filter passed a request on.
+const KindEmpty Kind = "no filter answered"
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+// Next runs the rest of the chain.
+type Next func(ctx context.Context, r *Request) error
+
+// Filter decides about a request, changes it, or passes it on by calling next.
+// It returns a *Refusal when the caller gets no answer or no whole one.
+type Filter func(ctx context.Context, r *Request, next Next) error
+
+// Chain runs its filters in order.
+type Chain struct {
+	// Filters are fixed before the first request.
+	Filters []Filter
+}
+
+// Run passes a request through every filter.
+func (c *Chain) Run(ctx context.Context, r *Request) error {
+	return c.run(ctx, r, 0)
+}
+
+func (c *Chain) run(ctx context.Context, r *Request, at int) error {
+	if at == len(c.Filters) {
+		return &Error{Op: "run chain", Kind: KindEmpty}
+	}
+	return c.Filters[at](ctx, r, func(ctx context.Context, r *Request) error {
+		return c.run(ctx, r, at+1)
+	})
+}
+
+// Face is the shape of a caller's request.
+type Face int
+
+// The faces towards callers.
+const (
+	// FaceService is a call of a plain service.
+	FaceService Face = iota
+	// FaceCompletion is POST /v1/completions.
+	FaceCompletion
+	// FaceChat is POST /v1/chat/completions.
+	FaceChat
+	// FaceModels is GET /v1/models.
+	FaceModels
+)
+
+// Request is one request on its way through the chain.
+type Request struct {
+	// Face, Method, Path, Query, Header and Body describe the caller's
+	// request. From the auth filter on, none of them holds a key.
+	Face   Face
+	Method string
+	// Path is the escaped path without the query.
+	Path   string
+	Query  string
+	Header http.Header
+	Body   []byte
+
+	// Name, Prompt, PromptTokens, MaxTokens and Stream belong to the faces of
+	// models. Name is what the caller put into "model".
+	Name         string
+	Prompt       string
+	PromptTokens int64
+	MaxTokens    int64
+	Stream       bool
+
+	// ID is set by the trace filter; Start is when the request arrived.
+	ID    string
+	Start time.Time
+
+	// Key is the digest of a key that is configured, else empty. Presented
+	// says that the caller showed any key.
+	Key       string
+	Presented bool
+
+	// The match filter sets the fields from Workspace to Goal.
+	Workspace string
+	// RouteName is empty when an adapter was called by its own name.
+	RouteName string
+	Route     conf.Route
+	Open      bool
+	Once      bool
+	Model     string
+	Adapter   string
+	// Version never changes after the match filter.
+	Version string
+	Service string
+	Goal    conf.Goal
+	// Models is the answer to FaceModels.
+	Models []string
+
+	// Digest identifies the content; Suspect says that it may have crashed
+	// an endpoint.
+	Digest  []byte
+	Suspect bool
+
+	// Class and Patience are inferred. Patience is how long the caller will
+	// probably wait for the first token.
+	Class    call.Class
+	Patience time.Duration
+
+	// Reserved is how many answer tokens are paid for. Extend pays for more
+	// and returns the new total; it waits until they are there or ctx ends.
+	Reserved int64
+	Extend   func(ctx context.Context, used int64) (int64, error)
+
+	// Claim is called before an attempt of a request that must not repeat is
+	// sent, and Void after one that is proved not to have run. Both are nil
+	// for other requests.
+	Claim func(ctx context.Context, attempt *call.Attempt, agent string) error
+	Void  func(ctx context.Context, attempt *call.Attempt) error
+
+	// Check reports, between attempts, why the request may no longer run.
+	Check func() error
+
+	// Write takes the frames of the answer in order: one StepHead, StepParts
+	// and one StepEnd. Filters may wrap it. An error means that the caller
+	// has gone away.
+	Write func(frame *call.Frame) error
+
+	// Sent counts the answer's tokens given to Write, and First and Last are
+	// when the first and the last of them were.
+	Sent  int64
+	First time.Time
+	Last  time.Time
+}
+
+// Deadline returns when the caller's patience ends.
+func (r *Request) Deadline() time.Time { return r.Start.Add(r.Patience) }
--- /dev/null
+++ b/entry/class/caller.go
@@ -0,0 +1,133 @@
+package class
+
+import (
+	"container/list"
+	"errors"
+	"math"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+)
+
+const (
+	// halfLife is the time in which what is known of a caller loses half its
+	// weight.
+	halfLife = 30 * time.Second
+	// flightHalfLife is the same for the peak of requests in progress.
+	flightHalfLife = 10 * time.Second
+	// mostCallers bounds the callers remembered.
+	mostCallers = 1 << 14
+	// longestThink bounds a pause, so that a night's rest is one long pause
+	// and not more.
+	longestThink = time.Minute
+)
+
+// caller is what one key did lately.
+type caller struct {
+	name   string
+	seen   time.Time
+	flight int
+	// peak is the decayed peak of flight.
+	peak float64
+	// rate is the decayed count of requests over the half-life.
+	requests float64
+	// answers and tokens are decayed sums of answers and their sizes.
+	answers, tokens float64
+	// pauses and paused are decayed sums of pauses and their lengths in
+	// seconds; idle is when the last answer ended.
+	pauses, paused  float64
+	idle            time.Time
+	resends, leaves float64
+	last            string
+	lastAt          time.Time
+}
+
+// decay brings the sums to the present.
+func (c *caller) decay(now time.Time) {
+	passed := now.Sub(c.seen)
+	c.seen = now
+	share := math.Exp2(-passed.Seconds() / halfLife.Seconds())
+	for _, sum := range []*float64{&c.requests, &c.answers, &c.tokens, &c.pauses, &c.paused, &c.resends, &c.leaves} {
+		*sum *= share
+	}
+	c.peak *= math.Exp2(-passed.Seconds() / flightHalfLife.Seconds())
+}
+
+func (c *caller) begin(now time.Time) {
+	c.decay(now)
+	c.requests++
+	if !c.idle.IsZero() {
+		pause := min(now.Sub(c.idle), longestThink)
+		c.pauses++
+		c.paused += pause.Seconds()
+		c.idle = time.Time{}
+	}
+	c.flight++
+	c.peak = max(c.peak, float64(c.flight))
+}
+
+func (c *caller) features(r *chain.Request, now time.Time) Features {
+	f := Features{
+		Service:   r.Service != "",
+		Once:      r.Once,
+		Stream:    r.Stream,
+		MaxTokens: r.MaxTokens,
+		Flight:    c.peak,
+		Known:     c.pauses,
+		Rate:      c.requests * math.Ln2 / halfLife.Seconds(),
+	}
+	if c.answers > 0 {
+		f.Usual = c.tokens / c.answers
+	}
+	if c.pauses > 0 {
+		f.Think = time.Duration(c.paused / c.pauses * float64(time.Second))
+	}
+	content := string(r.Digest)
+	if content == c.last && now.Sub(c.lastAt) < longestThink {
+		c.resends++
+	}
+	c.last = content
+	c.lastAt = now
+	f.Resends = c.resends
+	f.Leaves = c.leaves
+	return f
+}
+
+func (c *caller) end(r *chain.Request, err error, now time.Time) {
+	c.decay(now)
+	c.flight--
+	c.idle = now
+	var refusal *chain.Refusal
+	if errors.As(err, &refusal) && refusal.Status == chain.StatusGone {
+		c.leaves++
+		return
+	}
+	if err == nil && r.Sent > 0 {
+		c.answers++
+		c.tokens += float64(r.Sent)
+	}
+}
+
+// callers is a bounded set that forgets the one unused for longest.
+type callers struct {
+	byName map[string]*list.Element
+	order  list.List
+}
+
+func (c *callers) get(name string) *caller {
+	if c.byName == nil {
+		c.byName = map[string]*list.Element{}
+	}
+	if element, ok := c.byName[name]; ok {
+		c.order.MoveToFront(element)
+		return element.Value.(*caller)
+	}
+	found := &caller{name: name}
+	c.byName[name] = c.order.PushFront(found)
+	if c.order.Len() > mostCallers {
+		oldest := c.order.Back()
+		c.order.Remove(oldest)
+		delete(c.byName, oldest.Value.(*caller).name)
+	}
+	return found
+}
--- /dev/null
+++ b/entry/class/class.go
@@ -0,0 +1,76 @@
+// Package class infers how urgent a request is from what its caller does.
+package class
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+// How long a caller of each class probably waits for the first token.
+const (
+	patiencePerson = 10 * time.Second
+	patienceSoon   = 30 * time.Second
+	patienceLong   = 5 * time.Minute
+)
+
+// Class is the filter that sets a request's class and patience.
+type Class struct {
+	// Infer turns features into a class; nil means the package's own rules.
+	Infer func(Features) call.Class
+
+	mutex   sync.Mutex
+	callers callers
+}
+
+// Do classes the request and learns from its end.
+func (c *Class) Do(ctx context.Context, r *chain.Request, next chain.Next) error {
+	caller, features := c.begin(r, time.Now())
+	r.Class = c.infer(features)
+	r.Patience = Patience(r.Class)
+	err := next(ctx, r)
+	c.end(caller, r, err, time.Now())
+	return err
+}
+
+func (c *Class) infer(f Features) call.Class {
+	if c.Infer != nil {
+		return c.Infer(f)
+	}
+	return Infer(f)
+}
+
+// Patience returns how long a caller of the class probably waits.
+func Patience(class call.Class) time.Duration {
+	switch class {
+	case call.ClassPerson:
+		return patiencePerson
+	case call.ClassSoon:
+		return patienceSoon
+	}
+	return patienceLong
+}
+
+func (c *Class) begin(r *chain.Request, now time.Time) (*caller, Features) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	caller := c.callers.get(r.Key + "\x00" + r.Workspace)
+	caller.begin(now)
+	return caller, caller.features(r, now)
+}
+
+func (c *Class) end(caller *caller, r *chain.Request, err error, now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	caller.end(r, err, now)
+}
--- /dev/null
+++ b/entry/class/rule.go
@@ -0,0 +1,151 @@
+package class
+
+import (
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+)
+
+// Features are what the class of a request is inferred from.
+type Features struct {
+	// Service says that a plain service is called, Once that the request must
+	// not repeat, Stream that the answer is streamed.
+	Service bool
+	Once    bool
+	Stream  bool
+	// MaxTokens is the longest answer asked for, Usual the decayed mean of
+	// the key's past answers in tokens; zero when there are none.
+	MaxTokens int64
+	Usual     float64
+	// Flight is the decayed peak of the key's requests in progress, this one
+	// included.
+	Flight float64
+	// Think is the decayed mean pause between the end of an answer and the
+	// key's next request; zero without pauses. Known is the number of
+	// requests that it was learnt from, decayed.
+	Think time.Duration
+	Known float64
+	// Rate is the key's decayed rate of requests, per second.
+	Rate float64
+	// Resends and Leaves are decayed counts of the same request coming again
+	// and of callers who went away before the end.
+	Resends float64
+	Leaves  float64
+}
+
+// Weights of the evidence: positive sums speak for a person who waits.
+const (
+	scoreStream     = 1.0
+	scoreSmall      = 0.5
+	scoreLarge      = -1.0
+	scoreFewFlight  = 1.0
+	scoreManyFlight = -3.0
+	scoreThink      = 1.5
+	scoreNoThink    = -2.0
+	scoreLeave      = 0.5
+	scoreResend     = 0.5
+	scoreRate       = -1.0
+
+	// personScore is the least score of a person, soonScore of soon work.
+	personScore = 0.5
+	soonScore   = -1.5
+)
+
+const (
+	// smallAnswer and largeAnswer are sizes in tokens.
+	smallAnswer = 256
+	largeAnswer = 2048
+	// fewFlight is the most requests that one person has in progress, and
+	// manyFlight what only programs have.
+	fewFlight  = 2.5
+	manyFlight = 6.0
+	// thinkTime is the least pause of a person between two requests, and
+	// noThinkTime what only programs manage.
+	thinkTime   = time.Second
+	noThinkTime = 200 * time.Millisecond
+	// known is how many requests the pause is learnt from before it counts.
+	known = 3.0
+	// highRate is a rate of requests per second that no person types.
+	highRate = 3.0
+	// some is the decayed count from which a habit counts.
+	some = 0.5
+)
+
+// Infer returns the class that the features speak for.
+func Infer(f Features) call.Class {
+	if f.Service {
+		return inferService(f)
+	}
+	score := scoreSize(f) + scoreFlight(f) + scorePause(f) + scoreHabits(f)
+	if f.Stream {
+		score += scoreStream
+	}
+	switch {
+	case score >= personScore:
+		return call.ClassPerson
+	case score >= soonScore:
+		return call.ClassSoon
+	}
+	return call.ClassLong
+}
+
+// inferService treats lookups as watched unless a program makes them, and
+// filings as needed soon: their callers wait for the confirmation.
+func inferService(f Features) call.Class {
+	if scoreFlight(f)+scorePause(f) <= scoreManyFlight {
+		return call.ClassSoon
+	}
+	return call.ClassPerson
+}
+
+func scoreSize(f Features) float64 {
+	size := float64(f.MaxTokens)
+	if f.Usual > 0 {
+		size = min(size, 2*f.Usual)
+	}
+	switch {
+	case size <= smallAnswer:
+		return scoreSmall
+	case size >= largeAnswer:
+		return scoreLarge
+	}
+	return 0
+}
+
+func scoreFlight(f Features) float64 {
+	switch {
+	case f.Flight <= fewFlight:
+		return scoreFewFlight
+	case f.Flight >= manyFlight:
+		return scoreManyFlight
+	}
+	return scoreManyFlight * (f.Flight - fewFlight) / (manyFlight - fewFlight)
+}
+
+func scorePause(f Features) float64 {
+	score := 0.0
+	if f.Rate >= highRate {
+		score += scoreRate
+	}
+	if f.Known < known {
+		return score
+	}
+	switch {
+	case f.Think >= thinkTime:
+		score += scoreThink
+	case f.Think <= noThinkTime:
+		score += scoreNoThink
+	}
+	return score
+}
+
+func scoreHabits(f Features) float64 {
+	score := 0.0
+	if f.Leaves >= some {
+		score += scoreLeave
+	}
+	if f.Resends >= some {
+		score += scoreResend
+	}
+	return score
+}
--- /dev/null
+++ b/entry/daemon/control_test.go
@@ -0,0 +1,244 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/lease"
+	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
+)
+
+// fakeControl answers one entry's feed, grants and claims.
+type fakeControl struct {
+	mutex  sync.Mutex
+	config *conf.Config
+	roster roster.Roster
+	bans   []plane.Ban
+	bansAt uint64
+	// mute renews no lease; deaf answers no claim.
+	mute, deaf bool
+	changed    chan struct{}
+	beats      []plane.Beat
+	// level is what is left in each workspace's bucket; refilled is when.
+	level    map[string]float64
+	refilled time.Time
+	granted  map[string]int64
+	returned map[string]int64
+	claims   map[string]*plane.ClaimReply
+	sums     map[string][]byte
+	// onClaim sees each claim step before it is committed.
+	onClaim func(ask *plane.ClaimAsk)
+}
+
+func newControl(config *conf.Config) *fakeControl {
+	c := &fakeControl{
+		config:   config,
+		changed:  make(chan struct{}),
+		level:    map[string]float64{},
+		refilled: time.Now(),
+		granted:  map[string]int64{},
+		returned: map[string]int64{},
+		claims:   map[string]*plane.ClaimReply{},
+		sums:     map[string][]byte{},
+	}
+	for name, workspace := range config.Workspaces {
+		c.level[name] = float64(workspace.Burst)
+	}
+	return c
+}
+
+func (c *fakeControl) handlers() map[string]link.Handler {
+	return map[string]link.Handler{plane.MethodFeed: c.feed, plane.MethodGrant: c.grant, plane.MethodClaim: c.claim}
+}
+
+// change edits the state under the lock and pushes it.
+func (c *fakeControl) change(edit func()) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	edit()
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *fakeControl) setConfig(edit func(*conf.Config)) {
+	c.change(func() {
+		next := copyConfig(c.config)
+		next.Number++
+		edit(next)
+		c.config = next
+	})
+}
+
+func (c *fakeControl) feed(_ context.Context, stream *wire.Stream) error {
+	var hello plane.Hello
+	if err := stream.Receive(&hello); err != nil {
+		return err
+	}
+	beats := make(chan plane.Beat)
+	go func() {
+		defer close(beats)
+		for {
+			var beat plane.Beat
+			if stream.Receive(&beat) != nil {
+				return
+			}
+			beats <- beat
+		}
+	}()
+	number, vector := hello.Number, hello.Vector
+	for {
+		update, changed := c.update(&number, &vector)
+		select {
+		case beat, ok := <-beats:
+			if !ok {
+				return nil
+			}
+			update, _ = c.update(&number, &vector)
+			c.answer(update, &beat)
+		case <-changed:
+			update, _ = c.update(&number, &vector)
+		}
+		if err := stream.Send(update); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *fakeControl) answer(update *plane.Update, beat *plane.Beat) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.beats = append(c.beats, *beat)
+	update.Seq = beat.Seq
+	if !c.mute {
+		update.Lease = span.Duration(lease.Length)
+	}
+}
+
+// update returns the news since number and vector; the first call of a pair
+// only looks.
+func (c *fakeControl) update(number *uint64, vector *[]roster.Mark) (*plane.Update, <-chan struct{}) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	update := &plane.Update{Number: c.config.Number, Bans: c.bans, BansRevision: c.bansAt}
+	if c.config.Number > *number {
+		update.Config = conf.Diff(nil, c.config)
+	}
+	update.Roster = c.roster.Since(*vector)
+	return update, c.changed
+}
+
+func (c *fakeControl) grant(_ context.Context, stream *wire.Stream) error {
+	var ask plane.GrantAsk
+	if err := stream.Receive(&ask); err != nil {
+		return err
+	}
+	return stream.Send(c.grants(&ask))
+}
+
+func (c *fakeControl) grants(ask *plane.GrantAsk) *plane.GrantReply {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	reply := &plane.GrantReply{}
+	passed := time.Since(c.refilled).Seconds()
+	c.refilled = time.Now()
+	for name, workspace := range c.config.Workspaces {
+		c.level[name] = min(c.level[name]+passed*float64(workspace.Rate), float64(workspace.Burst))
+	}
+	for i, a := range ask.Asks {
+		c.level[a.Workspace] += float64(a.Unused)
+		c.returned[a.Workspace] += a.Unused
+		if a.Want == 0 {
+			continue
+		}
+		workspace := c.config.Workspaces[a.Workspace]
+		grant := plane.Grant{Workspace: a.Workspace, Lease: ask.Seq<<8 | uint64(i), Life: span.Duration(2 * time.Second)}
+		grant.Over = a.Least > workspace.Burst
+		if c.level[a.Workspace] >= float64(max(a.Least, 1)) {
+			grant.Tokens = min(a.Want, int64(c.level[a.Workspace]))
+			c.level[a.Workspace] -= float64(grant.Tokens)
+			c.granted[a.Workspace] += grant.Tokens
+		} else {
+			lack := float64(max(a.Least, 1)) - c.level[a.Workspace]
+			grant.Wait = span.Duration(lack / float64(workspace.Rate) * float64(time.Second))
+		}
+		reply.Grants = append(reply.Grants, grant)
+	}
+	return reply
+}
+
+func (c *fakeControl) claim(_ context.Context, stream *wire.Stream) error {
+	var ask plane.ClaimAsk
+	if err := stream.Receive(&ask); err != nil {
+		return err
+	}
+	if c.onClaim != nil {
+		c.onClaim(&ask)
+	}
+	c.mutex.Lock()
+	deaf := c.deaf
+	reply := &plane.ClaimReply{Refused: plane.KindLeader}
+	if !deaf {
+		reply = c.step(&ask)
+	}
+	c.mutex.Unlock()
+	return stream.Send(reply)
+}
+
+// step is the ledger's rule in its simplest form.
+func (c *fakeControl) step(ask *plane.ClaimAsk) *plane.ClaimReply {
+	key := string(ask.Key)
+	held := c.claims[key]
+	mine := held != nil && bytes.Equal(held.Attempt, ask.Attempt)
+	switch {
+	case held == nil && ask.Verb == plane.VerbClaim:
+		held = &plane.ClaimReply{State: plane.ClaimTaken, Attempt: ask.Attempt, Agent: ask.Agent, Incarnation: ask.Incarnation}
+		c.claims[key], c.sums[key] = held, ask.Sum
+		owned := *held
+		owned.State = plane.ClaimOwned
+		return &owned
+	case held == nil:
+		return &plane.ClaimReply{State: plane.ClaimNone}
+	case !bytes.Equal(c.sums[key], ask.Sum):
+		return &plane.ClaimReply{State: plane.ClaimMixed}
+	case mine && held.State == plane.ClaimTaken && ask.Verb == plane.VerbDone:
+		held.State, held.Outcome = plane.ClaimDone, ask.Outcome
+	case mine && held.State == plane.ClaimTaken && ask.Verb == plane.VerbUnknown:
+		held.State = plane.ClaimUnknown
+	case mine && held.State == plane.ClaimTaken && ask.Verb == plane.VerbVoid:
+		delete(c.claims, key)
+		return &plane.ClaimReply{State: plane.ClaimNone}
+	}
+	reply := *held
+	return &reply
+}
+
+func (c *fakeControl) claimStates() []plane.ClaimState {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var states []plane.ClaimState
+	for _, held := range c.claims {
+		states = append(states, held.State)
+	}
+	return states
+}
+
+func copyConfig(config *conf.Config) *conf.Config {
+	delta := conf.Diff(nil, config)
+	next, _ := (*conf.Config)(nil).Apply(delta)
+	empty := &conf.Config{Number: next.Number}
+	copied, _ := empty.Apply(conf.Diff(empty, next))
+	return copied
+}
+
+// outcome is a recorded answer.
+func outcome(status int32, body string) *call.Outcome {
+	return &call.Outcome{Status: status, Body: []byte(body)}
+}
--- /dev/null
+++ b/entry/daemon/daemon.go
@@ -0,0 +1,216 @@
+// Package daemon wires an entry together: callers' requests come in over
+// HTTP and go through the chain to agents.
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/auth"
+	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/entry/class"
+	"github.com/tanagerspindle/tanagerspindle/entry/drain"
+	"github.com/tanagerspindle/tanagerspindle/entry/feed"
+	"github.com/tanagerspindle/tanagerspindle/entry/front"
+	"github.com/tanagerspindle/tanagerspindle/entry/guard"
+	"github.com/tanagerspindle/tanagerspindle/entry/limit"
+	"github.com/tanagerspindle/tanagerspindle/entry/match"
+	"github.com/tanagerspindle/tanagerspindle/entry/once"
+	"github.com/tanagerspindle/tanagerspindle/entry/picker"
+	"github.com/tanagerspindle/tanagerspindle/entry/relay"
+	"github.com/tanagerspindle/tanagerspindle/entry/trace"
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/uplink"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// The kinds of failure.
+const (
+	KindListen Kind = "cannot listen"
+	KindServe  Kind = "HTTP server failed"
+)
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+const (
+	// headerLimit bounds the time in which a caller's header arrives, and
+	// idleLimit the time between two requests of a connection.
+	headerLimit = 10 * time.Second
+	idleLimit   = 2 * time.Minute
+	// defaultLinger is how long the balancer needs to notice a red health
+	// check, when Daemon.Linger is zero.
+	defaultLinger = 3 * time.Second
+)
+
+// Daemon is one entry. Its fields are set before Run.
+type Daemon struct {
+	// Host gives name, log, meter and network. Listen accepts callers on
+	// IP:port.
+	Host   host.Host
+	Listen string
+	// Accept listens for callers; nil means plain TCP.
+	Accept func(address string) (net.Listener, error)
+	// Control holds the addresses of the replicas, nearest first.
+	Control []string
+	// Linger is how long requests are accepted after the health check has
+	// turned red at a planned stop; zero means three seconds.
+	Linger time.Duration
+	// MaxBody is the largest request body in bytes; zero means 4 MiB.
+	MaxBody int64
+	// Choose replaces the picker's rules, and Infer those of class; nil keeps
+	// them.
+	Choose func(candidates []picker.Candidate) int
+	Infer  func(class.Features) call.Class
+}
+
+// entry is the running parts of a daemon.
+type entry struct {
+	daemon *Daemon
+	uplink *uplink.Uplink
+	feed   *feed.Feed
+	auth   *auth.Auth
+	limit  *limit.Limit
+	relay  *relay.Relay
+	drain  *drain.Drain
+	server *http.Server
+}
+
+// Run serves callers until ctx ends and then stops without cutting off a
+// request. It returns an error when it cannot listen or must stop because a
+// later process of the same name has started.
+func (d *Daemon) Run(ctx context.Context) error {
+	listener, err := d.accept()
+	if err != nil {
+		return &Error{Op: "listen " + d.Listen, Kind: KindListen, Err: err}
+	}
+	e := d.build()
+	served := make(chan error, 1)
+	go func() { served <- e.server.Serve(listener) }()
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var parts conc.WaitGroup
+	failed := make(chan error, 1)
+	uplinked, stopUplink := context.WithCancel(context.WithoutCancel(ctx))
+	linked := make(chan struct{})
+	go func() { defer close(linked); e.uplink.Run(uplinked) }()
+	parts.Go(func() { e.limit.Run(running) })
+	parts.Go(func() { failed <- e.feed.Run(running) })
+	d.Host.Log.Write("entry-started", "listen", d.Listen)
+	result := e.wait(ctx, served, failed)
+	if result == nil {
+		e.stop()
+	}
+	stop()
+	parts.Wait()
+	stopUplink()
+	<-linked
+	_ = e.server.Close()
+	e.relay.Close()
+	d.Host.Log.Write("entry-stopped", "err", result)
+	return result
+}
+
+func (d *Daemon) accept() (net.Listener, error) {
+	if d.Accept != nil {
+		return d.Accept(d.Listen)
+	}
+	return net.Listen("tcp", d.Listen)
+}
+
+// wait returns nil when a planned stop begins.
+func (e *entry) wait(ctx context.Context, served, failed <-chan error) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-served:
+		return &Error{Op: "serve", Kind: KindServe, Err: err}
+	case err := <-failed:
+		return err
+	}
+}
+
+// stop keeps accepting while the balancer lets go, then waits for all that
+// runs.
+func (e *entry) stop() {
+	linger := e.daemon.Linger
+	if linger == 0 {
+		linger = defaultLinger
+	}
+	e.daemon.Host.Log.Write("entry-draining", "linger", linger)
+	e.drain.Begin(linger)
+	_ = e.server.Shutdown(context.Background())
+	_ = e.drain.Wait(context.Background())
+}
+
+func (d *Daemon) build() *entry {
+	incarnation := rand.Uint64() | 1
+	e := &entry{daemon: d, drain: &drain.Drain{}}
+	e.uplink = &uplink.Uplink{Host: d.Host, Replicas: d.Control}
+	choice := &picker.Picker{Near: d.Host.DataCentre, Choose: d.Choose}
+	e.relay = &relay.Relay{Host: d.Host, Picker: choice}
+	e.relay.Start()
+	e.auth = &auth.Auth{}
+	e.feed = &feed.Feed{
+		Host:        d.Host,
+		Incarnation: incarnation,
+		Uplink:      e.uplink,
+		OnConfig:    e.auth.Recheck,
+		OnRoster:    choice.Update,
+		OnExpire:    e.auth.Expire,
+	}
+	e.limit = &limit.Limit{Host: d.Host, Incarnation: incarnation, Config: e.feed.Config, Grant: e.grant}
+	e.server = &http.Server{
+		Handler:           e.front(choice).Handler(),
+		ReadHeaderTimeout: headerLimit,
+		IdleTimeout:       idleLimit,
+	}
+	return e
+}
+
+func (e *entry) front(choice *picker.Picker) *front.Front {
+	return &front.Front{
+		Host:     e.daemon.Host,
+		Chain:    e.chain(choice),
+		Ready:    e.feed.Valid,
+		Draining: e.drain.Draining,
+		Enter:    e.drain.Enter,
+		MaxBody:  e.daemon.MaxBody,
+	}
+}
+
+func (e *entry) chain(choice *picker.Picker) *chain.Chain {
+	routes := &match.Match{Config: e.feed.Config, Valid: e.feed.Valid}
+	e.auth.Config = e.feed.Config
+	e.auth.Places = routes.Places
+	claims := &once.Once{Host: e.daemon.Host, Ask: e.claim, Probe: e.relay.Probe, Find: choice.Incarnation}
+	return &chain.Chain{Filters: []chain.Filter{
+		(&trace.Trace{Host: e.daemon.Host, Count: e.feed.Count}).Do,
+		e.auth.Strip,
+		routes.Do,
+		e.auth.Watch,
+		(&guard.Guard{Banned: e.feed.Banned}).Do,
+		(&class.Class{Infer: e.daemon.Infer}).Do,
+		claims.Do,
+		e.limit.Do,
+		e.relay.Do,
+	}}
+}
+
+func (e *entry) grant(ctx context.Context, ask *plane.GrantAsk, reply *plane.GrantReply) error {
+	return e.uplink.Call(ctx, plane.MethodGrant, ask, reply)
+}
+
+func (e *entry) claim(ctx context.Context, ask *plane.ClaimAsk, reply *plane.ClaimReply) error {
+	return e.uplink.Call(ctx, plane.MethodClaim, ask, reply)
+}
--- /dev/null
+++ b/entry/feed/burn.go
@@ -0,0 +1,83 @@
+package feed
+
+import (
+	"sync"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+// goal names what requests are counted for.
+type goal struct{ workspace, route string }
+
+// counts are requests that met their goal and that did not.
+type counts struct{ good, bad int64 }
+
+// burn counts requests until control has confirmed the counts. A count whose
+// confirmation is lost is sent again, and may then count twice.
+type burn struct {
+	mutex   sync.Mutex
+	pending map[goal]counts
+	// sent holds the counts under way, by the beat that carries them.
+	sent map[uint64]map[goal]counts
+}
+
+func (b *burn) add(workspace, route string, good bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	one := counts{bad: 1}
+	if good {
+		one = counts{good: 1}
+	}
+	b.merge(goal{workspace, route}, one)
+}
+
+func (b *burn) merge(g goal, c counts) {
+	if b.pending == nil {
+		b.pending = map[goal]counts{}
+	}
+	sum := b.pending[g]
+	sum.good += c.good
+	sum.bad += c.bad
+	b.pending[g] = sum
+}
+
+// take returns the pending counts for a beat.
+func (b *burn) take(seq uint64) []plane.Burn {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if len(b.pending) == 0 {
+		return nil
+	}
+	if b.sent == nil {
+		b.sent = map[uint64]map[goal]counts{}
+	}
+	b.sent[seq] = b.pending
+	list := make([]plane.Burn, 0, len(b.pending))
+	for g, c := range b.pending {
+		list = append(list, plane.Burn{Workspace: g.workspace, Route: g.route, Good: c.good, Bad: c.bad})
+	}
+	b.pending = nil
+	return list
+}
+
+func (b *burn) confirm(seq uint64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for sent := range b.sent {
+		if sent <= seq {
+			delete(b.sent, sent)
+		}
+	}
+}
+
+// restore takes back the counts of beats that were not confirmed.
+func (b *burn) restore() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, all := range b.sent {
+		for g, c := range all {
+			b.merge(g, c)
+		}
+	}
+	b.sent = nil
+}
--- /dev/null
+++ b/entry/feed/feed.go
@@ -0,0 +1,229 @@
+// Package feed keeps an entry's view of control: the configuration in force,
+// the endpoints, the quarantine, and the authority to act on them.
+package feed
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/lease"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
+	"github.com/tanagerspindle/tanagerspindle/pkg/uplink"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// The kinds of failure.
+const (
+	// KindSuperseded says that a later process of the same name has started.
+	KindSuperseded Kind = "superseded by a later process"
+	// KindSilent says that a replica did not renew the lease.
+	KindSilent Kind = "lease not renewed"
+	// KindDelta says that a change does not fit the configuration held.
+	KindDelta Kind = "delta does not fit"
+)
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+const (
+	// beatInterval is the time between two heartbeats; after a change one is
+	// sent at once, but not sooner than beatLeast after the last.
+	beatInterval = time.Second
+	beatLeast    = 100 * time.Millisecond
+	// renewLimit is how long a replica may not renew the lease before another
+	// one is tried.
+	renewLimit = 1500 * time.Millisecond
+	// expireGrace is how long keyed work that has begun goes on after the
+	// lease has run out. Lease and grace are shorter than the time in which a
+	// withdrawn key must have stopped.
+	expireGrace = time.Second
+	// checkInterval is the time between two looks at the lease.
+	checkInterval = 100 * time.Millisecond
+	// byeTimeout bounds the farewell.
+	byeTimeout = time.Second
+)
+
+// Feed is the entry's side of MethodFeed. Its exported fields are set before
+// Run. Its methods may be called from several goroutines.
+type Feed struct {
+	// Host is the daemon's; Incarnation is new at each start of the process.
+	Host        host.Host
+	Incarnation uint64
+	// Uplink is the session to control. Feed.Run does not run it.
+	Uplink *uplink.Uplink
+	// OnConfig is called with each new configuration, before the lease is
+	// renewed for it. OnRoster gets changed records of endpoints. OnExpire is
+	// called repeatedly while the lease is out for longer than a grace.
+	OnConfig func(config *conf.Config)
+	OnRoster func(changed []roster.Record)
+	OnExpire func()
+
+	config atomic.Pointer[conf.Config]
+	bans   atomic.Pointer[bans]
+	lease  lease.Lease
+	roster roster.Roster
+	burn   burn
+	nudge  chan struct{}
+	once   sync.Once
+}
+
+// bans is the quarantine by digest. It is not changed.
+type bans struct {
+	revision uint64
+	byDigest map[string]ban
+}
+
+type ban struct {
+	suspect bool
+	until   time.Time
+}
+
+// Config returns the configuration in force, or nil before the first.
+func (f *Feed) Config() *conf.Config { return f.config.Load() }
+
+// Valid reports whether the entry has authority to serve keys.
+func (f *Feed) Valid() bool { return f.config.Load() != nil && f.lease.Valid() }
+
+// Banned returns the time for which a request is quarantined, and whether it
+// is suspected of having crashed an endpoint.
+func (f *Feed) Banned(digest []byte) (left time.Duration, suspect bool) {
+	all := f.bans.Load()
+	if all == nil {
+		return 0, false
+	}
+	found, ok := all.byDigest[string(digest)]
+	if !ok {
+		return 0, false
+	}
+	left = time.Until(found.until)
+	if left <= 0 {
+		return 0, false
+	}
+	if found.suspect {
+		return 0, true
+	}
+	return left, false
+}
+
+// Count adds one request to the burn counts.
+func (f *Feed) Count(workspace, route string, good bool) { f.burn.add(workspace, route, good) }
+
+// Run keeps the feed up until ctx ends, then says farewell. The error is of
+// KindSuperseded when the process must stop.
+func (f *Feed) Run(ctx context.Context) error {
+	f.prepare()
+	watched, stop := context.WithCancel(ctx)
+	defer stop()
+	go f.watch(watched)
+	for ctx.Err() == nil {
+		err := f.stream(ctx)
+		if superseded(err) {
+			f.lease.End()
+			f.Host.Log.Write("superseded")
+			return err
+		}
+		if err != nil && ctx.Err() == nil {
+			f.Host.Log.Write("feed-lost", "err", err)
+			f.Host.Meter.Add("feeds_lost", 1)
+			pause(ctx, beatLeast)
+		}
+	}
+	f.lease.End()
+	return nil
+}
+
+func (f *Feed) prepare() {
+	f.once.Do(func() { f.nudge = make(chan struct{}, 1) })
+}
+
+// watch calls OnExpire while the entry has been without authority for too
+// long.
+func (f *Feed) watch(ctx context.Context) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if time.Since(f.lease.Until()) > expireGrace && f.OnExpire != nil {
+			f.OnExpire()
+		}
+	}
+}
+
+// stream runs one stream to one replica until it ends or fails to renew.
+func (f *Feed) stream(ctx context.Context) error {
+	stream, err := f.Uplink.Open(ctx, plane.MethodFeed)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	hello := &plane.Hello{
+		Role:        plane.RoleEntry,
+		Name:        f.Host.VM,
+		Incarnation: f.Incarnation,
+		DataCentre:  f.Host.DataCentre,
+		Number:      f.number(),
+		Vector:      f.roster.Vector(),
+	}
+	if err := stream.Send(hello); err != nil {
+		return err
+	}
+	f.lease.Reset()
+	t := &turn{feed: f, stream: stream, renewed: make(chan uint64, 1), failed: make(chan error, 1)}
+	go t.receive()
+	defer f.burn.restore()
+	return t.beat(ctx)
+}
+
+func (f *Feed) number() uint64 {
+	config := f.config.Load()
+	if config == nil {
+		return 0
+	}
+	return config.Number
+}
+
+func (f *Feed) bansRevision() uint64 {
+	all := f.bans.Load()
+	if all == nil {
+		return 0
+	}
+	return all.revision
+}
+
+func (f *Feed) soon() {
+	select {
+	case f.nudge <- struct{}{}:
+	default:
+	}
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// turn is one stream to one replica.
+type turn struct {
+	feed    *Feed
+	stream  *wire.Stream
+	seq     uint64
+	renewed chan uint64
+	failed  chan error
+}
--- /dev/null
+++ b/entry/feed/turn.go
@@ -0,0 +1,171 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+// beat sends heartbeats until the stream fails, the replica does not renew
+// the lease in time, or ctx ends.
+func (t *turn) beat(ctx context.Context) error {
+	renewed := time.Now()
+	for {
+		if err := t.send(false); err != nil {
+			return err
+		}
+		sent := time.Now()
+		timer := time.NewTimer(beatInterval)
+		for waiting := true; waiting; {
+			select {
+			case <-ctx.Done():
+				timer.Stop()
+				t.farewell()
+				return nil
+			case err := <-t.failed:
+				timer.Stop()
+				return err
+			case <-t.renewed:
+				renewed = time.Now()
+			case <-t.feed.nudge:
+				timer.Reset(max(beatLeast-time.Since(sent), 0))
+			case <-timer.C:
+				waiting = false
+			}
+		}
+		if time.Since(renewed) > renewLimit {
+			t.feed.Uplink.Move()
+			return &Error{Op: "renew lease", Kind: KindSilent}
+		}
+	}
+}
+
+func (t *turn) send(bye bool) error {
+	f := t.feed
+	t.seq++
+	beat := &plane.Beat{
+		Seq:    t.seq,
+		Number: f.number(),
+		Bans:   f.bansRevision(),
+		Burn:   f.burn.take(t.seq),
+		Bye:    bye,
+	}
+	f.lease.Sent(t.seq)
+	return t.stream.Send(beat)
+}
+
+// farewell gives the lease back and waits for the answer.
+func (t *turn) farewell() {
+	if t.send(true) != nil {
+		return
+	}
+	timer := time.NewTimer(byeTimeout)
+	defer timer.Stop()
+	for {
+		select {
+		case seq := <-t.renewed:
+			if seq >= t.seq {
+				return
+			}
+		case <-t.failed:
+			return
+		case <-timer.C:
+			return
+		}
+	}
+}
+
+func (t *turn) receive() {
+	for {
+		var update plane.Update
+		if err := t.stream.Receive(&update); err != nil {
+			t.failed <- err
+			return
+		}
+		if err := t.take(&update); err != nil {
+			t.failed <- err
+			return
+		}
+	}
+}
+
+// take applies an update. The lease is renewed only after the configuration
+// that it is given for.
+func (t *turn) take(update *plane.Update) error {
+	f := t.feed
+	if update.Superseded {
+		return &Error{Op: "receive update", Kind: KindSuperseded}
+	}
+	if update.Config != nil && update.Config.To > f.number() {
+		if err := f.apply(update); err != nil {
+			return err
+		}
+	}
+	if update.Roster != nil {
+		changed := f.roster.Merge(update.Roster)
+		if len(changed) > 0 && f.OnRoster != nil {
+			f.OnRoster(changed)
+		}
+	}
+	if update.BansRevision != 0 && update.BansRevision != f.bansRevision() {
+		f.ban(update)
+	}
+	if update.Seq == 0 {
+		return nil
+	}
+	f.burn.confirm(update.Seq)
+	if update.Lease > 0 && f.number() >= update.Number {
+		f.lease.Renew(update.Seq, update.Lease.Std())
+		t.note(update.Seq)
+	}
+	if update.Lease == 0 && f.number() >= update.Number {
+		f.Host.Meter.Add("beats_not_renewed", 1)
+	}
+	return nil
+}
+
+func (t *turn) note(seq uint64) {
+	for {
+		select {
+		case t.renewed <- seq:
+			return
+		default:
+		}
+		select {
+		case <-t.renewed:
+		default:
+		}
+	}
+}
+
+func (f *Feed) apply(update *plane.Update) error {
+	next, err := f.config.Load().Apply(update.Config)
+	if err != nil {
+		return &Error{Op: "apply configuration", Kind: KindDelta, Err: err}
+	}
+	f.config.Store(next)
+	f.Host.Log.Write("configuration", "number", next.Number)
+	f.Host.Meter.Set("configuration", int64(next.Number))
+	if f.OnConfig != nil {
+		f.OnConfig(next)
+	}
+	f.soon()
+	return nil
+}
+
+func (f *Feed) ban(update *plane.Update) {
+	now := time.Now()
+	all := &bans{revision: update.BansRevision, byDigest: make(map[string]ban, len(update.Bans))}
+	for _, b := range update.Bans {
+		all.byDigest[string(b.Digest)] = ban{suspect: b.Suspect, until: now.Add(b.Left.Std())}
+	}
+	f.bans.Store(all)
+	f.Host.Log.Write("quarantine", "revision", update.BansRevision, "requests", len(update.Bans))
+	f.soon()
+}
+
+func superseded(err error) bool {
+	return errors.Is(err, &Error{Kind: KindSuperseded})
+}
--- /dev/null
+++ b/entry/limit/limit.go
@@ -0,0 +1,270 @@
+// Package limit keeps each workspace within its rate and burst, with tokens
+// leased from control.
+package limit
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// KindEnded says that the request ended before its tokens were there.
+const KindEnded Kind = "request ended"
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+const (
+	// firstPiece and longestPiece are the smallest and the largest number of
+	// answer tokens paid for at once.
+	firstPiece   = 64
+	longestPiece = 1024
+	// mostWaiters bounds the requests of one workspace and class that wait
+	// for tokens.
+	mostWaiters = 512
+	// extendLead is how much earlier than a new request a stream that needs
+	// more tokens counts as having come.
+	extendLead = 2 * time.Second
+	// soonest is the least time to come back.
+	soonest = 100 * time.Millisecond
+)
+
+// Limit is the filter that pays for requests. Its exported fields are set
+// before Run.
+type Limit struct {
+	// Host is the daemon's; Incarnation is new at each start of the process.
+	Host        host.Host
+	Incarnation uint64
+	// Config returns the configuration in force.
+	Config func() *conf.Config
+	// Grant exchanges one GrantAsk with the control leader.
+	Grant func(ctx context.Context, ask *plane.GrantAsk, reply *plane.GrantReply) error
+
+	mutex  sync.Mutex
+	shares map[string]*share
+	wake   chan struct{}
+	seq    uint64
+}
+
+// reservation is what one request has paid for.
+type reservation struct {
+	share *share
+	parts []part
+	// total is the sum of parts; answer is how many of them are for the
+	// answer.
+	total  int64
+	answer int64
+}
+
+// part is tokens taken from one lease.
+type part struct {
+	lease  *held
+	tokens int64
+}
+
+// Do pays for the request, runs it, and gives back what it did not use.
+func (l *Limit) Do(ctx context.Context, r *chain.Request, next chain.Next) error {
+	need, answer := cost(r)
+	if need == 0 {
+		return next(ctx, r)
+	}
+	paid, err := l.reserve(ctx, r, need)
+	if err != nil {
+		return err
+	}
+	paid.answer = answer
+	var sent int64
+	write := r.Write
+	r.Write = func(frame *call.Frame) error {
+		if frame.Step == call.StepPart {
+			sent += frame.Tokens
+		}
+		return write(frame)
+	}
+	r.Reserved = answer
+	r.Extend = func(ctx context.Context, used int64) (int64, error) { return l.extend(ctx, r, paid, used) }
+	err = next(ctx, r)
+	r.Write = write
+	l.settle(paid, unused(paid, answer, need, sent, err))
+	return err
+}
+
+// cost returns the tokens needed to start, and how many of them are for the
+// answer.
+func cost(r *chain.Request) (need, answer int64) {
+	if r.Service != "" {
+		return r.Route.Cost, 0
+	}
+	answer = min(firstPiece, r.MaxTokens)
+	return r.PromptTokens + answer, answer
+}
+
+func unused(paid *reservation, first, need, sent int64, err error) int64 {
+	if err != nil && chain.RefusalOf(err).Ran == chain.RanNo {
+		return paid.total
+	}
+	spent := need - first + sent
+	return max(paid.total-spent, 0)
+}
+
+// reserve takes tokens, or waits for them while the caller probably does.
+func (l *Limit) reserve(ctx context.Context, r *chain.Request, need int64) (*reservation, error) {
+	w := &waiter{need: need, class: r.Class, due: dueAt(time.Now(), r.Class), until: r.Deadline(), done: make(chan error, 1)}
+	l.mutex.Lock()
+	s := l.share(r.Workspace)
+	w.paid = &reservation{share: s}
+	if err := l.join(s, w); err != nil {
+		l.mutex.Unlock()
+		return nil, err
+	}
+	l.mutex.Unlock()
+	timer := time.NewTimer(time.Until(w.until))
+	defer timer.Stop()
+	select {
+	case err := <-w.done:
+		return w.paid, err
+	case <-ctx.Done():
+		l.leave(w)
+		return nil, chain.Gone(ctx, chain.RanNo)
+	case <-timer.C:
+		return nil, late(l.leave(w))
+	}
+}
+
+// dueAt orders waiters: less urgent ones are overtaken, but not for ever.
+func dueAt(now time.Time, class call.Class) time.Time {
+	switch class {
+	case call.ClassPerson:
+		return now
+	case call.ClassSoon:
+		return now.Add(2 * time.Second)
+	}
+	return now.Add(15 * time.Second)
+}
+
+// join pays at once, puts the waiter in the queue, or refuses. The caller
+// holds the mutex.
+func (l *Limit) join(s *share, w *waiter) error {
+	now := time.Now()
+	if len(s.waiters) == 0 && s.take(now, w.need, w.paid) {
+		w.done <- nil
+		return nil
+	}
+	if s.count(w.class) >= mostWaiters {
+		return late(s.estimate(now, w, l.rate(s.workspace)))
+	}
+	if s.short(now) {
+		if wait := s.estimate(now, w, l.rate(s.workspace)); now.Add(wait).After(w.until) {
+			return late(wait)
+		}
+	}
+	s.enqueue(w)
+	l.nudge()
+	return nil
+}
+
+// leave takes a waiter out and returns the time until tokens are expected;
+// those that came in the same moment go back.
+func (l *Limit) leave(w *waiter) time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	s := w.paid.share
+	s.remove(w)
+	s.giveBack(time.Now(), w.paid, w.paid.total)
+	return s.wait(time.Now())
+}
+
+func late(wait time.Duration) *chain.Refusal {
+	refusal := chain.Refuse(http.StatusTooManyRequests, "rate_limited", "the workspace's tokens will not be there in time")
+	return refusal.After(max(wait, soonest))
+}
+
+// extend pays for a further piece of the answer and waits as long as it takes.
+func (l *Limit) extend(ctx context.Context, r *chain.Request, paid *reservation, _ int64) (int64, error) {
+	piece := min(max(paid.answer, firstPiece), longestPiece, r.MaxTokens-paid.answer)
+	if piece <= 0 {
+		return paid.answer, nil
+	}
+	w := &waiter{need: piece, class: r.Class, due: time.Now().Add(-extendLead), paid: paid, done: make(chan error, 1), extends: true}
+	l.mutex.Lock()
+	if len(paid.share.waiters) == 0 && paid.share.take(time.Now(), piece, paid) {
+		w.done <- nil
+	} else {
+		paid.share.enqueue(w)
+		l.nudge()
+	}
+	l.mutex.Unlock()
+	select {
+	case err := <-w.done:
+		if err != nil {
+			return paid.answer, err
+		}
+	case <-ctx.Done():
+		if !l.withdraw(w) {
+			return paid.answer, &Error{Op: "extend", Kind: KindEnded, Err: ctx.Err()}
+		}
+	}
+	paid.answer += piece
+	return paid.answer, nil
+}
+
+// withdraw takes a waiter out and reports whether it had been paid for.
+func (l *Limit) withdraw(w *waiter) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if w.paid.share.remove(w) {
+		return false
+	}
+	return <-w.done == nil
+}
+
+func (l *Limit) settle(paid *reservation, tokens int64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	paid.share.giveBack(time.Now(), paid, tokens)
+	l.serve(paid.share, time.Now())
+}
+
+func (l *Limit) share(workspace string) *share {
+	if l.shares == nil {
+		l.shares = map[string]*share{}
+	}
+	s, ok := l.shares[workspace]
+	if !ok {
+		s = &share{workspace: workspace}
+		l.shares[workspace] = s
+	}
+	return s
+}
+
+// rate returns the workspace's tokens per second.
+func (l *Limit) rate(workspace string) float64 {
+	config := l.Config()
+	if config == nil {
+		return 1
+	}
+	return math.Max(float64(config.Workspaces[workspace].Rate), 1)
+}
+
+// nudge wakes Run. The caller holds the mutex.
+func (l *Limit) nudge() {
+	if l.wake == nil {
+		l.wake = make(chan struct{}, 1)
+	}
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/entry/limit/share.go
@@ -0,0 +1,227 @@
+package limit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+const (
+	// idleReturn is how long a lease is unused before its tokens go back.
+	idleReturn = 200 * time.Millisecond
+	// endReturn is how long before its end a lease's tokens go back.
+	endReturn = 400 * time.Millisecond
+	// aheadTime is how much of the recent spending is leased ahead.
+	aheadTime = 250 * time.Millisecond
+	// spendTime is the time over which spending is averaged.
+	spendTime = time.Second
+	// shortestPoll and longestPoll bound the pause between two asks for
+	// tokens that are not there.
+	shortestPoll = 5 * time.Millisecond
+	longestPoll  = 500 * time.Millisecond
+	// forget is how long an idle workspace is remembered.
+	forget = time.Minute
+)
+
+// share is what this entry holds of one workspace's tokens. The mutex of Limit
+// guards it.
+type share struct {
+	workspace string
+	leases    []*held
+	// waiters are in the order of due.
+	waiters []*waiter
+	// askAt is when control is asked next; due when it expects to have what
+	// the first waiter needs.
+	askAt time.Time
+	due   time.Time
+	// demand is the fleet's wish for tokens over the rate.
+	demand float64
+	// spent is the decayed spending of the last spendTime, as of usedAt.
+	spent  float64
+	usedAt time.Time
+}
+
+// held is a lease of tokens; none is spent after until.
+type held struct {
+	id    uint64
+	left  int64
+	until time.Time
+	used  time.Time
+}
+
+// waiter is a request that needs tokens.
+type waiter struct {
+	need  int64
+	class call.Class
+	due   time.Time
+	// until is when the caller's patience ends; zero for a stream that has
+	// begun.
+	until   time.Time
+	extends bool
+	paid    *reservation
+	done    chan error
+}
+
+// take spends tokens into a reservation, or none if there are too few.
+func (s *share) take(now time.Time, need int64, paid *reservation) bool {
+	if s.available(now) < need {
+		return false
+	}
+	s.note(now, need)
+	for _, lease := range s.leases {
+		tokens := min(lease.left, need)
+		if tokens <= 0 || !now.Before(lease.until) {
+			continue
+		}
+		lease.left -= tokens
+		lease.used = now
+		need -= tokens
+		paid.parts = append(paid.parts, part{lease: lease, tokens: tokens})
+		paid.total += tokens
+	}
+	return true
+}
+
+func (s *share) available(now time.Time) int64 {
+	var sum int64
+	for _, lease := range s.leases {
+		if now.Before(lease.until) {
+			sum += lease.left
+		}
+	}
+	return sum
+}
+
+// giveBack returns tokens to the leases they came from, last ones first.
+// Those of a lease that has ended are lost.
+func (s *share) giveBack(now time.Time, paid *reservation, tokens int64) {
+	paid.total -= tokens
+	for i := len(paid.parts) - 1; i >= 0 && tokens > 0; i-- {
+		part := &paid.parts[i]
+		returned := min(part.tokens, tokens)
+		part.tokens -= returned
+		tokens -= returned
+		if now.Before(part.lease.until) {
+			part.lease.left += returned
+		}
+	}
+}
+
+func (s *share) note(now time.Time, tokens int64) {
+	s.spent = s.recent(now) + float64(tokens)
+	s.usedAt = now
+}
+
+// recent returns the spending of the last spendTime, decayed linearly.
+func (s *share) recent(now time.Time) float64 {
+	left := 1 - now.Sub(s.usedAt).Seconds()/spendTime.Seconds()
+	return s.spent * max(left, 0)
+}
+
+func (s *share) enqueue(w *waiter) {
+	at, _ := slices.BinarySearchFunc(s.waiters, w, func(other, w *waiter) int {
+		if other.due.After(w.due) {
+			return 1
+		}
+		return -1
+	})
+	s.waiters = slices.Insert(s.waiters, at, w)
+}
+
+func (s *share) remove(w *waiter) bool {
+	at := slices.Index(s.waiters, w)
+	if at < 0 {
+		return false
+	}
+	s.waiters = slices.Delete(s.waiters, at, at+1)
+	return true
+}
+
+func (s *share) count(class call.Class) int {
+	count := 0
+	for _, w := range s.waiters {
+		if w.class == class && !w.extends {
+			count++
+		}
+	}
+	return count
+}
+
+// short reports whether control is known to lack tokens.
+func (s *share) short(now time.Time) bool { return now.Before(s.due) }
+
+func (s *share) wait(now time.Time) time.Duration { return max(s.due.Sub(now), 0) }
+
+// estimate returns how long a waiter will wait behind those before it.
+func (s *share) estimate(now time.Time, w *waiter, rate float64) time.Duration {
+	ahead := w.need
+	for i, other := range s.waiters {
+		if other == w || other.due.After(w.due) {
+			break
+		}
+		if i > 0 {
+			ahead += other.need
+		}
+	}
+	if len(s.waiters) == 0 || s.waiters[0] == w {
+		ahead = 0
+	}
+	seconds := float64(ahead) / rate * max(s.demand, 1)
+	return s.wait(now) + time.Duration(seconds*float64(time.Second))
+}
+
+// asks returns what to ask of control now, and takes out what goes back.
+func (s *share) asks(now time.Time) []plane.Ask {
+	asks := s.returns(now)
+	if want, least := s.want(now); want > 0 && !now.Before(s.askAt) {
+		asks = append(asks, plane.Ask{Workspace: s.workspace, Want: want, Least: least})
+	}
+	return asks
+}
+
+// want returns the tokens to ask for: what waiters lack, and without a
+// shortage a little ahead of the recent spending.
+func (s *share) want(now time.Time) (want, least int64) {
+	available := s.available(now)
+	for _, w := range s.waiters {
+		want += w.need
+	}
+	if len(s.waiters) > 0 {
+		least = max(s.waiters[0].need-available, 0)
+	}
+	if s.demand <= 1 {
+		ahead := int64(s.recent(now) * aheadTime.Seconds() / spendTime.Seconds())
+		if len(s.waiters) > 0 || available < ahead/2 {
+			want += ahead
+		}
+	}
+	return max(want-available, least), least
+}
+
+// returns gives back the tokens of leases that are idle or about to end.
+func (s *share) returns(now time.Time) []plane.Ask {
+	var asks []plane.Ask
+	kept := s.leases[:0]
+	for _, lease := range s.leases {
+		if !now.Before(lease.until) {
+			continue
+		}
+		kept = append(kept, lease)
+		idle := now.Sub(lease.used) >= idleReturn && len(s.waiters) == 0
+		ending := lease.until.Sub(now) < endReturn
+		if lease.left > 0 && (idle || ending) {
+			asks = append(asks, plane.Ask{Workspace: s.workspace, Unused: lease.left, Lease: lease.id})
+			lease.left = 0
+		}
+	}
+	clear(s.leases[len(kept):])
+	s.leases = kept
+	return asks
+}
+
+// idle reports whether the share can be forgotten.
+func (s *share) idle(now time.Time) bool {
+	return len(s.leases) == 0 && len(s.waiters) == 0 && now.Sub(s.usedAt) > forget
+}
--- /dev/null
+++ b/entry/match/match.go
@@ -0,0 +1,169 @@
+// Package match finds the adapter or service that a request is for, within
+// the workspace of its key.
+package match
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync/atomic"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/auth"
+	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/digest"
+)
+
+// Match is the filter that fixes a request's route, adapter and version.
+type Match struct {
+	// Config returns the configuration in force, or nil before the first.
+	Config func() *conf.Config
+	// Valid reports whether the entry has authority to serve keys.
+	Valid func() bool
+
+	index atomic.Pointer[index]
+}
+
+// Do matches the request or refuses it.
+func (m *Match) Do(ctx context.Context, r *chain.Request, next chain.Next) error {
+	x := m.table()
+	if x == nil {
+		return auth.Expired()
+	}
+	found := m.find(x, r)
+	if err := m.admit(r, found); err != nil {
+		return err
+	}
+	if r.Face == chain.FaceModels {
+		r.Models = x.visible(r.Workspace)
+		return nil
+	}
+	if found.isZero() {
+		return m.unknown(r)
+	}
+	if err := apply(x.config, r, found); err != nil {
+		return err
+	}
+	return next(ctx, r)
+}
+
+// Places returns the routes that the path of a request may lead to.
+func (m *Match) Places(r *chain.Request) []conf.Route {
+	x := m.table()
+	if x == nil {
+		return nil
+	}
+	var routes []conf.Route
+	for _, named := range x.candidates(r) {
+		routes = append(routes, named.route)
+	}
+	return routes
+}
+
+func (m *Match) table() *index {
+	config := m.Config()
+	if config == nil {
+		return nil
+	}
+	x := m.index.Load()
+	if x == nil || x.config != config {
+		x = newIndex(config)
+		m.index.Store(x)
+	}
+	return x
+}
+
+// find returns the target that the request's workspace may use, else one that
+// is open, else the zero target.
+func (m *Match) find(x *index, r *chain.Request) target {
+	candidates := x.candidates(r)
+	for _, named := range candidates {
+		if r.Key != "" && !named.route.Open && slices.Contains(named.route.Workspaces, r.Workspace) {
+			return target{named: named}
+		}
+	}
+	for _, named := range candidates {
+		if named.route.Open {
+			return target{named: named}
+		}
+	}
+	adapter, ok := x.config.Adapters[r.Name]
+	if ok && r.Face != chain.FaceService && r.Key != "" && adapter.Workspace == r.Workspace {
+		return target{adapter: r.Name}
+	}
+	return target{}
+}
+
+// admit lets keyed work pass only under authority and with a known key.
+func (m *Match) admit(r *chain.Request, found target) error {
+	if found.named.route.Open {
+		return nil
+	}
+	if !m.Valid() {
+		return auth.Expired()
+	}
+	if r.Key == "" {
+		return auth.Unknown()
+	}
+	return nil
+}
+
+// unknown does not tell another workspace's adapter from none.
+func (m *Match) unknown(r *chain.Request) error {
+	if r.Face == chain.FaceService {
+		return chain.Refuse(http.StatusNotFound, "unknown_path", "no route leads to this path")
+	}
+	return chain.Refuse(http.StatusNotFound, "model_not_found", "the model does not exist or this key may not use it")
+}
+
+func apply(config *conf.Config, r *chain.Request, found target) error {
+	route := found.named.route
+	if r.Face == chain.FaceService && len(route.Methods) > 0 && !slices.Contains(route.Methods, r.Method) {
+		refusal := chain.Refuse(http.StatusMethodNotAllowed, "wrong_method", "the route does not take this method")
+		refusal.Allow = route.Methods
+		return refusal
+	}
+	r.RouteName = found.named.name
+	r.Route = route
+	r.Open = route.Open
+	r.Once = route.Once
+	if route.Open {
+		r.Key = ""
+		r.Workspace = route.Workspaces[0]
+	}
+	r.Goal = goal(route.Goal, config.Workspaces[r.Workspace].Goal)
+	if r.Face == chain.FaceService {
+		r.Service = route.Service
+		r.Digest = digest.Of([]byte(r.Workspace), []byte(r.RouteName), []byte(r.Method), []byte(r.Path), []byte(r.Query), r.Body)
+		return nil
+	}
+	return applyModel(config, r, found)
+}
+
+func applyModel(config *conf.Config, r *chain.Request, found target) error {
+	r.Adapter = found.adapter
+	if r.Adapter == "" {
+		r.Adapter = r.Route.Adapter
+	}
+	adapter, ok := config.Adapters[r.Adapter]
+	if !ok {
+		return chain.Refuse(http.StatusNotFound, "model_not_found", "the model does not exist or this key may not use it")
+	}
+	r.Model = adapter.Model
+	r.Version = adapter.Current
+	r.Digest = digest.Of([]byte(r.Workspace), []byte(r.Adapter), []byte(r.Prompt))
+	return nil
+}
+
+func goal(route, workspace conf.Goal) conf.Goal {
+	if route.First == 0 {
+		route.First = workspace.First
+	}
+	if route.Gap == 0 {
+		route.Gap = workspace.Gap
+	}
+	if route.Share == 0 {
+		route.Share = workspace.Share
+	}
+	return route
+}
--- /dev/null
+++ b/entry/once/follow.go
@@ -0,0 +1,78 @@
+package once
+
+import (
+	"context"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+const (
+	// followLimit bounds how long a resend waits for the running request.
+	followLimit = 30 * time.Second
+	// followDelay is the pause between two looks at it.
+	followDelay = 200 * time.Millisecond
+)
+
+// follow looks once at the claim of another attempt, helps to end it when its
+// entry has died, and returns the claim as it stands then.
+func (c *claim) follow(ctx context.Context, taken *plane.ClaimReply, limit time.Time) (*plane.ClaimReply, error) {
+	if !time.Now().Before(limit) {
+		return nil, pending()
+	}
+	c.help(ctx, taken)
+	reply, err := c.ask(ctx, &plane.ClaimAsk{Verb: plane.VerbAsk}, claimLimit)
+	if err != nil {
+		return nil, pending()
+	}
+	if reply.State == plane.ClaimTaken || reply.State == plane.ClaimOwned {
+		time.Sleep(followDelay)
+	}
+	return reply, nil
+}
+
+// help asks the agent what became of the attempt and records what is proved.
+func (c *claim) help(ctx context.Context, taken *plane.ClaimReply) {
+	ask := &plane.ClaimAsk{Attempt: taken.Attempt, Agent: taken.Agent, Incarnation: taken.Incarnation}
+	incarnation, address := c.once.Find(taken.Agent)
+	if incarnation == 0 {
+		return
+	}
+	if incarnation != taken.Incarnation {
+		ask.Verb = plane.VerbUnknown
+		_, _ = c.ask(ctx, ask, claimLimit)
+		return
+	}
+	found, err := c.once.Probe(ctx, address, taken.Attempt, taken.Incarnation)
+	if err != nil || found.State == call.StateRunning {
+		return
+	}
+	switch {
+	case found.State == call.StateNever:
+		ask.Verb = plane.VerbVoid
+	case found.State == call.StateDone && found.Outcome != nil:
+		ask.Verb = plane.VerbDone
+		ask.Outcome = found.Outcome
+	default:
+		ask.Verb = plane.VerbUnknown
+	}
+	_, _ = c.ask(ctx, ask, claimLimit)
+}
+
+// replay answers with a recorded outcome.
+func (c *claim) replay(outcome *call.Outcome) error {
+	if outcome == nil || outcome.Cut {
+		refusal := chain.Refuse(409, "answer_not_kept", "the request ran; its answer was too large to be kept")
+		return refusal.Maybe()
+	}
+	header := append([]call.Field{{Name: headerReplayed, Value: "true"}}, outcome.Header...)
+	id := make([]byte, call.IDSize)
+	c.held = []*call.Frame{
+		{ID: id, Step: call.StepHead, Status: outcome.Status, Header: header},
+		{ID: id, Step: call.StepPart, Data: outcome.Body},
+		{ID: id, Step: call.StepEnd, Finish: "stop"},
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/relay/attempt.go
@@ -0,0 +1,160 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/entry/picker"
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+const (
+	// leastLeft is the least time an agent is given to start an attempt.
+	leastLeft = 50 * time.Millisecond
+	// probeDelay is the pause between two probes of one attempt.
+	probeDelay = 200 * time.Millisecond
+	// probeLimit bounds one probe.
+	probeLimit = 2 * time.Second
+	// settleLimit bounds the time in which the end of an attempt that must
+	// not repeat is looked for before the caller is told that it is unknown.
+	settleLimit = 30 * time.Second
+)
+
+// attempt sends one attempt and passes its answer on.
+func (j *job) attempt(ctx context.Context, choice *picker.Choice) (verdict, error) {
+	j.last = call.ReasonNone
+	s, err := j.connect(ctx, choice)
+	if err != nil {
+		return verdictElsewhere, err
+	}
+	defer j.relay.pool.put(s)
+	a := j.newAttempt(choice)
+	if !j.request.Once {
+		return j.exchange(ctx, s, a)
+	}
+	return j.once(ctx, s, a, choice)
+}
+
+// connect returns a session. One that a request which must not repeat would
+// use has just answered a ping.
+func (j *job) connect(ctx context.Context, choice *picker.Choice) (*pooled, error) {
+	p := &j.relay.pool
+	s, err := p.get(ctx, choice.Address)
+	if err != nil || !j.request.Once || p.prove(s) {
+		return s, err
+	}
+	p.put(s)
+	s, err = p.get(ctx, choice.Address)
+	if err != nil || p.prove(s) {
+		return s, err
+	}
+	p.put(s)
+	return nil, &Error{Op: "ping " + choice.Agent, Kind: KindDial}
+}
+
+// once runs an attempt that must not repeat: claimed before it is sent, and
+// followed to its end or to the proof that it did not run.
+func (j *job) once(ctx context.Context, s *pooled, a *call.Attempt, choice *picker.Choice) (verdict, error) {
+	if err := j.request.Claim(ctx, a, choice.Agent); err != nil {
+		return verdictFinal, err
+	}
+	verdict, err := j.exchange(ctx, s, a)
+	if verdict == verdictBroken {
+		verdict, err = j.settle(ctx, a, choice)
+	}
+	if verdict != verdictElsewhere {
+		return verdict, err
+	}
+	if voidErr := j.request.Void(ctx, a); voidErr != nil {
+		refusal := chain.Refuse(http.StatusServiceUnavailable, "claim_open", "the request did not run; its claim could not be given back yet")
+		return verdictFinal, j.refusal(refusal.After(retryLater))
+	}
+	return verdict, err
+}
+
+// settle asks the agent what became of an attempt whose answer broke off.
+func (j *job) settle(ctx context.Context, a *call.Attempt, choice *picker.Choice) (verdict, error) {
+	limit := time.Now().Add(settleLimit)
+	for time.Now().Before(limit) && ctx.Err() == nil {
+		found, err := j.relay.Probe(ctx, choice.Address, a.ID, choice.Incarnation)
+		if err != nil && j.replaced(choice) {
+			return verdictFinal, unknown(chain.CodeUnknown)
+		}
+		if err == nil && found.State != call.StateRunning {
+			return j.close(a, found)
+		}
+		pause(ctx, probeDelay)
+	}
+	return verdictFinal, unknown(chain.CodePending)
+}
+
+func (j *job) replaced(choice *picker.Choice) bool {
+	incarnation, _ := j.relay.Picker.Incarnation(choice.Agent)
+	return incarnation != 0 && incarnation != choice.Incarnation
+}
+
+func (j *job) close(a *call.Attempt, found *call.Verdict) (verdict, error) {
+	if found.State == call.StateNever {
+		return verdictElsewhere, nil
+	}
+	if found.State != call.StateDone || found.Outcome == nil || found.Outcome.Cut {
+		return verdictFinal, unknown(chain.CodeUnknown)
+	}
+	for _, frame := range Frames(a.ID, found.Outcome) {
+		if err := j.request.Write(frame); err != nil {
+			return verdictFinal, err
+		}
+	}
+	return verdictWhole, nil
+}
+
+// Frames returns the frames of a recorded answer.
+func Frames(id []byte, outcome *call.Outcome) []*call.Frame {
+	return []*call.Frame{
+		{ID: id, Step: call.StepHead, Status: outcome.Status, Header: outcome.Header},
+		{ID: id, Step: call.StepPart, Data: outcome.Body},
+		{ID: id, Step: call.StepEnd, Finish: "stop"},
+	}
+}
+
+func unknown(code string) error {
+	refusal := chain.Refuse(http.StatusBadGateway, code, "the request may have run; its outcome is not known")
+	return refusal.Maybe()
+}
+
+// Probe asks an agent over a new connection what became of an attempt. An
+// attempt that the agent has not seen is refused by it from then on.
+func (r *Relay) Probe(ctx context.Context, address string, id []byte, incarnation uint64) (*call.Verdict, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeLimit)
+	defer cancel()
+	session, err := link.Dial(ctx, r.Host.Dial, address)
+	if err != nil {
+		return nil, &Error{Op: "probe", Kind: KindDial, Err: err}
+	}
+	defer func() { _ = session.Close() }()
+	var found call.Verdict
+	if err := session.Call(ctx, plane.MethodProbe, &call.Probe{ID: id, Agent: incarnation}, &found); err != nil {
+		return nil, &Error{Op: "probe", Kind: KindDial, Err: err}
+	}
+	if found.Incarnation != incarnation {
+		found.State = call.StateUnknown
+	}
+	if found.State < call.StateNever || found.State > call.StateUnknown {
+		return nil, &Error{Op: "probe", Kind: KindDial, Err: fmt.Errorf("state %d", found.State)}
+	}
+	return &found, nil
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/entry/relay/relay.go
@@ -0,0 +1,292 @@
+// Package relay runs attempts at agents and gives callers their answers.
+package relay
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/entry/picker"
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/digest"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// The kinds of failure.
+const (
+	KindDial   Kind = "cannot connect"
+	KindClosed Kind = "closed"
+)
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+const (
+	// mostTries bounds the attempts of one request.
+	mostTries = 8
+	// mostDeaths is how many endpoints may be lost under one request before
+	// it is given up.
+	mostDeaths = 2
+	// fullDelay is the pause after every endpoint was found full.
+	fullDelay = 200 * time.Millisecond
+	// retryLater is when callers refused for want of an endpoint may ask
+	// again.
+	retryLater = 2 * time.Second
+	// mostBlocks bounds the hashed blocks of a prompt.
+	mostBlocks = 16
+)
+
+// Relay is the last filter. It gets each request a whole answer of its own,
+// over as many attempts as that may take.
+type Relay struct {
+	// Host is the daemon's.
+	Host host.Host
+	// Picker chooses endpoints.
+	Picker *picker.Picker
+
+	pool   pool
+	budget budget
+}
+
+// Start prepares the relay; it is called once before the first request.
+func (r *Relay) Start() {
+	r.pool.dial = r.Host.Dial
+}
+
+// Close ends all sessions to agents.
+func (r *Relay) Close() { r.pool.close() }
+
+// Do runs the request; it ignores next.
+func (r *Relay) Do(ctx context.Context, q *chain.Request, _ chain.Next) error {
+	r.budget.request()
+	j := &job{relay: r, request: q, ran: chain.RanNo}
+	j.prefix = digest.Prefix(q.Prompt, mostBlocks)
+	return j.run(ctx)
+}
+
+// job is one request with what its attempts have brought so far.
+type job struct {
+	relay   *Relay
+	request *chain.Request
+	prefix  []uint64
+	// tried names the agents that this request no longer goes to.
+	tried []string
+	// tries counts attempts; deaths those that lost their endpoint.
+	tries  int
+	deaths int
+	// ran says whether any attempt may have reached an endpoint.
+	ran chain.Ran
+	// head says that the caller has the answer's head, text and tokens what
+	// it has of the answer.
+	head   bool
+	text   []byte
+	tokens int64
+	// last is why the last attempt was refused.
+	last call.Reason
+}
+
+// verdict is what follows from an attempt.
+type verdict int
+
+const (
+	// verdictWhole says that the caller has its whole answer.
+	verdictWhole verdict = iota
+	// verdictElsewhere says that the attempt is proved not to have run.
+	verdictElsewhere
+	// verdictBroken says that the answer broke off and the request may have
+	// run.
+	verdictBroken
+	// verdictFinal says that the attempt's error is the request's end.
+	verdictFinal
+)
+
+func (j *job) run(ctx context.Context) error {
+	for {
+		if err := j.allowed(ctx); err != nil {
+			return err
+		}
+		choice, err := j.pick(ctx)
+		if err != nil {
+			return err
+		}
+		verdict, err := j.attempt(ctx, choice)
+		j.relay.Picker.Release(choice)
+		switch verdict {
+		case verdictWhole:
+			return nil
+		case verdictFinal:
+			return err
+		}
+		if err := j.next(choice, verdict, err); err != nil {
+			return err
+		}
+	}
+}
+
+// allowed reports why the request may not be tried, or tried again.
+func (j *job) allowed(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return chain.Gone(ctx, j.ran)
+	}
+	if j.request.Check == nil {
+		return nil
+	}
+	if err := j.request.Check(); err != nil {
+		return j.refusal(chain.RefusalOf(err))
+	}
+	return nil
+}
+
+// refusal says truthfully whether the request may have run.
+func (j *job) refusal(refusal *chain.Refusal) error {
+	if j.ran == chain.RanUnknown {
+		return refusal.Maybe()
+	}
+	return refusal
+}
+
+// pick waits for an endpoint while the caller probably does.
+func (j *job) pick(ctx context.Context) (*picker.Choice, error) {
+	q := j.request
+	want := picker.Want{
+		Model:   q.Model,
+		Adapter: q.Adapter,
+		Version: q.Version,
+		Service: q.Service,
+		Class:   q.Class,
+		Prefix:  j.prefix,
+		Suspect: q.Suspect || j.deaths > 0,
+	}
+	timer := time.NewTimer(max(time.Until(q.Deadline()), 0))
+	defer timer.Stop()
+	for {
+		changed := j.relay.Picker.Changed()
+		want.Tried = j.tried
+		choice, err := j.relay.Picker.Pick(&want)
+		if err == nil {
+			return choice, nil
+		}
+		again := time.NewTimer(fullDelay)
+		select {
+		case <-changed:
+		case <-again.C:
+			j.tried = nil
+		case <-timer.C:
+			again.Stop()
+			return nil, j.none()
+		case <-ctx.Done():
+			again.Stop()
+			return nil, chain.Gone(ctx, j.ran)
+		}
+		again.Stop()
+	}
+}
+
+func (j *job) none() error {
+	refusal := chain.Refuse(http.StatusServiceUnavailable, "no_endpoint", "no endpoint could take the request in time")
+	return j.refusal(refusal.After(retryLater))
+}
+
+// next decides whether another attempt follows a failed one.
+func (j *job) next(choice *picker.Choice, verdict verdict, cause error) error {
+	q := j.request
+	j.tried = append(j.tried, choice.Agent)
+	j.tries++
+	if verdict == verdictBroken {
+		j.ran = chain.RanUnknown
+	}
+	j.relay.Host.Meter.Add("attempts_failed", 1)
+	j.relay.Host.Log.Write("attempt-failed", "request", q.ID, "agent", choice.Agent, "reason", j.last, "err", cause)
+	if refusal := j.final(verdict); refusal != nil {
+		return j.refusal(refusal)
+	}
+	if handedBack(j.last) && verdict == verdictElsewhere && j.tries < mostTries {
+		return nil
+	}
+	if !j.relay.budget.retry() {
+		return j.refusal(chain.Refuse(http.StatusServiceUnavailable, "retry_budget", "too many requests are being retried").After(retryLater))
+	}
+	return nil
+}
+
+// final returns the refusal after which no attempt follows, if any.
+func (j *job) final(verdict verdict) *chain.Refusal {
+	if j.deaths >= mostDeaths {
+		return chain.Refuse(http.StatusBadGateway, "endpoint_lost", "endpoints were lost while they ran the request")
+	}
+	if verdict == verdictElsewhere && j.last == call.ReasonInvalid {
+		return chain.Refuse(http.StatusBadRequest, "invalid_request", "the endpoint does not accept the request")
+	}
+	if verdict == verdictElsewhere && j.last == call.ReasonLate {
+		return chain.Refuse(http.StatusServiceUnavailable, "overloaded", "the request could not be started in time").After(retryLater)
+	}
+	if j.tries >= mostTries {
+		return chain.Refuse(http.StatusServiceUnavailable, "attempts_failed", "the request failed at several endpoints").After(retryLater)
+	}
+	return nil
+}
+
+// handedBack says that an agent passed the request on without a failure, which
+// costs no retry budget.
+func handedBack(reason call.Reason) bool {
+	switch reason {
+	case call.ReasonLeaving, call.ReasonStranger, call.ReasonLease, call.ReasonFull, call.ReasonSuspect:
+		return true
+	}
+	return false
+}
+
+func (j *job) newAttempt(choice *picker.Choice) *call.Attempt {
+	q := j.request
+	id := make([]byte, call.IDSize)
+	_, _ = rand.Read(id)
+	return &call.Attempt{
+		ID:        id,
+		Try:       int32(j.tries),
+		Workspace: q.Workspace,
+		Route:     q.RouteName,
+		Model:     q.Model,
+		Adapter:   q.Adapter,
+		Version:   q.Version,
+		Service:   q.Service,
+		Class:     q.Class,
+		Tokens:    q.Reserved,
+		MaxTokens: q.MaxTokens,
+		Prompt:    q.PromptTokens,
+		Offset:    j.tokens,
+		Delivered: string(j.text),
+		Repeat:    !q.Once,
+		Agent:     choice.Incarnation,
+		Digest:    q.Digest,
+		Left:      max(time.Until(q.Deadline()), leastLeft),
+		Prefix:    j.prefix,
+		Method:    q.Method,
+		Path:      target(q),
+		Header:    fields(q.Header),
+		Body:      q.Body,
+		Suspect:   q.Suspect || j.deaths > 0,
+	}
+}
+
+func target(q *chain.Request) string {
+	if q.Query == "" {
+		return q.Path
+	}
+	return q.Path + "?" + q.Query
+}
+
+func fields(header http.Header) []call.Field {
+	var list []call.Field
+	for name, values := range header {
+		for _, value := range values {
+			list = append(list, call.Field{Name: name, Value: value})
+		}
+	}
+	return list
+}
