--- a/entry/daemon/control_test.go
+++ b/entry/daemon/control_test.go
@@ -95,44 +95,54 @@
 	}()
 	number, vector := hello.Number, hello.Vector
 	for {
-		update, changed := c.update(&number, &vector)
+		beat, ok := (*plane.Beat)(nil), true
 		select {
-		case beat, ok := <-beats:
-			if !ok {
-				return nil
-			}
-			update, _ = c.update(&number, &vector)
-			c.answer(update, &beat)
-		case <-changed:
-			update, _ = c.update(&number, &vector)
+		case got, open := <-beats:
+			beat, ok = &got, open
+		case <-c.watch(number):
+		}
+		if !ok {
+			return nil
 		}
-		if err := stream.Send(update); err != nil {
+		if err := stream.Send(c.update(&number, &vector, beat)); err != nil {
 			return err
 		}
 	}
 }
 
-func (c *fakeControl) answer(update *plane.Update, beat *plane.Beat) {
+// watch returns a channel that is closed at a change; it is closed already
+// when the holder of a configuration number is behind.
+func (c *fakeControl) watch(number uint64) <-chan struct{} {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.beats = append(c.beats, *beat)
-	update.Seq = beat.Seq
-	if !c.mute {
-		update.Lease = span.Duration(lease.Length)
+	if number == c.config.Number {
+		return c.changed
 	}
+	closed := make(chan struct{})
+	close(closed)
+	return closed
 }
 
-// update returns the news since number and vector; the first call of a pair
-// only looks.
-func (c *fakeControl) update(number *uint64, vector *[]roster.Mark) (*plane.Update, <-chan struct{}) {
+// update returns what is new since number and vector, and answers a beat.
+func (c *fakeControl) update(number *uint64, vector *[]roster.Mark, beat *plane.Beat) *plane.Update {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	update := &plane.Update{Number: c.config.Number, Bans: c.bans, BansRevision: c.bansAt}
 	if c.config.Number > *number {
 		update.Config = conf.Diff(nil, c.config)
+		*number = c.config.Number
 	}
 	update.Roster = c.roster.Since(*vector)
-	return update, c.changed
+	*vector = c.roster.Vector()
+	if beat == nil {
+		return update
+	}
+	c.beats = append(c.beats, *beat)
+	update.Seq = beat.Seq
+	if !c.mute {
+		update.Lease = span.Duration(lease.Length)
+	}
+	return update
 }
 
 func (c *fakeControl) grant(_ context.Context, stream *wire.Stream) error {
--- /dev/null
+++ b/entry/daemon/relay_test.go
@@ -0,0 +1,268 @@
+package daemon_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
+)
+
+// first makes the first attempt at either agent run one script and all later
+// ones answer in full.
+func (w *world) first(run func(*call.Attempt, *wire.Stream) error, names ...string) {
+	turns := make(chan func(*call.Attempt, *wire.Stream) error, 1)
+	turns <- run
+	for _, name := range names {
+		w.agents[name].setRun(func(a *call.Attempt, stream *wire.Stream) error {
+			select {
+			case run := <-turns:
+				return run(a, stream)
+			default:
+				return answer(a, stream)
+			}
+		})
+	}
+}
+
+func (w *world) all(names ...string) []call.Attempt {
+	var all []call.Attempt
+	for _, name := range names {
+		all = append(all, w.agents[name].got()...)
+	}
+	return all
+}
+
+func TestBrokenAnswerIsResumedWithoutLossOrDoubling(t *testing.T) {
+	foreign := func(a *call.Attempt) *call.Frame {
+		id := make([]byte, call.IDSize)
+		return &call.Frame{ID: id, Step: call.StepPart, Index: 20, Data: []byte("FOREIGN "), Tokens: 1}
+	}
+	breaks := map[string]func(a *call.Attempt, stream *wire.Stream) error{
+		"closed without an end mark": func(*call.Attempt, *wire.Stream) error { return nil },
+		"endpoint lost":              refuse(call.ReasonEngine, true),
+		"end mark with a part missing": func(a *call.Attempt, stream *wire.Stream) error {
+			return end(a, stream, 30)
+		},
+		"part missing": func(a *call.Attempt, stream *wire.Stream) error {
+			_ = stream.Send(&call.Frame{ID: a.ID, Step: call.StepPart, Index: 21, Data: []byte("LATER "), Tokens: 1})
+			return end(a, stream, 21)
+		},
+		"another attempt's part": func(a *call.Attempt, stream *wire.Stream) error {
+			_ = stream.Send(foreign(a))
+			return end(a, stream, 21)
+		},
+		"part twice, then closed": func(a *call.Attempt, stream *wire.Stream) error {
+			return stream.Send(&call.Frame{ID: a.ID, Step: call.StepPart, Index: 19, Data: []byte("TWICE "), Tokens: 1})
+		},
+	}
+	for name, broken := range breaks {
+		for _, stream := range []bool{true, false} {
+			inWorld(t, func(w *world) {
+				w.first(func(a *call.Attempt, s *wire.Stream) error {
+					_ = s.Send(&call.Frame{ID: a.ID, Step: call.StepHead, Status: 200})
+					_ = parts(a, s, 20)
+					return broken(a, s)
+				}, "e1", "e2")
+				w.control.setConfig(switchVersion)
+				got := w.complete(keyAnand, "notes", 100, stream)
+				require.Equal(t, 200, got.status, name)
+				text := got.body
+				if stream {
+					text = streamed(t, got.body)
+					require.Equal(t, words(100), text, name)
+				}
+				require.Contains(t, text, words(100), name)
+				all := w.all("e1", "e2")
+				require.Len(t, all, 2, name)
+				require.Equal(t, all[0].Version, all[1].Version, name)
+				require.NotEqual(t, all[0].ID, all[1].ID, name)
+			})
+		}
+	}
+}
+
+func TestWrongVersionIsNotAnswered(t *testing.T) {
+	inWorld(t, func(w *world) {
+		for _, name := range []string{"e1", "e2"} {
+			w.agents[name].setRun(func(a *call.Attempt, s *wire.Stream) error {
+				_ = parts(a, s, a.MaxTokens)
+				return s.Send(&call.Frame{ID: a.ID, Step: call.StepEnd, Tokens: a.MaxTokens, Version: "v0"})
+			})
+		}
+		got := w.complete(keyAnand, "notes", 3, false)
+		require.Equal(t, 502, got.status)
+		require.Contains(t, got.body, "wrong_version")
+		require.NotContains(t, got.body, word(0))
+	})
+}
+
+func TestWorkHandedBackGoesElsewhere(t *testing.T) {
+	for _, reason := range []call.Reason{call.ReasonLeaving, call.ReasonFull, call.ReasonStranger, call.ReasonLease, call.ReasonSuspect} {
+		inWorld(t, func(w *world) {
+			for range 60 {
+				w.first(refuse(reason, false), "e1", "e2")
+				require.Equal(t, 200, w.complete(keyAnand, "notes", 1, false).status, string(reason))
+			}
+		})
+	}
+}
+
+func TestRetriesStayWithinTheirBudget(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.agents["s1"].setRun(refuse(call.ReasonEngine, true))
+		w.agents["s2"].setRun(refuse(call.ReasonLoad, false))
+		refused := 0
+		for range 100 {
+			got := w.request("GET", "/lookup/1", keyAnand, "")
+			require.NotEqual(t, 200, got.status)
+			refused++
+		}
+		attempts := len(w.all("s1", "s2"))
+		require.LessOrEqual(t, attempts, refused+refused/10+20)
+	})
+}
+
+func TestNoEndpointMeansNotRunAndComeBack(t *testing.T) {
+	inWorld(t, func(w *world) {
+		for _, name := range []string{"e1", "e2"} {
+			w.report(name, func(r *roster.Record) { r.Leaving = true })
+		}
+		got := w.complete(keyAnand, "notes", 1, false)
+		require.Equal(t, 503, got.status)
+		require.Contains(t, got.body, `"ran":"no"`)
+		require.NotEmpty(t, got.header.Get("Retry-After"))
+		require.Empty(t, w.all("e1", "e2"))
+		done := make(chan reply, 1)
+		go func() { done <- w.complete(keyAnand, "notes", 1, false) }()
+		time.Sleep(3 * time.Second)
+		w.report("e2", func(r *roster.Record) { r.Leaving = false })
+		require.Equal(t, 200, (<-done).status)
+	})
+}
+
+func TestCallerWhoLeavesCancels(t *testing.T) {
+	inWorld(t, func(w *world) {
+		cancelled := make(chan bool, 2)
+		for _, name := range []string{"e1", "e2"} {
+			w.agents[name].setRun(func(a *call.Attempt, s *wire.Stream) error {
+				var frame call.Frame
+				err := s.Receive(&frame)
+				cancelled <- err == nil && frame.Step == call.StepCancel
+				return err
+			})
+		}
+		w.client.Timeout = time.Second
+		_, err := w.client.Post("http://entry:80/v1/completions", "", strings.NewReader(`{}`))
+		require.NoError(t, err)
+		go w.leave()
+		require.True(t, <-cancelled)
+	})
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	inWorld(t, func(w *world) {
+		for range 8 {
+			require.Equal(t, 200, w.request("GET", "/lookup/1", keyAnand, "").status)
+		}
+		time.Sleep(time.Second)
+		w.network.Silence("entry", "s1")
+		w.network.Silence("entry", "s2")
+		got := w.request("GET", "/lookup/2", keyAnand, "")
+		require.Equal(t, 200, got.status, got.body)
+		require.Less(t, got.took, 3*time.Second)
+	})
+}
+
+func TestFilingIsNotTrustedToSilentConnection(t *testing.T) {
+	inWorld(t, func(w *world) {
+		for range 8 {
+			require.Equal(t, 200, w.request("GET", "/lookup/1", keyAnand, "").status)
+		}
+		w.network.Silence("entry", "s1")
+		w.network.Silence("entry", "s2")
+		before := len(w.all("s1", "s2"))
+		got := w.request("POST", "/filing/1", keyAnand, "one")
+		require.Equal(t, 200, got.status, got.body)
+		require.Len(t, w.all("s1", "s2"), before+1)
+	})
+}
+
+func TestQuarantinedRequestIsRefusedAlsoBetweenAttempts(t *testing.T) {
+	inWorld(t, func(w *world) {
+		ban := func(a *call.Attempt, suspect bool) {
+			w.control.change(func() {
+				w.control.bansAt++
+				w.control.bans = []plane.Ban{{Digest: a.Digest, Suspect: suspect, Left: 60e9}}
+			})
+			time.Sleep(100 * time.Millisecond)
+		}
+		w.first(func(a *call.Attempt, s *wire.Stream) error {
+			ban(a, true)
+			return refuse(call.ReasonEngine, true)(a, s)
+		}, "e1", "e2")
+		require.Equal(t, 200, w.complete(keyAnand, "notes", 1, false).status)
+		all := w.all("e1", "e2")
+		require.Len(t, all, 2)
+		require.True(t, all[0].Suspect != all[1].Suspect)
+
+		w.first(func(a *call.Attempt, s *wire.Stream) error {
+			ban(a, false)
+			return refuse(call.ReasonEngine, true)(a, s)
+		}, "e1", "e2")
+		got := w.complete(keyAnand, "notes", 1, false)
+		require.Equal(t, 422, got.status)
+		require.Contains(t, got.body, `"ran":"unknown"`)
+		got = w.complete(keyAnand, "notes", 1, false)
+		require.Equal(t, 422, got.status)
+		require.Contains(t, got.body, `"ran":"no"`)
+		require.NotEmpty(t, got.header.Get("Retry-After"))
+		require.Len(t, w.all("e1", "e2"), 3)
+		other := w.request("POST", "/v1/completions", keyAnand, `{"model":"notes","prompt":"other","max_tokens":1}`)
+		require.Equal(t, 200, other.status)
+	})
+}
+
+func TestRequestThatKillsTwoEndpointsIsGivenUp(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.startAgent("e3", roster.Record{Model: "base", Slots: 4, Places: 8})
+		for _, name := range []string{"e1", "e2", "e3"} {
+			w.agents[name].setRun(refuse(call.ReasonEngine, true))
+		}
+		time.Sleep(100 * time.Millisecond)
+		got := w.complete(keyAnand, "notes", 1, false)
+		require.Equal(t, 502, got.status)
+		require.Contains(t, got.body, `"ran":"unknown"`)
+		require.Len(t, w.all("e1", "e2", "e3"), 2)
+	})
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	inWorld(t, func(w *world) {
+		got := make(chan reply, 3)
+		go func() { got <- w.complete(keyAnand, "notes", 1000, true) }()
+		go func() { got <- w.complete(keyAnand, "notes", 800, false) }()
+		time.Sleep(time.Second)
+		w.stop()
+		time.Sleep(500 * time.Millisecond)
+		require.Equal(t, 503, w.request("GET", "/healthz/ready", "", "").status)
+		go func() { got <- w.complete(keyAnand, "notes", 500, true) }()
+		for range 3 {
+			end := <-got
+			require.Equal(t, 200, end.status)
+			require.NotContains(t, end.body, "error")
+			require.NotContains(t, end.body, "broken off")
+		}
+		require.NoError(t, <-w.ended)
+		w.ended <- nil
+		w.control.mutex.Lock()
+		defer w.control.mutex.Unlock()
+		require.True(t, w.control.beats[len(w.control.beats)-1].Bye)
+		require.Equal(t, int64(2+1000+2+800+2+500), w.control.granted["anand"]-w.control.returned["anand"])
+	})
+}
--- a/entry/daemon/world_test.go
+++ b/entry/daemon/world_test.go
@@ -196,6 +196,8 @@
 	ended   chan error
 	context context.Context
 	beat    uint64
+	// killed holds the ends of entries that were killed.
+	killed []chan error
 }
 
 // inWorld runs a test in virtual time with engines e1 and e2 and services s1
@@ -207,8 +209,8 @@
 	runtime.GC()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
+		defer w.close()
 		test(w)
-		w.close()
 	})
 }
 
@@ -286,6 +288,9 @@
 func (w *world) close() {
 	w.stop()
 	require.NoError(w.t, <-w.ended)
+	for _, ended := range w.killed {
+		<-ended
+	}
 	w.network.Crash("control")
 	for name, agent := range w.agents {
 		agent.stop()
@@ -347,3 +352,43 @@
 	}
 	return text.String()
 }
+
+// leave begins a request and goes away after a second.
+func (w *world) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	body := strings.NewReader(`{"model":"notes","prompt":"hello","max_tokens":5}`)
+	request, err := http.NewRequestWithContext(ctx, "POST", "http://entry:80/v1/completions", body)
+	require.NoError(w.t, err)
+	request.Header.Set("Authorization", "Bearer "+keyAnand)
+	response, err := w.client.Do(request)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// kill ends all that an entry can do; callers hear nothing.
+func (w *world) kill(name string) {
+	w.network.Lose(name)
+	w.network.Isolate(name, "control", "s1", "s2", "e1", "e2")
+}
+
+// switchVersion makes another version of the adapter the current one.
+func switchVersion(c *conf.Config) {
+	adapter := c.Adapters["notes"]
+	adapter.Current = "v2"
+	c.Adapters["notes"] = adapter
+}
+
+// try sends a filing and goes away after a time, if no answer has come.
+func (w *world) try(patience time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, "POST", "http://entry:80/filing/1", strings.NewReader("one"))
+	require.NoError(w.t, err)
+	request.Header.Set("Authorization", "Bearer "+keyAnand)
+	response, err := w.client.Do(request)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+}
--- a/entry/feed/turn.go
+++ b/entry/feed/turn.go
@@ -11,33 +11,31 @@
 // beat sends heartbeats until the stream fails, the replica does not renew
 // the lease in time, or ctx ends.
 func (t *turn) beat(ctx context.Context) error {
-	renewed := time.Now()
+	overdue := time.NewTimer(renewLimit)
+	defer overdue.Stop()
+	next := time.NewTimer(0)
+	defer next.Stop()
+	var sent time.Time
 	for {
-		if err := t.send(false); err != nil {
+		select {
+		case <-ctx.Done():
+			t.farewell()
+			return nil
+		case err := <-t.failed:
 			return err
-		}
-		sent := time.Now()
-		timer := time.NewTimer(beatInterval)
-		for waiting := true; waiting; {
-			select {
-			case <-ctx.Done():
-				timer.Stop()
-				t.farewell()
-				return nil
-			case err := <-t.failed:
-				timer.Stop()
-				return err
-			case <-t.renewed:
-				renewed = time.Now()
-			case <-t.feed.nudge:
-				timer.Reset(max(beatLeast-time.Since(sent), 0))
-			case <-timer.C:
-				waiting = false
-			}
-		}
-		if time.Since(renewed) > renewLimit {
+		case <-t.renewed:
+			overdue.Reset(renewLimit)
+		case <-overdue.C:
 			t.feed.Uplink.Move()
 			return &Error{Op: "renew lease", Kind: KindSilent}
+		case <-t.feed.nudge:
+			next.Reset(max(beatLeast-time.Since(sent), 0))
+		case <-next.C:
+			if err := t.send(false); err != nil {
+				return err
+			}
+			sent = time.Now()
+			next.Reset(beatInterval)
 		}
 	}
 }
