--- a/ctrl/state/config.go
+++ b/ctrl/state/config.go
@@ -8,8 +8,6 @@
 	"slices"
 	"sort"
 
-	"github.com/segmentio/encoding/proto"
-
 	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
@@ -32,7 +30,7 @@
 		return nil, err
 	}
 	plain := &conf.Config{}
-	if err := proto.Unmarshal(carried, plain); err != nil {
+	if err := codec.Decode(carried, plain); err != nil {
 		return nil, &Error{Op: "digest configuration", Kind: KindEncode, Err: err}
 	}
 	plain.Number = 0
--- a/entry/front/answer.go
+++ b/entry/front/answer.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"github.com/segmentio/encoding/json"
+	"encoding/json"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
--- a/entry/front/parse.go
+++ b/entry/front/parse.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"strings"
 
-	"github.com/segmentio/encoding/json"
+	"encoding/json"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 )
--- a/entry/front/stream.go
+++ b/entry/front/stream.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"unicode/utf8"
 
-	"github.com/segmentio/encoding/json"
+	"encoding/json"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
