--- a/stubs/crowd/caller.go
+++ b/stubs/crowd/caller.go
@@ -102,7 +102,7 @@
 	}
 	if r.Sort == SortLookup || r.Sort == SortFiling {
 		r.Text, r.Whole = string(data), true
-		if r.Status == http.StatusOK {
+		if r.succeeded() {
 			return
 		}
 	}
