--- a/agent/daemon/daemon.go
+++ b/agent/daemon/daemon.go
@@ -3,13 +3,46 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net"
+	"time"
 
+	"github.com/sourcegraph/conc"
+
+	"github.com/tanagerspindle/tanagerspindle/agent/dedup"
+	"github.com/tanagerspindle/tanagerspindle/agent/demand"
+	"github.com/tanagerspindle/tanagerspindle/agent/feed"
+	"github.com/tanagerspindle/tanagerspindle/agent/notice"
+	"github.com/tanagerspindle/tanagerspindle/agent/queue"
+	"github.com/tanagerspindle/tanagerspindle/agent/runner"
+	"github.com/tanagerspindle/tanagerspindle/agent/slots"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/lease"
+	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/uplink"
+)
+
+const (
+	// knownPause is the time between two looks for the first announcement.
+	knownPause = 50 * time.Millisecond
+	// incarnationBits is the number of random low bits of an incarnation.
+	incarnationBits = 10
 )
 
+// Kind classifies the failures of this package.
+type Kind string
+
+// KindListen says that an address cannot be listened on.
+const KindListen Kind = "cannot listen"
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
 // Daemon is one agent. Its exported fields are set before Run.
 type Daemon struct {
-	// Host gives the daemon its log, meter and network.
+	// Host gives the daemon its log, meter and the network between daemons.
 	Host host.Host
 	// Name is the agent's, one for each endpoint VM.
 	Name string
@@ -20,10 +53,161 @@
 	Notice string
 	// Control holds the addresses of control, nearest first.
 	Control []string
+	// ListenPlain and DialPlain reach the endpoint beside the agent; nil uses
+	// TCP without TLS.
+	ListenPlain func(address string) (net.Listener, error)
+	DialPlain   func(ctx context.Context, address string) (net.Conn, error)
+	// Grace bounds the time that runs may take to end at a stop; zero does
+	// not.
+	Grace time.Duration
+	// Tune changes the policies before the daemon starts; it may be nil.
+	Tune func(*runner.Runner)
+}
+
+// parts are the running pieces of one daemon.
+type parts struct {
+	daemon *Daemon
+	uplink *uplink.Uplink
+	lease  *lease.Lease
+	runner *runner.Runner
+	feed   *feed.Feed
+	demand *demand.Demand
+	notice *notice.Listener
 }
 
-// Run serves until ctx ends and then stops gracefully.
+// Run serves until ctx ends and then stops gracefully: it refuses new
+// attempts, hands queued ones back, waits for those that run, and says
+// goodbye to control. It also stops when control knows a later incarnation.
 func (d *Daemon) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	d.setDefaults()
+	entries, err := d.Host.Listen(d.Address)
+	if err != nil {
+		return &Error{Op: "listen " + d.Address, Kind: KindListen, Err: err}
+	}
+	endpoints, err := d.ListenPlain(d.Notice)
+	if err != nil {
+		_ = entries.Close()
+		return &Error{Op: "listen " + d.Notice, Kind: KindListen, Err: err}
+	}
+	p := d.build()
+	d.Host.Log.Write("agent-started", "name", d.Name, "incarnation", p.runner.Incarnation)
+	return p.run(ctx, entries, endpoints)
+}
+
+func (d *Daemon) setDefaults() {
+	if d.ListenPlain == nil {
+		d.ListenPlain = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	if d.DialPlain == nil {
+		dialer := &net.Dialer{}
+		d.DialPlain = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+}
+
+// newIncarnation returns a number larger than those of earlier starts.
+func newIncarnation() uint64 {
+	return uint64(time.Now().UnixNano())>>incarnationBits<<incarnationBits | rand.Uint64N(1<<incarnationBits)
+}
+
+func (d *Daemon) build() *parts {
+	p := &parts{daemon: d, lease: &lease.Lease{}}
+	p.uplink = &uplink.Uplink{Host: d.Host, Replicas: d.Control}
+	p.runner = d.buildRunner(p)
+	p.notice = &notice.Listener{Host: d.Host, Announced: p.runner.Announced, Lost: p.runner.Lost}
+	p.feed = &feed.Feed{
+		Host: d.Host, Uplink: p.uplink, Lease: p.lease,
+		Hello: p.hello, Record: p.runner.Record, Applied: p.runner.Apply,
+	}
+	p.demand = &demand.Demand{
+		Host: d.Host, Agent: d.Name, Incarnation: p.runner.Incarnation, Open: p.uplink.Open,
+		Wishes: p.runner.Wishes, Granted: p.runner.Granted, Share: p.runner.Share,
+	}
+	return p
+}
+
+func (d *Daemon) buildRunner(p *parts) *runner.Runner {
+	incarnation := newIncarnation()
+	held := &slots.Slots{Host: d.Host, Allowed: p.lease.Valid}
+	r := &runner.Runner{
+		Host: d.Host, Name: d.Name, Incarnation: incarnation, Address: d.Address,
+		Lease: p.lease, Book: &dedup.Book{Incarnation: incarnation}, Queue: &queue.Queue{}, Slots: held,
+		Reported: func() { p.feed.Changed() },
+		Wished:   func() { p.demand.Changed() },
+		Crashed:  func(c plane.Crash) { p.feed.Crashed(c) },
+		Loaded:   func(e plane.Ended) { p.demand.Ended(e) },
+		Dial:     d.DialPlain,
+	}
+	held.Load, held.Unload = r.LoadAdapter, r.UnloadAdapter
+	if d.Tune != nil {
+		d.Tune(r)
+	}
+	return r
+}
+
+func (p *parts) hello() plane.Hello {
+	return plane.Hello{
+		Role: plane.RoleAgent, Name: p.daemon.Name, Incarnation: p.runner.Incarnation,
+		DataCentre: p.daemon.Host.DataCentre, Fenced: p.runner.Fenced(),
+	}
+}
+
+// run serves until ctx ends or control knows a later incarnation, then drains.
+// What serves running attempts outlives ctx until the drain is over.
+func (p *parts) run(ctx context.Context, entries, endpoints net.Listener) error {
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
+	reporting, stopReporting := context.WithCancel(serving)
+	defer stopReporting()
+	var group, reports conc.WaitGroup
+	group.Go(func() { _ = p.notice.Serve(serving, endpoints) })
+	group.Go(func() { _ = link.Serve(serving, entries, p.handlers()) })
+	group.Go(func() { p.uplink.Run(serving) })
+	group.Go(func() { p.runner.Run(serving) })
+	group.Go(func() { p.demand.Run(serving) })
+	superseded := make(chan error, 1)
+	reports.Go(func() { superseded <- p.report(reporting) })
+
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-superseded:
+	}
+	p.drain(serving)
+	stopReporting()
+	reports.Wait()
+	stopServing()
+	group.Wait()
+	p.daemon.Host.Log.Write("agent-stopped", "name", p.daemon.Name)
+	return err
+}
+
+func (p *parts) handlers() map[string]link.Handler {
+	return map[string]link.Handler{
+		plane.MethodAttempt: p.runner.Handle,
+		plane.MethodProbe:   p.runner.Probe,
+	}
+}
+
+// report keeps the heartbeat once the endpoint has announced itself: control
+// needs to know whether it checks fencing numbers.
+func (p *parts) report(ctx context.Context) error {
+	for !p.runner.Known() {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(knownPause):
+		}
+	}
+	return p.feed.Run(ctx)
+}
+
+func (p *parts) drain(ctx context.Context) {
+	if p.daemon.Grace > 0 {
+		limited, cancel := context.WithTimeout(ctx, p.daemon.Grace)
+		defer cancel()
+		ctx = limited
+	}
+	p.runner.Drain(ctx)
 }
--- /dev/null
+++ b/agent/demand/demand.go
@@ -0,0 +1,211 @@
+// Package demand asks the load coordinator for permits and keeps an agent
+// loading, slowly, while the coordinator cannot be reached.
+package demand
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
+)
+
+const (
+	// askPause is the shortest time between two asks.
+	askPause = 100 * time.Millisecond
+	// askInterval is the longest time between two asks.
+	askInterval = time.Second
+	// cutOff is how long the coordinator may be silent before the agent loads
+	// on its static share.
+	cutOff = 2 * time.Second
+	// shareTick is how often the static share is looked at.
+	shareTick = 100 * time.Millisecond
+	// reopenPause is the pause before the stream is opened again.
+	reopenPause = 100 * time.Millisecond
+)
+
+// Demand is an agent's side of the permits. Its exported fields are set before
+// Run; it is safe for concurrent use.
+type Demand struct {
+	// Host is the agent's.
+	Host host.Host
+	// Agent and Incarnation identify the agent.
+	Agent       string
+	Incarnation uint64
+	// Open starts a stream to control.
+	Open func(ctx context.Context, method string) (*wire.Stream, error)
+	// Wishes returns the present wishes, most valuable first, and the number
+	// of loads in progress.
+	Wishes func() (wishes []plane.Wish, flight int)
+	// Granted starts a permitted load and does not block. Each permit is
+	// given back by Ended.
+	Granted func(*plane.Permit)
+	// Share is the static share of the fleet's rate, in loads per second.
+	Share func() float64
+
+	mutex  sync.Mutex
+	ended  []plane.Ended
+	heard  time.Time
+	change chan struct{}
+}
+
+// Changed makes the agent ask anew.
+func (d *Demand) Changed() {
+	select {
+	case d.changes() <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Demand) changes() chan struct{} {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.change == nil {
+		d.change = make(chan struct{}, 1)
+	}
+	return d.change
+}
+
+// Ended gives a permit back. A permit of the static share has ID 0 and is
+// nobody's to know of.
+func (d *Demand) Ended(ended plane.Ended) {
+	if ended.Permit == 0 {
+		return
+	}
+	d.mutex.Lock()
+	d.ended = append(d.ended, ended)
+	d.mutex.Unlock()
+	d.Changed()
+}
+
+// Run asks until ctx ends.
+func (d *Demand) Run(ctx context.Context) {
+	d.mutex.Lock()
+	d.heard = time.Now()
+	d.mutex.Unlock()
+	go d.runShare(ctx)
+	for ctx.Err() == nil {
+		d.connect(ctx)
+		pause(ctx, reopenPause)
+	}
+}
+
+func (d *Demand) connect(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := d.Open(ctx, plane.MethodPermit)
+	if err != nil {
+		return
+	}
+	defer func() { _ = stream.Close() }()
+	release := stream.Bind(ctx)
+	defer release()
+	go func() {
+		defer cancel()
+		d.receive(stream)
+	}()
+	d.send(ctx, stream)
+}
+
+// send asks after each change and at least once per askInterval; it gives the
+// stream up when the coordinator is silent on it.
+func (d *Demand) send(ctx context.Context, stream *wire.Stream) {
+	opened := time.Now()
+	for {
+		if !d.ask(stream) {
+			return
+		}
+		if !pause(ctx, askPause) {
+			return
+		}
+		timer := time.NewTimer(askInterval - askPause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-d.changes():
+		case <-timer.C:
+		}
+		timer.Stop()
+		if time.Since(opened) > cutOff && d.silent() {
+			return
+		}
+	}
+}
+
+func (d *Demand) ask(stream *wire.Stream) bool {
+	wishes, flight := d.Wishes()
+	d.mutex.Lock()
+	ended := d.ended
+	d.ended = nil
+	d.mutex.Unlock()
+	message := &plane.PermitAsk{
+		Agent: d.Agent, Incarnation: d.Incarnation,
+		Wishes: wishes, Ended: ended, Flight: int32(flight),
+	}
+	if stream.Send(message) == nil {
+		return true
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.ended = append(ended, d.ended...)
+	return false
+}
+
+func (d *Demand) receive(stream *wire.Stream) {
+	for {
+		var permit plane.Permit
+		if err := stream.Receive(&permit); err != nil {
+			return
+		}
+		d.mutex.Lock()
+		d.heard = time.Now()
+		d.mutex.Unlock()
+		if permit.ID != 0 {
+			d.Granted(&permit)
+		}
+	}
+}
+
+// silent reports whether the coordinator has not been heard for cutOff.
+func (d *Demand) silent() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return time.Since(d.heard) > cutOff
+}
+
+// runShare starts loads at the static rate while the coordinator is silent.
+func (d *Demand) runShare(ctx context.Context) {
+	earned := 0.0
+	last := time.Now()
+	for pause(ctx, shareTick) {
+		now := time.Now()
+		passed := now.Sub(last).Seconds()
+		last = now
+		if !d.silent() {
+			earned = 0
+			continue
+		}
+		earned = min(earned+passed*d.Share(), 1)
+		wishes, flight := d.Wishes()
+		if earned < 1 || flight > 0 || len(wishes) == 0 {
+			continue
+		}
+		earned--
+		d.Granted(&plane.Permit{Adapter: wishes[0].Adapter, Version: wishes[0].Version})
+	}
+}
+
+// pause waits and reports whether ctx still goes on.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/agent/queue/item.go
@@ -0,0 +1,78 @@
+package queue
+
+import (
+	"math"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+)
+
+const (
+	// soonAge is how long a ClassSoon request waits before it counts as
+	// ClassPerson.
+	soonAge = 15 * time.Second
+	// longAge is how long a small ClassLong request waits before it counts as
+	// one class more urgent.
+	longAge = 2 * time.Minute
+	// longSize is the size in tokens from which a long run counts more.
+	longSize = 1024
+)
+
+// Item is one waiting attempt.
+type Item struct {
+	// Attempt is what waits. It is not changed while it is queued.
+	Attempt *call.Attempt
+	// Arrived is when the attempt came to the agent.
+	Arrived time.Time
+	// Until is when its caller gives up; zero means never.
+	Until time.Time
+	// Start runs it and Refuse turns it away; neither blocks. The queue calls
+	// neither.
+	Start  func()
+	Refuse func(reason call.Reason)
+}
+
+// Cost is the work of the item in tokens.
+func (i *Item) Cost() int64 {
+	return max(1, i.Attempt.Prompt+i.Attempt.MaxTokens-i.Attempt.Offset)
+}
+
+// Waited is how long the item has waited.
+func (i *Item) Waited(now time.Time) time.Duration { return now.Sub(i.Arrived) }
+
+// Size is how much a long run counts: it doubles the speed of aging for each
+// doubling of the tokens above longSize.
+func (i *Item) Size() float64 {
+	if i.Attempt.Class != call.ClassLong {
+		return 1
+	}
+	return 1 + math.Log2(1+float64(i.Cost())/longSize)
+}
+
+// Aged is the default of Queue.Level: the item's class, made more urgent by
+// waiting so that every item is served in the end.
+func Aged(i *Item, now time.Time) call.Class {
+	waited := i.Waited(now)
+	switch i.Attempt.Class {
+	case call.ClassSoon:
+		if waited >= soonAge {
+			return call.ClassPerson
+		}
+	case call.ClassLong:
+		steps := float64(waited) * i.Size() / float64(longAge)
+		return call.ClassLong - call.Class(min(steps, float64(call.ClassLong)))
+	}
+	return i.Attempt.Class
+}
+
+// ByWorkspace is the default of Queue.Share.
+func ByWorkspace(i *Item) string { return i.Attempt.Workspace }
+
+func (i *Item) bytes() int64 {
+	return int64(len(i.Attempt.Body) + len(i.Attempt.Delivered))
+}
+
+// rank orders items of one level and share: the larger goes first.
+func (i *Item) rank(now time.Time) float64 {
+	return float64(i.Waited(now)) * i.Size()
+}
--- /dev/null
+++ b/agent/runner/model.go
@@ -0,0 +1,186 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/agent/engine"
+	"github.com/tanagerspindle/tanagerspindle/agent/slots"
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+)
+
+const (
+	// confirmPause is the time between two questions whether the engine has
+	// ended a run that was cut off.
+	confirmPause = 50 * time.Millisecond
+	// longestConfirm bounds the pause, which doubles.
+	longestConfirm = time.Second
+	// speedShare is the weight of the newest token in the mean token time.
+	speedShare = 8
+)
+
+// errVersion says that the engine ran another version than asked.
+const errVersion cause = "other version"
+
+// runModel puts the attempt to the engine and passes its tokens on. release
+// ends the pin.
+func (t *task) runModel(ctx context.Context, ep *endpoint, release func()) {
+	var waited time.Duration
+	if t.missing {
+		waited = time.Since(t.item.Arrived)
+	}
+	last := time.Now()
+	end, err := ep.engine.Run(ctx, t.item.Attempt, func(text, version string) error {
+		if version != "" && version != t.attempt.Version {
+			return errVersion
+		}
+		t.runner.noteSpeed(time.Since(last))
+		if err := t.await(ctx); err != nil {
+			return err
+		}
+		t.head(http.StatusOK, nil, waited)
+		t.text = append(t.text, text...)
+		t.part([]byte(text), 1)
+		last = time.Now()
+		return nil
+	})
+	if err == nil && end.Version != t.attempt.Version {
+		err = errVersion
+	}
+	if err != nil {
+		t.failModel(ctx, ep, release, err)
+		return
+	}
+	release()
+	t.head(http.StatusOK, nil, waited)
+	t.endModel(end)
+}
+
+func (t *task) endModel(end *engine.End) {
+	frame := &call.Frame{
+		Step: call.StepEnd, Tokens: t.tokens, Version: end.Version,
+		Finish: end.Finish, Cached: end.Cached,
+	}
+	t.finish(frame, outcomeOf(http.StatusOK, nil, t.text))
+}
+
+// failModel ends a run that gave no whole answer.
+func (t *task) failModel(ctx context.Context, ep *endpoint, release func(), err error) {
+	why := cutOff(ctx)
+	switch {
+	case errors.Is(err, errVersion):
+		t.runner.Host.Log.Write("wrong-version", "adapter", t.attempt.Adapter, "asked", t.attempt.Version)
+		t.abandon(ep, release, call.ReasonVersion)
+	case why == causePreempt:
+		t.requeue(ep, release)
+	case why == causeCancel:
+		t.abandon(ep, release, call.ReasonCancel)
+	case why == "" && errors.Is(err, &engine.Error{Kind: engine.KindRequest}):
+		release()
+		t.finish(refusal(call.ReasonInvalid, false), nil)
+	case why == "" && engine.Lost(err) && !t.runner.verify(ep):
+		ep.noteBroken(t.attempt.Digest)
+		t.abandon(ep, release, call.ReasonEngine)
+	default:
+		t.runner.Host.Log.Write("run-failed", "attempt", t.attempt.Name(), "err", err)
+		release()
+		t.finish(refusal(call.ReasonEngine, true), nil)
+	}
+}
+
+func refusal(reason call.Reason, ran bool) *call.Frame {
+	return &call.Frame{Step: call.StepRefuse, Reason: reason, Ran: ran}
+}
+
+// abandon ends a run that was cut off. Pin and place are given back once the
+// engine has ended it.
+func (t *task) abandon(ep *endpoint, release func(), reason call.Reason) {
+	t.settle(refusal(reason, true), nil)
+	t.confirm(ep)
+	release()
+	t.runner.vacate(t)
+}
+
+// requeue puts an interrupted run back into the queue, to go on after the
+// tokens that it has sent.
+func (t *task) requeue(ep *endpoint, release func()) {
+	t.confirm(ep)
+	release()
+	r := t.runner
+	r.vacate(t)
+	r.mutex.Lock()
+	t.preempts++
+	resumed := *t.attempt
+	resumed.Offset += t.tokens
+	resumed.Delivered += string(t.text)
+	t.item.Attempt = &resumed
+	r.mutex.Unlock()
+	t.mutex.Lock()
+	t.state = taskQueued
+	t.mutex.Unlock()
+	r.count("preempted")
+	r.refuse(r.Queue.Push(t.item), call.ReasonFull)
+	t.mutex.Lock()
+	withdrawn := t.withdrawn
+	t.mutex.Unlock()
+	if withdrawn {
+		t.withdraw()
+	}
+	r.Signal()
+}
+
+// confirm waits until the engine has ended a run that was cut off, or is dead.
+// A cancellation may be lost, so the engine is asked.
+func (t *task) confirm(ep *endpoint) {
+	r := t.runner
+	r.mutex.Lock()
+	t.ending = true
+	r.mutex.Unlock()
+	for wait := confirmPause; ep.context.Err() == nil; wait = min(2*wait, longestConfirm) {
+		state, err := ep.engine.State(ep.context)
+		if err == nil && runningOn(state, keyOf(t.attempt)) <= r.live(keyOf(t.attempt)) {
+			return
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-ep.context.Done():
+		}
+		timer.Stop()
+	}
+}
+
+func runningOn(state *engine.State, key slots.Key) int {
+	for _, held := range state.Held {
+		if held.Adapter == key.Adapter && held.Version == key.Version {
+			return held.Running
+		}
+	}
+	return 0
+}
+
+// live counts the runs on a key that have not been cut off.
+func (r *Runner) live(key slots.Key) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	count := 0
+	for t := range r.running {
+		if !t.ending && keyOf(t.attempt) == key {
+			count++
+		}
+	}
+	return count
+}
+
+// noteSpeed takes one token's time into the mean.
+func (r *Runner) noteSpeed(token time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.speed == 0 {
+		r.speed = token
+		return
+	}
+	r.speed += (token - r.speed) / speedShare
+}
--- /dev/null
+++ b/agent/runner/report.go
@@ -0,0 +1,193 @@
+package runner
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/agent/queue"
+	"github.com/tanagerspindle/tanagerspindle/agent/slots"
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+)
+
+// waitScale is the wait after which a waiting request counts twice.
+const waitScale = 2 * time.Second
+
+// urgency is how much one waiting request of each class counts.
+var urgency = [call.Classes]float64{1, 0.5, 0.2}
+
+// Record returns the agent's report, without Beat.
+func (r *Runner) Record() *roster.Record {
+	record := &roster.Record{
+		Agent: r.Name, Incarnation: r.Incarnation, Address: r.Address,
+		DataCentre: r.Host.DataCentre, Queued: r.Queue.Lengths(),
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	record.Fence = r.fence
+	record.Running = int32(len(r.running))
+	record.Speed = r.speed.Microseconds()
+	record.Digests = r.digestsLocked()
+	slices.SortFunc(record.Digests, slices.Compare)
+	reason := r.closedLocked()
+	record.Ready = reason == call.ReasonNone
+	record.Leaving = reason == call.ReasonLeaving
+	if r.endpoint == nil {
+		return record
+	}
+	record.Model, record.Service = r.endpoint.Model, r.endpoint.Service
+	record.Slots, record.Places = int32(r.endpoint.Slots), int32(r.endpoint.Places)
+	record.Fenced = r.endpoint.Fenced
+	if r.endpoint.open && r.endpoint.engine != nil {
+		record.Resident = r.Slots.List()
+	}
+	return record
+}
+
+// Fenced reports whether the endpoint refuses orders with an old fencing
+// number. A plain service takes no orders.
+func (r *Runner) Fenced() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.endpoint != nil && (r.endpoint.Fenced || r.endpoint.service != nil)
+}
+
+// Known reports whether an endpoint has announced itself.
+func (r *Runner) Known() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.endpoint != nil
+}
+
+// group is what waits for one key.
+type group struct {
+	plane.Wish
+	urgency float64
+}
+
+// plan works out which adapters to wish for.
+func (r *Runner) plan() {
+	groups := r.groups()
+	waiting := map[slots.Key]float64{}
+	var wanted []slots.Demand
+	for key, g := range groups {
+		waiting[key] = g.urgency
+		wanted = append(wanted, slots.Demand{Key: key, Waiting: g.urgency})
+	}
+	sort.Slice(wanted, func(i, j int) bool {
+		a, b := groups[wanted[i].Key], groups[wanted[j].Key]
+		return a.Longest > b.Longest || (a.Longest == b.Longest && a.Adapter < b.Adapter)
+	})
+	var wishes []plane.Wish
+	for _, key := range r.Slots.Plan(wanted, waiting) {
+		wishes = append(wishes, groups[key].Wish)
+	}
+	for _, key := range r.Slots.Popular(len(wishes)) {
+		wishes = append(wishes, plane.Wish{Adapter: key.Adapter, Version: key.Version})
+	}
+	r.setWishes(wishes, waiting)
+}
+
+// groups sums up what waits for each key.
+func (r *Runner) groups() map[slots.Key]*group {
+	now := time.Now()
+	groups := map[slots.Key]*group{}
+	r.Queue.Each(func(i *queue.Item) {
+		if i.Attempt.Service != "" {
+			return
+		}
+		key := keyOf(i.Attempt)
+		g := groups[key]
+		if g == nil {
+			g = &group{Wish: plane.Wish{
+				Adapter: key.Adapter, Version: key.Version,
+				Workspace: i.Attempt.Workspace, Waiters: make([]int32, call.Classes),
+			}}
+			groups[key] = g
+		}
+		g.add(i, now)
+	})
+	places := r.places()
+	for _, g := range groups {
+		g.Copy = g.total() > places
+	}
+	return groups
+}
+
+func (g *group) add(i *queue.Item, now time.Time) {
+	waited := i.Waited(now)
+	g.Waiters[i.Attempt.Class]++
+	g.Tokens += i.Cost()
+	g.urgency += urgency[i.Attempt.Class] * (1 + float64(waited)/float64(waitScale))
+	g.Longest = max(g.Longest, span.Duration(waited))
+	if i.Until.IsZero() {
+		return
+	}
+	left := span.Duration(max(i.Until.Sub(now), 1))
+	if g.Left == 0 || left < g.Left {
+		g.Left = left
+	}
+}
+
+func (g *group) total() int {
+	total := 0
+	for _, count := range g.Waiters {
+		total += int(count)
+	}
+	return total
+}
+
+func (r *Runner) places() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.endpoint == nil {
+		return 0
+	}
+	return r.endpoint.Places
+}
+
+func (r *Runner) setWishes(wishes []plane.Wish, waiting map[slots.Key]float64) {
+	r.mutex.Lock()
+	same := slices.EqualFunc(r.wishes, wishes, func(a, b plane.Wish) bool {
+		return a.Adapter == b.Adapter && a.Version == b.Version && slices.Equal(a.Waiters, b.Waiters)
+	})
+	r.wishes, r.waiting = wishes, waiting
+	r.mutex.Unlock()
+	if !same {
+		r.Wished()
+	}
+}
+
+// Wishes returns the present wishes and the number of loads in progress.
+func (r *Runner) Wishes() ([]plane.Wish, int) {
+	r.mutex.Lock()
+	wishes := slices.Clone(r.wishes)
+	r.mutex.Unlock()
+	return wishes, r.Slots.Loading()
+}
+
+// Granted starts a permitted load, or gives the permit back when it is no
+// longer wanted.
+func (r *Runner) Granted(permit *plane.Permit) {
+	key := slots.Key{Adapter: permit.Adapter, Version: permit.Version}
+	r.mutex.Lock()
+	wished := slices.ContainsFunc(r.wishes, func(w plane.Wish) bool {
+		return w.Adapter == key.Adapter && w.Version == key.Version
+	})
+	waiting := r.waiting
+	r.mutex.Unlock()
+	began := wished && r.Slots.Begin(slots.Demand{Key: key, Waiting: waiting[key]}, waiting, func(err error) {
+		r.Loaded(plane.Ended{Permit: permit.ID, Loaded: err == nil})
+		r.Signal()
+		r.Reported()
+	})
+	if !began {
+		r.Loaded(plane.Ended{Permit: permit.ID, Unused: true})
+		return
+	}
+	r.Signal()
+	r.Reported()
+}
--- a/pkg/plane/permit.go
+++ b/pkg/plane/permit.go
@@ -36,9 +36,12 @@
 	Permit uint64 `protobuf:"varint,1,opt"`
 	// Loaded is false when the load failed.
 	Loaded bool `protobuf:"varint,2,opt"`
+	// Unused says that no load was started.
+	Unused bool `protobuf:"varint,3,opt"`
 }
 
-// Permit allows an agent one load.
+// Permit allows an agent one load. One with ID 0 allows nothing: it tells the
+// agent, once a second, that the coordinator is there.
 type Permit struct {
 	// ID identifies the permit at the coordinator that gave it.
 	ID      uint64 `protobuf:"varint,1,opt"`
--- a/stubs/model/complete.go
+++ b/stubs/model/complete.go
@@ -126,7 +126,7 @@
 	cached := e.remember(q)
 	pause(ctx, time.Duration(count-cached)*e.Prefill)
 	last, finish := e.limit(q)
-	stream := newAnswer(w, q.Stream)
+	stream := newAnswer(w, q.Stream, version)
 	for index := q.Resume.Offset; index < last; index++ {
 		pause(ctx, e.tokenTime(places))
 		if ctx.Err() != nil {
@@ -136,7 +136,7 @@
 	}
 	final := usage{Prompt: count, Answer: max(last-q.Resume.Offset, 0)}
 	final.Details.Cached = cached
-	stream.end(version, finish, &final)
+	stream.end(finish, &final)
 }
 
 func (e *Engine) limit(q *question) (last int, finish string) {
@@ -169,11 +169,12 @@
 	writer  http.ResponseWriter
 	flusher http.Flusher
 	stream  bool
+	version string
 	text    strings.Builder
 }
 
-func newAnswer(w http.ResponseWriter, stream bool) *answer {
-	a := &answer{writer: w, stream: stream}
+func newAnswer(w http.ResponseWriter, stream bool, version string) *answer {
+	a := &answer{writer: w, stream: stream, version: version}
 	a.flusher, _ = w.(http.Flusher)
 	if stream {
 		w.Header().Set("Content-Type", "text/event-stream")
@@ -187,11 +188,11 @@
 		a.text.WriteString(text)
 		return
 	}
-	a.event(chunk{Choices: []choice{{Text: text}}})
+	a.event(chunk{Choices: []choice{{Text: text}}, Version: a.version})
 }
 
-func (a *answer) end(version, finish string, final *usage) {
-	closing := chunk{Choices: []choice{{Text: a.text.String(), Finish: finish}}, Version: version, Usage: final}
+func (a *answer) end(finish string, final *usage) {
+	closing := chunk{Choices: []choice{{Text: a.text.String(), Finish: finish}}, Version: a.version, Usage: final}
 	if !a.stream {
 		writeJSON(a.writer, closing)
 		return
