--- a/agent/main.go
+++ b/agent/main.go
@@ -1,4 +1,23 @@
-// Command agent is a placeholder until its app package lands.
+// Command agent stands beside one endpoint.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"github.com/tanagerspindle/tanagerspindle/agent/daemon"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/launch"
+	"github.com/tanagerspindle/tanagerspindle/pkg/setup"
+)
+
+func main() {
+	os.Exit(launch.Run(setup.RoleAgent, serve))
+}
+
+func serve(ctx context.Context, h host.Host, s *setup.Setup) error {
+	agent := &daemon.Daemon{
+		Host: h, Name: s.Name, Address: s.Listen, Notice: s.HTTP, Control: s.Control, Grace: s.Drain.Std(),
+	}
+	return agent.Run(ctx)
+}
--- a/ctrl/folder/folder.go
+++ b/ctrl/folder/folder.go
@@ -73,7 +73,7 @@
 	// Poll is the time between two looks; zero means DefaultPoll.
 	Poll time.Duration
 	// Fetch returns the committed configuration and its author. It must not
-	// be older than the call; a configuration with number 0 means none.
+	// be older than the call; nil means that nothing was ever committed.
 	Fetch func(ctx context.Context) (*conf.Config, string, error)
 	// Submit proposes a configuration.
 	Submit func(ctx context.Context, ask *plane.Submit) (*plane.Submitted, error)
@@ -147,6 +147,9 @@
 		f.complain("folder-waiting", "err", err)
 		return
 	}
+	if committed == nil {
+		committed = &conf.Config{}
+	}
 	switch {
 	case committed.Digest() == now.digest:
 		f.accept(now, committed.Number)
--- a/ctrl/folder/folder_test.go
+++ b/ctrl/folder/folder_test.go
@@ -37,6 +37,9 @@
 		c.down--
 		return nil, "", fmt.Errorf("no leader")
 	}
+	if c.committed.Number == 0 {
+		return nil, "", nil
+	}
 	copied := c.committed
 	return &copied, c.winner, nil
 }
--- a/entry/main.go
+++ b/entry/main.go
@@ -1,4 +1,21 @@
-// Command entry is a placeholder until its app package lands.
+// Command entry takes callers' requests.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/daemon"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/launch"
+	"github.com/tanagerspindle/tanagerspindle/pkg/setup"
+)
+
+func main() {
+	os.Exit(launch.Run(setup.RoleEntry, serve))
+}
+
+func serve(ctx context.Context, h host.Host, s *setup.Setup) error {
+	entry := &daemon.Daemon{Host: h, Listen: s.HTTP, Control: s.Control, Linger: s.Linger.Std()}
+	return entry.Run(ctx)
+}
--- a/pkg/setup/check.go
+++ b/pkg/setup/check.go
@@ -147,8 +147,8 @@
 	if k.setup.Drain <= 0 || k.setup.Drain.Std() > maxDrain {
 		k.fail("drain", "must be above 0s and at most %s", maxDrain)
 	}
-	if k.setup.Settle < 0 || k.setup.Settle.Std() > maxDrain {
-		k.fail("settle", "must be from 0s to %s", maxDrain)
+	if k.setup.Linger <= 0 || k.setup.Linger.Std() > maxDrain {
+		k.fail("linger", "must be above 0s and at most %s", maxDrain)
 	}
 }
 
--- a/pkg/setup/setup.go
+++ b/pkg/setup/setup.go
@@ -69,11 +69,12 @@
 	Authority string `json:"authority"`
 	// Open allows listening beyond loopback without certificates.
 	Open bool `json:"open"`
-	// Drain is how long a planned stop waits for work to end.
+	// Drain is how long an agent that stops waits for its requests to end. An
+	// entry waits for as long as they take, unless a second signal comes.
 	Drain span.Duration `json:"drain"`
-	// Settle is how long an entry that stops goes on accepting requests with
+	// Linger is how long an entry that stops goes on accepting requests with
 	// its health check red, until the balancer has let go of it.
-	Settle span.Duration `json:"settle"`
+	Linger span.Duration `json:"linger"`
 	// Metrics is where counters are shown in the form of expvar, on loopback
 	// or a private network; empty shows none.
 	Metrics string `json:"metrics"`
@@ -110,7 +111,7 @@
 		Loads:  2,
 		Flight: 8,
 		Drain:  span.Duration(30 * time.Second),
-		Settle: span.Duration(5 * time.Second),
+		Linger: span.Duration(5 * time.Second),
 	}
 }
 
--- a/pkg/setup/setup_test.go
+++ b/pkg/setup/setup_test.go
@@ -49,7 +49,7 @@
 		"control twice":     {entry, "control", func(s *Setup) { s.Control = append(s.Control, s.Control[0]) }},
 		"entry with data":   {entry, "data", func(s *Setup) { s.Data = "/x" }},
 		"drain":             {entry, "drain", func(s *Setup) { s.Drain = 0 }},
-		"settle":            {entry, "settle", func(s *Setup) { s.Settle = span.Duration(-1) }},
+		"linger":            {entry, "linger", func(s *Setup) { s.Linger = span.Duration(-1) }},
 		"exposed metrics":   {entry, "metrics", func(s *Setup) { s.Metrics = "10.0.0.1:80" }},
 		"public metrics":    {entry, "metrics", func(s *Setup) { s.Open, s.Metrics = true, "0.0.0.0:80" }},
 		"half certificates": {entry, "certificate", func(s *Setup) { s.Key = "k.pem" }},
