--- a/spindle/main.go
+++ b/spindle/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/tanagerspindle/tanagerspindle/spindle/cmds"
+	"github.com/tanagerspindle/tanagerspindle/spindle/demo"
 )
 
 func main() {
@@ -18,7 +19,10 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	program := cmds.Program{Output: os.Stdout, Errors: os.Stderr, Author: author()}
+	program := cmds.Program{
+		Output: os.Stdout, Errors: os.Stderr, Author: author(),
+		Further: demo.Commands(os.Stdout, os.Stderr),
+	}
 	return program.Main(ctx, os.Args)
 }
 
