Prove the agent's promises under failure

Cause: the agent's path had only its first tests. Change: tests through the real daemon in virtual time with a fake control, the real coordinator and the stand-ins; engines open at once when the fencing number comes; dials to endpoints are bounded; a stand-in that has not started announces nothing.

--- a/agent/daemon/daemon_test.go
+++ b/agent/daemon/daemon_test.go
@@ -1,12 +1,14 @@
 package daemon_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/stubs/model"
 )
 
 func TestAnswerIsWholeOwnAndOnItsVersion(t *testing.T) {
@@ -16,34 +18,174 @@
 		entry := s.dial()
 		a, b := s.attempt("alpha", "first", 20), s.attempt("alpha", "second", 30)
 		b.Version = "v2"
-		resumed := s.attempt("beta", "third", 20)
-		resumed.Offset = 5
-		resumed.Delivered = "text of another answer"
 		first, second := entry.background(a), entry.background(b)
 		whole(t, a, <-first)
 		whole(t, b, <-second)
-		require.Equal(t, call.ReasonEngine, entry.run(resumed).reason())
-		_ = entry.session.Close()
+
+		resumed := s.attempt("alpha", "first", 20)
+		resumed.Offset = 5
+		resumed.Delivered = model.Answer("alpha", "v1", "first", 0, 5)
+		whole(t, resumed, entry.run(resumed))
 	})
 }
 
-func TestFiledOnce(t *testing.T) {
+func TestOtherVersionIsWithheld(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		s := start(t, plainService)
+		s := start(t, func(s *site) {
+			s.engine.RunVersion = func(string, string) string { return "v0" }
+		})
+		defer s.end()
+		r := s.dial().run(s.attempt("alpha", "first", 20))
+		require.Equal(t, call.ReasonVersion, r.reason())
+		require.True(t, r.refused.Ran)
+		require.Empty(t, r.text)
+	})
+}
+
+func TestNoTokenBeyondTheReservation(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := start(t, nil)
 		defer s.end()
 		entry := s.dial()
-		filing := s.filing("case 1")
-		r := entry.run(filing)
-		require.Equal(t, int32(201), r.head.Status)
+		a := s.attempt("alpha", "first", 20)
+		a.Tokens = 8
+		stream := entry.open(a)
+		results := make(chan *result, 1)
+		go func() { results <- read(stream) }()
+		time.Sleep(10 * time.Second)
+		require.Empty(t, results, "waits for an extension")
+		require.NoError(t, stream.Send(&call.Frame{ID: a.ID, Step: call.StepExtend, Tokens: 20}))
+		r := <-results
+		whole(t, a, r)
+		require.Greater(t, r.at.Sub(r.first), 9*time.Second)
+	})
+}
+
+func TestLargeAnswersAreSplit(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := start(t, plainService)
+		defer s.end()
+		lookup := s.filing("")
+		lookup.Method, lookup.Path, lookup.Repeat = "GET", "/register?size=100000", true
+		r := s.dial().run(lookup)
 		require.NotNil(t, r.end)
-		again := entry.run(filing)
-		require.Equal(t, call.ReasonDuplex, again.reason())
-		require.True(t, again.refused.Ran)
-		verdict := entry.probe(filing)
-		require.Equal(t, call.StateDone, verdict.State)
-		require.Equal(t, r.text, string(verdict.Outcome.Body))
-		require.Equal(t, map[string]int{"case 1": 1}, s.service.Filings())
-		_ = entry.session.Close()
+		require.Equal(t, strings.Repeat("x", 100_000), r.text)
+	})
+}
+
+func TestAdapterInUseIsNeverEvicted(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := start(t, nil)
+		defer s.end()
+		entry := s.dial()
+		long := s.attempt("alpha", "long", 3000)
+		running := entry.background(long)
+		time.Sleep(time.Second)
+		var others []<-chan *result
+		for _, adapter := range []string{"beta", "gamma", "delta", "beta", "gamma", "delta"} {
+			others = append(others, entry.background(s.attempt(adapter, adapter, 20)))
+		}
+		for _, other := range others {
+			require.Equal(t, call.ReasonNone, (<-other).reason())
+		}
+		whole(t, long, <-running)
+		require.Empty(t, s.engine.Faults())
+	})
+}
+
+func TestLostCancelKeepsThePin(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := start(t, func(s *site) {
+			s.engine.Slots, s.engine.Address, s.engine.Dial = 1, "engine:8000", s.network.Dialer("engine")
+			s.engine.Listen = s.network.Listen
+		})
+		defer s.end()
+		entry := s.dial()
+		withdrawn := s.attempt("alpha", "long", 3000)
+		stream := entry.open(withdrawn)
+		time.Sleep(2 * time.Second)
+		s.network.Cut("vm", "engine")
+		_ = stream.Close()
+		next := entry.background(s.attempt("beta", "next", 10))
+		time.Sleep(1500 * time.Millisecond)
+		require.Empty(t, next)
+		s.network.Heal("vm", "engine")
+		require.Equal(t, call.ReasonNone, (<-next).reason())
+	})
+}
+
+func TestWithdrawnRunEndsAtTheEngine(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := start(t, func(s *site) { s.engine.Places = 1 })
+		defer s.end()
+		entry := s.dial()
+		stream := entry.open(s.attempt("alpha", "long", 100_000))
+		time.Sleep(2 * time.Second)
+		_ = stream.Close()
+		sent := time.Now()
+		whole := entry.run(s.attempt("alpha", "next", 10))
+		require.Equal(t, call.ReasonNone, whole.reason())
+		require.Less(t, whole.at.Sub(sent), time.Second)
+	})
+}
+
+func TestVersionSwitchInTraffic(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := start(t, nil)
+		defer s.end()
+		entry := s.dial()
+		former := s.attempt("alpha", "before", 500)
+		running := entry.background(former)
 		time.Sleep(time.Second)
+		for range 5 {
+			later := s.attempt("alpha", "after", 20)
+			later.Version = "v2"
+			whole(t, later, entry.run(later))
+		}
+		whole(t, former, <-running)
+	})
+}
+
+func TestPersonTakesTheLongRunsPlace(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := start(t, func(s *site) { s.engine.Places = 2 })
+		defer s.end()
+		entry := s.dial()
+		var long []*call.Attempt
+		var running []<-chan *result
+		for _, prompt := range []string{"one", "two"} {
+			a := s.attempt("alpha", prompt, 2000)
+			a.Class = call.ClassLong
+			long = append(long, a)
+			running = append(running, entry.background(a))
+		}
+		time.Sleep(3 * time.Second)
+		person := s.attempt("alpha", "person", 10)
+		sent := time.Now()
+		r := entry.run(person)
+		whole(t, person, r)
+		require.Less(t, r.at.Sub(sent), time.Second)
+		for n := range long {
+			whole(t, long[n], <-running[n])
+		}
+		require.Equal(t, int64(1), s.agent.Host.Meter.Value("preempted"))
+	})
+}
+
+func TestSuspectsRunApart(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := start(t, nil)
+		defer s.end()
+		entry := s.dial()
+		var results []<-chan *result
+		for _, prompt := range []string{"one", "two"} {
+			a := s.attempt("alpha", prompt, 200)
+			a.Suspect = true
+			results = append(results, entry.background(a))
+		}
+		first, second := <-results[0], <-results[1]
+		require.False(t, first.first.Before(second.at) && second.first.Before(first.at), "at the engine together")
+		require.NotNil(t, first.end)
+		require.NotNil(t, second.end)
 	})
 }
--- a/agent/daemon/site_test.go
+++ b/agent/daemon/site_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"net"
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerspindle/tanagerspindle/agent/daemon"
+	"github.com/tanagerspindle/tanagerspindle/agent/runner"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/permit"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
@@ -45,11 +48,23 @@
 	control *control
 	stop    func()
 	stopped chan error
+	// faulty says that the engine is made to see faults.
+	faulty bool
+	// early says that the agent need not be ready after the start, ownStop
+	// that the agent is stopped by stopAgent, hideCoordinator that control
+	// gives no permits.
+	early, ownStop, hideCoordinator bool
+	stopAgent                       func()
+	// bound is the queue's; 0 keeps the default. muted ends announcements.
+	bound   int
+	muted   atomic.Bool
+	callers []*caller
 }
 
 // control answers feeds at once and grants permits with the real coordinator.
 type control struct {
 	mutex       sync.Mutex
+	bans        []plane.Ban
 	fence       uint64
 	record      roster.Record
 	crashes     []plane.Crash
@@ -85,7 +100,10 @@
 		c.record = *beat.Record
 	}
 	c.crashes = append(c.crashes, beat.Crash...)
-	return &plane.Update{Seq: beat.Seq, Lease: span.Duration(lease.Length), Fence: c.fence, Loads: 4, Agents: 4}
+	return &plane.Update{
+		Seq: beat.Seq, Lease: span.Duration(lease.Length), Fence: c.fence,
+		Loads: 4, Agents: 4, Bans: c.bans, BansRevision: uint64(len(c.bans)),
+	}
 }
 
 func (c *control) known() roster.Record {
@@ -119,7 +137,21 @@
 	if change != nil {
 		change(s)
 	}
-	s.serveControl()
+	s.control.coordinator.Reset(1)
+	go s.control.coordinator.Run(ctx)
+	s.serve("control:1", s.control)
+	dial := network.Dialer("vm")
+	s.engine.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		if s.muted.Load() {
+			return nil, net.ErrClosed
+		}
+		return dial(ctx, address)
+	}
+	s.agent.Tune = func(r *runner.Runner) { r.Queue.Bound = s.bound }
+	agentContext := ctx
+	if s.ownStop {
+		agentContext, s.stopAgent = context.WithCancel(context.WithoutCancel(ctx))
+	}
 	if s.service == nil {
 		go func() { _ = s.engine.Run(ctx) }()
 		go s.engine.Announce(ctx, "http://"+s.agent.Notice)
@@ -127,9 +159,9 @@
 		go func() { _ = s.service.Run(ctx) }()
 		go s.service.Announce(ctx, "http://"+s.agent.Notice)
 	}
-	go func() { s.stopped <- s.agent.Run(ctx) }()
+	go func() { s.stopped <- s.agent.Run(agentContext) }()
 	time.Sleep(settle)
-	require.True(t, s.control.known().Ready, "the agent is ready")
+	require.True(t, s.early || s.control.known().Ready, "the agent is ready")
 	return s
 }
 
@@ -142,19 +174,26 @@
 	}
 }
 
-func (s *site) serveControl() {
-	listener, err := s.network.Listen("control:1")
+func (s *site) serve(address string, c *control) {
+	listener, err := s.network.Listen(address)
 	require.NoError(s.t, err)
-	handlers := map[string]link.Handler{plane.MethodFeed: s.control.feed, plane.MethodPermit: s.control.coordinator.Handle}
-	s.control.coordinator.Reset(1)
+	handlers := map[string]link.Handler{plane.MethodFeed: c.feed, plane.MethodPermit: c.coordinator.Handle}
+	if s.hideCoordinator {
+		delete(handlers, plane.MethodPermit)
+	}
 	go func() { _ = link.Serve(s.ctx, listener, handlers) }()
-	go s.control.coordinator.Run(s.ctx)
 }
 
-// end stops everything and lets it come to rest.
+// end stops everything, lets it come to rest, and checks what the engine saw.
 func (s *site) end() {
 	s.stop()
+	for _, c := range s.callers {
+		_ = c.session.Close()
+	}
 	time.Sleep(2 * time.Minute)
+	if !s.faulty {
+		require.Empty(s.t, s.engine.Faults())
+	}
 }
 
 // plainService gives the site a plain service in place of the engine.
@@ -174,7 +213,9 @@
 func (s *site) dial() *caller {
 	session, err := link.Dial(s.ctx, s.network.Dialer("entry"), s.agent.Address)
 	require.NoError(s.t, err)
-	return &caller{site: s, session: session}
+	c := &caller{site: s, session: session}
+	s.callers = append(s.callers, c)
+	return c
 }
 
 // result is what an entry saw of one attempt.
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -18,6 +18,8 @@
 	loadTimeout = 30 * time.Second
 	// unloadTimeout bounds one unload order.
 	unloadTimeout = 10 * time.Second
+	// dialTimeout bounds the connecting to the engine.
+	dialTimeout = 2 * time.Second
 	// reportTimeout bounds a question about the engine's state.
 	reportTimeout = 2 * time.Second
 	// maxReport bounds a report, in bytes.
@@ -40,13 +42,19 @@
 // Start prepares the client; Stop ends it.
 func (e *Engine) Start() {
 	e.transport = &http.Transport{
-		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return e.Dial(ctx, address) },
+		DialContext:         e.dial,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     10 * time.Second,
 		DisableCompression:  true,
 	}
 }
 
+func (e *Engine) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return e.Dial(ctx, address)
+}
+
 // Stop closes idle connections.
 func (e *Engine) Stop() { e.transport.CloseIdleConnections() }
 
--- a/agent/plain/service.go
+++ b/agent/plain/service.go
@@ -10,12 +10,17 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 )
 
-// readSize is the largest piece of an answer passed on at once, in bytes.
-const readSize = 16 << 10
+const (
+	// readSize is the largest piece of an answer passed on at once, in bytes.
+	readSize = 16 << 10
+	// dialTimeout bounds the connecting to the service.
+	dialTimeout = 2 * time.Second
+)
 
 // Service is the client of one plain service. Its exported fields are set
 // before use; it is safe for concurrent use.
@@ -33,6 +38,8 @@
 	var dialled atomic.Bool
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
 		conn, err := s.Dial(ctx, address)
 		if err == nil {
 			dialled.Store(true)
--- a/agent/runner/endpoint.go
+++ b/agent/runner/endpoint.go
@@ -172,8 +172,7 @@
 		return
 	}
 	r.endpoint = nil
-	r.deaths++
-	report := plane.Crash{Agent: r.Name, Incarnation: r.Incarnation, Count: r.deaths}
+	report := plane.Crash{Agent: r.Name, Incarnation: r.Incarnation, Count: r.deaths + 1}
 	seen := map[string]bool{}
 	for _, digest := range append(r.digestsLocked(), ep.recent()...) {
 		if len(digest) > 0 && !seen[string(digest)] {
@@ -181,6 +180,9 @@
 			report.Digests = append(report.Digests, digest)
 		}
 	}
+	if len(report.Digests) > 0 {
+		r.deaths++
+	}
 	r.mutex.Unlock()
 	r.Host.Log.Write("endpoint-dead", "name", ep.name, "running", len(report.Digests))
 	if len(report.Digests) > 0 {
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -65,6 +65,7 @@
 	bansSeen uint64
 	share    float64
 	endpoint *endpoint
+	// deaths counts the endpoint's deaths that were reported.
 	deaths   uint64
 	running  map[*task]struct{}
 	streams  int
@@ -179,6 +180,7 @@
 	r.mutex.Unlock()
 	if update.Fence != 0 {
 		r.Slots.SetFence(update.Fence)
+		r.openEngine()
 	}
 	r.Signal()
 }
--- a/stubs/model/engine.go
+++ b/stubs/model/engine.go
@@ -79,8 +79,16 @@
 	At     time.Time
 }
 
-// Handler serves the engine's protocol.
+// Handler serves the engine's protocol without Run; the engine counts as
+// started.
 func (e *Engine) Handler() http.Handler {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.boot = max(e.boot, 1)
+	return e.routes()
+}
+
+func (e *Engine) routes() http.Handler {
 	router := httprouter.New()
 	router.POST("/v1/load_lora_adapter", e.record(e.load))
 	router.POST("/v1/unload_lora_adapter", e.record(e.unload))
@@ -104,7 +112,7 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		server := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: time.Minute}
+		server := &http.Server{Handler: e.routes(), ReadHeaderTimeout: time.Minute}
 		e.start(server)
 		release := context.AfterFunc(ctx, func() { _ = server.Close() })
 		_ = server.Serve(listener)
@@ -145,8 +153,8 @@
 	e.leaving = leaving
 }
 
-// Announce tells the agent at the URL about the engine until ctx ends. A
-// crashed engine says nothing.
+// Announce tells the agent at the URL about the engine until ctx ends. An
+// engine that has not started or has crashed says nothing.
 func (e *Engine) Announce(ctx context.Context, url string) {
 	announcer := beacon.Beacon{URL: url, Dial: e.Dial, Message: e.message}
 	announcer.Run(ctx)
@@ -155,7 +163,7 @@
 func (e *Engine) message() *beacon.Message {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if e.down {
+	if e.down || e.boot == 0 {
 		return nil
 	}
 	return &beacon.Message{
--- a/stubs/plain/service.go
+++ b/stubs/plain/service.go
@@ -55,8 +55,13 @@
 	crash   func()
 }
 
-// Handler serves the calls.
-func (s *Service) Handler() http.Handler { return http.HandlerFunc(s.serve) }
+// Handler serves the calls without Run; the service counts as started.
+func (s *Service) Handler() http.Handler {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.boot = max(s.boot, 1)
+	return http.HandlerFunc(s.serve)
+}
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
@@ -181,6 +186,9 @@
 func (s *Service) message() *beacon.Message {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.boot == 0 {
+		return nil
+	}
 	return &beacon.Message{
 		Kind: "service", Name: s.Name, Service: s.Name, Places: max(s.Places, 1),
 		Address: s.Address, Leaving: s.leaving, Boot: s.boot,
@@ -198,7 +206,7 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: time.Minute}
+		server := &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Minute}
 		s.start(server)
 		release := context.AfterFunc(ctx, func() { _ = server.Close() })
 		_ = server.Serve(listener)
