--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -38,6 +38,8 @@
 const (
 	KindListen Kind = "cannot listen"
 	KindServe  Kind = "HTTP server failed"
+	// KindControl says that control did not answer in time.
+	KindControl Kind = "no answer from control"
 )
 
 // Error is this package's error type.
@@ -208,9 +210,31 @@
 }
 
 func (e *entry) grant(ctx context.Context, ask *plane.GrantAsk, reply *plane.GrantReply) error {
-	return e.uplink.Call(ctx, plane.MethodGrant, ask, reply)
+	return exchange(ctx, e.uplink, plane.MethodGrant, ask, reply)
 }
 
 func (e *entry) claim(ctx context.Context, ask *plane.ClaimAsk, reply *plane.ClaimReply) error {
-	return e.uplink.Call(ctx, plane.MethodClaim, ask, reply)
+	return exchange(ctx, e.uplink, plane.MethodClaim, ask, reply)
+}
+
+// exchange calls control and returns no later than ctx ends, also when the
+// replica holds the call up. A reply that comes later is dropped.
+func exchange[R any](ctx context.Context, link *uplink.Uplink, method string, ask any, reply *R) error {
+	type result struct {
+		reply R
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		var r result
+		r.err = link.Call(ctx, method, ask, &r.reply)
+		done <- r
+	}()
+	select {
+	case r := <-done:
+		*reply = r.reply
+		return r.err
+	case <-ctx.Done():
+		return &Error{Op: method, Kind: KindControl, Err: ctx.Err()}
+	}
 }
--- a/entry/daemon/world_test.go
+++ b/entry/daemon/world_test.go
@@ -68,7 +68,6 @@
 	// known makes a real agent's memory: an attempt runs at most once.
 	mutex    sync.Mutex
 	attempts []call.Attempt
-	cancels  int
 	tombs    map[string]bool
 	stop     context.CancelFunc
 }
--- a/entry/front/answer.go
+++ b/entry/front/answer.go
@@ -1,13 +1,12 @@
 package front
 
 import (
+	"encoding/json"
 	"math"
 	"net/http"
 	"strconv"
 	"strings"
 
-	"encoding/json"
-
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 )
--- a/entry/front/parse.go
+++ b/entry/front/parse.go
@@ -1,11 +1,10 @@
 package front
 
 import (
+	"encoding/json"
 	"net/http"
 	"strings"
 
-	"encoding/json"
-
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 )
 
--- a/entry/front/stream.go
+++ b/entry/front/stream.go
@@ -1,11 +1,10 @@
 package front
 
 import (
+	"encoding/json"
 	"net/http"
 	"unicode/utf8"
 
-	"encoding/json"
-
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 )
--- a/entry/relay/attempt.go
+++ b/entry/relay/attempt.go
@@ -137,6 +137,8 @@
 		return nil, &Error{Op: "probe", Kind: KindDial, Err: err}
 	}
 	defer func() { _ = session.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
 	var found call.Verdict
 	if err := session.Call(ctx, plane.MethodProbe, &call.Probe{ID: id, Agent: incarnation}, &found); err != nil {
 		return nil, &Error{Op: "probe", Kind: KindDial, Err: err}
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -81,7 +81,14 @@
 // cancel withdraws the attempt and bounds the wait for the agent's word.
 func (e *exchange) cancel() {
 	_ = e.stream.Send(&call.Frame{ID: e.attempt.ID, Step: call.StepCancel})
-	time.AfterFunc(cancelLimit, func() { _ = e.stream.Close() })
+	time.AfterFunc(cancelLimit, e.hangUp)
+}
+
+// hangUp ends a Receive under way. Closing a stream alone ends only its
+// sending direction.
+func (e *exchange) hangUp() {
+	_ = e.stream.Conn().SetReadDeadline(time.Now())
+	_ = e.stream.Close()
 }
 
 // lost is the end of an attempt of which the agent may have got a part.
@@ -110,6 +117,9 @@
 			e.job.relay.Host.Meter.Add("frames_foreign", 1)
 			continue
 		}
+		if ctx.Err() != nil && frame.Step != call.StepRefuse {
+			continue
+		}
 		done, verdict, err := e.take(ctx, &frame)
 		if done {
 			return verdict, err
@@ -126,10 +136,10 @@
 	asking := e.asking
 	e.mutex.Unlock()
 	if asking {
-		time.AfterFunc(stallLimit, func() { _ = e.stream.Close() })
+		time.AfterFunc(stallLimit, e.hangUp)
 		return
 	}
-	_ = e.stream.Close()
+	e.hangUp()
 }
 
 // take handles one frame of this attempt; done says that it was the last.
