--- a/ctrl/feeds/serve.go
+++ b/ctrl/feeds/serve.go
@@ -90,6 +90,11 @@
 		_ = m.stream.Send(&plane.Update{Superseded: true})
 		return &Error{Op: "enrol " + m.hello.Name, Kind: KindSuperseded}
 	}
+	// The enrolment was committed at the leader; without a second quorum
+	// round this replica could still show the former incarnation as newest.
+	if _, err := f.barriers.do(ctx, struct{}{}); err != nil {
+		return err
+	}
 	m.fence = fence
 	return nil
 }
--- /dev/null
+++ b/stubs/bench/deployment.go
@@ -0,0 +1,156 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/digest"
+	"github.com/tanagerspindle/tanagerspindle/stubs/crowd"
+	"github.com/tanagerspindle/tanagerspindle/stubs/fleet"
+)
+
+const (
+	// adapterCount is the number of adapters of a deployment.
+	adapterCount = 3000
+	// callerHost is the host that callers send from.
+	callerHost = "callers"
+	// localLatency is the time one way inside a data centre.
+	localLatency = 100 * time.Microsecond
+)
+
+// Deployment is one of today's two sizes with its traffic.
+type Deployment struct {
+	Name  string
+	Shape fleet.Shape
+	// Between is the time one way between data centres, Callers from callers
+	// to any entry.
+	Between, Callers time.Duration
+	// Tenants are the workspaces' traffic without their adapters.
+	Tenants []crowd.Tenant
+	// Weights are the deployment's.
+	Weights conf.Weights
+}
+
+// Association is the Saurashtra Judgment Search Traders' Association.
+func Association() Deployment {
+	return Deployment{
+		Name:    "association",
+		Between: time.Millisecond, Callers: 3 * time.Millisecond,
+		Weights: conf.Weights{Stalls: 1, Batch: 1, Worst: 3, Refused: 3},
+		Shape: fleet.Shape{
+			Control: 3, Entries: 3, Engines: 9, Services: 3, Centres: 3,
+			Slots: 8, Places: 8, ServicePlaces: 8,
+			Token: 15 * time.Millisecond, Slowdown: 0.05, Prefill: 100 * time.Microsecond,
+			Delay: 60 * time.Millisecond, Loads: 2, Flight: 8, Unfenced: 3,
+			Linger: time.Second, Lag: 500 * time.Millisecond,
+		},
+		Tenants: []crowd.Tenant{
+			{Workspace: "rajkot", Rate: 1600, Burst: 16000, People: 9, Jobs: 1, Lookups: 1.5, Filings: 0.4},
+			{Workspace: "surat", Rate: 1400, Burst: 14000, People: 7, Jobs: 1, Lookups: 1.2, Filings: 0.3},
+			{Workspace: "ahmedabad", Rate: 500, Burst: 6000, People: 2, Jobs: 1, Flood: 6, Lookups: 0.5, Filings: 0.1},
+			{Workspace: "small", Rate: 200, Burst: 3000, People: 2, Lookups: 0.4, Filings: 0.1},
+			{Workspace: "tiny", Rate: 120, Burst: 2500, People: 1, Lookups: 0.2, Filings: 0.05},
+		},
+	}
+}
+
+// Atlas is Atlas Rapprochement Labs.
+func Atlas() Deployment {
+	return Deployment{
+		Name:    "atlas",
+		Between: 500 * time.Microsecond, Callers: time.Millisecond,
+		Weights: conf.Weights{Stalls: 3, Batch: 3, Worst: 1, Refused: 1},
+		Shape: fleet.Shape{
+			Control: 3, Entries: 3, Engines: 12, Services: 3, Centres: 3,
+			Slots: 8, Places: 8, ServicePlaces: 8,
+			Token: 15 * time.Millisecond, Slowdown: 0.05, Prefill: 100 * time.Microsecond,
+			Delay: 40 * time.Millisecond, Loads: 3.5, Flight: 8, Unfenced: 3,
+			Linger: time.Second, Lag: 500 * time.Millisecond,
+		},
+		Tenants: []crowd.Tenant{
+			{Workspace: "north", Rate: 2400, Burst: 24000, People: 3, Jobs: 4, Lookups: 1, Filings: 0.6},
+			{Workspace: "coast", Rate: 1800, Burst: 18000, People: 3, Jobs: 3, Lookups: 0.8, Filings: 0.4},
+			{Workspace: "inland", Rate: 700, Burst: 8000, People: 2, Jobs: 1, Flood: 6, Lookups: 0.4, Filings: 0.2},
+			{Workspace: "south", Rate: 600, Burst: 7000, People: 2, Jobs: 1, Lookups: 0.3, Filings: 0.1},
+			{Workspace: "desert", Rate: 150, Burst: 3000, People: 1, Lookups: 0.2, Filings: 0.05},
+		},
+	}
+}
+
+// equip gives the tenants their keys and adapters. Two workspaces have one
+// key for people and jobs alike.
+func (d *Deployment) equip(seed uint64) []crowd.Tenant {
+	random := rand.New(rand.NewPCG(seed, adapterCount))
+	tenants := append([]crowd.Tenant(nil), d.Tenants...)
+	var total int64
+	for index := range tenants {
+		total += tenants[index].Rate
+	}
+	for index := range tenants {
+		tenant := &tenants[index]
+		tenant.Desk = "desk-" + tenant.Workspace
+		tenant.Night = "night-" + tenant.Workspace
+		if index%2 == 1 {
+			tenant.Night = tenant.Desk
+		}
+		count := int(adapterCount * tenant.Rate / total)
+		for number := range count {
+			tenant.Adapters = append(tenant.Adapters, fmt.Sprintf("%s-%04d", tenant.Workspace, number))
+		}
+		random.Shuffle(count, func(i, j int) {
+			tenant.Adapters[i], tenant.Adapters[j] = tenant.Adapters[j], tenant.Adapters[i]
+		})
+	}
+	return tenants
+}
+
+// config is the configuration that the tenants need.
+func (d *Deployment) config(tenants []crowd.Tenant) *conf.Config {
+	config := conf.Default()
+	config.Number = 1
+	config.Weights = d.Weights
+	var names []string
+	for index := range tenants {
+		tenant := &tenants[index]
+		names = append(names, tenant.Workspace)
+		config.Workspaces[tenant.Workspace] = conf.Workspace{Rate: tenant.Rate, Burst: tenant.Burst, Goal: conf.Goal{Share: 0.95}}
+		config.Keys[digest.Key(tenant.Desk)] = conf.Key{Workspace: tenant.Workspace}
+		config.Keys[digest.Key(tenant.Night)] = conf.Key{Workspace: tenant.Workspace}
+		for _, adapter := range tenant.Adapters {
+			config.Adapters[adapter] = conf.Adapter{
+				Model: fleet.Model, Workspace: tenant.Workspace, Versions: []string{"1"}, Current: "1",
+			}
+		}
+	}
+	config.Routes["register"] = conf.Route{
+		Kind: conf.KindService, Path: "/register", Methods: []string{"GET"}, Service: fleet.Service, Workspaces: names, Cost: 1,
+	}
+	config.Routes["filings"] = conf.Route{
+		Kind: conf.KindService, Path: "/filings", Methods: []string{"POST"}, Service: fleet.Service, Workspaces: names, Cost: 1,
+		Once: true, Window: 24 * 3600 * 1e9,
+	}
+	return &config
+}
+
+// latency returns the time one way between two hosts.
+func (d *Deployment) latency(centre func(string) string) func(from, to string) time.Duration {
+	return func(from, to string) time.Duration {
+		if from == to {
+			return 0
+		}
+		if isOutside(from) || isOutside(to) {
+			return d.Callers
+		}
+		if centre(from) == centre(to) {
+			return localLatency
+		}
+		return d.Between
+	}
+}
+
+func isOutside(host string) bool {
+	return host == callerHost || strings.HasPrefix(host, "operator")
+}
--- a/stubs/fleet/fleet.go
+++ b/stubs/fleet/fleet.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -152,6 +154,19 @@
 	return fmt.Sprintf("dc%d", index%max(f.Shape.Centres, 1))
 }
 
+// CentreOf returns the data centre of a host by its name.
+func (f *Fleet) CentreOf(name string) string { return f.Centre(indexOf(name)) }
+
+// indexOf returns the number at the end of a host's name, 0 when it has none.
+func indexOf(name string) int {
+	digits := strings.TrimLeft(name, "abcdefghijklmnopqrstuvwxyz")
+	index, err := strconv.Atoi(digits)
+	if err != nil {
+		return 0
+	}
+	return index
+}
+
 func (f *Fleet) host(name string, index int) host.Host {
 	gauge := meter.New()
 	f.mutex.Lock()
@@ -177,6 +192,9 @@
 	go func() {
 		defer close(started.done)
 		started.err = serve(ctx)
+		if started.err != nil && f.Log != nil {
+			event.New(f.Log, name).Write("process-failed", "err", started.err)
+		}
 	}()
 }
 
@@ -222,11 +240,11 @@
 
 // StartAgent starts or restarts the agent of a name.
 func (f *Fleet) StartAgent(name string) {
-	index := len(name)
-	_, _ = fmt.Sscanf(name[len(name)-1:], "%d", &index)
+	index := indexOf(name)
 	daemon := &agent.Daemon{
 		Host: f.host(name, index), Name: name, Address: f.Net.Address(name, "agent"),
 		Notice: f.Net.Address(name, "notice"), Control: f.controls(index),
+		ListenPlain: f.Net.Listen, DialPlain: f.Net.Dialer(name),
 	}
 	if f.TuneAgent != nil {
 		f.TuneAgent(daemon)
