Refuse another content under a used idempotency key when it is only asked for

Cause: an entry asks for a claim before it makes one, and the ledger compared the content's digest only when a claim was made. Change: the ledger compares it for both steps; a row in the ledger's table.

--- a/ctrl/ledger/ledger.go
+++ b/ctrl/ledger/ledger.go
@@ -76,6 +76,9 @@
 	if claim == nil {
 		return &plane.ClaimReply{State: plane.ClaimNone}
 	}
+	if ask.Verb == plane.VerbAsk && claim.mixed(ask) {
+		return &plane.ClaimReply{State: plane.ClaimMixed}
+	}
 	if claim.State != plane.ClaimTaken || !bytes.Equal(claim.Attempt, ask.Attempt) {
 		return claim.describe()
 	}
@@ -95,7 +98,7 @@
 	if claim == nil {
 		return l.open(ask, now)
 	}
-	if len(ask.Sum) > 0 && len(claim.Sum) > 0 && !bytes.Equal(ask.Sum, claim.Sum) {
+	if claim.mixed(ask) {
 		return &plane.ClaimReply{State: plane.ClaimMixed}
 	}
 	reply := claim.describe()
@@ -105,6 +108,12 @@
 	return reply
 }
 
+// mixed reports whether the claim's key was used for a request of other
+// content.
+func (c *Claim) mixed(ask *plane.ClaimAsk) bool {
+	return len(ask.Sum) > 0 && len(c.Sum) > 0 && !bytes.Equal(ask.Sum, c.Sum)
+}
+
 func (l *Ledger) open(ask *plane.ClaimAsk, now int64) *plane.ClaimReply {
 	claim := &Claim{
 		Key: ask.Key, Attempt: ask.Attempt, Entry: ask.Entry, Agent: ask.Agent, Incarnation: ask.Incarnation,
--- a/ctrl/ledger/ledger_test.go
+++ b/ctrl/ledger/ledger_test.go
@@ -30,6 +30,7 @@
 	claim, done, unknown, void, read := plane.VerbClaim, plane.VerbDone, plane.VerbUnknown, plane.VerbVoid, plane.VerbAsk
 	cases := map[string][]step{
 		"resend of the claim owns it again":     {{claim, "1", "x", plane.ClaimOwned}, {claim, "1", "x", plane.ClaimOwned}, {claim, "2", "x", plane.ClaimTaken}},
+		"other content when only asked":         {{claim, "1", "x", plane.ClaimOwned}, {plane.VerbAsk, "2", "y", plane.ClaimMixed}, {plane.VerbAsk, "2", "x", plane.ClaimTaken}},
 		"other content under the key":           {{claim, "1", "x", plane.ClaimOwned}, {claim, "2", "y", plane.ClaimMixed}},
 		"done is final":                         {{claim, "1", "x", plane.ClaimOwned}, {done, "1", "", plane.ClaimDone}, {unknown, "1", "", plane.ClaimDone}, {void, "1", "", plane.ClaimDone}, {claim, "2", "x", plane.ClaimDone}},
 		"unknown is final":                      {{claim, "1", "x", plane.ClaimOwned}, {unknown, "1", "", plane.ClaimUnknown}, {done, "1", "", plane.ClaimUnknown}, {void, "1", "", plane.ClaimUnknown}, {claim, "2", "x", plane.ClaimUnknown}},
