--- a/pkg/conf/check_test.go
+++ b/pkg/conf/check_test.go
@@ -100,6 +100,7 @@
 		good bool
 	}{
 		"same path, any method":     {Route{Kind: KindService, Path: "/s", Service: "x", Workspaces: []string{"v"}, Methods: []string{"GET"}}, false},
+		"same path but a slash":     {Route{Kind: KindService, Path: "/s/", Service: "x", Workspaces: []string{"w"}}, false},
 		"longer path":               {Route{Kind: KindService, Path: "/s/x", Service: "x", Workspaces: []string{"w"}}, true},
 		"same name, same caller":    {Route{Kind: KindModel, Name: "n", Adapter: "a", Workspaces: []string{"v", "w"}}, false},
 		"same name, open":           {Route{Kind: KindModel, Name: "n", Adapter: "a", Workspaces: []string{"v"}, Open: true}, false},
