Give failures of the demo exit code 1, and keep the health paths free

Cause: a failing sample run exited like a wrong command line; the entry's health paths are below /healthz. Change: further commands' errors carry the exit code of a failure; orders that control could not finish in time say why instead of being repeated.

--- a/pkg/conf/route.go
+++ b/pkg/conf/route.go
@@ -14,7 +14,7 @@
 
 var (
 	// reserved are the paths that the entry answers itself.
-	reserved = []string{"/v1/completions", "/v1/chat/completions", "/v1/models", "/live", "/ready"}
+	reserved = []string{"/v1/completions", "/v1/chat/completions", "/v1/models", "/healthz"}
 	// untouchable are headers that a request cannot do without.
 	untouchable = []string{"Host", "Content-Length", "Transfer-Encoding", "Connection", "Content-Type"}
 	tokenShape  = regexp.MustCompile("^[A-Za-z0-9!#$%&'*+.^_`|~-]+$")
--- a/spindle/cmds/cmds_test.go
+++ b/spindle/cmds/cmds_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
+	"github.com/urfave/cli/v3"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/burn"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
@@ -113,6 +114,7 @@
 		var output, faults bytes.Buffer
 		p := &Program{
 			Output: &output, Errors: &faults, Author: "asha@ops", Random: strings.NewReader(strings.Repeat("0123456789", 4)),
+			Further: []*cli.Command{{Name: "sample", Action: func(context.Context, *cli.Command) error { return fmt.Errorf("broken") }}},
 			Dial: func(ctx context.Context, address string) (net.Conn, error) {
 				return network.Dialer("ops")(ctx, address)
 			},
@@ -150,6 +152,8 @@
 		"check-bad-json":   {&replicas{}, []string{"check", "--json", folder(t, bad)}},
 		"check-usage":      {&replicas{}, []string{"check"}},
 		"no-command":       {&replicas{}, []string{"launch"}},
+		"further-fails":    {&replicas{}, []string{"sample"}},
+		"flag-usage":       {&replicas{}, []string{"status", "--colour"}},
 		"no-control":       {&replicas{}, []string{"status"}},
 		"apply-bad":        {&replicas{}, append(both, "apply", folder(t, bad))},
 		"apply-done":       {&replicas{submitted: plane.Submitted{Number: 1, InForce: true}}, append(both, "apply", folder(t, good))},
@@ -167,6 +171,7 @@
 		"report":           {&replicas{}, append(both, "report")},
 		"replace":          {&replicas{}, append(both, "replace", "c3")},
 		"replace-refused":  {&replicas{admin: plane.AdminReply{Refused: plane.KindMissing, Detail: "no replica c8"}}, append(both, "replace", "c8")},
+		"replace-timeout":  {&replicas{admin: plane.AdminReply{Refused: plane.KindTimeout, Detail: "the new replica does not answer"}}, append(both, "replace", "c3")},
 		"move-json":        {&replicas{}, append(both, "move", "c2", "--json")},
 		"ban-list":         {&replicas{bans: []plane.Ban{{Digest: []byte{1, 255}, Deaths: 2, Alone: 1, Left: span.Duration(time.Hour)}}}, append(both, "ban", "list")},
 		"ban-list-none":    {&replicas{}, append(both, "ban", "list")},
--- a/spindle/cmds/control.go
+++ b/spindle/cmds/control.go
@@ -63,10 +63,10 @@
 	return session.Call(ctx, method, request, reply)
 }
 
-// ask asks the replicas in turn until one answers with more than a request to
-// ask again. Only questions that may be asked twice go this way. When there is
+// ask asks the replicas in turn until one answers with more than again, a
+// request to ask again. Only questions that may be asked twice go this way. When there is
 // no answer in time, the last failure tells why.
-func ask[Reply any](ctx context.Context, k *control, method string, wait time.Duration, request any, refused func(*Reply) plane.Kind) (*Reply, error) {
+func ask[Reply any](ctx context.Context, k *control, method string, wait time.Duration, request any, again func(*Reply) bool) (*Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, k.timeout+wait)
 	defer cancel()
 	var last error
@@ -74,7 +74,7 @@
 		for _, address := range k.addresses {
 			reply := new(Reply)
 			err := k.call(ctx, address, method, wait, request, reply)
-			if err == nil && !waiting(refused(reply)) {
+			if err == nil && !again(reply) {
 				return reply, nil
 			}
 			if ctx.Err() == nil || last == nil {
@@ -112,23 +112,28 @@
 
 func (k *control) fetch(ctx context.Context) (*plane.Fetched, error) {
 	return ask(ctx, k, plane.MethodFetch, 0, &plane.FetchAsk{},
-		func(reply *plane.Fetched) plane.Kind { return reply.Refused })
+		func(reply *plane.Fetched) bool { return waiting(reply.Refused) })
 }
 
 func (k *control) submit(ctx context.Context, submit *plane.Submit) (*plane.Submitted, error) {
 	return ask(ctx, k, plane.MethodSubmit, submit.Wait.Std(), submit,
-		func(reply *plane.Submitted) plane.Kind { return reply.Refused })
+		func(reply *plane.Submitted) bool { return waiting(reply.Refused) })
 }
 
-// order gives control an order and turns a refusal into an error.
+// order gives control an order and turns a refusal into an error. An order
+// that control could not finish in time is not repeated: its detail says why.
 func (k *control) order(ctx context.Context, order *plane.AdminAsk) error {
 	reply, err := ask(ctx, k, plane.MethodAdmin, orderTimeout, order,
-		func(reply *plane.AdminReply) plane.Kind { return reply.Refused })
+		func(reply *plane.AdminReply) bool { return reply.Refused == plane.KindLeader })
 	if err != nil {
 		return err
 	}
-	if reply.Refused != plane.KindNone {
-		return &Error{Op: "spindle " + string(order.Order), Kind: KindFaults, Err: fmt.Errorf("%s: %s", reply.Refused, reply.Detail)}
+	kind := KindFaults
+	switch reply.Refused {
+	case plane.KindNone:
+		return nil
+	case plane.KindTimeout:
+		kind = KindUnreachable
 	}
-	return nil
+	return &Error{Op: "spindle " + string(order.Order), Kind: kind, Err: fmt.Errorf("%s: %s", reply.Refused, reply.Detail)}
 }
--- a/spindle/cmds/program.go
+++ b/spindle/cmds/program.go
@@ -40,6 +40,7 @@
 
 // The kinds of failure.
 const (
+	KindFailed      Kind = "failed"
 	KindFaults      Kind = "refused"
 	KindUsage       Kind = "wrong usage"
 	KindConflict    Kind = "conflict"
@@ -51,6 +52,7 @@
 type Error = fault.Error[Kind]
 
 var exitCodes = map[Kind]int{
+	KindFailed:      ExitFailed,
 	KindFaults:      ExitFailed,
 	KindUsage:       ExitUsage,
 	KindConflict:    ExitConflict,
@@ -94,14 +96,13 @@
 		return exitCodes[own.Kind]
 	}
 	_, _ = fmt.Fprintln(p.Errors, "spindle:", err)
-	var coder cli.ExitCoder
-	if errors.As(err, &coder) {
-		return coder.ExitCode()
-	}
 	return ExitUsage
 }
 
 func (p *Program) command() *cli.Command {
+	for _, further := range p.Further {
+		further.Action = failing(further.Action)
+	}
 	return &cli.Command{
 		Name:           "spindle",
 		Usage:          "operate tanagerspindle",
@@ -123,6 +124,17 @@
 	}
 }
 
+// failing gives the errors of a further command this package's type, which
+// carries the exit code.
+func failing(action cli.ActionFunc) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		if err := action(ctx, c); err != nil {
+			return &Error{Op: c.FullName(), Kind: KindFailed, Err: err}
+		}
+		return nil
+	}
+}
+
 // Names of the flags that several commands use.
 const (
 	flagControl     = "control"
