--- a/agent/daemon/daemon_test.go
+++ b/agent/daemon/daemon_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
+
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
@@ -12,7 +14,7 @@
 )
 
 func TestAnswerIsWholeOwnAndOnItsVersion(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, nil)
 		defer s.end()
 		entry := s.dial()
@@ -30,7 +32,7 @@
 }
 
 func TestOtherVersionIsWithheld(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, func(s *site) {
 			s.engine.RunVersion = func(string, string) string { return "v0" }
 		})
@@ -43,7 +45,7 @@
 }
 
 func TestNoTokenBeyondTheReservation(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, nil)
 		defer s.end()
 		entry := s.dial()
@@ -62,7 +64,7 @@
 }
 
 func TestLargeAnswersAreSplit(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, plainService)
 		defer s.end()
 		lookup := s.filing("")
@@ -74,7 +76,7 @@
 }
 
 func TestAdapterInUseIsNeverEvicted(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, nil)
 		defer s.end()
 		entry := s.dial()
@@ -94,7 +96,7 @@
 }
 
 func TestLostCancelKeepsThePin(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, func(s *site) {
 			s.engine.Slots, s.engine.Address, s.engine.Dial = 1, "engine:8000", s.network.Dialer("engine")
 			s.engine.Listen = s.network.Listen
@@ -115,7 +117,7 @@
 }
 
 func TestWithdrawnRunEndsAtTheEngine(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, func(s *site) { s.engine.Places = 1 })
 		defer s.end()
 		entry := s.dial()
@@ -130,7 +132,7 @@
 }
 
 func TestVersionSwitchInTraffic(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, nil)
 		defer s.end()
 		entry := s.dial()
@@ -147,7 +149,7 @@
 }
 
 func TestPersonTakesTheLongRunsPlace(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, func(s *site) { s.engine.Places = 2 })
 		defer s.end()
 		entry := s.dial()
@@ -173,7 +175,7 @@
 }
 
 func TestSuspectsRunApart(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, nil)
 		defer s.end()
 		entry := s.dial()
--- a/agent/daemon/fail_test.go
+++ b/agent/daemon/fail_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
+
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
@@ -13,7 +15,7 @@
 )
 
 func TestCrashReportsAllThatRan(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, func(s *site) { s.engine.Poison = "poison" })
 		defer s.end()
 		entry := s.dial()
@@ -40,7 +42,7 @@
 }
 
 func TestServiceCrashIsReported(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, func(s *site) {
 			plainService(s)
 			s.service.Poison = "poison"
@@ -58,7 +60,7 @@
 }
 
 func TestCrashIsReportedUntilAcknowledged(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, func(s *site) { s.engine.Poison = "poison" })
 		defer s.end()
 		entry := s.dial()
@@ -77,7 +79,7 @@
 }
 
 func TestColdEngineIsRefilledByDemand(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, func(s *site) { s.engine.Slots = 3 })
 		defer s.end()
 		entry := s.dial()
@@ -98,7 +100,7 @@
 }
 
 func TestFailedLoadSendsTheRequestElsewhere(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		broken := true
 		s := start(t, func(s *site) {
 			s.engine.FailLoad = func(adapter, _ string) bool { return adapter == "bad" && broken }
@@ -119,7 +121,7 @@
 }
 
 func TestNoNewWorkWithoutALease(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, nil)
 		defer s.end()
 		entry := s.dial()
@@ -140,7 +142,7 @@
 }
 
 func TestSilentReplicaIsLeft(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, func(s *site) {
 			s.agent.Control = []string{"control:1", "other:1"}
 		})
@@ -158,7 +160,7 @@
 }
 
 func TestNoOrderBeforeTheFencingNumber(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, func(s *site) {
 			s.engine.Fenced = false
 			s.early = true
@@ -180,7 +182,7 @@
 }
 
 func TestNextIncarnationSparesWhatTheFormerRuns(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, func(s *site) {
 			s.engine.Fenced = false
 			s.engine.Slots = 1
@@ -208,7 +210,7 @@
 }
 
 func TestStaticShareWithoutTheCoordinator(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, func(s *site) { s.hideCoordinator = true })
 		defer s.end()
 		entry := s.dial()
@@ -224,7 +226,7 @@
 }
 
 func TestQuarantinedContentIsRefused(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, nil)
 		defer s.end()
 		entry := s.dial()
--- a/agent/daemon/once_test.go
+++ b/agent/daemon/once_test.go
@@ -5,13 +5,15 @@
 	"testing"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
+
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 )
 
 func TestFilingRunsOnceWhenSentAgain(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, plainService)
 		defer s.end()
 		entry := s.dial()
@@ -29,7 +31,7 @@
 }
 
 func TestFilingIsFinishedWithoutItsEntry(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, func(s *site) {
 			plainService(s)
 			s.service.Delay = 2 * time.Second
@@ -51,7 +53,7 @@
 }
 
 func TestProbedFilingNeverRunsLater(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, plainService)
 		defer s.end()
 		entry := s.dial()
@@ -65,7 +67,7 @@
 }
 
 func TestAttemptForAnotherIncarnationIsRefused(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, plainService)
 		defer s.end()
 		entry := s.dial()
@@ -78,7 +80,7 @@
 }
 
 func TestUnreachedServiceIsNotRun(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, func(s *site) {
 			plainService(s)
 			s.service.Address = "service:80"
@@ -95,7 +97,7 @@
 }
 
 func TestLeavingEndpointGetsNothingNew(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, func(s *site) { s.engine.Places = 1 })
 		defer s.end()
 		entry := s.dial()
@@ -119,7 +121,7 @@
 }
 
 func TestStopCutsOffNoRun(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, func(s *site) {
 			s.engine.Places = 2
 			s.ownStop = true
@@ -153,7 +155,7 @@
 }
 
 func TestSilentEndpointIsLost(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, nil)
 		defer s.end()
 		entry := s.dial()
@@ -168,7 +170,7 @@
 }
 
 func TestOverloadRefusesTheLeastUrgent(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := start(t, func(s *site) {
 			s.engine.Places = 1
 			s.bound = 4
--- a/agent/daemon/site_test.go
+++ b/agent/daemon/site_test.go
@@ -5,12 +5,10 @@
 	"crypto/sha256"
 	"fmt"
 	"net"
-	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -112,16 +110,6 @@
 	return c.record
 }
 
-// bubble runs a test in virtual time. The mux library pools timers in a global
-// pool; one made in an earlier bubble must not be used in this one, and two
-// collections empty the pool.
-func bubble(t *testing.T, body func(t *testing.T)) {
-	t.Helper()
-	runtime.GC()
-	runtime.GC()
-	synctest.Test(t, body)
-}
-
 // start builds a site in a bubble; change may alter it before it runs.
 func start(t *testing.T, change func(*site)) *site {
 	network := vnet.New()
--- a/agent/dedup/book_test.go
+++ b/agent/dedup/book_test.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerspindle/tanagerspindle/agent/dedup"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 )
 
@@ -55,7 +55,7 @@
 }
 
 func TestForgettingEarlyIsNeverANo(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		book := &dedup.Book{Incarnation: incarnation, Bound: 2, Window: time.Hour}
 		for n := range 3 {
 			require.Equal(t, call.ReasonNone, book.Begin(attempt(n, false)))
--- a/agent/queue/queue_test.go
+++ b/agent/queue/queue_test.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerspindle/tanagerspindle/agent/queue"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 )
 
@@ -20,7 +20,7 @@
 func always(*queue.Item) bool { return true }
 
 func TestTokensAreSharedFairlyUnderAFlood(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		q := &queue.Queue{}
 		for range 400 {
 			q.Push(item("flood", call.ClassPerson, 800))
@@ -41,7 +41,7 @@
 }
 
 func TestEveryLongRunIsServedUnderUrgentLoad(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		q := &queue.Queue{}
 		small := item("a", call.ClassLong, 100)
 		large := item("b", call.ClassLong, 16_000)
@@ -62,7 +62,7 @@
 }
 
 func TestOverloadShedsTheLeastUrgentNewest(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		q := &queue.Queue{Bound: 3}
 		first := item("a", call.ClassLong, 100)
 		second := item("a", call.ClassLong, 100)
@@ -78,7 +78,7 @@
 }
 
 func TestOverloadShedsTheFloodingWorkspace(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		q := &queue.Queue{Bound: 10}
 		for range 10 {
 			q.Push(item("flood", call.ClassPerson, 100))
--- a/agent/runner/model.go
+++ b/agent/runner/model.go
@@ -30,6 +30,8 @@
 	var waited time.Duration
 	if t.missing {
 		waited = time.Since(t.item.Arrived)
+		t.runner.count("load_waits")
+		t.runner.Host.Meter.Add("load_wait_us", waited.Microseconds())
 	}
 	last := time.Now()
 	end, err := ep.engine.Run(ctx, t.item.Attempt, func(text, version string) error {
--- a/ctrl/folder/folder_test.go
+++ b/ctrl/folder/folder_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/event"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
@@ -74,7 +75,7 @@
 // run starts a bench whose folder and committed configuration have the given
 // rates, with 0 for an empty one, and a record when it is not nil.
 func run(t *testing.T, folder, committed int64, number uint64, body func(b *bench)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := &bench{t: t, control: &control{winner: "someone"}, dir: t.TempDir(), record: filepath.Join(t.TempDir(), "record")}
 		b.commit(number, committed)
 		b.write("a.json", text(folder))
--- a/ctrl/node/group_test.go
+++ b/ctrl/node/group_test.go
@@ -11,11 +11,11 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/event"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
@@ -56,7 +56,7 @@
 	// be used in another: two collections empty the pool.
 	runtime.GC()
 	runtime.GC()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		g := &group{
 			t: t, seed: seed, network: vnet.New(),
 			disks: map[string]*disk.Memory{}, replicas: map[string]*replica{},
--- a/entry/daemon/world_test.go
+++ b/entry/daemon/world_test.go
@@ -10,12 +10,12 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/daemon"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/digest"
@@ -206,7 +206,7 @@
 	// that none of another bubble is used in this one.
 	runtime.GC()
 	runtime.GC()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		defer w.close()
 		test(w)
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -2,16 +2,16 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/lease"
 )
 
 func TestLeaseCountsFromTheSending(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		held := &lease.Lease{}
 		require.False(t, held.Valid())
 		held.Sent(1)
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/vnet"
@@ -23,7 +23,7 @@
 }
 
 func TestSessionGoesSilent(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		network := vnet.New()
 		network.Latency = func(string, string) time.Duration { return time.Millisecond }
 		listener, err := network.Listen("agent:1")
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"os"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 )
@@ -42,7 +42,7 @@
 // between replicas, restart and die. A delta holds no record twice sent.
 func TestRostersConverge(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		synctest.Test(t, func(*testing.T) {
+		bubble.Test(t, func(*testing.T) {
 			replicas := [3]roster.Roster{}
 			follower := &roster.Roster{}
 			beat, incarnation := map[string]uint64{}, map[string]uint64{}
@@ -84,7 +84,7 @@
 }
 
 func TestRestartedReplicaKeepsCounting(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		before, entry := &roster.Roster{}, &roster.Roster{}
 		for beat := range uint64(5) {
 			before.Report(1, roster.Record{Agent: "a", Incarnation: 1, Fence: 1, Beat: beat})
@@ -99,7 +99,7 @@
 }
 
 func TestWholeRosterRemovesForgottenAgents(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		replica, entry := &roster.Roster{}, &roster.Roster{}
 		replica.Report(1, roster.Record{Agent: "dead", Incarnation: 1, Beat: 1})
 		replica.Report(1, roster.Record{Agent: "alive", Incarnation: 1, Beat: 1})
--- a/pkg/uplink/uplink_test.go
+++ b/pkg/uplink/uplink_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
@@ -27,7 +27,7 @@
 }
 
 func TestUplinkLeavesASilentReplica(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		network := vnet.New()
 		ctx, cancel := context.WithCancel(t.Context())
 		for number, address := range []string{"c0:1", "c1:1"} {
--- a/pkg/vnet/vnet_test.go
+++ b/pkg/vnet/vnet_test.go
@@ -5,11 +5,11 @@
 	"io"
 	"net"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/vnet"
 )
 
@@ -44,7 +44,7 @@
 	}
 	for _, scenario := range scenarios {
 		t.Run(scenario.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				network := vnet.New()
 				network.Latency = func(string, string) time.Duration { return 5 * time.Millisecond }
 				near, far := connect(t, network)
@@ -61,7 +61,7 @@
 }
 
 func TestDialWaitsBehindAPartition(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		network := vnet.New()
 		network.Cut("b", "a")
 		_, err := network.Listen("b:1")
--- a/spindle/cmds/cmds_test.go
+++ b/spindle/cmds/cmds_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/urfave/cli/v3"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/burn"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
@@ -103,7 +104,7 @@
 	runtime.GC()
 	runtime.GC()
 	var text string
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		network := vnet.New()
 		ctx, cancel := context.WithCancel(context.Background())
 		for _, name := range []string{"c1", "c2"} {
--- a/stubs/bench/bench.go
+++ b/stubs/bench/bench.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
@@ -22,6 +23,11 @@
 	settleTime = 5 * time.Minute
 )
 
+// ports gives the deployment's port names their numbers.
+var ports = map[string]string{
+	"control": "7000", "agent": "7001", "notice": "7002", "http": "8080", "engine": "8000", "service": "8001",
+}
+
 // Kind classifies the failures of this package.
 type Kind string
 
@@ -98,11 +104,11 @@
 	return &fleet.Fleet{
 		Shape: b.Deployment.Shape,
 		Net: fleet.Net{
-			Address: func(host, port string) string { return host + ":" + port },
+			Address: func(host, port string) string { return host + ":" + ports[port] },
 			Listen:  network.Listen,
 			Dialer:  network.Dialer,
 		},
-		Folder:    b.Folder,
+		Folder: b.Folder, Log: os.Stderr,
 		TuneEntry: b.Variant.Entry, TuneAgent: b.Variant.Agent, TuneControl: b.Variant.Control,
 	}
 }
--- a/stubs/bench/deployment.go
+++ b/stubs/bench/deployment.go
@@ -8,6 +8,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/digest"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
 	"github.com/tanagerspindle/tanagerspindle/stubs/crowd"
 	"github.com/tanagerspindle/tanagerspindle/stubs/fleet"
 )
@@ -109,9 +110,11 @@
 
 // config is the configuration that the tenants need.
 func (d *Deployment) config(tenants []crowd.Tenant) *conf.Config {
-	config := conf.Default()
-	config.Number = 1
-	config.Weights = d.Weights
+	config := &conf.Config{
+		Number: 1, Weights: d.Weights,
+		Workspaces: map[string]conf.Workspace{}, Keys: map[string]conf.Key{},
+		Adapters: map[string]conf.Adapter{}, Routes: map[string]conf.Route{},
+	}
 	var names []string
 	for index := range tenants {
 		tenant := &tenants[index]
@@ -130,9 +133,9 @@
 	}
 	config.Routes["filings"] = conf.Route{
 		Kind: conf.KindService, Path: "/filings", Methods: []string{"POST"}, Service: fleet.Service, Workspaces: names, Cost: 1,
-		Once: true, Window: 24 * 3600 * 1e9,
+		Once: true, Window: span.Duration(24 * time.Hour),
 	}
-	return &config
+	return config
 }
 
 // latency returns the time one way between two hosts.
--- a/stubs/fleet/fleet.go
+++ b/stubs/fleet/fleet.go
@@ -14,12 +14,14 @@
 	"time"
 
 	agent "github.com/tanagerspindle/tanagerspindle/agent/daemon"
+	"github.com/tanagerspindle/tanagerspindle/agent/runner"
 	control "github.com/tanagerspindle/tanagerspindle/ctrl/daemon"
 	entry "github.com/tanagerspindle/tanagerspindle/entry/daemon"
 	"github.com/tanagerspindle/tanagerspindle/pkg/event"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
+	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 	"github.com/tanagerspindle/tanagerspindle/stubs/model"
 	"github.com/tanagerspindle/tanagerspindle/stubs/plain"
 	"github.com/tanagerspindle/tanagerspindle/stubs/store"
@@ -106,6 +108,7 @@
 	context context.Context
 	parts   map[string]*part
 	meters  map[string]*meter.Meter
+	runners map[string]*runner.Runner
 }
 
 // part is one running process.
@@ -120,6 +123,7 @@
 	f.context = ctx
 	f.parts = map[string]*part{}
 	f.meters = map[string]*meter.Meter{}
+	f.runners = map[string]*runner.Runner{}
 	f.Store = &store.Store{Rate: f.Shape.Loads}
 	for index := range f.Shape.Control {
 		f.StartControl(index)
@@ -249,6 +253,7 @@
 	if f.TuneAgent != nil {
 		f.TuneAgent(daemon)
 	}
+	f.keepRunner(name, daemon)
 	f.run(name, daemon.Run)
 }
 
@@ -343,6 +348,30 @@
 	return f.meters[name]
 }
 
+// keepRunner remembers the agent's runner, for reading its state.
+func (f *Fleet) keepRunner(name string, daemon *agent.Daemon) {
+	tune := daemon.Tune
+	daemon.Tune = func(r *runner.Runner) {
+		if tune != nil {
+			tune(r)
+		}
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		f.runners[name] = r
+	}
+}
+
+// Record returns the present report of an agent; nil when it does not run.
+func (f *Fleet) Record(name string) *roster.Record {
+	f.mutex.Lock()
+	running := f.runners[name]
+	f.mutex.Unlock()
+	if running == nil {
+		return nil
+	}
+	return running.Record()
+}
+
 // Entries lists the entries' addresses for callers.
 func (f *Fleet) Entries() []string {
 	addresses := make([]string, 0, f.Shape.Entries)
--- a/stubs/model/token.go
+++ b/stubs/model/token.go
@@ -51,3 +51,14 @@
 
 // Count returns the number of tokens of a prompt.
 func Count(prompt string) int { return (len(prompt) + bytesPerToken - 1) / bytesPerToken }
+
+// Priority returns the priority of a request body; 0 is the most urgent.
+func Priority(body []byte) int {
+	var asked struct {
+		Priority int `json:"priority"`
+	}
+	if err := json.Unmarshal(body, &asked); err != nil {
+		return 0
+	}
+	return asked.Priority
+}
