--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -77,6 +77,8 @@
 	// Watch runs beside the replica and submits the operators' folder, by
 	// Fetch and Submit; nil does nothing. It must return when ctx ends.
 	Watch func(ctx context.Context) error
+	// Choose replaces the load coordinator's choice; nil keeps it.
+	Choose func(now time.Time, candidates []permit.Candidate) int
 
 	once    sync.Once
 	node    *node.Node
@@ -90,7 +92,7 @@
 // prepare builds the parts once.
 func (d *Daemon) prepare() {
 	d.once.Do(func() {
-		d.permits = &permit.Coordinator{Host: d.Host, Loads: d.Loads, Flight: d.Flight}
+		d.permits = &permit.Coordinator{Host: d.Host, Loads: d.Loads, Flight: d.Flight, Choose: d.Choose}
 		d.node = d.newNode()
 		d.feeds = &feeds.Feeds{
 			Host: d.Host, Name: d.Name, Peers: d.others(), Loads: d.Loads,
--- a/ctrl/quota/quota_test.go
+++ b/ctrl/quota/quota_test.go
@@ -7,13 +7,13 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/quota"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
@@ -44,7 +44,7 @@
 }
 
 func inWorld(t *testing.T, limits conf.Workspace, workspaces int, run func(w *world)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &world{t: t, config: &conf.Config{Number: 1, Workspaces: map[string]conf.Workspace{}}}
 		for i := range workspaces {
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -74,6 +74,8 @@
 	// them.
 	Choose func(candidates []picker.Candidate) int
 	Infer  func(class.Features) call.Class
+	// Grant replaces the exchange of tokens with control; nil keeps it.
+	Grant func(ctx context.Context, ask *plane.GrantAsk, reply *plane.GrantReply) error
 }
 
 // entry is the running parts of a daemon.
@@ -210,6 +212,9 @@
 }
 
 func (e *entry) grant(ctx context.Context, ask *plane.GrantAsk, reply *plane.GrantReply) error {
+	if e.daemon.Grant != nil {
+		return e.daemon.Grant(ctx, ask, reply)
+	}
 	return exchange(ctx, e.uplink, plane.MethodGrant, ask, reply)
 }
 
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
+	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 )
 
