--- a/pkg/codec/decode.go
+++ b/pkg/codec/decode.go
@@ -1,272 +1,159 @@
 package codec
 
 import (
-	"encoding/binary"
 	"fmt"
 	"math"
 	"reflect"
-	"strconv"
-	"strings"
-	"sync"
-)
 
-// The wire types of protobuf.
-const (
-	wireVarint  = 0
-	wireFixed64 = 1
-	wireBytes   = 2
-	wireFixed32 = 5
+	"google.golang.org/protobuf/encoding/protowire"
 )
 
-// unmarshal fills the struct that message points to. The library's own
-// decoder is not used: it grows lists through an internal function of the Go
-// runtime whose signature has changed, and crashes the process at the eleventh
-// element of any list.
-func unmarshal(data []byte, message any) error {
-	target := reflect.ValueOf(message)
-	if target.Kind() != reflect.Pointer || target.IsNil() || target.Elem().Kind() != reflect.Struct {
-		return fmt.Errorf("%T is not a pointer to a struct", message)
-	}
-	return decodeStruct(data, target.Elem())
-}
-
-// layouts holds the field numbers of struct types: map[uint64]int by
-// reflect.Type.
-var layouts sync.Map
-
-// layoutOf returns the index of the struct field for each protobuf number.
-func layoutOf(t reflect.Type) map[uint64]int {
-	if known, ok := layouts.Load(t); ok {
-		return known.(map[uint64]int)
-	}
-	layout := map[uint64]int{}
-	for i := range t.NumField() {
-		parts := strings.Split(t.Field(i).Tag.Get("protobuf"), ",")
-		if len(parts) < 2 {
-			continue
-		}
-		number, err := strconv.ParseUint(parts[1], 10, 29)
-		if err == nil {
-			layout[number] = i
-		}
-	}
-	layouts.Store(t, layout)
-	return layout
-}
-
-func decodeStruct(data []byte, target reflect.Value) error {
-	layout := layoutOf(target.Type())
+func (p *plan) decode(data []byte, value reflect.Value) error {
 	for len(data) > 0 {
-		number, value, rest, err := readField(data)
-		if err != nil {
-			return err
+		number, wire, size := protowire.ConsumeTag(data)
+		if size < 0 {
+			return protowire.ParseError(size)
 		}
-		data = rest
-		index, ok := layout[number]
-		if !ok {
-			continue
+		data = data[size:]
+		size = protowire.ConsumeFieldValue(number, wire, data)
+		if size < 0 {
+			return protowire.ParseError(size)
 		}
-		if err := decodeField(value, target.Field(index)); err != nil {
-			return fmt.Errorf("field %d of %s: %w", number, target.Type(), err)
+		index, known := p.byNumber[number]
+		if known {
+			part := &p.fields[index]
+			if err := part.item.decodeField(data[:size], wire, value.Field(part.index)); err != nil {
+				return fmt.Errorf("field %d: %w", number, err)
+			}
 		}
+		data = data[size:]
 	}
 	return nil
 }
 
-// wireValue is one value as it is on the wire.
-type wireValue struct {
-	kind  int
-	bits  uint64
-	bytes []byte
-}
-
-// readField reads one field and returns what follows it.
-func readField(data []byte) (number uint64, value wireValue, rest []byte, err error) {
-	tag, n := binary.Uvarint(data)
-	if n <= 0 {
-		return 0, value, nil, fmt.Errorf("bad tag")
+// decodeField reads one occurrence of a field; data is exactly its value.
+func (i *item) decodeField(data []byte, wire protowire.Type, value reflect.Value) error {
+	if i.shape == shapePacked && wire == i.element.wire {
+		return i.decodeElement(data, wire, value)
 	}
-	value.kind = int(tag & 7)
-	rest, err = value.read(data[n:])
-	return tag >> 3, value, rest, err
-}
-
-func (v *wireValue) read(data []byte) (rest []byte, err error) {
-	switch v.kind {
-	case wireVarint:
-		bits, n := binary.Uvarint(data)
-		if n <= 0 {
-			return nil, fmt.Errorf("bad varint")
-		}
-		v.bits = bits
-		return data[n:], nil
-	case wireFixed64:
-		if len(data) < 8 {
-			return nil, fmt.Errorf("short fixed64")
-		}
-		v.bits = binary.LittleEndian.Uint64(data)
-		return data[8:], nil
-	case wireFixed32:
-		if len(data) < 4 {
-			return nil, fmt.Errorf("short fixed32")
-		}
-		v.bits = uint64(binary.LittleEndian.Uint32(data))
-		return data[4:], nil
-	case wireBytes:
-		size, n := binary.Uvarint(data)
-		if n <= 0 || size > uint64(len(data)-n) {
-			return nil, fmt.Errorf("bad length")
-		}
-		v.bytes = data[n : n+int(size)]
-		return data[n+int(size):], nil
+	if wire != i.wire {
+		return fmt.Errorf("wire type %d instead of %d", wire, i.wire)
 	}
-	return nil, fmt.Errorf("unknown wire type %d", v.kind)
-}
-
-// decodeField sets a field, or adds to it when it is a list or map.
-func decodeField(value wireValue, target reflect.Value) error {
-	switch target.Kind() {
-	case reflect.Map:
-		return decodeEntry(value, target)
-	case reflect.Slice:
-		if target.Type().Elem().Kind() != reflect.Uint8 {
-			return decodeElement(value, target)
-		}
+	switch i.shape {
+	case shapeList:
+		return i.decodeElement(data, wire, value)
+	case shapePacked:
+		return i.decodePacked(data, value)
+	case shapeMap:
+		return i.decodeEntry(data, value)
 	}
-	return decodeValue(value, target)
+	return i.decodeValue(data, value)
 }
 
-// decodeElement adds to a list one element, or several numbers in one run of
-// bytes.
-func decodeElement(value wireValue, target reflect.Value) error {
-	element := target.Type().Elem()
-	if value.kind != wireBytes || !numeric(element.Kind()) {
-		return appendValue(value, target)
-	}
-	for data := value.bytes; len(data) > 0; {
-		packed := wireValue{kind: packedKind(element.Kind())}
-		rest, err := packed.read(data)
-		if err != nil {
-			return err
-		}
-		if err := appendValue(packed, target); err != nil {
-			return err
-		}
-		data = rest
+func (i *item) decodeValue(data []byte, value reflect.Value) error {
+	switch i.shape {
+	case shapeBool:
+		number, _ := protowire.ConsumeVarint(data)
+		value.SetBool(number != 0)
+	case shapeInt:
+		return setInt(data, value)
+	case shapeUint:
+		return setUint(data, value)
+	case shapeFloat:
+		bits, _ := protowire.ConsumeFixed64(data)
+		value.SetFloat(math.Float64frombits(bits))
+	case shapeString:
+		text, _ := protowire.ConsumeBytes(data)
+		value.SetString(string(text))
+	case shapeBytes:
+		bytes, _ := protowire.ConsumeBytes(data)
+		value.SetBytes(append([]byte(nil), bytes...))
+	case shapeStruct:
+		nested, _ := protowire.ConsumeBytes(data)
+		return i.plan.decode(nested, value)
+	case shapePointer:
+		if value.IsNil() {
+			value.Set(reflect.New(value.Type().Elem()))
+		}
+		return i.element.decodeValue(data, value.Elem())
 	}
 	return nil
 }
 
-func appendValue(value wireValue, target reflect.Value) error {
-	element := reflect.New(target.Type().Elem()).Elem()
-	if err := decodeValue(value, element); err != nil {
-		return err
+func setInt(data []byte, value reflect.Value) error {
+	number, _ := protowire.ConsumeVarint(data)
+	if value.OverflowInt(int64(number)) {
+		return fmt.Errorf("number %d does not fit %s", int64(number), value.Type())
 	}
-	target.Set(reflect.Append(target, element))
+	value.SetInt(int64(number))
 	return nil
 }
 
-func numeric(kind reflect.Kind) bool {
-	return kind >= reflect.Bool && kind <= reflect.Float64
+func setUint(data []byte, value reflect.Value) error {
+	number, _ := protowire.ConsumeVarint(data)
+	if value.OverflowUint(number) {
+		return fmt.Errorf("number %d does not fit %s", number, value.Type())
+	}
+	value.SetUint(number)
+	return nil
 }
 
-func packedKind(kind reflect.Kind) int {
-	switch kind {
-	case reflect.Float64:
-		return wireFixed64
-	case reflect.Float32:
-		return wireFixed32
+func (i *item) decodeElement(data []byte, wire protowire.Type, list reflect.Value) error {
+	element := reflect.New(list.Type().Elem()).Elem()
+	if err := i.element.decodeField(data, wire, element); err != nil {
+		return err
 	}
-	return wireVarint
+	list.Set(reflect.Append(list, element))
+	return nil
 }
 
-// decodeEntry adds one entry to a map. The library encodes a map without
-// entries as one of no bytes.
-func decodeEntry(value wireValue, target reflect.Value) error {
-	if value.kind != wireBytes {
-		return fmt.Errorf("map entry has wire type %d", value.kind)
-	}
-	if target.IsNil() {
-		target.Set(reflect.MakeMap(target.Type()))
-	}
-	if len(value.bytes) == 0 {
-		return nil
-	}
-	key := reflect.New(target.Type().Key()).Elem()
-	element := reflect.New(target.Type().Elem()).Elem()
-	for data := value.bytes; len(data) > 0; {
-		number, part, rest, err := readField(data)
-		if err != nil {
-			return err
-		}
-		data = rest
-		switch number {
-		case 1:
-			err = decodeField(part, key)
-		case 2:
-			err = decodeField(part, element)
+func (i *item) decodePacked(data []byte, list reflect.Value) error {
+	packed, _ := protowire.ConsumeBytes(data)
+	for len(packed) > 0 {
+		size := protowire.ConsumeFieldValue(1, i.element.wire, packed)
+		if size < 0 {
+			return protowire.ParseError(size)
 		}
-		if err != nil {
+		if err := i.decodeElement(packed[:size], i.element.wire, list); err != nil {
 			return err
 		}
+		packed = packed[size:]
 	}
-	target.SetMapIndex(key, element)
 	return nil
 }
 
-// decodeValue sets one value that is neither a list nor a map.
-func decodeValue(value wireValue, target reflect.Value) error {
-	switch target.Kind() {
-	case reflect.Pointer:
-		if target.IsNil() {
-			target.Set(reflect.New(target.Type().Elem()))
-		}
-		return decodeValue(value, target.Elem())
-	case reflect.Struct, reflect.String, reflect.Slice:
-		if value.kind != wireBytes {
-			return fmt.Errorf("%s has wire type %d", target.Type(), value.kind)
+func (i *item) decodeEntry(data []byte, table reflect.Value) error {
+	entry, _ := protowire.ConsumeBytes(data)
+	key := reflect.New(table.Type().Key()).Elem()
+	value := reflect.New(table.Type().Elem()).Elem()
+	for len(entry) > 0 {
+		number, wire, size := protowire.ConsumeTag(entry)
+		if size < 0 {
+			return protowire.ParseError(size)
+		}
+		entry = entry[size:]
+		size = protowire.ConsumeFieldValue(number, wire, entry)
+		if size < 0 {
+			return protowire.ParseError(size)
+		}
+		if err := i.decodeHalf(number, entry[:size], wire, key, value); err != nil {
+			return err
 		}
-		return decodeBytes(value.bytes, target)
-	}
-	if value.kind == wireBytes {
-		return fmt.Errorf("%s has wire type %d", target.Type(), value.kind)
-	}
-	return decodeNumber(value.bits, target)
-}
-
-func decodeBytes(data []byte, target reflect.Value) error {
-	switch target.Kind() {
-	case reflect.Struct:
-		return decodeStruct(data, target)
-	case reflect.String:
-		target.SetString(string(data))
-		return nil
+		entry = entry[size:]
 	}
-	if target.Type().Elem().Kind() != reflect.Uint8 {
-		return fmt.Errorf("%s inside a list", target.Type())
+	if table.IsNil() {
+		table.Set(reflect.MakeMap(table.Type()))
 	}
-	target.SetBytes(append([]byte{}, data...))
+	table.SetMapIndex(key, value)
 	return nil
 }
 
-func decodeNumber(bits uint64, target reflect.Value) error {
-	switch target.Kind() {
-	case reflect.Bool:
-		target.SetBool(bits != 0)
-	case reflect.Int, reflect.Int64:
-		target.SetInt(int64(bits))
-	case reflect.Int32:
-		target.SetInt(int64(int32(bits)))
-	case reflect.Uint, reflect.Uint64:
-		target.SetUint(bits)
-	case reflect.Uint32:
-		target.SetUint(uint64(uint32(bits)))
-	case reflect.Float64:
-		target.SetFloat(math.Float64frombits(bits))
-	case reflect.Float32:
-		target.SetFloat(float64(math.Float32frombits(uint32(bits))))
-	default:
-		return fmt.Errorf("%s cannot be decoded", target.Type())
+func (i *item) decodeHalf(number protowire.Number, data []byte, wire protowire.Type, key, value reflect.Value) error {
+	switch number {
+	case mapKey:
+		return i.key.decodeField(data, wire, key)
+	case mapValue:
+		return i.element.decodeField(data, wire, value)
 	}
 	return nil
 }
--- a/pkg/conf/config.go
+++ b/pkg/conf/config.go
@@ -8,18 +8,19 @@
 // Config is a whole configuration. A committed one is immutable.
 type Config struct {
 	// Number counts accepted configurations from 1; a submission carries the
-	// number that it wants to be.
+	// number that it wants to be. Files may leave it out: then the next number
+	// is asked for.
 	Number uint64 `protobuf:"varint,1,opt" json:"number"`
-	// Workspaces by name.
+	// Workspaces by name: the tenants and their allowances.
 	Workspaces map[string]Workspace `protobuf:"bytes,2,rep" json:"workspaces"`
 	// Keys by the SHA-256 digest of the key in lower-case hexadecimal. Keys
 	// themselves are never written down.
 	Keys map[string]Key `protobuf:"bytes,3,rep" json:"keys"`
-	// Adapters by name.
+	// Adapters by name: the LoRA adapters that may be served.
 	Adapters map[string]Adapter `protobuf:"bytes,4,rep" json:"adapters"`
-	// Routes by name.
+	// Routes by name: they tie callers to adapters and to plain services.
 	Routes map[string]Route `protobuf:"bytes,5,rep" json:"routes"`
-	// Weights order the four measures of service quality.
+	// Weights say which measures of service quality count most.
 	Weights Weights `protobuf:"bytes,6,opt" json:"weights"`
 }
 
@@ -66,10 +67,11 @@
 
 // Route ties callers to an adapter or to a plain service.
 type Route struct {
-	// Kind is KindModel or KindService.
+	// Kind is "model" for a route to an adapter on the model engines, or
+	// "service" for one to a plain service.
 	Kind string `protobuf:"bytes,1,opt" json:"kind"`
-	// Path is the URL path prefix of a service route, starting with "/". The
-	// longest matching prefix wins.
+	// Path is the URL path of a service route, starting with "/". It matches
+	// itself and all paths below it; the longest match wins.
 	Path string `protobuf:"bytes,2,opt" json:"path"`
 	// Methods restricts a service route; empty allows every method.
 	Methods []string `protobuf:"bytes,3,rep" json:"methods"`
@@ -85,19 +87,20 @@
 	Workspaces []string `protobuf:"bytes,7,rep" json:"workspaces"`
 	// Open routes need no key.
 	Open bool `protobuf:"varint,8,opt" json:"open"`
-	// Once says that a request must run at most once. Completions and reads
-	// are idempotent without it.
+	// Once says that a request must run at most once. Only for service
+	// routes; completions and reads may be repeated.
 	Once bool `protobuf:"varint,9,opt" json:"once"`
 	// Window is how long a resend of a request that runs at most once gets
-	// the recorded answer. Zero means DefaultWindow.
+	// the recorded answer. At most 744h.
 	Window span.Duration `protobuf:"varint,10,opt" json:"window"`
-	// Cost is what one call of a service route counts, in tokens.
+	// Cost is what one call of a service route counts, in tokens. Model
+	// routes count their prompts and answers instead.
 	Cost int64 `protobuf:"varint,11,opt" json:"cost"`
-	// Goal is the service level of the route; zero fields fall back to the
-	// workspace's.
+	// Goal is the service level of the route; fields that are missing or zero
+	// fall back to the workspace's.
 	Goal Goal `protobuf:"bytes,12,opt" json:"goal"`
-	// KeyHeader, KeyQuery and KeyCookie name further places where callers put
-	// keys; they are removed before a request goes on.
+	// KeyHeader names headers, beside Authorization, in which callers put
+	// keys. All places of keys are removed before a request goes on.
 	KeyHeader []string `protobuf:"bytes,13,rep" json:"key_header"`
 	// KeyQuery names query parameters that carry keys.
 	KeyQuery []string `protobuf:"bytes,14,rep" json:"key_query"`
@@ -107,11 +110,12 @@
 
 // Goal is a service level.
 type Goal struct {
-	// First is the longest good time to the first token of an answer.
+	// First is the longest good time to the first token of an answer, or to
+	// the answer of a plain service.
 	First span.Duration `protobuf:"varint,1,opt" json:"first"`
 	// Gap is the longest good mean time between two tokens.
 	Gap span.Duration `protobuf:"varint,2,opt" json:"gap"`
-	// Share of the requests that must be good, from 0 to 1.
+	// Share of the requests that must be good, at least 0 and below 1.
 	Share float64 `protobuf:"fixed64,3,opt" json:"share"`
 }
 
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"os"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 )
@@ -58,7 +58,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 60).Draw(rt, "steps")
 		replicas, follower := [3]roster.Roster{}, &roster.Roster{}
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			play(t, &replicas, steps)
 			for range 2 {
 				for from := range replicas {
@@ -100,7 +100,7 @@
 }
 
 func TestRestartedReplicaKeepsCounting(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		before, entry := &roster.Roster{}, &roster.Roster{}
 		for beat := range uint64(5) {
 			before.Report(1, roster.Record{Agent: "a", Incarnation: 1, Fence: 1, Beat: beat})
@@ -115,7 +115,7 @@
 }
 
 func TestWholeRosterRemovesForgottenAgents(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		replica, entry := &roster.Roster{}, &roster.Roster{}
 		replica.Report(1, roster.Record{Agent: "dead", Incarnation: 1, Beat: 1})
 		replica.Report(1, roster.Record{Agent: "alive", Incarnation: 1, Beat: 1})
--- a/stubs/crowd/request.go
+++ b/stubs/crowd/request.go
@@ -1,6 +1,7 @@
 package crowd
 
 import (
+	"net/http"
 	"time"
 )
 
@@ -36,7 +37,11 @@
 }
 
 // Answered reports whether a whole answer came.
-func (r *Request) Answered() bool { return r.Status == 200 && r.Whole }
+func (r *Request) Answered() bool { return r.succeeded() && r.Whole }
+
+func (r *Request) succeeded() bool {
+	return r.Status == http.StatusOK || r.Status == http.StatusCreated
+}
 
 // Refused reports whether the system refused the request.
-func (r *Request) Refused() bool { return r.Status != 200 && r.Code != "" }
+func (r *Request) Refused() bool { return !r.succeeded() && r.Code != "" }
