Prove roster, fencing, quarantine and burn over three replicas

Cause: a crash of the leader closed the feeds of healthy followers (deafAfter was 1.5 s, an election with its first failed round takes up to 1.7 s), so every daemon would have moved at each change of leader. Found by the agents that die together with their replica. Change: feeds are closed after 2.2 s without a quorum, which still leaves a daemon 0.8 s of its lease to find another replica.

--- a/ctrl/daemon/cluster_test.go
+++ b/ctrl/daemon/cluster_test.go
@@ -167,6 +167,7 @@
 	lease   lease.Lease
 	roster  roster.Roster
 	session *link.Session
+	stream  *wire.Stream
 	news    chan struct{}
 	ended   chan struct{}
 
@@ -228,7 +229,7 @@
 	if err != nil {
 		return err
 	}
-	d.session, d.news, d.ended = session, make(chan struct{}, 1), make(chan struct{})
+	d.session, d.stream, d.news, d.ended = session, stream, make(chan struct{}, 1), make(chan struct{})
 	d.lease.Reset()
 	d.hello.Vector, d.hello.Number = d.roster.Vector(), d.number()
 	if err := stream.Send(&d.hello); err != nil {
--- /dev/null
+++ b/ctrl/daemon/roster_test.go
@@ -0,0 +1,189 @@
+package daemon_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
+)
+
+// until waits for a condition and returns how long that took.
+func (c *cluster) until(limit time.Duration, holds func() bool, what string) time.Duration {
+	start := time.Now()
+	for !holds() {
+		require.Less(c.t, time.Since(start), limit, what)
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+func (d *client) knows(agent string) bool {
+	_, ok := d.roster.Get(agent)
+	return ok
+}
+
+// An agent that is lost with its VM is out of every entry's roster within four
+// seconds, one that was killed within two, and one that said goodbye at once.
+func TestDeadAgentsLeaveTheRoster(t *testing.T) {
+	inCluster(t, 11, func(c *cluster) {
+		entry := c.connect(c.leader(), entryHello("entry"))
+		far := c.others(c.leader())
+		lost := c.connect(far[0], agentHello("lost", 1))
+		killed := c.connect(far[1], agentHello("killed", 1))
+		c.until(2*time.Second, func() bool { return entry.knows("lost") && entry.knows("killed") }, "join")
+		time.Sleep(5 * time.Second)
+		require.True(c.t, entry.knows("lost") && entry.knows("killed"), "a report without change keeps an agent")
+
+		c.network.Lose("lost")
+		c.until(4*time.Second, func() bool { return !entry.knows("lost") }, "lost with its VM")
+		c.network.Crash("killed")
+		c.until(2*time.Second, func() bool { return !entry.knows("killed") }, "killed")
+		<-killed.ended
+		lost.leave()
+		again := c.connect(far[0], agentHello("lost", 2))
+		c.until(time.Second, func() bool { return entry.knows("lost") }, "started again")
+		again.leave()
+	})
+}
+
+// An agent that moves to another replica stays in the roster, and so do all
+// agents when replicas restart or the leader crashes.
+func TestControlRestartsEmptyNoRoster(t *testing.T) {
+	inCluster(t, 12, func(c *cluster) {
+		leader := c.leader()
+		entry := c.connect(c.others(leader)[0], entryHello("entry"))
+		agents := map[string]*client{}
+		for _, name := range []string{"a", "b", "c"} {
+			agents[name] = c.connect(leader, agentHello(name, 1))
+		}
+		c.until(2*time.Second, func() bool { return len(entry.roster.All()) == 3 }, "join")
+		missing := 0
+		watch := func(limit time.Duration) {
+			for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				if len(entry.roster.All()) < 3 {
+					missing++
+				}
+			}
+		}
+		c.crash(leader)
+		for _, agent := range agents {
+			<-agent.ended
+			require.NoError(c.t, agent.join(c.others(leader)[1]))
+		}
+		watch(8 * time.Second)
+		c.start(leader)
+		watch(20 * time.Second)
+		require.NoError(c.t, agents["a"].join(leader))
+		watch(5 * time.Second)
+		require.Zero(c.t, missing)
+		require.Zero(c.t, entry.now().whole)
+	})
+}
+
+// The agents of a replica that dies together with them are adopted, and
+// expire.
+func TestAgentsLostWithTheirReplica(t *testing.T) {
+	inCluster(t, 13, func(c *cluster) {
+		leader := c.leader()
+		entry := c.connect(c.others(leader)[0], entryHello("entry"))
+		agent := c.connect(leader, agentHello("agent", 1))
+		c.until(2*time.Second, func() bool { return entry.knows("agent") }, "join")
+		c.network.Lose(leader)
+		c.network.Lose("agent")
+		c.until(8*time.Second, func() bool { return !entry.knows("agent") }, "gone with its replica")
+		agent.leave()
+	})
+}
+
+// A new incarnation gets its fencing number only when the former one can hold
+// no lease, unless the engine checks numbers or the former said goodbye. The
+// former is told, wherever it is connected.
+func TestFencing(t *testing.T) {
+	cases := map[string]struct {
+		fenced, bye bool
+		least, most time.Duration
+	}{
+		"engine ignores numbers": {least: 3 * time.Second, most: 4 * time.Second},
+		"engine checks numbers":  {fenced: true, most: time.Second},
+		"former said goodbye":    {bye: true, most: time.Second},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, 14, func(c *cluster) {
+				former := c.connect(c.others(c.leader())[0], agentHello("agent", 9))
+				c.until(time.Second, func() bool { return former.now().fence != 0 }, "the first incarnation waits for nobody")
+				time.Sleep(2 * time.Second)
+				if one.bye {
+					require.NoError(c.t, former.stream.Send(&plane.Beat{Seq: 1000, Bye: true}))
+					<-former.ended
+				}
+				hello := agentHello("agent", 4)
+				hello.Fenced = one.fenced
+				next := c.connect(c.leader(), hello)
+				took := c.until(one.most, func() bool { return next.now().fence != 0 }, "fencing number")
+				require.GreaterOrEqual(c.t, took, one.least)
+				require.Greater(c.t, next.now().fence, former.now().fence)
+				require.False(c.t, former.lease.Valid() && !one.fenced && !one.bye, "both may order the engine")
+				if !one.bye {
+					c.until(2*time.Second, func() bool { return former.now().superseded }, "told")
+					require.NoError(c.t, former.join(c.leader()))
+					<-former.ended
+					require.Equal(c.t, uint64(4), next.hello.Incarnation)
+				}
+			})
+		})
+	}
+}
+
+// Requests of endpoints that died are suspected, quarantined at the second
+// death, and the quarantine reaches every entry; operators lift it.
+func TestPoisonIsQuarantinedBeforeAThirdDeath(t *testing.T) {
+	inCluster(t, 15, func(c *cluster) {
+		entry := c.connect(c.leader(), entryHello("entry"))
+		first := c.connect(c.others(c.leader())[0], agentHello("first", 1))
+		second := c.connect(c.others(c.leader())[1], agentHello("second", 1))
+		time.Sleep(time.Second)
+		crash := []plane.Crash{{Agent: "first", Incarnation: 1, Count: 1, Digests: [][]byte{[]byte("poison"), []byte("other")}}}
+		first.set(func() { first.crash = crash })
+		c.until(time.Second, func() bool { return len(entry.now().bans) == 2 }, "suspects spread")
+		time.Sleep(3 * time.Second)
+		require.True(c.t, entry.now().bans[0].Suspect, "a report that is repeated counts once")
+		second.set(func() {
+			second.record = &roster.Record{Agent: "second", Incarnation: 1, Beat: 2, Digests: [][]byte{[]byte("poison")}}
+		})
+		time.Sleep(100 * time.Millisecond)
+		c.network.Crash("second")
+		c.until(2*time.Second, func() bool {
+			bans := entry.now().bans
+			return len(bans) == 2 && string(bans[1].Digest) == "poison" && !bans[1].Suspect
+		}, "quarantined by the last report of the agent that died")
+		reply := &plane.AdminReply{}
+		require.NoError(c.t, c.call("operator", c.follower(), plane.MethodAdmin, &plane.AdminAsk{Order: plane.OrderLift, Digest: []byte("poison")}, reply))
+		require.Equal(c.t, plane.KindNone, reply.Refused)
+		time.Sleep(2*time.Minute + 3*time.Second)
+		require.Empty(c.t, entry.now().bans, "lifted, and the bystander's suspicion expired")
+	})
+}
+
+// Counts of any entry are in every replica's report.
+func TestBurnIsAddedUp(t *testing.T) {
+	inCluster(t, 16, func(c *cluster) {
+		_, err := c.submit(c.leader(), config(1, 10), "ann", 0)
+		require.NoError(c.t, err)
+		entry := c.connect(c.leader(), entryHello("entry"))
+		other := c.connect(c.follower(), entryHello("other"))
+		for _, d := range []*client{entry, other} {
+			require.NoError(c.t, d.stream.Send(&plane.Beat{Seq: 1, Burn: []plane.Burn{{Workspace: "w", Route: "r", Good: 3, Bad: 1}}}))
+		}
+		time.Sleep(time.Second)
+		for _, r := range c.running {
+			burn := r.Status().Burn
+			require.Len(c.t, burn, 3)
+			require.Equal(c.t, plane.Window{Workspace: "w", Route: "r", Length: burn[0].Length, Good: 6, Bad: 2, Share: 0.9}, burn[0])
+			require.Equal(c.t, []string{"entry", "other"}, r.Status().Entries)
+		}
+	})
+}
--- a/ctrl/feeds/feeds.go
+++ b/ctrl/feeds/feeds.go
@@ -36,8 +36,12 @@
 	// roundTimeout bounds one quorum round or one commit.
 	roundTimeout = time.Second
 	// deafAfter is how long quorum rounds may fail before the feeds are
-	// closed, so that the daemons try another replica.
-	deafAfter = 1500 * time.Millisecond
+	// closed, so that the daemons try another replica before their leases
+	// end. It is longer than an election.
+	deafAfter = 2200 * time.Millisecond
+	// probeAfter is how long no beat may have asked for a quorum round before
+	// one is made without.
+	probeAfter = 500 * time.Millisecond
 	// resendAfter is how long a daemon may take to put a configuration in
 	// force before it gets the whole one again.
 	resendAfter = 3 * time.Second
@@ -273,7 +277,7 @@
 		f.probe(ctx)
 		return
 	}
-	if deaf >= deafAfter/3 {
+	if deaf >= probeAfter {
 		f.probe(ctx)
 	}
 	if listened < silence+sweepInterval {
--- a/ctrl/feeds/serve.go
+++ b/ctrl/feeds/serve.go
@@ -74,7 +74,8 @@
 }
 
 // admit gets an agent's fencing number and then proves that this replica is
-// up to date, the number included.
+// up to date. The enrolment was committed at the leader; without a later quorum
+// round this replica could still show the former incarnation as the newest.
 func (f *Feeds) admit(ctx context.Context, m *member) error {
 	if err := f.enrol(ctx, m); err != nil {
 		return err
@@ -95,11 +96,6 @@
 		_ = m.stream.Send(&plane.Update{Superseded: true})
 		return &Error{Op: "enrol " + m.hello.Name, Kind: KindSuperseded}
 	}
-	// The enrolment was committed at the leader; without a second quorum
-	// round this replica could still show the former incarnation as newest.
-	if _, err := f.barriers.do(ctx, struct{}{}); err != nil {
-		return err
-	}
 	m.fence = fence
 	return nil
 }
