--- /dev/null
+++ b/entry/class/class_test.go
@@ -0,0 +1,98 @@
+package class_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/entry/class"
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+)
+
+func TestInfer(t *testing.T) {
+	cases := []struct {
+		name     string
+		features class.Features
+		want     call.Class
+	}{
+		{"first streamed request of a key", class.Features{Stream: true, MaxTokens: 512, Flight: 1}, call.ClassPerson},
+		{"first whole request of a key", class.Features{MaxTokens: 512, Flight: 1}, call.ClassPerson},
+		{"person who thinks", class.Features{MaxTokens: 4096, Flight: 1, Think: 20 * time.Second, Known: 4}, call.ClassPerson},
+		{"person with two windows", class.Features{Stream: true, MaxTokens: 1024, Flight: 2, Think: 5 * time.Second, Known: 5}, call.ClassPerson},
+		{"back to back, small", class.Features{MaxTokens: 100, Flight: 1, Think: 10 * time.Millisecond, Known: 20, Rate: 2}, call.ClassSoon},
+		{"back to back, large", class.Features{MaxTokens: 4096, Flight: 1, Think: 10 * time.Millisecond, Known: 20, Rate: 2}, call.ClassLong},
+		{"many at once", class.Features{MaxTokens: 512, Flight: 16}, call.ClassLong},
+		{"many at once though streamed", class.Features{Stream: true, MaxTokens: 512, Flight: 16, Known: 9, Think: time.Millisecond}, call.ClassLong},
+		{"large limit but small answers", class.Features{MaxTokens: 8192, Usual: 50, Flight: 1}, call.ClassPerson},
+		{"caller who left and came again", class.Features{MaxTokens: 4096, Flight: 1, Leaves: 1, Resends: 1}, call.ClassPerson},
+		{"lookup", class.Features{Service: true, Flight: 1}, call.ClassPerson},
+		{"filing", class.Features{Service: true, Once: true, Flight: 1}, call.ClassPerson},
+		{"lookups by a program", class.Features{Service: true, Flight: 30, Rate: 50}, call.ClassSoon},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.want, class.Infer(c.features), c.name)
+	}
+}
+
+// traffic runs requests of one key and returns the class of each.
+func traffic(t *testing.T, count, atOnce int, think, answer time.Duration, tokens int64) map[call.Class]int {
+	classes := map[call.Class]int{}
+	synctest.Test(t, func(t *testing.T) {
+		c := &class.Class{}
+		got := make(chan call.Class, count)
+		turns := make(chan byte, count)
+		for at := range count {
+			turns <- byte(at)
+		}
+		close(turns)
+		for range atOnce {
+			go func() {
+				for turn := range turns {
+					r := &chain.Request{Key: "k", MaxTokens: tokens, Start: time.Now(), Digest: []byte{turn}}
+					_ = c.Do(t.Context(), r, func(context.Context, *chain.Request) error {
+						time.Sleep(answer)
+						r.Sent = tokens
+						return nil
+					})
+					got <- r.Class
+					time.Sleep(think)
+				}
+			}()
+		}
+		for range count {
+			classes[<-got]++
+		}
+		time.Sleep(time.Hour)
+	})
+	return classes
+}
+
+func TestPeopleAndBatchesAreToldApartByTheirTraffic(t *testing.T) {
+	person := traffic(t, 50, 1, 8*time.Second, 3*time.Second, 300)
+	require.Equal(t, 50, person[call.ClassPerson])
+	batch := traffic(t, 500, 16, 0, 3*time.Second, 300)
+	require.GreaterOrEqual(t, batch[call.ClassLong], 480)
+	script := traffic(t, 100, 1, 0, 2*time.Second, 3000)
+	require.GreaterOrEqual(t, script[call.ClassLong], 90, "%v", script)
+}
+
+func TestPersonReturnsAfterABatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &class.Class{}
+		ask := func() call.Class {
+			r := &chain.Request{Key: "k", MaxTokens: 300, Start: time.Now()}
+			_ = c.Do(t.Context(), r, func(context.Context, *chain.Request) error { return nil })
+			return r.Class
+		}
+		for range 100 {
+			ask()
+		}
+		require.Equal(t, call.ClassSoon, ask())
+		time.Sleep(3 * time.Minute)
+		require.Equal(t, call.ClassPerson, ask())
+	})
+}
--- a/entry/daemon/relay_test.go
+++ b/entry/daemon/relay_test.go
@@ -187,9 +187,17 @@
 		w.network.Silence("entry", "s1")
 		w.network.Silence("entry", "s2")
 		before := len(w.all("s1", "s2"))
+		claims := 0
+		w.control.onClaim = func(ask *plane.ClaimAsk) {
+			if ask.Verb == plane.VerbClaim {
+				claims++
+			}
+		}
 		got := w.request("POST", "/filing/1", keyAnand, "one")
 		require.Equal(t, 200, got.status, got.body)
+		require.Less(t, got.took, 3*time.Second)
 		require.Len(t, w.all("s1", "s2"), before+1)
+		require.Equal(t, 1, claims)
 	})
 }
 
--- /dev/null
+++ b/entry/picker/picker_test.go
@@ -0,0 +1,216 @@
+package picker_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/picker"
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
+)
+
+func newPicker(records ...roster.Record) *picker.Picker {
+	random := rand.New(rand.NewPCG(1, 2))
+	p := &picker.Picker{Near: "rajkot", Random: random.IntN}
+	p.Update(records)
+	return p
+}
+
+func engine(at int, edit ...func(*roster.Record)) roster.Record {
+	r := roster.Record{Agent: fmt.Sprintf("e%02d", at), Incarnation: 1, Model: "base", DataCentre: "surat", Slots: 4, Places: 10, Ready: true}
+	for _, e := range edit {
+		e(&r)
+	}
+	return r
+}
+
+func engines(count int, edit ...func(*roster.Record)) []roster.Record {
+	var list []roster.Record
+	for at := range count {
+		list = append(list, engine(at, edit...))
+	}
+	return list
+}
+
+func resident(adapter string) func(*roster.Record) {
+	return func(r *roster.Record) {
+		r.Resident = append(r.Resident, roster.Resident{Adapter: adapter, Version: "v1"})
+	}
+}
+
+func running(count int32) func(*roster.Record) {
+	return func(r *roster.Record) { r.Running = count }
+}
+
+func want(adapter string) *picker.Want {
+	return &picker.Want{Model: "base", Adapter: adapter, Version: "v1"}
+}
+
+func TestPickRules(t *testing.T) {
+	leaving := func(r *roster.Record) { r.Leaving = true }
+	down := func(r *roster.Record) { r.Ready = false }
+	near := func(r *roster.Record) { r.DataCentre = "rajkot" }
+	queued := func(r *roster.Record) { r.Queued = []int32{0, 0, 30} }
+	cases := []struct {
+		name    string
+		records []roster.Record
+		want    *picker.Want
+		agent   string
+	}{
+		{"resident before home", append(engines(9), engine(9, resident("a"))), want("a"), "e09"},
+		{"resident though busier", append(engines(9), engine(9, resident("a"), running(15))), want("a"), "e09"},
+		{"of two residents the less loaded", []roster.Record{engine(0, resident("a"), running(8)), engine(1, resident("a"), running(2))}, want("a"), "e01"},
+		{"of equal ones the near", []roster.Record{engine(0, resident("a")), engine(1, resident("a"), near)}, want("a"), "e01"},
+		{"load before data centre", []roster.Record{engine(0, resident("a")), engine(1, resident("a"), near, running(8))}, want("a"), "e00"},
+		{"not a leaving one", []roster.Record{engine(0), engine(1, resident("a"), leaving)}, want("a"), "e00"},
+		{"not one that is not ready", []roster.Record{engine(0), engine(1, resident("a"), down)}, want("a"), "e00"},
+		{"not one tried", []roster.Record{engine(0), engine(1, resident("a"))}, &picker.Want{Model: "base", Adapter: "a", Version: "v1", Tried: []string{"e01"}}, "e00"},
+		{"not another version", []roster.Record{engine(1, resident("a"), down), engine(0)}, &picker.Want{Model: "base", Adapter: "a", Version: "v2"}, "e00"},
+		{"long work in the queue does not count for a person", []roster.Record{engine(0, resident("a"), queued), engine(1, resident("a"), running(5))}, want("a"), "e00"},
+		{"but counts for long work", []roster.Record{engine(0, resident("a"), queued), engine(1, resident("a"), running(5))}, &picker.Want{Model: "base", Adapter: "a", Version: "v1", Class: call.ClassLong}, "e01"},
+		{"none", []roster.Record{engine(0, leaving)}, want("a"), ""},
+	}
+	for _, c := range cases {
+		p := newPicker(c.records...)
+		got, err := p.Pick(c.want)
+		if c.agent == "" {
+			require.Error(t, err, c.name)
+			continue
+		}
+		require.NoError(t, err, c.name)
+		require.Equal(t, c.agent, got.Agent, c.name)
+	}
+}
+
+func TestColdAdaptersHaveOneHomeEach(t *testing.T) {
+	const adapters = 3000
+	first, second := newPicker(engines(9)...), newPicker(engines(9)...)
+	homes := map[string]int{}
+	for at := range adapters {
+		name := fmt.Sprintf("adapter-%d", at)
+		one, err := first.Pick(want(name))
+		require.NoError(t, err)
+		first.Release(one)
+		two, err := second.Pick(want(name))
+		require.NoError(t, err)
+		second.Release(two)
+		require.Equal(t, one.Agent, two.Agent)
+		homes[one.Agent]++
+	}
+	for agent, count := range homes {
+		require.InEpsilon(t, adapters/9, count, 0.2, agent)
+	}
+}
+
+func TestFewHomesMoveWhenAnEndpointLeaves(t *testing.T) {
+	const adapters = 1000
+	all, fewer := newPicker(engines(10)...), newPicker(engines(9)...)
+	moved := 0
+	for at := range adapters {
+		before, _ := all.Pick(want(fmt.Sprint(at)))
+		all.Release(before)
+		after, _ := fewer.Pick(want(fmt.Sprint(at)))
+		fewer.Release(after)
+		if before.Agent != after.Agent {
+			require.Equal(t, "e09", before.Agent)
+			moved++
+		}
+	}
+	require.InEpsilon(t, adapters/10, moved, 0.3)
+}
+
+func TestHotAdapterSpreadsOnlyUnderLoad(t *testing.T) {
+	p := newPicker(engines(9)...)
+	used := map[string]int{}
+	for range 40 {
+		got, err := p.Pick(want("hot"))
+		require.NoError(t, err)
+		used[got.Agent]++
+	}
+	require.Len(t, used, 4, "12 or 13 to a home of 10 places, then to the next")
+	calm := newPicker(engines(9)...)
+	used = map[string]int{}
+	for range 40 {
+		got, err := calm.Pick(want("hot"))
+		require.NoError(t, err)
+		calm.Release(got)
+		used[got.Agent]++
+	}
+	require.Len(t, used, 1)
+}
+
+func TestSentWorkCountsBeforeTheNextReport(t *testing.T) {
+	records := engines(2, resident("a"))
+	p := newPicker(records...)
+	count := map[string]int{}
+	var choices []*picker.Choice
+	for range 20 {
+		got, err := p.Pick(want("a"))
+		require.NoError(t, err)
+		count[got.Agent]++
+		choices = append(choices, got)
+	}
+	require.InDelta(t, 10, count["e00"], 2)
+	for _, choice := range choices {
+		p.Release(choice)
+	}
+	records[0].Running = 8
+	p.Update(records[:1])
+	for range 5 {
+		got, err := p.Pick(want("a"))
+		require.NoError(t, err)
+		require.Equal(t, "e01", got.Agent)
+	}
+}
+
+func TestSuspectsAreKeptApart(t *testing.T) {
+	p := newPicker(engines(2, resident("a"))...)
+	suspect := want("a")
+	suspect.Suspect = true
+	first, err := p.Pick(suspect)
+	require.NoError(t, err)
+	second, err := p.Pick(suspect)
+	require.NoError(t, err)
+	require.NotEqual(t, first.Agent, second.Agent)
+	_, err = p.Pick(suspect)
+	require.Error(t, err)
+	p.Release(first)
+	third, err := p.Pick(suspect)
+	require.NoError(t, err)
+	require.Equal(t, first.Agent, third.Agent)
+}
+
+func TestPromptGoesWhereItsPrefixIs(t *testing.T) {
+	p := newPicker(engines(3, resident("a"))...)
+	asked := want("a")
+	asked.Prefix = []uint64{1, 2, 3}
+	first, err := p.Pick(asked)
+	require.NoError(t, err)
+	p.Release(first)
+	same := 0
+	for range 300 {
+		got, err := p.Pick(asked)
+		require.NoError(t, err)
+		p.Release(got)
+		if got.Agent == first.Agent {
+			same++
+		}
+		first = got
+	}
+	require.Greater(t, same, 150, "two of three draws meet the endpoint with the prefix")
+}
+
+func TestBaselineReplacesTheRules(t *testing.T) {
+	p := newPicker(append(engines(3), engine(3, resident("a")))...)
+	p.Choose = func(candidates []picker.Candidate) int {
+		require.Len(t, candidates, 4)
+		require.True(t, candidates[3].Resident)
+		return 1
+	}
+	got, err := p.Pick(want("a"))
+	require.NoError(t, err)
+	require.Equal(t, "e01", got.Agent)
+}
