--- a/pkg/conf/default.go
+++ b/pkg/conf/default.go
@@ -38,33 +38,3 @@
 		Weights: Weights{Stalls: 1, Batch: 1, Worst: 1, Refused: 1},
 	}
 }
-
-// GoalOf returns the service level of a workspace's requests on a route:
-// each field from the route where it is set, else from the workspace, else
-// the default.
-func (c *Config) GoalOf(workspace, route string) Goal {
-	goal := c.Routes[route].Goal
-	goal = goal.or(c.Workspaces[workspace].Goal)
-	return goal.or(Default().Workspace.Goal)
-}
-
-func (g Goal) or(other Goal) Goal {
-	if g.First == 0 {
-		g.First = other.First
-	}
-	if g.Gap == 0 {
-		g.Gap = other.Gap
-	}
-	if g.Share == 0 {
-		g.Share = other.Share
-	}
-	return g
-}
-
-// WindowOr returns how long outcomes of the route are kept for resends.
-func (r *Route) WindowOr() time.Duration {
-	if r.Window == 0 {
-		return DefaultWindow
-	}
-	return r.Window.Std()
-}
--- a/pkg/setup/setup.go
+++ b/pkg/setup/setup.go
@@ -69,8 +69,9 @@
 	Authority string `json:"authority"`
 	// Open allows listening beyond loopback without certificates.
 	Open bool `json:"open"`
-	// Drain is how long an agent that stops waits for its requests to end. An
-	// entry waits for as long as they take, unless a second signal comes.
+	// Drain bounds how long an agent that stops waits for its requests to end;
+	// 0s waits for as long as they take. An entry always does, unless a second
+	// signal comes.
 	Drain span.Duration `json:"drain"`
 	// Linger is how long an entry that stops goes on accepting requests with
 	// its health check red, until the balancer has let go of it.
@@ -110,7 +111,6 @@
 	return Setup{
 		Loads:  2,
 		Flight: 8,
-		Drain:  span.Duration(30 * time.Second),
 		Linger: span.Duration(5 * time.Second),
 	}
 }
--- a/stubs/fleet/fleet.go
+++ b/stubs/fleet/fleet.go
@@ -8,16 +8,20 @@
 	"io"
 	"net"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	agent "github.com/tanagerspindle/tanagerspindle/agent/daemon"
+	"github.com/tanagerspindle/tanagerspindle/agent/runner"
 	control "github.com/tanagerspindle/tanagerspindle/ctrl/daemon"
 	entry "github.com/tanagerspindle/tanagerspindle/entry/daemon"
 	"github.com/tanagerspindle/tanagerspindle/pkg/event"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
+	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 	"github.com/tanagerspindle/tanagerspindle/stubs/model"
 	"github.com/tanagerspindle/tanagerspindle/stubs/plain"
 	"github.com/tanagerspindle/tanagerspindle/stubs/store"
@@ -104,6 +108,7 @@
 	context context.Context
 	parts   map[string]*part
 	meters  map[string]*meter.Meter
+	runners map[string]*runner.Runner
 }
 
 // part is one running process.
@@ -118,6 +123,7 @@
 	f.context = ctx
 	f.parts = map[string]*part{}
 	f.meters = map[string]*meter.Meter{}
+	f.runners = map[string]*runner.Runner{}
 	f.Store = &store.Store{Rate: f.Shape.Loads}
 	for index := range f.Shape.Control {
 		f.StartControl(index)
@@ -152,6 +158,19 @@
 	return fmt.Sprintf("dc%d", index%max(f.Shape.Centres, 1))
 }
 
+// CentreOf returns the data centre of a host by its name.
+func (f *Fleet) CentreOf(name string) string { return f.Centre(indexOf(name)) }
+
+// indexOf returns the number at the end of a host's name, 0 when it has none.
+func indexOf(name string) int {
+	digits := strings.TrimLeft(name, "abcdefghijklmnopqrstuvwxyz")
+	index, err := strconv.Atoi(digits)
+	if err != nil {
+		return 0
+	}
+	return index
+}
+
 func (f *Fleet) host(name string, index int) host.Host {
 	gauge := meter.New()
 	f.mutex.Lock()
@@ -177,6 +196,9 @@
 	go func() {
 		defer close(started.done)
 		started.err = serve(ctx)
+		if started.err != nil && f.Log != nil {
+			event.New(f.Log, name).Write("process-failed", "err", started.err)
+		}
 	}()
 }
 
@@ -222,15 +244,16 @@
 
 // StartAgent starts or restarts the agent of a name.
 func (f *Fleet) StartAgent(name string) {
-	index := len(name)
-	_, _ = fmt.Sscanf(name[len(name)-1:], "%d", &index)
+	index := indexOf(name)
 	daemon := &agent.Daemon{
 		Host: f.host(name, index), Name: name, Address: f.Net.Address(name, "agent"),
 		Notice: f.Net.Address(name, "notice"), Control: f.controls(index),
+		ListenPlain: f.Net.Listen, DialPlain: f.Net.Dialer(name),
 	}
 	if f.TuneAgent != nil {
 		f.TuneAgent(daemon)
 	}
+	f.keepRunner(name, daemon)
 	f.run(name, daemon.Run)
 }
 
@@ -325,6 +348,30 @@
 	return f.meters[name]
 }
 
+// keepRunner remembers the agent's runner, for reading its state.
+func (f *Fleet) keepRunner(name string, daemon *agent.Daemon) {
+	tune := daemon.Tune
+	daemon.Tune = func(r *runner.Runner) {
+		if tune != nil {
+			tune(r)
+		}
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		f.runners[name] = r
+	}
+}
+
+// Record returns the present report of an agent; nil when it does not run.
+func (f *Fleet) Record(name string) *roster.Record {
+	f.mutex.Lock()
+	running := f.runners[name]
+	f.mutex.Unlock()
+	if running == nil {
+		return nil
+	}
+	return running.Record()
+}
+
 // Entries lists the entries' addresses for callers.
 func (f *Fleet) Entries() []string {
 	addresses := make([]string, 0, f.Shape.Entries)
