Keep resumed answers within their tokens, and tell control what is spent

Cause: an agent counts the tokens of its own attempt, so a resumed attempt that named the request's whole reservation could run past it by what the caller had already; a reservation of none means no limit to it. An answer that lacked only its end mark was sent to another endpoint. Tokens spent but not known to be spent keep room in the bucket at control. Change: attempts and extensions name tokens from their offset on, and a resume pays before it is sent; a complete answer is ended at the entry; Ask.Spent is told with the next ask, or after 200 ms.

--- a/entry/chain/chain.go
+++ b/entry/chain/chain.go
@@ -120,7 +120,7 @@
 	// Reserved is how many answer tokens are paid for. Extend pays for more
 	// and returns the new total; it waits until they are there or ctx ends.
 	Reserved int64
-	Extend   func(ctx context.Context, used int64) (int64, error)
+	Extend   func(ctx context.Context) (int64, error)
 
 	// Claim is called before an attempt of a request that must not repeat is
 	// sent, and Void after one that is proved not to have run. Both are nil
--- a/entry/daemon/control_test.go
+++ b/entry/daemon/control_test.go
@@ -32,6 +32,7 @@
 	refilled time.Time
 	granted  map[string]int64
 	returned map[string]int64
+	spent    map[string]int64
 	claims   map[string]*plane.ClaimReply
 	sums     map[string][]byte
 	// onClaim sees each claim step before it is committed.
@@ -46,6 +47,7 @@
 		refilled: time.Now(),
 		granted:  map[string]int64{},
 		returned: map[string]int64{},
+		spent:    map[string]int64{},
 		claims:   map[string]*plane.ClaimReply{},
 		sums:     map[string][]byte{},
 	}
@@ -165,6 +167,7 @@
 	for i, a := range ask.Asks {
 		c.level[a.Workspace] += float64(a.Unused)
 		c.returned[a.Workspace] += a.Unused
+		c.spent[a.Workspace] += a.Spent
 		if a.Want == 0 {
 			continue
 		}
--- a/entry/daemon/relay_test.go
+++ b/entry/daemon/relay_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -87,6 +88,49 @@
 	}
 }
 
+func TestResumedAnswerStaysWithinItsTokens(t *testing.T) {
+	for _, at := range []int64{1, 40, 63, 64, 65, 100} {
+		inWorld(t, func(w *world) {
+			w.first(func(a *call.Attempt, s *wire.Stream) error {
+				_ = s.Send(&call.Frame{ID: a.ID, Step: call.StepHead, Status: 200})
+				return parts(a, s, at)
+			}, "e1", "e2")
+			got := w.complete(keyAnand, "notes", 100, true)
+			require.Equal(t, words(100), streamed(t, got.body), at)
+			require.Contains(t, got.body, "[DONE]", at)
+			all := w.all("e1", "e2")
+			if at == 100 {
+				require.Len(t, all, 1, "only the end mark was lost")
+				return
+			}
+			slices.SortFunc(all, func(a, b call.Attempt) int { return int(a.Try - b.Try) })
+			require.Equal(t, at, all[1].Offset)
+			require.Positive(t, all[1].Tokens, at)
+			require.LessOrEqual(t, all[1].Offset+all[1].Tokens, int64(100), at)
+			time.Sleep(time.Second)
+			w.control.mutex.Lock()
+			defer w.control.mutex.Unlock()
+			require.Equal(t, int64(2+100), w.control.granted["anand"]-w.control.returned["anand"])
+			require.Equal(t, int64(2+100), w.control.spent["anand"])
+		})
+	}
+}
+
+func TestResumedAnswerWaitsForItsTokens(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.first(func(a *call.Attempt, s *wire.Stream) error {
+			w.control.change(func() { w.control.level["anand"] = -3000 })
+			return parts(a, s, a.Tokens)
+		}, "e1", "e2")
+		got := w.complete(keyAnand, "notes", 100, false)
+		require.Contains(t, got.body, words(100))
+		require.Greater(t, got.took, 2*time.Second)
+		for _, attempt := range w.all("e1", "e2") {
+			require.Positive(t, attempt.Tokens, "an agent takes none for no limit")
+		}
+	})
+}
+
 func TestWrongVersionIsNotAnswered(t *testing.T) {
 	inWorld(t, func(w *world) {
 		for _, name := range []string{"e1", "e2"} {
--- a/entry/daemon/world_test.go
+++ b/entry/daemon/world_test.go
@@ -155,14 +155,14 @@
 // parts sends the words from the offset up to a place, ten milliseconds apart,
 // and waits for tokens as an engine does.
 func parts(a *call.Attempt, stream *wire.Stream, to int64) error {
-	paid := a.Tokens
+	paid := a.Offset + a.Tokens
 	for at := a.Offset; at < to; at++ {
 		for at >= paid {
 			var extend call.Frame
 			if err := stream.Receive(&extend); err != nil {
 				return err
 			}
-			paid = max(paid, extend.Tokens)
+			paid = max(paid, a.Offset+extend.Tokens)
 		}
 		time.Sleep(10 * time.Millisecond)
 		frame := &call.Frame{ID: a.ID, Step: call.StepPart, Index: at - a.Offset, Data: []byte(word(at)), Tokens: 1}
--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
@@ -62,16 +63,19 @@
 type reservation struct {
 	share *share
 	parts []part
-	// total is the sum of parts; answer is how many of them are for the
-	// answer.
+	// total is the sum of parts, spent how many of them are used up, answer
+	// how many are for the answer and base how many for the prompt.
 	total  int64
+	spent  int64
 	answer int64
+	base   int64
 }
 
 // part is tokens taken from one lease.
 type part struct {
 	lease  *held
 	tokens int64
+	spent  int64
 }
 
 // Do pays for the request, runs it, and gives back what it did not use.
@@ -85,19 +89,20 @@
 		return err
 	}
 	paid.answer = answer
-	var sent int64
+	paid.base = need - answer
+	var sent atomic.Int64
 	write := r.Write
 	r.Write = func(frame *call.Frame) error {
 		if frame.Step == call.StepPart {
-			sent += frame.Tokens
+			sent.Add(frame.Tokens)
 		}
 		return write(frame)
 	}
 	r.Reserved = answer
-	r.Extend = func(ctx context.Context, used int64) (int64, error) { return l.extend(ctx, r, paid, used) }
+	r.Extend = func(ctx context.Context) (int64, error) { return l.extend(ctx, r, paid, sent.Load()) }
 	err = next(ctx, r)
 	r.Write = write
-	l.settle(paid, unused(paid, answer, need, sent, err))
+	l.settle(paid, unused(paid, sent.Load(), err))
 	return err
 }
 
@@ -111,12 +116,12 @@
 	return r.PromptTokens + answer, answer
 }
 
-func unused(paid *reservation, first, need, sent int64, err error) int64 {
+// unused returns how many paid tokens were not needed.
+func unused(paid *reservation, sent int64, err error) int64 {
 	if err != nil && chain.RefusalOf(err).Ran == chain.RanNo {
 		return paid.total
 	}
-	spent := need - first + sent
-	return max(paid.total-spent, 0)
+	return max(paid.total-paid.base-sent, 0)
 }
 
 // reserve takes tokens, or waits for them while the caller probably does.
@@ -192,13 +197,14 @@
 }
 
 // extend pays for a further piece of the answer and waits as long as it takes.
-func (l *Limit) extend(ctx context.Context, r *chain.Request, paid *reservation, _ int64) (int64, error) {
+func (l *Limit) extend(ctx context.Context, r *chain.Request, paid *reservation, sent int64) (int64, error) {
 	piece := min(max(paid.answer, firstPiece), longestPiece, r.MaxTokens-paid.answer)
 	if piece <= 0 {
 		return paid.answer, nil
 	}
 	w := &waiter{need: piece, class: r.Class, due: time.Now().Add(-extendLead), paid: paid, done: make(chan error, 1), extends: true}
 	l.mutex.Lock()
+	paid.spend(time.Now(), paid.base+sent)
 	if len(paid.share.waiters) == 0 && paid.share.take(time.Now(), piece, paid) {
 		w.done <- nil
 	} else {
@@ -234,6 +240,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	paid.share.giveBack(time.Now(), paid, tokens)
+	paid.spend(time.Now(), paid.total)
 	l.serve(paid.share, time.Now())
 }
 
--- a/entry/limit/share.go
+++ b/entry/limit/share.go
@@ -13,6 +13,9 @@
 	idleReturn = 200 * time.Millisecond
 	// endReturn is how long before its end a lease's tokens go back.
 	endReturn = 400 * time.Millisecond
+	// tellSpent is how long spent tokens are gathered before control is told
+	// of them. Until it knows, they keep room in the bucket.
+	tellSpent = 200 * time.Millisecond
 	// aheadTime is how much of the recent spending is leased ahead.
 	aheadTime = 250 * time.Millisecond
 	// spendTime is the time over which spending is averaged.
@@ -49,6 +52,10 @@
 	left  int64
 	until time.Time
 	used  time.Time
+	// spent is how many tokens were used up since control was last told, and
+	// since is when the first of them were.
+	spent int64
+	since time.Time
 }
 
 // waiter is a request that needs tokens.
@@ -94,13 +101,33 @@
 	return sum
 }
 
-// giveBack returns tokens to the leases they came from, last ones first.
-// Those of a lease that has ended are lost.
+// spend notes that the first tokens of a reservation, up to a sum, are used
+// up.
+func (p *reservation) spend(now time.Time, sum int64) {
+	sum -= p.spent
+	for i := range p.parts {
+		part := &p.parts[i]
+		tokens := min(part.tokens-part.spent, sum)
+		if tokens <= 0 {
+			continue
+		}
+		part.spent += tokens
+		p.spent += tokens
+		sum -= tokens
+		if part.lease.spent == 0 {
+			part.lease.since = now
+		}
+		part.lease.spent += tokens
+	}
+}
+
+// giveBack returns unspent tokens to the leases they came from, last ones
+// first. Those of a lease that has ended are lost.
 func (s *share) giveBack(now time.Time, paid *reservation, tokens int64) {
 	paid.total -= tokens
 	for i := len(paid.parts) - 1; i >= 0 && tokens > 0; i-- {
 		part := &paid.parts[i]
-		returned := min(part.tokens, tokens)
+		returned := min(part.tokens-part.spent, tokens)
 		part.tokens -= returned
 		tokens -= returned
 		if now.Before(part.lease.until) {
@@ -174,8 +201,10 @@
 
 // asks returns what to ask of control now, and takes out what goes back.
 func (s *share) asks(now time.Time) []plane.Ask {
-	asks := s.returns(now)
-	if want, least := s.want(now); want > 0 && !now.Before(s.askAt) {
+	want, least := s.want(now)
+	asking := want > 0 && !now.Before(s.askAt)
+	asks := s.returns(now, asking)
+	if asking {
 		asks = append(asks, plane.Ask{Workspace: s.workspace, Want: want, Least: least})
 	}
 	return asks
@@ -200,8 +229,9 @@
 	return max(want-available, least), least
 }
 
-// returns gives back the tokens of leases that are idle or about to end.
-func (s *share) returns(now time.Time) []plane.Ask {
+// returns gives back the tokens of leases that are idle or about to end, and
+// tells of spent ones; of few or new ones only when control is asked anyway.
+func (s *share) returns(now time.Time, asking bool) []plane.Ask {
 	var asks []plane.Ask
 	kept := s.leases[:0]
 	for _, lease := range s.leases {
@@ -209,12 +239,20 @@
 			continue
 		}
 		kept = append(kept, lease)
+		ask := plane.Ask{Workspace: s.workspace, Lease: lease.id}
 		idle := now.Sub(lease.used) >= idleReturn && len(s.waiters) == 0
 		ending := lease.until.Sub(now) < endReturn
-		if lease.left > 0 && (idle || ending) {
-			asks = append(asks, plane.Ask{Workspace: s.workspace, Unused: lease.left, Lease: lease.id})
+		if idle || ending {
+			ask.Unused = lease.left
 			lease.left = 0
 		}
+		if asking || ask.Unused > 0 || now.Sub(lease.since) >= tellSpent {
+			ask.Spent = lease.spent
+			lease.spent = 0
+		}
+		if ask.Unused > 0 || ask.Spent > 0 {
+			asks = append(asks, ask)
+		}
 	}
 	clear(s.leases[len(kept):])
 	s.leases = kept
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -48,8 +48,8 @@
 	passed bool
 
 	mutex sync.Mutex
-	// paid is how many tokens the agent may generate in all; asking says that
-	// more are being paid for.
+	// paid is how many tokens the answer may have in all so far; asking says
+	// that more are being paid for.
 	paid   int64
 	asking bool
 }
@@ -61,7 +61,7 @@
 		return verdictElsewhere, err
 	}
 	defer func() { _ = stream.Close() }()
-	e := &exchange{job: j, attempt: a, session: s, stream: stream, paid: a.Tokens}
+	e := &exchange{job: j, attempt: a, session: s, stream: stream, paid: j.request.Reserved}
 	stop := context.AfterFunc(ctx, e.cancel)
 	defer stop()
 	if err := stream.Send(a); err != nil {
@@ -278,7 +278,7 @@
 }
 
 func (e *exchange) extend(ctx context.Context) {
-	total, err := e.job.request.Extend(ctx, e.paid)
+	total, err := e.job.request.Extend(ctx)
 	e.mutex.Lock()
 	e.asking = false
 	if err != nil || total <= e.paid {
@@ -288,5 +288,5 @@
 	e.paid = total
 	e.job.request.Reserved = total
 	e.mutex.Unlock()
-	_ = e.stream.Send(&call.Frame{ID: e.attempt.ID, Step: call.StepExtend, Tokens: total})
+	_ = e.stream.Send(&call.Frame{ID: e.attempt.ID, Step: call.StepExtend, Tokens: total - e.attempt.Offset})
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -111,6 +111,12 @@
 		if err := j.allowed(ctx); err != nil {
 			return err
 		}
+		if j.complete() {
+			return j.finish()
+		}
+		if err := j.pay(ctx); err != nil {
+			return err
+		}
 		choice, err := j.pick(ctx)
 		if err != nil {
 			return err
@@ -143,6 +149,31 @@
 	return nil
 }
 
+// complete reports whether the caller has all tokens that it asked for and
+// only the end mark was lost.
+func (j *job) complete() bool {
+	return j.request.Adapter != "" && !j.request.Once && j.tokens > 0 && j.tokens >= j.request.MaxTokens
+}
+
+func (j *job) finish() error {
+	return j.request.Write(&call.Frame{Step: call.StepEnd, Tokens: j.tokens, Version: j.request.Version, Finish: "length"})
+}
+
+// pay makes sure that a resumed answer has tokens to go on with; an agent takes
+// a reservation of none for no limit.
+func (j *job) pay(ctx context.Context) error {
+	q := j.request
+	if q.Adapter == "" || q.Extend == nil || q.Reserved > j.tokens {
+		return nil
+	}
+	total, err := q.Extend(ctx)
+	if err != nil {
+		return chain.Gone(ctx, j.ran)
+	}
+	q.Reserved = total
+	return nil
+}
+
 // refusal says truthfully whether the request may have run.
 func (j *job) refusal(refusal *chain.Refusal) error {
 	if j.ran == chain.RanUnknown {
@@ -256,7 +287,7 @@
 		Version:   q.Version,
 		Service:   q.Service,
 		Class:     q.Class,
-		Tokens:    q.Reserved,
+		Tokens:    max(q.Reserved-j.tokens, 0),
 		MaxTokens: q.MaxTokens,
 		Prompt:    q.PromptTokens,
 		Offset:    j.tokens,
