--- a/pkg/strict/document.go
+++ b/pkg/strict/document.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"regexp"
 	"slices"
 	"strconv"
@@ -236,31 +235,3 @@
 	}
 	return text
 }
-
-// Text returns the document as standard JSON, members in the order of their
-// names.
-func (d *Document) Text() []byte {
-	text, err := json.Marshal(d.root.plain())
-	if err != nil {
-		return nil
-	}
-	return text
-}
-
-func (n *node) plain() any {
-	switch {
-	case n.members != nil:
-		object := make(map[string]any, len(n.members))
-		for name, child := range n.members {
-			object[name] = child.plain()
-		}
-		return object
-	case n.elements != nil:
-		array := make([]any, 0, len(n.elements))
-		for _, child := range n.elements {
-			array = append(array, child.plain())
-		}
-		return array
-	}
-	return json.RawMessage(n.literal)
-}
