--- /dev/null
+++ b/pkg/conf/default.go
@@ -0,0 +1,40 @@
+package conf
+
+import (
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+)
+
+// DefaultWindow is how long the outcome of a request that runs at most once
+// is kept for resends when its route does not say.
+const DefaultWindow = 24 * time.Hour
+
+// Defaults are the values of fields that no file sets.
+type Defaults struct {
+	// Workspace is what each record in workspaces starts from.
+	Workspace Workspace
+	// Route is what each record in routes starts from.
+	Route Route
+	// Weights is what the weights start from.
+	Weights Weights
+}
+
+// Default returns the values of fields that no file sets.
+func Default() Defaults {
+	return Defaults{
+		Workspace: Workspace{
+			Goal: Goal{
+				First: span.Duration(time.Second),
+				Gap:   span.Duration(100 * time.Millisecond),
+				Share: 0.95,
+			},
+		},
+		Route: Route{
+			Kind:   KindModel,
+			Window: span.Duration(DefaultWindow),
+			Cost:   1,
+		},
+		Weights: Weights{Stalls: 1, Batch: 1, Worst: 1, Refused: 1},
+	}
+}
--- /dev/null
+++ b/pkg/conf/load.go
@@ -0,0 +1,120 @@
+package conf
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/strict"
+)
+
+// suffixes are the endings of the files that are read.
+var suffixes = []string{".json", ".jsonc", ".hujson"}
+
+// Load reads the files of an operators' folder in the order of their names,
+// merges them, fills in the defaults and checks the result. Later files win
+// and null deletes a record or field. All faults are reported at once, as an
+// Error whose cause is strict.Faults; then no configuration is returned.
+func Load(dir string) (*Config, error) {
+	files, err := readFiles(dir)
+	if err != nil {
+		return nil, err
+	}
+	document := strict.New()
+	for _, file := range files {
+		document.Merge(file.name, file.text)
+	}
+	return decode(document)
+}
+
+// Sum returns a fast hash of the names and bytes that Load would read, to see
+// whether anything changed.
+func Sum(dir string) (uint64, error) {
+	files, err := readFiles(dir)
+	if err != nil {
+		return 0, err
+	}
+	sum := xxhash.New()
+	for _, file := range files {
+		_, _ = fmt.Fprintf(sum, "%q %d ", file.name, len(file.text))
+		_, _ = sum.Write(file.text)
+	}
+	return sum.Sum64(), nil
+}
+
+// file is one file of an operators' folder.
+type file struct {
+	name string
+	text []byte
+}
+
+func readFiles(dir string) ([]file, error) {
+	names, err := listFiles(dir)
+	if err != nil {
+		return nil, err
+	}
+	files := make([]file, 0, len(names))
+	for _, name := range names {
+		text, err := os.ReadFile(filepath.Join(dir, name))
+		if err != nil {
+			return nil, &Error{Op: "load " + dir, Kind: KindRead, Err: err}
+		}
+		files = append(files, file{name: name, text: text})
+	}
+	return files, nil
+}
+
+// listFiles returns the names of the files to read, sorted. Hidden files and
+// the temporary files of editors do not match.
+func listFiles(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, &Error{Op: "load " + dir, Kind: KindRead, Err: err}
+	}
+	var names []string
+	for _, entry := range entries {
+		if !entry.IsDir() && isConfig(entry.Name()) {
+			names = append(names, entry.Name())
+		}
+	}
+	if len(names) == 0 {
+		return nil, &Error{Op: "load " + dir, Kind: KindEmpty}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func isConfig(name string) bool {
+	if strings.HasPrefix(name, ".") || strings.HasPrefix(name, "#") || strings.HasPrefix(name, "~") {
+		return false
+	}
+	return slices.Contains(suffixes, filepath.Ext(name))
+}
+
+func decode(document *strict.Document) (*Config, error) {
+	config := &Config{Weights: Default().Weights}
+	decoder := strict.Decoder{Fresh: fresh}
+	decoder.Decode(document, config)
+	document.Check(config.faults())
+	if err := failed("load", document.Faults); err != nil {
+		return nil, err
+	}
+	return config, nil
+}
+
+// fresh returns what a record starts from.
+func fresh(kind reflect.Type) reflect.Value {
+	defaults := Default()
+	switch kind {
+	case reflect.TypeFor[Workspace]():
+		return reflect.ValueOf(defaults.Workspace)
+	case reflect.TypeFor[Route]():
+		return reflect.ValueOf(defaults.Route)
+	}
+	return reflect.Zero(kind)
+}
