Let entries travel and rest as ordinary repeated fields

The packed form of entries and messages goes; the log's format changes with it (nothing was released).

--- a/ctrl/node/handlers.go
+++ b/ctrl/node/handlers.go
@@ -51,12 +51,8 @@
 		if err := stream.Receive(&received); err != nil {
 			return err
 		}
-		messages, err := unpack(received.Packed)
-		if err != nil {
-			return err
-		}
-		for _, m := range messages {
-			if err := n.post(ctx, event{message: m}); err != nil {
+		for i := range received.Messages {
+			if err := n.post(ctx, event{message: &received.Messages[i]}); err != nil {
 				return err
 			}
 		}
--- a/ctrl/node/outlet.go
+++ b/ctrl/node/outlet.go
@@ -40,6 +40,21 @@
 	return nil
 }
 
+// batch is every later message of the stream.
+type batch struct {
+	Messages []raft.Message `protobuf:"bytes,1,rep"`
+}
+
+// Check reports the first invalid message.
+func (b *batch) Check() error {
+	for i := range b.Messages {
+		if err := b.Messages[i].Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // outlets are the sessions to the other replicas, one for each address.
 type outlets struct {
 	node      *Node
@@ -225,11 +240,7 @@
 		if len(messages) == 0 {
 			return nil
 		}
-		packed, err := pack(messages)
-		if err != nil {
-			return err
-		}
-		if err := stream.Send(&batch{Packed: packed}); err != nil {
+		if err := stream.Send(&batch{Messages: messages}); err != nil {
 			return err
 		}
 	}
--- a/ctrl/raft/types.go
+++ b/ctrl/raft/types.go
@@ -52,9 +52,8 @@
 	Data []byte    `protobuf:"bytes,5,opt"`
 }
 
-// MaxMembers is the most members, learners included, that a group may have.
-// It is also what the protobuf library decodes of a repeated field without
-// crashing; see Pack.
+// MaxMembers is the most members, learners included, that a group may have:
+// seven voters and what it takes to replace some of them.
 const MaxMembers = 10
 
 // Member is one replica of the group.
@@ -130,9 +129,8 @@
 	// entry acknowledged or the entry refused.
 	Index uint64 `protobuf:"varint,5,opt"`
 	// LogTerm is the term of the entry at Index.
-	LogTerm uint64 `protobuf:"varint,6,opt"`
-	Commit  uint64 `protobuf:"varint,7,opt"`
-	// Entries travel beside the message, in the form of Pack.
+	LogTerm uint64  `protobuf:"varint,6,opt"`
+	Commit  uint64  `protobuf:"varint,7,opt"`
 	Entries []Entry `protobuf:"bytes,8,rep"`
 	Reject  bool    `protobuf:"varint,9,opt"`
 	// Hint and HintTerm tell the leader where the logs may agree.
--- a/ctrl/wlog/reader.go
+++ b/ctrl/wlog/reader.go
@@ -132,11 +132,7 @@
 	if next.Hard != nil {
 		r.hard = *next.Hard
 	}
-	entries, err := raft.Unpack(next.Packed)
-	if err != nil {
-		return damage(name, offset, err.Error())
-	}
-	for _, entry := range entries {
+	for _, entry := range next.Entries {
 		first := r.last.Index + 1 - uint64(len(r.entries))
 		if entry.Index > r.last.Index+1 {
 			return damage(name, offset, fmt.Sprintf("entry %d does not follow %d", entry.Index, r.last.Index))
--- a/ctrl/wlog/wlog.go
+++ b/ctrl/wlog/wlog.go
@@ -75,9 +75,8 @@
 
 // record is the unit of writing.
 type record struct {
-	Hard *raft.HardState `protobuf:"bytes,1,opt"`
-	// Packed holds the entries in the form of raft.Pack.
-	Packed []byte `protobuf:"bytes,2,opt"`
+	Hard    *raft.HardState `protobuf:"bytes,1,opt"`
+	Entries []raft.Entry    `protobuf:"bytes,2,rep"`
 	// Number and Base are set in the first record of a segment; Reset says
 	// that Base is a snapshot's end and not the former segment's.
 	Number uint64 `protobuf:"varint,3,opt"`
@@ -128,11 +127,7 @@
 			return err
 		}
 	}
-	packed, err := raft.Pack(entries)
-	if err != nil {
-		return err
-	}
-	if err := l.write(&record{Hard: hard, Packed: packed}); err != nil {
+	if err := l.write(&record{Hard: hard, Entries: entries}); err != nil {
 		return err
 	}
 	if hard != nil {
