--- a/ctrl/node/group_test.go
+++ b/ctrl/node/group_test.go
@@ -6,10 +6,12 @@
 	"flag"
 	"fmt"
 	"maps"
+	"net"
 	"os"
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,6 +38,8 @@
 	peers    []node.Peer
 	disks    map[string]*disk.Memory
 	replicas map[string]*replica
+	// sent counts the bytes on all connections.
+	sent atomic.Int64
 	// every is the number of entries between snapshots.
 	every uint64
 }
@@ -49,6 +53,7 @@
 	cancel context.CancelFunc
 	ended  chan struct{}
 	err    error
+	dead   atomic.Bool
 }
 
 func inBubble(t *testing.T, seed uint64, size int, test func(g *group)) {
@@ -90,7 +95,7 @@
 	r.Node = &node.Node{
 		Host: host.Host{
 			VM: name, Meter: meter.New(), Log: log,
-			Dial: g.network.Dialer(name), Listen: g.network.Listen,
+			Dial: count(&g.sent, r.dial(g.network.Dialer(name))), Listen: g.network.Listen,
 		},
 		Name: name, Address: name + ":1", Peers: g.peers,
 		Disk: g.disks[name].Disk(), Seed: g.seed, SnapshotEntries: g.every,
@@ -119,11 +124,24 @@
 	<-r.ended
 }
 
-// crash ends a replica as the loss of power does.
+// crash ends a replica as the loss of power does: nothing more reaches its
+// disk or the network.
 func (g *group) crash(name string) {
+	r := g.replicas[name]
+	delete(g.replicas, name)
+	r.dead.Store(true)
 	g.disks[name].Crash()
 	g.network.Crash(name)
-	g.stop(name)
+	r.cancel()
+}
+
+func (r *replica) dial(dial func(context.Context, string) (net.Conn, error)) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		if r.dead.Load() {
+			return nil, net.ErrClosed
+		}
+		return dial(ctx, address)
+	}
 }
 
 func (r *replica) apply(e node.Entry) []byte {
--- /dev/null
+++ b/ctrl/node/idle_test.go
@@ -0,0 +1,53 @@
+package node_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// counted counts the bytes in both directions of a connection.
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c counted) Write(data []byte) (int, error) {
+	c.bytes.Add(int64(len(data)))
+	return c.Conn.Write(data)
+}
+
+func (c counted) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// count wraps a dial function.
+func count(bytes *atomic.Int64, dial func(context.Context, string) (net.Conn, error)) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return counted{conn, bytes}, nil
+	}
+}
+
+func TestIdleGroupSendsLittle(t *testing.T) {
+	inBubble(t, 18, 3, func(g *group) {
+		g.put("a", "1")
+		time.Sleep(time.Second)
+		before := g.sent.Load()
+		const length = 60
+		time.Sleep(length * time.Second)
+		rate := (g.sent.Load() - before) / length
+		// Three replicas are three pairs; both directions are counted.
+		t.Logf("%d bytes a second over all, %d for each pair", rate, rate/3)
+		require.Less(t, rate/3, int64(4<<10))
+	})
+}
--- a/ctrl/node/node.go
+++ b/ctrl/node/node.go
@@ -20,20 +20,22 @@
 )
 
 const (
-	// tick is the core's unit of time.
-	tick = 50 * time.Millisecond
+	// tick is the core's unit of time. It is short beside the election timeout
+	// so that two replicas seldom campaign in the same tick.
+	tick = 10 * time.Millisecond
 	// electionTicks is the shortest election timeout: 300 ms. The longest is
 	// just below twice that.
-	electionTicks = 6
+	electionTicks = 30
 	// beatTicks is the time between heartbeats: 100 ms.
-	beatTicks = 2
+	beatTicks = 10
 	// repairTicks is the time between two looks at the membership: 500 ms.
-	repairTicks = 10
+	repairTicks = 50
 	// deadTicks is how long a voter must be silent before a replacement of
 	// the same name takes its place unasked: 10 s.
-	deadTicks = 200
-	// aliveTicks is how long a replica that counts as alive may be silent.
-	aliveTicks = 20
+	deadTicks = 1000
+	// aliveTicks is how long a replica that counts as alive may be silent:
+	// 1 s.
+	aliveTicks = 100
 	// appendBytes bounds an append message, window the number of them sent
 	// to a replica and not yet acknowledged.
 	appendBytes = 256 << 10
--- a/ctrl/node/outlet.go
+++ b/ctrl/node/outlet.go
@@ -95,6 +95,9 @@
 
 // follow learns the members' addresses.
 func (o *outlets) follow(status raft.Status) {
+	if o.same(status.Members) {
+		return
+	}
 	addresses := make(map[uint64]string, len(status.Members))
 	for _, member := range status.Members {
 		addresses[member.ID] = member.Address
@@ -110,6 +113,21 @@
 	}
 }
 
+// same reports whether the addresses are those of the members.
+func (o *outlets) same(members []raft.Standing) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.addresses == nil || len(members) != len(o.addresses) {
+		return false
+	}
+	for _, member := range members {
+		if o.addresses[member.ID] != member.Address {
+			return false
+		}
+	}
+	return true
+}
+
 // learn notes a sender's address.
 func (o *outlets) learn(sender hello) {
 	o.mutex.Lock()
