--- a/ctrl/raft/raft_test.go
+++ b/ctrl/raft/raft_test.go
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
+
 	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
 )
 
@@ -280,3 +282,34 @@
 		require.Less(t, rounds, 8)
 	}
 }
+
+func TestEntriesOfFormerTermsAreNotCommittedByCounting(t *testing.T) {
+	cores, _ := trio(t)
+	cores[1].Step(raft.Input{Synced: &raft.Synced{Index: 1, Term: 1}})
+	for from := uint64(2); from <= 3; from++ {
+		cores[1].Step(raft.Input{Message: &raft.Message{Kind: raft.MessageAppendReply, From: from, To: 1, Term: 2, Index: 1}})
+	}
+	require.Zero(t, cores[1].Status().Commit)
+	cores[1].Step(raft.Input{Synced: &raft.Synced{Index: 2, Term: 2}})
+	cores[1].Step(raft.Input{Message: &raft.Message{Kind: raft.MessageAppendReply, From: 2, To: 1, Term: 2, Index: 2}})
+	require.Equal(t, uint64(2), cores[1].Status().Commit)
+}
+
+func TestReplacedMembershipIsUndone(t *testing.T) {
+	cores, sent := trio(t)
+	for len(sent) > 0 {
+		sent = pass(cores, sent).Early
+	}
+	data, err := codec.Encode(&raft.Members{Members: []raft.Member{{ID: 2, Name: "2", Voter: true}}})
+	require.NoError(t, err)
+	uncommitted := raft.Message{Kind: raft.MessageAppend, From: 1, To: 2, Term: 2, Index: 2, LogTerm: 2, Entries: []raft.Entry{
+		{Index: 3, Term: 2, Kind: raft.EntryMembers, Data: data},
+	}}
+	cores[2].Step(raft.Input{Message: &uncommitted})
+	require.Len(t, cores[2].Status().Members, 1)
+	other := raft.Message{Kind: raft.MessageAppend, From: 3, To: 2, Term: 3, Index: 2, LogTerm: 2, Entries: []raft.Entry{
+		{Index: 3, Term: 3, Kind: raft.EntryEmpty},
+	}}
+	cores[2].Step(raft.Input{Message: &other})
+	require.Len(t, cores[2].Status().Members, 3)
+}
