--- a/ctrl/node/carry.go
+++ b/ctrl/node/carry.go
@@ -34,9 +34,12 @@
 // persist writes what has to last.
 func (l *loop) persist(out raft.Output) error {
 	if out.Hard != nil || len(out.Entries) > 0 {
+		before := l.log.Bytes
 		if err := l.log.Append(out.Hard, out.Entries); err != nil {
 			return err
 		}
+		l.node.Host.Meter.Add("log_bytes", l.log.Bytes-before)
+		l.node.Host.Meter.Add("log_syncs", 1)
 	}
 	if out.Install == nil {
 		return nil
