--- a/ctrl/node/speed_test.go
+++ b/ctrl/node/speed_test.go
@@ -106,3 +106,34 @@
 		})
 	}
 }
+
+// BenchmarkRecover measures how long a lone replica takes from its start to
+// its first answered read, with a log of some length and no snapshot.
+func BenchmarkRecover(b *testing.B) {
+	for _, length := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("entries=%d", length), func(b *testing.B) {
+			var sent atomic.Int64
+			kept := folders(b, 1)
+			leader, stop := loopback(b, 1, 1<<40, kept, &sent)
+			var tasks conc.WaitGroup
+			for range 100 {
+				tasks.Go(func() {
+					for range length / 100 {
+						_, _ = leader.Propose(context.Background(), make([]byte, 100))
+					}
+				})
+			}
+			tasks.Wait()
+			stop()
+			for b.Loop() {
+				leader, stop = loopback(b, 1, 1<<40, kept, &sent)
+				index, err := leader.Barrier(context.Background())
+				require.NoError(b, err)
+				require.Greater(b, index, uint64(length))
+				b.StopTimer()
+				stop()
+				b.StartTimer()
+			}
+		})
+	}
+}
