End a relay when both streams and the context end at once

Change: count the copies still running. A test in which all three have ended hangs without the change and passes with it.

--- a/ctrl/daemon/leader.go
+++ b/ctrl/daemon/leader.go
@@ -119,14 +119,17 @@
 		}()
 	}
 	var err error
+	copying := 2
 	select {
 	case err = <-ended:
+		copying--
 	case <-ctx.Done():
-		ended <- nil
 	}
 	_ = near.Close()
 	_ = far.Close()
-	<-ended
+	for range copying {
+		<-ended
+	}
 	return err
 }
 
