Do not send the roster again to daemons that joined without one

Cause: when a replica had listened for 10 s it sent the whole roster to every daemon that had joined before; the measurement of traffic showed 14 kB/s to daemons of a roster in which nothing changed. Only those that came with a roster from elsewhere can know agents that this replica does not.

--- a/ctrl/feeds/feeds.go
+++ b/ctrl/feeds/feeds.go
@@ -253,11 +253,14 @@
 	f.listening = now
 }
 
-// settle lets the roster speak for agents that it does not know, to daemons
-// that joined before as well.
+// settle lets the roster speak for agents that it does not know, also to
+// daemons that joined before with a roster from elsewhere.
 func (f *Feeds) settle() {
 	f.Roster.Settle()
 	for _, m := range f.all() {
+		if len(m.hello.Vector) == 0 {
+			continue
+		}
 		m.mutex.Lock()
 		m.vector = m.hello.Vector
 		m.mutex.Unlock()
