--- a/agent/daemon/daemon_test.go
+++ b/agent/daemon/daemon_test.go
@@ -70,6 +70,7 @@
 		r := s.dial().run(lookup)
 		require.NotNil(t, r.end)
 		require.Equal(t, strings.Repeat("x", 100_000), r.text)
+		require.LessOrEqual(t, r.largest, 4<<10)
 	})
 }
 
@@ -96,20 +97,17 @@
 func TestLostCancelKeepsThePin(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		s := start(t, func(s *site) {
-			s.engine.Slots, s.engine.Address, s.engine.Dial = 1, "engine:8000", s.network.Dialer("engine")
-			s.engine.Listen = s.network.Listen
+			s.engine.Slots, s.engine.Address = 1, "engine:8000"
 		})
 		defer s.end()
 		entry := s.dial()
-		withdrawn := s.attempt("alpha", "long", 3000)
-		stream := entry.open(withdrawn)
+		stream := entry.open(s.attempt("alpha", "long", 2000))
 		time.Sleep(2 * time.Second)
-		s.network.Cut("vm", "engine")
+		s.network.Silence("vm", "engine")
 		_ = stream.Close()
 		next := entry.background(s.attempt("beta", "next", 10))
-		time.Sleep(1500 * time.Millisecond)
-		require.Empty(t, next)
-		s.network.Heal("vm", "engine")
+		time.Sleep(10 * time.Second)
+		require.Empty(t, next, "the engine still runs on the only slot")
 		require.Equal(t, call.ReasonNone, (<-next).reason())
 	})
 }
--- a/agent/daemon/once_test.go
+++ b/agent/daemon/once_test.go
@@ -32,21 +32,27 @@
 	bubble(t, func(t *testing.T) {
 		s := start(t, func(s *site) {
 			plainService(s)
-			s.service.Delay = 2 * time.Second
+			s.service.Delay, s.service.Places = 2*time.Second, 1
 		})
 		defer s.end()
 		entry := s.dial()
-		filing := s.filing("case 1")
-		_ = entry.open(filing)
-		time.Sleep(time.Second)
+		running, queued := s.filing("case 1"), s.filing("case 2")
+		stream := entry.open(running)
+		time.Sleep(500 * time.Millisecond)
+		_ = entry.open(queued)
+		time.Sleep(500 * time.Millisecond)
+		require.NoError(t, stream.Send(&call.Frame{ID: running.ID, Step: call.StepCancel}))
+		time.Sleep(100 * time.Millisecond)
 		_ = entry.session.Close()
 		other := s.dial()
-		require.Equal(t, call.StateRunning, other.probe(filing).State)
-		time.Sleep(2 * time.Second)
-		verdict := other.probe(filing)
-		require.Equal(t, call.StateDone, verdict.State)
-		require.Equal(t, int32(201), verdict.Outcome.Status)
-		require.Equal(t, map[string]int{"case 1": 1}, s.service.Filings())
+		require.Equal(t, call.StateRunning, other.probe(running).State)
+		time.Sleep(4 * time.Second)
+		for _, filing := range []*call.Attempt{running, queued} {
+			verdict := other.probe(filing)
+			require.Equal(t, call.StateDone, verdict.State)
+			require.Equal(t, int32(201), verdict.Outcome.Status)
+		}
+		require.Equal(t, map[string]int{"case 1": 1, "case 2": 1}, s.service.Filings())
 	})
 }
 
--- a/agent/daemon/site_test.go
+++ b/agent/daemon/site_test.go
@@ -106,6 +106,12 @@
 	}
 }
 
+func (c *control) setSilent(silent bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.silent = silent
+}
+
 func (c *control) known() roster.Record {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -221,6 +227,7 @@
 // result is what an entry saw of one attempt.
 type result struct {
 	text    string
+	largest int
 	head    *call.Frame
 	end     *call.Frame
 	refused *call.Frame
@@ -292,6 +299,7 @@
 				r.first = r.at
 			}
 			next++
+			r.largest = max(r.largest, len(frame.Data))
 			r.text += string(frame.Data)
 		case call.StepEnd:
 			r.end = frame
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -66,13 +66,13 @@
 	share    float64
 	endpoint *endpoint
 	// deaths counts the endpoint's deaths that were reported.
-	deaths   uint64
-	running  map[*task]struct{}
-	streams  int
-	wishes   []plane.Wish
-	waiting  map[slots.Key]float64
-	speed    time.Duration
-	idle     chan struct{}
+	deaths  uint64
+	running map[*task]struct{}
+	streams int
+	wishes  []plane.Wish
+	waiting map[slots.Key]float64
+	speed   time.Duration
+	idle    chan struct{}
 }
 
 func (r *Runner) prepare() {
--- /dev/null
+++ b/agent/slots/slots_test.go
@@ -0,0 +1,220 @@
+package slots_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/agent/slots"
+	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
+)
+
+// fake is an engine that keeps what it holds and fails when told to.
+type fake struct {
+	mutex  sync.Mutex
+	slots  *slots.Slots
+	held   map[slots.Key]bool
+	pins   map[slots.Key]int
+	orders []string
+	faults []string
+	fail   func(slots.Key) bool
+	time   time.Duration
+}
+
+func start(limit int) *fake {
+	f := &fake{held: map[slots.Key]bool{}, pins: map[slots.Key]int{}, time: 250 * time.Millisecond}
+	f.slots = &slots.Slots{Load: f.load, Unload: f.unload, Changed: func() {}}
+	f.slots.SetFence(1)
+	f.slots.Open(limit, nil)
+	return f
+}
+
+func (f *fake) load(_ context.Context, key slots.Key, _ uint64) error {
+	time.Sleep(f.time)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.orders = append(f.orders, "load "+key.Adapter)
+	if f.fail != nil && f.fail(key) {
+		return fmt.Errorf("load of %s failed", key.Adapter)
+	}
+	f.held[key] = true
+	return nil
+}
+
+func (f *fake) unload(_ context.Context, key slots.Key, _ uint64) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.orders = append(f.orders, "unload "+key.Adapter)
+	if f.pins[key] > 0 {
+		f.faults = append(f.faults, "unload of pinned "+key.Adapter)
+	}
+	delete(f.held, key)
+	return nil
+}
+
+// given returns the orders so far.
+func (f *fake) given() []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]string(nil), f.orders...)
+}
+
+func (f *fake) setFail(fail func(slots.Key) bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.fail = fail
+}
+
+func key(name string) slots.Key { return slots.Key{Adapter: name, Version: "v1"} }
+
+// want loads a key for one waiting request and reports whether it began.
+func (f *fake) want(name string) bool {
+	f.slots.Touch(key(name))
+	began := f.slots.Begin(slots.Demand{Key: key(name), Waiting: 1}, nil, func(error) {})
+	time.Sleep(time.Second)
+	return began
+}
+
+func TestLeastExpectedUnpinnedGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(3)
+		for _, name := range []string{"hot", "hot", "hot", "pinned", "rare"} {
+			f.want(name)
+		}
+		release, ok := f.slots.Pin(key("pinned"))
+		require.True(t, ok)
+		time.Sleep(time.Minute)
+		f.slots.Touch(key("hot"))
+		require.True(t, f.want("next"))
+		require.False(t, f.slots.Held(key("rare")))
+		require.True(t, f.slots.Ready(key("hot")) && f.slots.Ready(key("pinned")))
+		release()
+	})
+}
+
+func TestVictimIsWorthLessThanTheNewcomer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(1)
+		for range 20 {
+			f.want("hot")
+		}
+		require.False(t, f.want("cold"))
+		require.Empty(t, f.slots.Plan([]slots.Demand{{Key: key("cold"), Waiting: 1}}, nil))
+		require.Equal(t, []slots.Key{key("cold")}, f.slots.Plan([]slots.Demand{{Key: key("cold"), Waiting: 100}}, nil))
+	})
+}
+
+func TestPinnedSlotDrainsForAMoreValuableNewcomer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(1)
+		f.want("old")
+		release, _ := f.slots.Pin(key("old"))
+		newcomer := []slots.Demand{{Key: key("new"), Waiting: 100}}
+		require.Empty(t, f.slots.Plan(newcomer, nil))
+		_, ok := f.slots.Pin(key("old"))
+		require.False(t, ok, "draining")
+		release()
+		require.Equal(t, []slots.Key{key("new")}, f.slots.Plan(newcomer, nil))
+		require.Empty(t, f.slots.Plan(nil, nil))
+		require.True(t, f.slots.Ready(key("old")), "the newcomer has gone")
+	})
+}
+
+func TestNoOrderWithoutFenceOrLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(1)
+		f.slots.SetFence(0)
+		require.False(t, f.want("a"))
+		require.Empty(t, f.slots.Plan([]slots.Demand{{Key: key("a"), Waiting: 1}}, nil))
+		f.slots.SetFence(1)
+		f.slots.Allowed = func() bool { return false }
+		require.False(t, f.want("a"))
+		require.Empty(t, f.given())
+	})
+}
+
+func TestFailedLoadBacksOffAndFreesTheSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(1)
+		f.setFail(func(slots.Key) bool { return true })
+		require.True(t, f.want("bad"))
+		require.Equal(t, []string{"load bad", "unload bad"}, f.given(), "it may have arrived")
+		count, _ := f.slots.Failed(key("bad"))
+		require.Equal(t, 1, count)
+		require.True(t, f.want("bad"))
+		require.False(t, f.want("bad"), "backs off")
+		f.setFail(nil)
+		require.True(t, f.want("good"))
+		require.True(t, f.slots.Ready(key("good")))
+	})
+}
+
+func TestSyncWithTheEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(3)
+		f.slots.Open(3, map[slots.Key]bool{key("foreign"): true})
+		f.want("lost")
+		mark := f.slots.Mark()
+		f.slots.Sync(mark, map[slots.Key]int{key("foreign"): 1, key("stray"): 0})
+		time.Sleep(time.Second)
+		require.Equal(t, []roster.Resident{{Adapter: "foreign", Version: "v1"}}, f.slots.List())
+		require.Contains(t, f.given(), "unload stray")
+		require.Empty(t, f.slots.Plan([]slots.Demand{{Key: key("x"), Waiting: 9}, {Key: key("y"), Waiting: 9}, {Key: key("z"), Waiting: 9}}, nil)[2:])
+		f.slots.Sync(f.slots.Mark(), map[slots.Key]int{key("foreign"): 0})
+		require.Len(t, f.slots.Plan([]slots.Demand{{Key: key("x"), Waiting: 9}, {Key: key("y"), Waiting: 9}, {Key: key("z"), Waiting: 9}}, nil), 3)
+		f.slots.Sync(mark, map[slots.Key]int{})
+		require.True(t, f.slots.Held(key("foreign")), "an old answer is ignored")
+	})
+}
+
+// TestRandomHistory drives the slots with random orders, pins and failures and
+// checks that no pinned key is unloaded and no slot is taken twice.
+func TestRandomHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(1, 2))
+		f := start(4)
+		failing := rand.New(rand.NewPCG(3, 4))
+		f.setFail(func(slots.Key) bool { return failing.IntN(10) == 0 })
+		var releases []func()
+		for range 3000 {
+			name := key(fmt.Sprint(random.IntN(12)))
+			switch random.IntN(4) {
+			case 0:
+				f.slots.Touch(name)
+				f.slots.Begin(slots.Demand{Key: name, Waiting: random.Float64() * 5}, nil, func(error) {})
+			case 1:
+				if release, ok := f.slots.Pin(name); ok {
+					f.mutex.Lock()
+					require.True(t, f.held[name], "pinned, but not at the engine")
+					f.pins[name]++
+					f.mutex.Unlock()
+					releases = append(releases, func() {
+						f.mutex.Lock()
+						f.pins[name]--
+						f.mutex.Unlock()
+						release()
+					})
+				}
+			case 2:
+				if len(releases) > 0 {
+					releases[0]()
+					releases = releases[1:]
+				}
+			case 3:
+				time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+			}
+			f.mutex.Lock()
+			require.LessOrEqual(t, len(f.held), 4)
+			require.Empty(t, f.faults)
+			f.mutex.Unlock()
+		}
+		f.slots.Close()
+		time.Sleep(time.Minute)
+	})
+}
--- a/stubs/beacon/beacon.go
+++ b/stubs/beacon/beacon.go
@@ -15,6 +15,8 @@
 const (
 	// interval is the time between two announcements.
 	interval = time.Second
+	// retry is the pause while there is nothing to announce.
+	retry = 50 * time.Millisecond
 	// timeout bounds one announcement.
 	timeout = time.Second
 )
@@ -62,17 +64,18 @@
 	}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: timeout}
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
-	for {
+	for ctx.Err() == nil {
+		wait := retry
 		if message := b.Message(); message != nil {
 			_ = b.post(ctx, client, message)
+			wait = interval
 		}
+		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
-			return
-		case <-tick.C:
+		case <-timer.C:
 		}
+		timer.Stop()
 	}
 }
 
