--- /dev/null
+++ b/pkg/roster/roster_test.go
@@ -0,0 +1,136 @@
+package roster_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
+	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
+	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+func carry(t require.TestingT, delta *roster.Delta) *roster.Delta {
+	data, err := codec.Encode(delta)
+	require.NoError(t, err)
+	carried := &roster.Delta{}
+	require.NoError(t, codec.Decode(data, carried))
+	return carried
+}
+
+// names returns what a roster shows, with origin and counter, to compare.
+func names(r *roster.Roster) []string {
+	var shown []string
+	for _, record := range r.All() {
+		shown = append(shown, fmt.Sprintf("%s %d beat %d turn %d from %d", record.Agent, record.Incarnation, record.Beat, record.Turn, record.Origin))
+	}
+	return shown
+}
+
+// step is one random event at a replica.
+type step struct {
+	what, at, to int
+	agent        string
+}
+
+func drawStep(t *rapid.T) step {
+	replica := rapid.IntRange(0, 2)
+	return step{
+		what: rapid.IntRange(0, 5).Draw(t, "what"), at: replica.Draw(t, "at"), to: replica.Draw(t, "to"),
+		agent: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "agent"),
+	}
+}
+
+// Replicas that exchange deltas by vector in any order end with equal
+// rosters, and so does a daemon that follows one of them, although agents move
+// between replicas, restart and die. What is held is not sent again.
+func TestRostersConverge(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 60).Draw(rt, "steps")
+		replicas, follower := [3]roster.Roster{}, &roster.Roster{}
+		bubble.Test(t, func(t *testing.T) {
+			play(t, &replicas, steps)
+			for range 2 {
+				for from := range replicas {
+					for to := range replicas {
+						replicas[to].Merge(carry(t, replicas[from].Since(replicas[to].Vector())))
+					}
+				}
+			}
+			follower.Merge(carry(t, replicas[0].Since(follower.Vector())))
+		})
+		require.Equal(rt, names(&replicas[0]), names(&replicas[1]))
+		require.Equal(rt, names(&replicas[0]), names(&replicas[2]))
+		require.Equal(rt, names(&replicas[0]), names(follower))
+		require.Empty(rt, replicas[0].Since(follower.Vector()).Records)
+	})
+}
+
+func play(t *testing.T, replicas *[3]roster.Roster, steps []step) {
+	beat, incarnation := map[string]uint64{}, map[string]uint64{}
+	for _, s := range steps {
+		time.Sleep(time.Millisecond)
+		replica, origin := &replicas[s.at], uint64(s.at+1)
+		started := incarnation[s.agent] + 1
+		switch s.what {
+		case 0, 1:
+			beat[s.agent]++
+			replica.Report(origin, roster.Record{Agent: s.agent, Incarnation: started, Fence: started, Beat: beat[s.agent]})
+		case 2:
+			replica.Touch(origin, s.agent, started)
+		case 3:
+			replica.Expire(origin, 5*time.Millisecond)
+		case 4:
+			incarnation[s.agent]++
+			beat[s.agent] = 0
+		case 5:
+			replicas[s.to].Merge(carry(t, replica.Since(replicas[s.to].Vector())))
+		}
+	}
+}
+
+func TestRestartedReplicaKeepsCounting(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		before, entry := &roster.Roster{}, &roster.Roster{}
+		for beat := range uint64(5) {
+			before.Report(1, roster.Record{Agent: "a", Incarnation: 1, Fence: 1, Beat: beat})
+		}
+		entry.Merge(before.Since(nil))
+		time.Sleep(time.Second)
+		after := &roster.Roster{}
+		after.Report(1, roster.Record{Agent: "b", Incarnation: 1, Fence: 2, Beat: 1})
+		entry.Merge(after.Since(entry.Vector()))
+		require.Len(t, entry.All(), 2, "the restarted replica's news must arrive and its ignorance must remove nobody")
+	})
+}
+
+func TestWholeRosterRemovesForgottenAgents(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		replica, entry := &roster.Roster{}, &roster.Roster{}
+		replica.Report(1, roster.Record{Agent: "dead", Incarnation: 1, Beat: 1})
+		replica.Report(1, roster.Record{Agent: "alive", Incarnation: 1, Beat: 1})
+		entry.Merge(replica.Since(nil))
+		entry.Merge(&roster.Delta{Records: []roster.Record{{Agent: "other", Incarnation: 1, Origin: 2, Counter: 9}}, Vector: []roster.Mark{{Origin: 2, Counter: 9}}})
+		replica.Leave(1, "dead", 1)
+		for range 2 {
+			time.Sleep(11 * time.Minute)
+			replica.Report(1, roster.Record{Agent: "alive", Incarnation: 1, Beat: 2})
+			replica.Expire(1, time.Hour)
+		}
+		delta := carry(t, replica.Since(entry.Vector()))
+		require.True(t, delta.Whole)
+		gone := entry.Merge(delta)
+		require.Len(t, entry.All(), 2, "alive, and the agent that only another replica can speak for")
+		require.True(t, gone[len(gone)-1].Gone)
+	})
+}
