Check histories of filings under random faults

Cause: the promises about requests that must not repeat were tested one fault at a time, against fakes. Change: real control (three replicas), entries, agents and services; callers who go away early and send again at any entry; silent connections, partitions of entries, replicas and endpoints, planned restarts of agents, entries that die and come back under their name. Checked: each filing ran at most once; an answered one ran; one always refused as not run did not; afterwards a completion is answered whole.

--- /dev/null
+++ b/entry/daemon/history_test.go
@@ -0,0 +1,264 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/digest"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+	"github.com/tanagerspindle/tanagerspindle/pkg/vnet"
+	"github.com/tanagerspindle/tanagerspindle/stubs/fleet"
+	"github.com/tanagerspindle/tanagerspindle/stubs/model"
+)
+
+const (
+	// historySeeds is the number of random histories, historyTime how long
+	// callers begin requests, historyCalls
+	// the number of filings.
+	historySeeds = 2
+	historyTime  = 15 * time.Second
+	historyCalls = 40
+	// historyTries is how often a caller sends a filing at most.
+	historyTries = 8
+)
+
+// history is a real deployment under random faults, and what callers saw.
+type history struct {
+	t       *testing.T
+	random  *rand.Rand
+	network *vnet.Network
+	fleet   *fleet.Fleet
+	client  *http.Client
+	mutex   sync.Mutex
+	// seen holds for each filing how each of its sendings ended.
+	seen map[string][]string
+}
+
+func newHistory(t *testing.T, seed uint64) *history {
+	h := &history{t: t, random: rand.New(rand.NewPCG(seed, 7)), network: vnet.New(), seen: map[string][]string{}}
+	h.network.Latency = func(string, string) time.Duration { return time.Millisecond }
+	ports := map[string]string{"control": "1", "agent": "2", "notice": "3", "http": "80", "engine": "5", "service": "6"}
+	h.fleet = &fleet.Fleet{
+		Shape: fleet.Shape{
+			Control: 3, Entries: 2, Engines: 2, Services: 3, Centres: 1, Slots: 2, Places: 8, ServicePlaces: 8,
+			Token: 5 * time.Millisecond, Delay: 1500 * time.Millisecond, Loads: 4, Flight: 8, Linger: time.Second,
+		},
+		Net: fleet.Net{
+			Address: func(host, port string) string { return host + ":" + ports[port] },
+			Listen:  h.network.Listen,
+			Dialer:  h.network.Dialer,
+		},
+		Folder: t.TempDir(),
+	}
+	dial := h.network.Dialer("caller")
+	h.client = &http.Client{Transport: &http.Transport{
+		DialContext:       func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
+		DisableKeepAlives: true,
+	}}
+	return h
+}
+
+func historyConfig() *conf.Config {
+	return &conf.Config{
+		Number:     1,
+		Workspaces: map[string]conf.Workspace{"anand": {Rate: 100000, Burst: 100000}},
+		Keys:       map[string]conf.Key{digest.Key(keyAnand): {Workspace: "anand"}},
+		Adapters:   map[string]conf.Adapter{"notes": {Model: fleet.Model, Workspace: "anand", Versions: []string{"v1"}, Current: "v1"}},
+		Routes: map[string]conf.Route{
+			"filing": {Kind: conf.KindService, Path: "/filing", Service: fleet.Service, Workspaces: []string{"anand"}, Once: true, Cost: 1, Window: span.Duration(time.Hour)},
+		},
+		Weights: conf.Weights{Stalls: 1, Batch: 1, Worst: 1, Refused: 1},
+	}
+}
+
+// send sends one filing to one entry and returns "ok", the refusal's word on
+// whether it ran, or "lost".
+func (h *history) send(s sending, body string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), s.patience)
+	defer cancel()
+	address := "http://" + h.fleet.Net.Address(fleet.EntryName(s.entry), "http") + "/filing/1"
+	request, err := http.NewRequestWithContext(ctx, "POST", address, strings.NewReader(body))
+	require.NoError(h.t, err)
+	request.Header.Set("Authorization", "Bearer "+keyAnand)
+	response, err := h.client.Do(request)
+	if err != nil {
+		return "lost"
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	switch {
+	case err != nil:
+		return "lost"
+	case response.StatusCode < 300:
+		return "ok"
+	case strings.Contains(string(data), `"ran":"no"`):
+		return "no"
+	}
+	return "unknown"
+}
+
+// sending is one try of a caller, who goes away when patience is over.
+type sending struct {
+	entry    int
+	patience time.Duration
+	pause    time.Duration
+}
+
+func (h *history) plan() []sending {
+	sendings := make([]sending, historyTries)
+	for i := range sendings {
+		sendings[i] = sending{
+			entry:    h.random.IntN(2),
+			patience: time.Duration(100+h.random.IntN(4000)) * time.Millisecond,
+			pause:    time.Duration(h.random.IntN(1000)) * time.Millisecond,
+		}
+	}
+	sendings[historyTries-1].patience = time.Minute
+	return sendings
+}
+
+// file sends a filing until it is answered.
+func (h *history) file(body string, start time.Duration, sendings []sending) {
+	time.Sleep(start)
+	for _, s := range sendings {
+		end := h.send(s, body)
+		h.mutex.Lock()
+		h.seen[body] = append(h.seen[body], end)
+		h.mutex.Unlock()
+		if end == "ok" {
+			return
+		}
+		time.Sleep(s.pause)
+	}
+}
+
+// faults brings about one random fault after the other.
+func (h *history) faults(ctx context.Context) {
+	for ctx.Err() == nil {
+		h.pause(ctx, 500+h.random.IntN(2000))
+		entry := fleet.EntryName(h.random.IntN(2))
+		service := fleet.ServiceName(h.random.IntN(3))
+		replica := fleet.ControlName(h.random.IntN(3))
+		length := 1000 + h.random.IntN(5000)
+		switch h.random.IntN(6) {
+		case 0:
+			h.network.Silence(entry, service)
+		case 1:
+			h.apart(ctx, length, entry, service)
+		case 2:
+			h.apart(ctx, length, entry, "ctrl0", "ctrl1", "ctrl2")
+		case 3:
+			h.apart(ctx, length, replica, "ctrl0", "ctrl1", "ctrl2", "entry0", "entry1")
+		case 4:
+			_ = h.fleet.Stop(service)
+			h.fleet.StartAgent(service)
+		case 5:
+			h.network.Lose(entry)
+			h.fleet.Abandon(entry)
+			h.pause(ctx, length)
+			h.fleet.StartEntry(int(entry[len(entry)-1] - '0'))
+		}
+	}
+}
+
+func (h *history) apart(ctx context.Context, length int, host string, others ...string) {
+	h.network.Isolate(host, others...)
+	h.pause(ctx, length)
+	h.network.Rejoin(host, others...)
+}
+
+func (h *history) pause(ctx context.Context, milliseconds int) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration(milliseconds) * time.Millisecond):
+	}
+}
+
+func (h *history) play(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, historyTime)
+	defer cancel()
+	var callers conc.WaitGroup
+	for at := range historyCalls {
+		start := time.Duration(h.random.Int64N(int64(historyTime)))
+		sendings := h.plan()
+		callers.Go(func() { h.file(fmt.Sprintf("filing-%d", at), start, sendings) })
+	}
+	h.faults(ctx)
+	callers.Wait()
+}
+
+// check compares what callers were told with what the services filed.
+func (h *history) check(seed uint64) (answered int) {
+	filed := map[string]int{}
+	for _, service := range h.fleet.Services {
+		for body, count := range service.Filings() {
+			filed[body] += count
+		}
+	}
+	for body, ends := range h.seen {
+		require.LessOrEqual(h.t, filed[body], 1, "seed %d: %s ran twice: %v", seed, body, ends)
+		told := ends[len(ends)-1]
+		if told == "ok" {
+			answered++
+			require.Equal(h.t, 1, filed[body], "seed %d: %s was answered: %v", seed, body, ends)
+		}
+		if !strings.Contains(strings.Join(ends, " "), "ok") && !strings.Contains(strings.Join(ends, " "), "unknown") && !strings.Contains(strings.Join(ends, " "), "lost") {
+			require.Zero(h.t, filed[body], "seed %d: %s was always refused as not run: %v", seed, body, ends)
+		}
+	}
+	return answered
+}
+
+// TestHistoriesOfFilingsUnderFaults runs real control, entries, agents and
+// services: connections that go silent, partitions, restarts of agents,
+// entries that die and come back, and callers who send again at any entry.
+func TestHistoriesOfFilingsUnderFaults(t *testing.T) {
+	for seed := range uint64(historySeeds) {
+		bubble.Test(t, func(t *testing.T) {
+			h := newHistory(t, seed)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer time.Sleep(10 * time.Minute)
+			defer cancel()
+			h.fleet.Start(ctx)
+			defer h.fleet.Close()
+			begun, stop := context.WithTimeout(ctx, time.Minute)
+			defer stop()
+			require.NoError(t, h.fleet.Apply(begun, historyConfig()))
+			require.NoError(t, h.fleet.Ready(begun))
+			h.play(ctx)
+			time.Sleep(time.Minute)
+			answered := h.check(seed)
+			t.Logf("seed %d: %d of %d filings answered", seed, answered, historyCalls)
+			require.Greater(t, answered, historyCalls/2, "seed %d", seed)
+			h.complete()
+		})
+	}
+}
+
+// complete checks that the deployment still answers on the right adapter.
+func (h *history) complete() {
+	body := `{"model":"notes","prompt":"hello","max_tokens":20}`
+	request, err := http.NewRequest("POST", "http://entry0:80/v1/completions", strings.NewReader(body))
+	require.NoError(h.t, err)
+	request.Header.Set("Authorization", "Bearer "+keyAnand)
+	response, err := h.client.Do(request)
+	require.NoError(h.t, err)
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	require.NoError(h.t, err)
+	require.Equal(h.t, 200, response.StatusCode, string(data))
+	require.Contains(h.t, string(data), model.Answer("notes", "v1", "hello", 0, 20))
+}
