--- a/stubs/crowd/plan.go
+++ b/stubs/crowd/plan.go
@@ -49,7 +49,7 @@
 	// personTokens and batchTokens bound the answers, in tokens.
 	personTokens, batchTokens = 80, 220
 	// zipfExponent is the skew of the adapters' popularity.
-	zipfExponent = 1.0
+	zipfExponent = 1.2
 	// resendShare is the share of filings that their caller sends again.
 	resendShare = 0.15
 )
--- a/stubs/score/score.go
+++ b/stubs/score/score.go
@@ -84,7 +84,7 @@
 			continue
 		}
 		s.count(request)
-		if !bucket.Admit(request.Sent, cost(request)) {
+		if !bucket.Admit(request.Sent, Cost(request)) {
 			continue
 		}
 		within++
@@ -110,9 +110,9 @@
 	}
 }
 
-// cost is what the ideal bucket debits: prompt plus answer where they are
+// Cost is what the ideal bucket debits: prompt plus answer where they are
 // known, else the estimate that a full answer gives.
-func cost(request *crowd.Request) int64 {
+func Cost(request *crowd.Request) int64 {
 	if request.Adapter == "" {
 		return 1
 	}
