--- a/ctrl/node/join.go
+++ b/ctrl/node/join.go
@@ -18,12 +18,17 @@
 func (n *Node) join(ctx context.Context) {
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
+	answered := -1
 	for {
 		status := n.status.Load()
 		if known(*status, status.ID) {
 			return
 		}
 		answers := n.askPeers(ctx, *status)
+		if len(answers) != answered {
+			answered = len(answers)
+			n.Host.Log.Write("peers-asked", "answered", answered, "of", len(n.Peers)-1)
+		}
 		_ = n.call(ctx, func(l *loop) {
 			if members, ok := member.Bootstrap(l.describe(l.core.Status()), answers); ok {
 				l.step(raft.Input{Bootstrap: members})
