--- a/ctrl/node/group_test.go
+++ b/ctrl/node/group_test.go
@@ -32,14 +32,18 @@
 
 // group is a control group in one synctest bubble.
 type group struct {
-	t        *testing.T
-	seed     uint64
-	network  *vnet.Network
-	peers    []node.Peer
-	disks    map[string]*disk.Memory
+	t       *testing.T
+	seed    uint64
+	network *vnet.Network
+	peers   []node.Peer
+	disks   map[string]*disk.Memory
+	// mutex guards replicas in tests with callers beside the main one.
+	mutex    sync.Mutex
 	replicas map[string]*replica
 	// sent counts the bytes on all connections.
 	sent atomic.Int64
+	// wiped counts the disks lost.
+	wiped int
 	// every is the number of entries between snapshots.
 	every uint64
 }
@@ -112,14 +116,23 @@
 		end()
 		close(r.ended)
 	}()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
 	g.replicas[name] = r
 	return r
 }
 
-// stop ends a replica in order.
-func (g *group) stop(name string) {
+func (g *group) take(name string) *replica {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
 	r := g.replicas[name]
 	delete(g.replicas, name)
+	return r
+}
+
+// stop ends a replica in order.
+func (g *group) stop(name string) {
+	r := g.take(name)
 	r.cancel()
 	<-r.ended
 }
@@ -127,8 +140,7 @@
 // crash ends a replica as the loss of power does: nothing more reaches its
 // disk or the network.
 func (g *group) crash(name string) {
-	r := g.replicas[name]
-	delete(g.replicas, name)
+	r := g.take(name)
 	r.dead.Store(true)
 	g.disks[name].Crash()
 	g.network.Crash(name)
