--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -166,8 +166,6 @@
 	workers.Go(func() { d.permits.Run(working) })
 	workers.Go(func() { d.expire(working) })
 	workers.Go(func() { d.watch(working) })
-	release := context.AfterFunc(ctx, d.feeds.Close)
-	defer release()
 	err = d.node.Run(ctx)
 	stopWorking()
 	workers.Wait()
--- a/ctrl/daemon/leader.go
+++ b/ctrl/daemon/leader.go
@@ -109,8 +109,10 @@
 	return d.node.Open(ctx, leader, leaderPrefix+method)
 }
 
-// relay copies bytes between two streams until one of them ends.
+// relay copies bytes between two streams until one of them or ctx ends.
 func relay(ctx context.Context, near, far *wire.Stream) error {
+	defer near.Bind(ctx)()
+	defer far.Bind(ctx)()
 	ended := make(chan error, 2)
 	for _, pair := range [][2]*wire.Stream{{near, far}, {far, near}} {
 		go func() {
@@ -118,12 +120,7 @@
 			ended <- err
 		}()
 	}
-	var err error
-	select {
-	case err = <-ended:
-	case <-ctx.Done():
-		ended <- nil
-	}
+	err := <-ended
 	_ = near.Close()
 	_ = far.Close()
 	<-ended
--- /dev/null
+++ b/ctrl/daemon/service_test.go
@@ -0,0 +1,106 @@
+package daemon_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+// spending is tokens spent at a time.
+type spending struct {
+	at     time.Time
+	tokens int64
+}
+
+// Entries at all replicas ask for more than the allowance while leaders crash
+// and are cut off: no window sees more than rate times time plus burst, and
+// most of the allowance is used.
+func TestAllowanceThroughChangesOfLeader(t *testing.T) {
+	limits := conf.Workspace{Rate: 500, Burst: 1000}
+	var mutex sync.Mutex
+	var spent []spending
+	inCluster(t, 40, func(c *cluster) {
+		_, err := c.submit(c.leader(), &conf.Config{Number: 1, Workspaces: map[string]conf.Workspace{"w": limits}}, "ann", 0)
+		require.NoError(c.t, err)
+		end := time.Now().Add(historyTime)
+		var group sync.WaitGroup
+		for entry := range 4 {
+			source := rand.New(rand.NewPCG(40, uint64(entry)))
+			group.Go(func() {
+				for seq := uint64(1); time.Now().Before(end); seq++ {
+					sent := time.Now()
+					want := int64(10 + source.IntN(200))
+					ask := &plane.GrantAsk{Entry: fmt.Sprint(entry), Incarnation: 1, Seq: seq, Asks: []plane.Ask{{Workspace: "w", Want: want, Least: want / 4}}}
+					reply := &plane.GrantReply{}
+					err := c.call(fmt.Sprint("entry", entry), fmt.Sprintf("c%d", 1+source.IntN(3)), plane.MethodGrant, ask, reply)
+					if err != nil || reply.Refused != plane.KindNone {
+						time.Sleep(50 * time.Millisecond)
+						continue
+					}
+					given := reply.Grants[0]
+					at := sent.Add(time.Duration(source.Int64N(int64(given.Life))))
+					if given.Tokens > 0 {
+						mutex.Lock()
+						spent = append(spent, spending{at: at, tokens: given.Tokens})
+						mutex.Unlock()
+					}
+					time.Sleep(max(given.Wait.Std(), 20*time.Millisecond))
+				}
+			})
+		}
+		c.faults(rand.New(rand.NewPCG(40, 100)), end)
+		group.Wait()
+	})
+	slices.SortFunc(spent, func(a, b spending) int { return a.at.Compare(b.at) })
+	total := int64(0)
+	for i, first := range spent {
+		sum := int64(0)
+		for _, last := range spent[i:] {
+			sum += last.tokens
+			allowed := float64(limits.Burst) + float64(limits.Rate)*last.at.Sub(first.at).Seconds()
+			require.LessOrEqual(t, float64(sum), allowed)
+		}
+		total += first.tokens
+	}
+	share := float64(total) / (historyTime.Seconds() * float64(limits.Rate))
+	t.Logf("%d grants, %.0f%% of the allowance", len(spent), 100*share)
+	require.Greater(t, share, 0.5)
+}
+
+// A planned stop of the leader leaves its daemons their leases, and control a
+// leader, throughout.
+func TestPlannedStopOfTheLeader(t *testing.T) {
+	inCluster(t, 41, func(c *cluster) {
+		leader := c.leader()
+		entry := c.connect(leader, entryHello("entry"))
+		agent := c.connect(leader, agentHello("agent", 1))
+		_, err := c.submit(leader, config(1, 10), "ann", 5*time.Second)
+		require.NoError(c.t, err)
+		time.Sleep(2 * time.Second)
+		start := time.Now()
+		c.stop(leader)
+		require.Less(c.t, time.Since(start), 2*time.Second)
+		others := c.others(leader)
+		<-entry.ended
+		<-agent.ended
+		require.NoError(c.t, entry.join(others[0]))
+		require.NoError(c.t, agent.join(others[1]))
+		reply, err := c.submit(others[0], config(2, 20), "ann", 5*time.Second)
+		require.NoError(c.t, err)
+		require.True(c.t, reply.InForce)
+		require.Less(c.t, time.Since(start), 5*time.Second)
+		for range 100 {
+			require.True(c.t, entry.lease.Valid() && agent.lease.Valid())
+			require.True(c.t, entry.knows("agent"))
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
--- a/ctrl/feeds/feeds.go
+++ b/ctrl/feeds/feeds.go
@@ -133,7 +133,8 @@
 }
 
 // Run expires silent agents and exchanges news with the other replicas until
-// ctx ends; then it closes all feeds.
+// ctx ends; then it ends every feed and refuses new ones, so that daemons move
+// to another replica.
 func (f *Feeds) Run(ctx context.Context) {
 	f.prepare()
 	var group conc.WaitGroup
@@ -141,18 +142,12 @@
 	for _, name := range f.Peers {
 		group.Go(func() { f.listen(ctx, name) })
 	}
-	group.Wait()
-	f.closeAll()
-}
-
-// Close ends every feed and refuses new ones, so that daemons move to another
-// replica.
-func (f *Feeds) Close() {
-	f.prepare()
+	<-ctx.Done()
 	f.mutex.Lock()
 	f.closed = true
 	f.mutex.Unlock()
 	f.closeAll()
+	group.Wait()
 }
 
 func (f *Feeds) closeAll() {
@@ -262,7 +257,7 @@
 			continue
 		}
 		m.mutex.Lock()
-		m.vector = m.hello.Vector
+		m.vector, m.followed = m.hello.Vector, false
 		m.mutex.Unlock()
 		notify(m.news)
 	}
--- a/ctrl/feeds/peers.go
+++ b/ctrl/feeds/peers.go
@@ -161,8 +161,7 @@
 func (f *Feeds) tell(p *peer, vector *[]roster.Mark) *News {
 	message := &News{Replica: f.Replica(), Number: f.Machine.Number()}
 	if !covers(*vector, f.Roster.Vector()) {
-		message.Roster = f.Roster.Since(*vector)
-		message.Roster.Whole = false
+		message.Roster = f.Roster.News(*vector)
 		message.Roster.Sender = message.Replica
 		*vector = joinVectors(*vector, message.Roster.Vector)
 	}
--- a/ctrl/feeds/serve.go
+++ b/ctrl/feeds/serve.go
@@ -33,6 +33,9 @@
 	sent   time.Time
 	vector []roster.Mark
 	bans   uint64
+	// followed says that the daemon has the roster from this replica up to
+	// vector, and not from elsewhere.
+	followed bool
 	// fenced says that the fencing number was sent.
 	fenced bool
 	bye    bool
--- a/ctrl/feeds/update.go
+++ b/ctrl/feeds/update.go
@@ -22,9 +22,8 @@
 	if update.Fence != 0 && !m.fenced {
 		m.fenced, news = true, true
 	}
-	if delta := f.Machine.Deltas(m.number); delta != nil && m.number < update.Number {
-		update.Config, m.number, m.sent = delta, delta.To, time.Now()
-		update.Number = max(update.Number, delta.To)
+	if m.number < update.Number {
+		f.composeConfig(m, update)
 		news = true
 	}
 	if m.hello.Role == plane.RoleEntry && f.composeRoster(m, update) {
@@ -41,6 +40,19 @@
 	return update, news
 }
 
+// composeConfig adds what leads an entry to the committed configuration.
+// Agents act on requests and not on the configuration; they only acknowledge
+// its number.
+func (f *Feeds) composeConfig(m *member, update *plane.Update) {
+	if m.hello.Role == plane.RoleEntry {
+		update.Config = f.Machine.Deltas(m.number)
+	}
+	if update.Config != nil {
+		update.Number = update.Config.To
+	}
+	m.number, m.sent = update.Number, time.Now()
+}
+
 // composeAgent adds what only agents need. It returns false when a later
 // incarnation of the agent exists.
 func (f *Feeds) composeAgent(m *member, update *plane.Update) bool {
@@ -63,10 +75,15 @@
 // composeRoster adds the records that an entry does not have, without what
 // only control needs.
 func (f *Feeds) composeRoster(m *member, update *plane.Update) bool {
-	if covers(m.vector, f.Roster.Vector()) && !f.Roster.Behind(m.vector) {
+	if m.followed && covers(m.vector, f.Roster.Vector()) {
 		return false
 	}
-	delta := f.Roster.Since(m.vector)
+	ask := f.Roster.Since
+	if m.followed {
+		ask = f.Roster.News
+	}
+	delta := ask(m.vector)
+	m.followed = true
 	delta.Sender = f.Replica()
 	for i := range delta.Records {
 		delta.Records[i].Digests = nil
--- /dev/null
+++ b/ctrl/state/machine_test.go
@@ -0,0 +1,106 @@
+package state_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
+	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+func apply(t require.TestingT, m *state.Machine, at int64, command *state.Command) *state.Result {
+	data, err := codec.Encode(command)
+	require.NoError(t, err)
+	result := &state.Result{}
+	require.NoError(t, codec.Decode(m.Apply(at, data), result))
+	return result
+}
+
+// From every number the delta leads to exactly the committed configuration,
+// also when several changes are made one, and after a restart from a snapshot,
+// when the whole configuration is sent.
+func TestDeltasLeadToTheCommittedConfiguration(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m, restored := &state.Machine{}, &state.Machine{}
+		keys := rapid.MapOf(rapid.SampledFrom([]string{"a", "b", "c", "d"}), rapid.Custom(func(t *rapid.T) conf.Key {
+			return conf.Key{Workspace: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "workspace")}
+		}))
+		history := []*conf.Config{nil}
+		for number := uint64(1); number <= 8; number++ {
+			next := &conf.Config{Number: number, Keys: keys.Draw(t, "keys")}
+			result := apply(t, m, 0, &state.Command{Config: &state.Proposal{Sum: fmt.Sprint(number), Delta: conf.Diff(history[number-1], next)}})
+			require.Equal(t, plane.KindNone, result.Config.Refused)
+			history = append(history, next)
+		}
+		data, err := m.Snapshot()
+		require.NoError(t, err)
+		require.NoError(t, restored.Restore(data))
+		for number, config := range history[:8] {
+			for _, machine := range []*state.Machine{m, restored} {
+				got, err := config.Apply(machine.Deltas(uint64(number)))
+				require.NoError(t, err)
+				require.Equal(t, history[8].Number, got.Number)
+				require.Equal(t, len(history[8].Keys), len(got.Keys))
+				for name, key := range history[8].Keys {
+					require.Equal(t, key, got.Keys[name])
+				}
+			}
+		}
+		require.Nil(t, m.Deltas(8))
+	})
+}
+
+// A machine restored from a snapshot answers as the one that made it.
+func TestSnapshotKeepsEverything(t *testing.T) {
+	m, restored := &state.Machine{}, &state.Machine{}
+	claim := &plane.ClaimAsk{Verb: plane.VerbClaim, Key: []byte("key"), Attempt: []byte("attempt")}
+	config := &conf.Config{Number: 1, Workspaces: map[string]conf.Workspace{"w": {Rate: 1, Burst: 1}}}
+	apply(t, m, 5, &state.Command{
+		Config: &state.Proposal{Sum: "sum", Author: "ann", Delta: conf.Diff(nil, config)}, Claim: claim,
+		Horizons: []state.Horizon{{Workspace: "w", Level: 7, Held: 3}},
+		Enrols:   []state.Enrol{{Agent: "a", Incarnation: 9}, {Agent: "a", Incarnation: 4}, {Agent: "b", Incarnation: 1}},
+		Crashes:  []plane.Crash{{Agent: "a", Incarnation: 9, Count: 1, Digests: [][]byte{[]byte("digest")}}},
+	})
+	data, err := m.Snapshot()
+	require.NoError(t, err)
+	require.NoError(t, restored.Restore(data))
+	again, err := restored.Snapshot()
+	require.NoError(t, err)
+	require.Equal(t, data, again)
+	for _, machine := range []*state.Machine{m, restored} {
+		horizon, _, ok := machine.Horizon("w")
+		require.True(t, ok)
+		require.Equal(t, state.Horizon{Workspace: "w", Level: 7, Held: 3}, horizon)
+		fence, wait, _ := machine.Fence("a")
+		require.Equal(t, []uint64{9}, fence.Former)
+		require.Greater(t, wait, 2*time.Second, "the former incarnation's lease may still run")
+		require.Equal(t, []uint64{2, 0, 4}, apply(t, machine, 6, &state.Command{Enrols: []state.Enrol{{Agent: "a", Incarnation: 4}, {Agent: "a", Incarnation: 9}, {Agent: "c", Incarnation: 1}}}).Fences)
+		require.Equal(t, plane.ClaimOwned, apply(t, machine, 6, &state.Command{Claim: claim}).Claim.State)
+		require.Equal(t, "ann", machine.Judge(1, "sum").Winner)
+		list, _ := machine.Bans()
+		require.Len(t, list, 1)
+		apply(t, machine, int64(time.Hour), &state.Command{})
+		list, _ = machine.Bans()
+		require.Empty(t, list, "an empty command moves committed time on")
+	}
+	require.Equal(t, plane.KindInvalid, decode(t, m.Apply(0, []byte{0xff})).Refused)
+}
+
+func decode(t *testing.T, data []byte) *state.Result {
+	result := &state.Result{}
+	require.NoError(t, codec.Decode(data, result))
+	return result
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -98,14 +98,25 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	has := vectorOf(vector)
-	whole := len(vector) > 0 && r.behind(has)
+	return r.since(has, len(vector) > 0 && r.behind(has))
+}
+
+// News returns the same for a holder that has followed this roster without a
+// break, and so knows of every removal up to its vector. It is never whole.
+func (r *Roster) News(vector []Mark) *Delta {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.since(vectorOf(vector), false)
+}
+
+func (r *Roster) since(has map[uint64]uint64, whole bool) *Delta {
 	delta := &Delta{Vector: marksOf(r.vector), Whole: whole}
 	now := time.Now()
 	for _, record := range r.records {
 		if !whole && record.Counter <= has[record.Origin] {
 			continue
 		}
-		if record.Gone && (whole || len(vector) == 0) {
+		if record.Gone && (whole || len(has) == 0) {
 			continue
 		}
 		shown := record.Record
@@ -116,13 +127,6 @@
 	return delta
 }
 
-// Behind reports whether the holder of a vector needs the whole roster.
-func (r *Roster) Behind(vector []Mark) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return len(vector) > 0 && r.behind(vectorOf(vector))
-}
-
 func (r *Roster) behind(has map[uint64]uint64) bool {
 	for origin, counter := range r.forgotten {
 		if has[origin] < counter {
