Choose among resident endpoints without ranking all homes

Cause: each choice filtered and ranked all endpoints of the model, also when the adapter was resident. Change: homes are ranked only when no copy can take the attempt, and without a copy of the list.

--- a/entry/picker/picker_test.go
+++ b/entry/picker/picker_test.go
@@ -214,3 +214,37 @@
 	require.NoError(t, err)
 	require.Equal(t, "e01", got.Agent)
 }
+
+// BenchmarkPick measures a choice among 600 endpoints: of adapters that are
+// resident at one of them, and of those at none.
+func BenchmarkPick(b *testing.B) {
+	const endpoints, slots = 600, 32
+	var records []roster.Record
+	for at := range endpoints {
+		record := engine(at, func(r *roster.Record) { r.Agent = fmt.Sprintf("e%03d", at) })
+		for slot := range slots {
+			resident(fmt.Sprint(at*slots + slot))(&record)
+		}
+		records = append(records, record)
+	}
+	names := make([]string, endpoints*slots)
+	for at := range names {
+		names[at] = fmt.Sprint(at)
+	}
+	p := newPicker(records...)
+	pick := func(b *testing.B, prefix string) {
+		b.ReportAllocs()
+		for at := 0; b.Loop(); at++ {
+			got, err := p.Pick(want(prefix + names[at%len(names)]))
+			require.NoError(b, err)
+			p.Release(got)
+		}
+	}
+	b.Run("resident", func(b *testing.B) { pick(b, "") })
+	b.Run("cold", func(b *testing.B) { pick(b, "cold") })
+	b.Run("update", func(b *testing.B) {
+		for at := 0; b.Loop(); at++ {
+			p.Update(records[at%endpoints : at%endpoints+1])
+		}
+	})
+}
--- a/entry/picker/rule.go
+++ b/entry/picker/rule.go
@@ -24,44 +24,52 @@
 )
 
 func (p *Picker) choose(want *Want) *endpoint {
-	all := p.allowed(p.pools[pool(want.Model, want.Service)], want)
-	if len(all) == 0 {
-		return nil
-	}
-	if p.Choose != nil {
-		return all[p.Choose(p.candidates(all, want))]
+	list := p.pools[pool(want.Model, want.Service)]
+	if p.Choose != nil || want.Service != "" {
+		return p.chooseAny(allowed(list, want), want)
 	}
-	if want.Service != "" {
-		return p.better(all, want)
-	}
-	residents := p.allowed(p.resident[slot(want.Adapter, want.Version)], want)
-	homes := homes(want.Adapter, all)
+	residents := allowed(p.resident[slot(want.Adapter, want.Version)], want)
 	if len(residents) == 0 {
-		return p.home(homes, want)
+		return p.home(homes(list, want), want)
 	}
 	best := p.better(residents, want)
 	if best.load(want.Class) < spillLoad {
 		return best
 	}
-	return p.spill(best, residents, homes, want)
+	return p.spill(best, residents, homes(list, want), want)
+}
+
+// chooseAny picks among endpoints that are alike, or by the baseline's rule.
+func (p *Picker) chooseAny(list []*endpoint, want *Want) *endpoint {
+	if len(list) == 0 {
+		return nil
+	}
+	if p.Choose != nil {
+		return list[p.Choose(p.candidates(list, want))]
+	}
+	return p.better(list, want)
 }
 
-// allowed leaves out endpoints that take no work, were tried, or hold another
-// suspect.
-func (p *Picker) allowed(list []*endpoint, want *Want) []*endpoint {
-	var kept []*endpoint
+// allowed leaves out the endpoints that may not get the attempt.
+func allowed(list []*endpoint, want *Want) []*endpoint {
+	kept := make([]*endpoint, 0, len(list))
 	for _, e := range list {
-		if !e.ready() || slices.Contains(want.Tried, e.record.Agent) {
-			continue
+		if e.takes(want) {
+			kept = append(kept, e)
 		}
-		if want.Suspect && e.suspects > 0 {
-			continue
-		}
-		kept = append(kept, e)
 	}
 	return kept
 }
 
+// takes reports whether the endpoint takes work, was not tried, and holds no
+// other suspect.
+func (e *endpoint) takes(want *Want) bool {
+	if !e.ready() || slices.Contains(want.Tried, e.record.Agent) {
+		return false
+	}
+	return !want.Suspect || e.suspects == 0
+}
+
 func (p *Picker) candidates(list []*endpoint, want *Want) []Candidate {
 	candidates := make([]Candidate, len(list))
 	for i, e := range list {
@@ -115,6 +123,9 @@
 
 // home returns the first home that is not full, else the least loaded one.
 func (p *Picker) home(homes []*endpoint, want *Want) *endpoint {
+	if len(homes) == 0 {
+		return nil
+	}
 	best := homes[0]
 	for _, e := range homes {
 		if e.load(want.Class) < fullLoad {
@@ -150,31 +161,28 @@
 	return best
 }
 
-// homes returns the first endpoints of an adapter's weighted rendezvous order.
-func homes(adapter string, list []*endpoint) []*endpoint {
-	type scored struct {
-		e     *endpoint
-		score float64
-	}
-	hash := xxhash.Sum64String(adapter)
-	top := make([]scored, 0, mostHomes+1)
+// homes returns the first endpoints of an adapter's weighted rendezvous order
+// that take the attempt.
+func homes(list []*endpoint, want *Want) []*endpoint {
+	hash := xxhash.Sum64String(want.Adapter)
+	found := make([]*endpoint, 0, mostHomes+1)
+	var scores [mostHomes + 1]float64
 	for _, e := range list {
-		s := scored{e, score(hash^e.hash, e.record.Slots)}
-		at := len(top)
-		for at > 0 && top[at-1].score < s.score {
+		if !e.takes(want) {
+			continue
+		}
+		s := score(hash^e.hash, e.record.Slots)
+		at := len(found)
+		for at > 0 && scores[at-1] < s {
 			at--
 		}
 		if at == mostHomes {
 			continue
 		}
-		top = slices.Insert(top, at, s)
-		if len(top) > mostHomes {
-			top = top[:mostHomes]
-		}
-	}
-	found := make([]*endpoint, len(top))
-	for i, s := range top {
-		found[i] = s.e
+		copy(scores[at+1:], scores[at:])
+		scores[at] = s
+		found = slices.Insert(found, at, e)
+		found = found[:min(len(found), mostHomes)]
 	}
 	return found
 }
