--- a/spindle/cmds/cmds_test.go
+++ b/spindle/cmds/cmds_test.go
@@ -103,7 +103,7 @@
 	// yamux keeps timers in a sync.Pool, which must not outlive a bubble.
 	runtime.GC()
 	runtime.GC()
-	var text string
+	var result string
 	bubble.Test(t, func(t *testing.T) {
 		network := vnet.New()
 		ctx, cancel := context.WithCancel(context.Background())
@@ -124,13 +124,13 @@
 		cancel()
 		time.Sleep(time.Minute)
 		synctest.Wait()
-		text = fmt.Sprintf("%s--- errors\n%s--- exit code %d\n", output.String(), faults.String(), code)
+		result = fmt.Sprintf("%s--- errors\n%s--- exit code %d\n", output.String(), faults.String(), code)
 	})
-	return text
+	return result
 }
 
-// folder writes an operators' folder of one file.
-func folder(t *testing.T, text string) string {
+// folderOf writes an operators' folder of one file.
+func folderOf(t *testing.T, text string) string {
 	dir := t.TempDir()
 	require.NoError(t, os.WriteFile(filepath.Join(dir, "all.json"), []byte(text), 0o600))
 	return dir
@@ -148,21 +148,21 @@
 		replicas  *replicas
 		arguments []string
 	}{
-		"check-good":       {&replicas{}, []string{"check", folder(t, good)}},
-		"check-bad":        {&replicas{}, []string{"check", folder(t, bad)}},
-		"check-bad-json":   {&replicas{}, []string{"check", "--json", folder(t, bad)}},
+		"check-good":       {&replicas{}, []string{"check", folderOf(t, good)}},
+		"check-bad":        {&replicas{}, []string{"check", folderOf(t, bad)}},
+		"check-bad-json":   {&replicas{}, []string{"check", "--json", folderOf(t, bad)}},
 		"check-usage":      {&replicas{}, []string{"check"}},
 		"no-command":       {&replicas{}, []string{"launch"}},
 		"further-fails":    {&replicas{}, []string{"sample"}},
 		"flag-usage":       {&replicas{}, []string{"status", "--colour"}},
 		"no-control":       {&replicas{}, []string{"status"}},
-		"apply-bad":        {&replicas{}, append(both, "apply", folder(t, bad))},
-		"apply-done":       {&replicas{submitted: plane.Submitted{Number: 1, InForce: true}}, append(both, "apply", folder(t, good))},
-		"apply-done-json":  {&replicas{submitted: plane.Submitted{Number: 1, InForce: true}}, append(both, "--json", "apply", folder(t, good))},
-		"apply-conflict":   {&replicas{submitted: plane.Submitted{Refused: plane.KindConflict, Number: 1, Winner: "ravi@ops"}}, append(both, "apply", folder(t, good))},
-		"apply-lagging":    {&replicas{submitted: plane.Submitted{Number: 1, Lagging: []string{"e1", "a7"}}}, append(both, "apply", folder(t, good))},
-		"apply-invalid":    {&replicas{submitted: plane.Submitted{Refused: plane.KindInvalid, Detail: "rates"}}, append(both, "apply", folder(t, good))},
-		"apply-leaderless": {&replicas{submitted: plane.Submitted{Refused: plane.KindLeader}}, append(both, "apply", folder(t, good))},
+		"apply-bad":        {&replicas{}, append(both, "apply", folderOf(t, bad))},
+		"apply-done":       {&replicas{submitted: plane.Submitted{Number: 1, InForce: true}}, append(both, "apply", folderOf(t, good))},
+		"apply-done-json":  {&replicas{submitted: plane.Submitted{Number: 1, InForce: true}}, append(both, "--json", "apply", folderOf(t, good))},
+		"apply-conflict":   {&replicas{submitted: plane.Submitted{Refused: plane.KindConflict, Number: 1, Winner: "ravi@ops"}}, append(both, "apply", folderOf(t, good))},
+		"apply-lagging":    {&replicas{submitted: plane.Submitted{Number: 1, Lagging: []string{"e1", "a7"}}}, append(both, "apply", folderOf(t, good))},
+		"apply-invalid":    {&replicas{submitted: plane.Submitted{Refused: plane.KindInvalid, Detail: "rates"}}, append(both, "apply", folderOf(t, good))},
+		"apply-leaderless": {&replicas{submitted: plane.Submitted{Refused: plane.KindLeader}}, append(both, "apply", folderOf(t, good))},
 		"key-new":          {&replicas{}, []string{"key", "new", "--workspace", "w", "--note", "front desk"}},
 		"key-new-json":     {&replicas{}, []string{"key", "new", "--workspace", "w", "--json"}},
 		"status":           {&replicas{}, append(both, "status")},
@@ -186,7 +186,7 @@
 }
 
 func TestApplyUsesTheNextNumberOrTheFoldersOwn(t *testing.T) {
-	same, err := conf.Load(folder(t, good))
+	same, err := conf.Load(folderOf(t, good))
 	require.NoError(t, err)
 	same.Number = 7
 	for name, test := range map[string]struct {
@@ -201,7 +201,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := &replicas{committed: test.committed, submitted: plane.Submitted{InForce: true}}
-			require.Contains(t, run(t, r, "apply", "--control", "c1:1", folder(t, test.text)), "exit code 0")
+			require.Contains(t, run(t, r, "apply", "--control", "c1:1", folderOf(t, test.text)), "exit code 0")
 			require.Equal(t, test.want, r.asks[0].Config.Number)
 			require.Equal(t, "asha@ops", r.asks[0].Author)
 		})
@@ -210,7 +210,7 @@
 
 func TestLostAnswerIsAskedForAgainUnderTheSameNumber(t *testing.T) {
 	r := &replicas{lose: 3, submitted: plane.Submitted{InForce: true}}
-	require.Contains(t, run(t, r, "apply", "--control", "c1:1,c2:1", folder(t, good)), "exit code 0")
+	require.Contains(t, run(t, r, "apply", "--control", "c1:1,c2:1", folderOf(t, good)), "exit code 0")
 	require.Len(t, r.asks, 4)
 	for _, ask := range r.asks {
 		require.Equal(t, uint64(1), ask.Config.Number)
