--- a/ctrl/feeds/feeds.go
+++ b/ctrl/feeds/feeds.go
@@ -36,8 +36,12 @@
 	// roundTimeout bounds one quorum round or one commit.
 	roundTimeout = time.Second
 	// deafAfter is how long quorum rounds may fail before the feeds are
-	// closed, so that the daemons try another replica.
-	deafAfter = 1500 * time.Millisecond
+	// closed, so that the daemons try another replica before their leases
+	// end. It is longer than an election.
+	deafAfter = 2200 * time.Millisecond
+	// probeAfter is how long no beat may have asked for a quorum round before
+	// one is made without.
+	probeAfter = 500 * time.Millisecond
 	// resendAfter is how long a daemon may take to put a configuration in
 	// force before it gets the whole one again.
 	resendAfter = 3 * time.Second
@@ -249,11 +253,14 @@
 	f.listening = now
 }
 
-// settle lets the roster speak for agents that it does not know, to daemons
-// that joined before as well.
+// settle lets the roster speak for agents that it does not know, also to
+// daemons that joined before with a roster from elsewhere.
 func (f *Feeds) settle() {
 	f.Roster.Settle()
 	for _, m := range f.all() {
+		if len(m.hello.Vector) == 0 {
+			continue
+		}
 		m.mutex.Lock()
 		m.vector = m.hello.Vector
 		m.mutex.Unlock()
@@ -273,7 +280,7 @@
 		f.probe(ctx)
 		return
 	}
-	if deaf >= deafAfter/3 {
+	if deaf >= probeAfter {
 		f.probe(ctx)
 	}
 	if listened < silence+sweepInterval {
