Send entries the loads of endpoints at a bounded rate

Cause: each change of an endpoint's load sent its whole record to every entry, 10 times a second: 16.8 KB/s per entry with 20 endpoints at 200 requests/s, and that grows with endpoints; the budget is 8 KB/s. Ruled out: sending less often for all (a leaving endpoint must be known at once). Change: a record counts apart when anything but its load changed (Shape); such records go at once, loads as short messages at 60/s in turn, none for ever.

--- a/ctrl/feeds/serve.go
+++ b/ctrl/feeds/serve.go
@@ -36,6 +36,8 @@
 	// followed says that the daemon has the roster from this replica up to
 	// vector, and not from elsewhere.
 	followed bool
+	// debt is the loads that an entry has still to be sent.
+	debt debt
 	// fenced says that the fencing number was sent.
 	fenced bool
 	bye    bool
--- a/ctrl/feeds/update.go
+++ b/ctrl/feeds/update.go
@@ -75,7 +75,7 @@
 // composeRoster adds the records that an entry does not have, without what
 // only control needs.
 func (f *Feeds) composeRoster(m *member, update *plane.Update) bool {
-	if m.followed && covers(m.vector, f.Roster.Vector()) {
+	if m.followed && covers(m.vector, f.Roster.Vector()) && !m.debt.open() {
 		return false
 	}
 	ask := f.Roster.Since
@@ -83,13 +83,20 @@
 		ask = f.Roster.News
 	}
 	delta := ask(m.vector)
+	if !m.followed {
+		m.debt.oweAll(f.Roster.All())
+	}
 	m.followed = true
 	delta.Sender = f.Replica()
+	if !delta.Whole {
+		delta.Records = m.debt.divide(delta.Records, m.vector)
+	}
 	for i := range delta.Records {
 		delta.Records[i].Digests = nil
 	}
+	delta.Loads = m.debt.pay(f.Roster, time.Now())
 	m.vector = joinVectors(m.vector, delta.Vector)
-	if len(delta.Records) == 0 && !delta.Whole {
+	if len(delta.Records) == 0 && len(delta.Loads) == 0 && !delta.Whole {
 		return false
 	}
 	update.Roster = delta
--- a/pkg/roster/origin.go
+++ b/pkg/roster/origin.go
@@ -51,6 +51,7 @@
 	}
 	shown := *record
 	shown.Origin, shown.Counter, shown.Age, shown.Gone = old.Origin, old.Counter, old.Age, old.Gone
+	shown.Shape = old.Shape
 	return reflect.DeepEqual(shown, old.Record)
 }
 
@@ -173,6 +174,9 @@
 	}
 	counter++
 	r.vector[origin] = counter
-	record.Origin, record.Counter, record.Age = origin, counter, 0
+	record.Origin, record.Counter, record.Age, record.Shape = origin, counter, 0, counter
+	if old := r.records[record.Agent]; old != nil && old.likeShape(&record) {
+		record.Shape = old.Shape
+	}
 	r.records[record.Agent] = &held{Record: record, heard: now}
 }
--- a/pkg/roster/record.go
+++ b/pkg/roster/record.go
@@ -2,6 +2,8 @@
 package roster
 
 import (
+	"slices"
+
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 )
 
@@ -67,6 +69,8 @@
 	// Turn counts the changes that control made to a record of one Beat:
 	// another replica hears the agent now, or nobody does. Agents leave it 0.
 	Turn uint64 `protobuf:"varint,23,opt" json:"turn"`
+	// Shape is the Counter at which anything but the load changed last.
+	Shape uint64 `protobuf:"varint,24,opt" json:"shape"`
 }
 
 // Resident is one adapter version at an endpoint.
@@ -129,4 +133,45 @@
 	Vector []Mark `protobuf:"bytes,2,rep" json:"vector"`
 	// Whole says that records missing here are gone.
 	Whole bool `protobuf:"varint,3,opt" json:"whole"`
+	// Loads holds the load of agents whose records are known otherwise. They
+	// are sent at a bounded rate, so the vector does not cover them.
+	Loads []Load `protobuf:"bytes,5,rep" json:"loads"`
+}
+
+// Load is the part of a record that changes with each request.
+type Load struct {
+	Agent string `protobuf:"bytes,1,opt" json:"agent"`
+	// Fence and Beat say which report it is from.
+	Fence   uint64  `protobuf:"varint,2,opt" json:"fence"`
+	Beat    uint64  `protobuf:"varint,3,opt" json:"beat"`
+	Running int32   `protobuf:"varint,4,opt" json:"running"`
+	Queued  []int32 `protobuf:"varint,5,rep" json:"queued"`
+	Speed   int64   `protobuf:"varint,6,opt" json:"speed"`
+}
+
+// Load returns the record's load.
+func (r *Record) Load() Load {
+	return Load{
+		Agent: r.Agent, Fence: r.Fence, Beat: r.Beat,
+		Running: r.Running, Queued: r.Queued, Speed: r.Speed,
+	}
+}
+
+// take puts a newer load into the record and reports whether it was newer.
+func (r *Record) take(load *Load) bool {
+	if r.Gone || load.Fence != r.Fence || load.Beat <= r.Beat {
+		return false
+	}
+	r.Beat, r.Running, r.Queued, r.Speed = load.Beat, load.Running, load.Queued, load.Speed
+	return true
+}
+
+// likeShape reports whether two records differ in their load at most.
+func (r *Record) likeShape(other *Record) bool {
+	return r.Origin == other.Origin && r.Incarnation == other.Incarnation && r.Fence == other.Fence &&
+		r.Address == other.Address && r.DataCentre == other.DataCentre &&
+		r.Model == other.Model && r.Service == other.Service &&
+		r.Slots == other.Slots && r.Places == other.Places && r.Fenced == other.Fenced &&
+		r.Ready == other.Ready && r.Leaving == other.Leaving && r.Gone == other.Gone &&
+		slices.Equal(r.Resident, other.Resident)
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -42,8 +42,8 @@
 	r.forgotten = map[uint64]uint64{}
 }
 
-// Merge takes the records of delta that are newer than those held and returns
-// them. After a whole delta, records that it covers but does not name are
+// Merge takes the records and loads of delta that are newer than those held
+// and returns the records as they are now. After a whole delta, records that it covers but does not name are
 // gone; they are returned with Gone set.
 func (r *Roster) Merge(delta *Delta) []Record {
 	r.mutex.Lock()
@@ -58,6 +58,11 @@
 	if delta.Whole {
 		changed = append(changed, r.dropMissing(delta)...)
 	}
+	for i := range delta.Loads {
+		if old := r.records[delta.Loads[i].Agent]; old != nil && old.take(&delta.Loads[i]) {
+			changed = append(changed, old.Record)
+		}
+	}
 	for _, mark := range delta.Vector {
 		r.vector[mark.Origin] = max(r.vector[mark.Origin], mark.Counter)
 	}
