Keep heartbeats out of the way of large changes

A change of several megabytes between regions held up the heartbeats behind it on the one stream, so that the followers elected another leader, and it was sent again every 300 ms while still on its way: the group got nowhere. The largest proposal is 12 MiB (was 4).

TestLargeChangeBetweenRegionsKeepsItsLeader (12 MiB, 75 ms one way) failed with 'lost' before and passes now with one copy to each follower.

--- a/ctrl/node/failure_test.go
+++ b/ctrl/node/failure_test.go
@@ -349,3 +349,22 @@
 		require.LessOrEqual(t, leader.Host.Meter.Value("read_rounds")-before, int64(5))
 	})
 }
+
+func TestLargeChangeBetweenRegionsKeepsItsLeader(t *testing.T) {
+	inBubble(t, 19, 3, func(g *group) {
+		g.latency.Store(int64(75 * time.Millisecond))
+		time.Sleep(2 * time.Second)
+		leader := g.leader()
+		term := leader.Status().Term
+		sent := g.sent.Load()
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		_, err := leader.Propose(ctx, append([]byte("big="), make([]byte, node.MaxData-4)...))
+		require.NoError(t, err)
+		for _, name := range sorted(g.replicas) {
+			require.Len(t, g.read(name, "big"), node.MaxData-4)
+		}
+		require.Equal(t, term, g.leader().Status().Term)
+		require.Less(t, g.sent.Load()-sent, int64(3*node.MaxData))
+	})
+}
--- a/ctrl/node/group_test.go
+++ b/ctrl/node/group_test.go
@@ -40,6 +40,8 @@
 	// mutex guards replicas in tests with callers beside the main one.
 	mutex    sync.Mutex
 	replicas map[string]*replica
+	// latency is the time one way between any two.
+	latency atomic.Int64
 	// sent counts the bytes on all connections.
 	sent atomic.Int64
 	// wiped counts the disks lost.
@@ -70,7 +72,8 @@
 			t: t, seed: seed, network: vnet.New(),
 			disks: map[string]*disk.Memory{}, replicas: map[string]*replica{},
 		}
-		g.network.Latency = func(string, string) time.Duration { return 2 * time.Millisecond }
+		g.latency.Store(int64(2 * time.Millisecond))
+		g.network.Latency = func(string, string) time.Duration { return time.Duration(g.latency.Load()) }
 		for i := range size {
 			name := fmt.Sprintf("c%d", i+1)
 			g.peers = append(g.peers, node.Peer{Name: name, Address: name + ":1"})
--- a/ctrl/node/node.go
+++ b/ctrl/node/node.go
@@ -42,8 +42,9 @@
 	window      = 64
 	// chunkBytes is the piece of a snapshot in one message.
 	chunkBytes = 512 << 10
-	// MaxData is the largest proposal, in bytes.
-	MaxData = 4 << 20
+	// MaxData is the largest proposal, in bytes. With its frame it must fit
+	// into wire.MaxMessage.
+	MaxData = 12 << 20
 	// snapshotEntries and snapshotBytes are how much is applied between two
 	// snapshots.
 	snapshotEntries = 10_000
--- a/ctrl/node/outlet.go
+++ b/ctrl/node/outlet.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
-	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
 )
@@ -19,42 +19,8 @@
 	// firstDelay and longestDelay bound the pause after a failed attempt.
 	firstDelay   = 50 * time.Millisecond
 	longestDelay = 500 * time.Millisecond
-	// queueMessages bounds what waits for a replica; the oldest go first.
-	queueMessages = 1024
-	// batchBytes bounds what is sent as one message of the stream.
-	batchBytes = 4 << 20
 )
 
-// hello is the first message of the stream between two replicas. A replica
-// that belongs to no group yet learns from it where to send its replies.
-type hello struct {
-	ID      uint64 `protobuf:"varint,1,opt"`
-	Address string `protobuf:"bytes,2,opt"`
-}
-
-// Check reports the first invalid field.
-func (h *hello) Check() error {
-	if h.ID == 0 || h.Address == "" {
-		return &Error{Op: "check sender", Kind: KindMissing}
-	}
-	return nil
-}
-
-// batch is every later message of the stream.
-type batch struct {
-	Messages []raft.Message `protobuf:"bytes,1,rep"`
-}
-
-// Check reports the first invalid message.
-func (b *batch) Check() error {
-	for i := range b.Messages {
-		if err := b.Messages[i].Check(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // outlets are the sessions to the other replicas, one for each address.
 type outlets struct {
 	node      *Node
@@ -70,11 +36,12 @@
 type outlet struct {
 	node    *Node
 	address string
-	mutex   sync.Mutex
-	queue   []raft.Message
-	wake    chan struct{}
-	session *link.Session
-	changed chan struct{}
+	// quick takes what is short and must not wait behind a large append
+	// message or a snapshot, which go by bulk.
+	quick, bulk *lane
+	mutex       sync.Mutex
+	session     *link.Session
+	changed     chan struct{}
 }
 
 // run keeps a session to every known replica until ctx ends.
@@ -144,7 +111,7 @@
 	defer o.mutex.Unlock()
 	out, ok := o.byAddress[address]
 	if !ok {
-		out = &outlet{node: o.node, address: address, wake: make(chan struct{}, 1), changed: make(chan struct{})}
+		out = &outlet{node: o.node, address: address, quick: newLane(), bulk: newLane(), changed: make(chan struct{})}
 		o.byAddress[address] = out
 		if o.started != nil {
 			o.started(out)
@@ -167,36 +134,13 @@
 }
 
 func (o *outlet) push(m raft.Message) {
-	o.mutex.Lock()
-	if len(o.queue) >= queueMessages {
-		o.queue = o.queue[len(o.queue)/2:]
-		o.node.Host.Meter.Add("raft_messages_dropped", queueMessages/2)
-	}
-	o.queue = append(o.queue, m)
-	o.mutex.Unlock()
-	select {
-	case o.wake <- struct{}{}:
-	default:
+	to := o.quick
+	if m.Kind == raft.MessageAppend || m.Kind == raft.MessageChunk {
+		to = o.bulk
 	}
-}
-
-// take returns queued messages of up to batchBytes.
-func (o *outlet) take() []raft.Message {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	size, count := 0, 0
-	for count < len(o.queue) && (count == 0 || size < batchBytes) {
-		for _, entry := range o.queue[count].Entries {
-			size += len(entry.Data)
-		}
-		if chunk := o.queue[count].Chunk; chunk != nil {
-			size += len(chunk.Data)
-		}
-		count++
+	if dropped := to.push(m); dropped > 0 {
+		o.node.Host.Meter.Add("raft_messages_dropped", int64(dropped))
 	}
-	taken := o.queue[:count:count]
-	o.queue = o.queue[count:]
-	return taken
 }
 
 // run connects, sends and reconnects until ctx ends.
@@ -205,10 +149,7 @@
 	for ctx.Err() == nil {
 		session, err := o.dial(ctx)
 		if err != nil {
-			select {
-			case <-ctx.Done():
-			case <-time.After(delay):
-			}
+			o.pause(ctx, delay)
 			delay = min(2*delay, longestDelay)
 			continue
 		}
@@ -220,6 +161,7 @@
 		o.set(nil)
 		_ = session.Close()
 		o.node.Host.Log.Write("peer-session-ended", "address", o.address, "err", err)
+		o.pause(ctx, delay)
 	}
 }
 
@@ -229,39 +171,24 @@
 	return link.Dial(ctx, o.node.Host.Dial, o.address)
 }
 
-// feed sends what is queued until the session ends.
-func (o *outlet) feed(ctx context.Context, session *link.Session) error {
-	stream, err := session.Open(methodRaft)
-	if err != nil {
-		return err
-	}
-	if err := stream.Send(&hello{ID: o.node.status.Load().ID, Address: o.node.Address}); err != nil {
-		return err
-	}
-	for {
-		select {
-		case <-o.wake:
-		case <-session.Done():
-			return nil
-		case <-ctx.Done():
-			return nil
-		}
-		if err := o.drain(stream); err != nil {
-			return err
-		}
+func (o *outlet) pause(ctx context.Context, delay time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(delay):
 	}
 }
 
-func (o *outlet) drain(stream *wire.Stream) error {
-	for {
-		messages := o.take()
-		if len(messages) == 0 {
-			return nil
-		}
-		if err := stream.Send(&batch{Messages: messages}); err != nil {
-			return err
-		}
-	}
+// feed sends what is queued until the session ends.
+func (o *outlet) feed(ctx context.Context, session *link.Session) error {
+	sender := hello{ID: o.node.status.Load().ID, Address: o.node.Address}
+	tasks := pool.New().WithErrors().WithFirstError()
+	for _, l := range []*lane{o.quick, o.bulk} {
+		tasks.Go(func() error {
+			defer func() { _ = session.Close() }()
+			return l.feed(ctx, session, sender)
+		})
+	}
+	return tasks.Wait()
 }
 
 func (o *outlet) set(session *link.Session) {
--- a/ctrl/raft/leader.go
+++ b/ctrl/raft/leader.go
@@ -10,6 +10,9 @@
 	installing
 )
 
+// mostPatience bounds progress.patience, in election timeouts.
+const mostPatience = 32
+
 // progress is what the leader knows of one replica.
 type progress struct {
 	mode int
@@ -19,8 +22,10 @@
 	// flight counts append messages sent and not acknowledged.
 	flight int
 	// heard and quiet count ticks since the last message, and since the
-	// last one that moved the replication on.
-	heard, quiet int
+	// last one that moved the replication on. After patience quiet ticks
+	// what is under way is sent again; patience doubles each time, since a
+	// large message may just need longer.
+	heard, quiet, patience int
 	// offset is how much of the snapshot the replica has.
 	offset   uint64
 	snapshot Snapshot
@@ -78,12 +83,14 @@
 func (c *Core) repeat() {
 	for _, member := range c.members() {
 		peer := c.peers[member.ID]
-		if member.ID == c.config.ID || peer.match == c.log.last() || peer.quiet < c.config.ElectionTicks {
+		if member.ID == c.config.ID || peer.match == c.log.last() || peer.quiet < max(peer.patience, c.config.ElectionTicks) {
 			continue
 		}
 		if peer.heard >= 2*c.config.ElectionTicks {
+			peer.patience = 0
 			continue
 		}
+		peer.patience = min(2*max(peer.patience, c.config.ElectionTicks), mostPatience*c.config.ElectionTicks)
 		peer.quiet = 0
 		peer.flight = 0
 		if peer.mode == streaming {
@@ -228,7 +235,7 @@
 	}
 	if index > peer.match {
 		peer.match = index
-		peer.quiet = 0
+		peer.quiet, peer.patience = 0, 0
 	}
 	if peer.mode == installing && index < peer.snapshot.Index {
 		return
