--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -35,9 +35,15 @@
 	// mostWaiters bounds the requests of one workspace and class that wait
 	// for tokens.
 	mostWaiters = 512
-	// extendLead is how much earlier than a new request a stream that needs
-	// more tokens counts as having come.
+	// extendLead is how much earlier than a new request of its class a stream
+	// that needs more tokens counts as having come.
 	extendLead = 2 * time.Second
+	// soonDelay and longDelay are how much later than a person's request one
+	// of these classes counts as having come: longer than the queue of a
+	// workspace that sends several times its rate, so that its people and
+	// lookups do not wait behind its own long runs.
+	soonDelay = 10 * time.Second
+	longDelay = 60 * time.Second
 	// soonest is the least time to come back.
 	soonest = 100 * time.Millisecond
 )
@@ -154,9 +160,9 @@
 	case call.ClassPerson:
 		return now
 	case call.ClassSoon:
-		return now.Add(2 * time.Second)
+		return now.Add(soonDelay)
 	}
-	return now.Add(15 * time.Second)
+	return now.Add(longDelay)
 }
 
 // join pays at once, puts the waiter in the queue, or refuses. The caller
@@ -202,7 +208,7 @@
 	if piece <= 0 {
 		return paid.answer, nil
 	}
-	w := &waiter{need: piece, class: r.Class, due: time.Now().Add(-extendLead), paid: paid, done: make(chan error, 1), extends: true}
+	w := &waiter{need: piece, class: r.Class, due: dueAt(time.Now(), r.Class).Add(-extendLead), paid: paid, done: make(chan error, 1), extends: true}
 	l.mutex.Lock()
 	paid.spend(time.Now(), paid.base+sent)
 	if len(paid.share.waiters) == 0 && paid.share.take(time.Now(), piece, paid) {
