--- a/ctrl/node/outlet.go
+++ b/ctrl/node/outlet.go
@@ -40,6 +40,21 @@
 	return nil
 }
 
+// batch is every later message of the stream.
+type batch struct {
+	Messages []raft.Message `protobuf:"bytes,1,rep"`
+}
+
+// Check reports the first invalid message.
+func (b *batch) Check() error {
+	for i := range b.Messages {
+		if err := b.Messages[i].Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // outlets are the sessions to the other replicas, one for each address.
 type outlets struct {
 	node      *Node
@@ -80,6 +95,9 @@
 
 // follow learns the members' addresses.
 func (o *outlets) follow(status raft.Status) {
+	if o.same(status.Members) {
+		return
+	}
 	addresses := make(map[uint64]string, len(status.Members))
 	for _, member := range status.Members {
 		addresses[member.ID] = member.Address
@@ -95,6 +113,21 @@
 	}
 }
 
+// same reports whether the addresses are those of the members.
+func (o *outlets) same(members []raft.Standing) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.addresses == nil || len(members) != len(o.addresses) {
+		return false
+	}
+	for _, member := range members {
+		if o.addresses[member.ID] != member.Address {
+			return false
+		}
+	}
+	return true
+}
+
 // learn notes a sender's address.
 func (o *outlets) learn(sender hello) {
 	o.mutex.Lock()
@@ -225,11 +258,7 @@
 		if len(messages) == 0 {
 			return nil
 		}
-		packed, err := pack(messages)
-		if err != nil {
-			return err
-		}
-		if err := stream.Send(&batch{Packed: packed}); err != nil {
+		if err := stream.Send(&batch{Messages: messages}); err != nil {
 			return err
 		}
 	}
