Bound what callers may hold, and end broken answers once

Cause: found by reading. A service's answer too large to be held back that broke off was tried again, so its head was written twice. A body for a status without one looked like a caller who left. Bodies could trickle for ever, and requests at once were not bounded. A resend asked the running request's agent at once, which buried an attempt that was claimed but still on its way. Engines were sent the caller's header. Change: the answer's connection is broken instead; such a body is dropped; a body has a minute; 16,384 requests at once, then 503 with Retry-After; a resend waits 200 ms before it asks; only services get the header.

--- a/entry/daemon/face_test.go
+++ b/entry/daemon/face_test.go
@@ -1,6 +1,8 @@
 package daemon_test
 
 import (
+	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -84,6 +86,25 @@
 	})
 }
 
+func TestBodyThatNeverComesIsGivenUp(t *testing.T) {
+	inWorld(t, func(w *world) {
+		body, writer := io.Pipe()
+		go func() {
+			_, _ = writer.Write([]byte("{"))
+			time.Sleep(2 * time.Minute)
+			_ = writer.Close()
+		}()
+		request, err := http.NewRequest("POST", "http://entry:80/v1/completions", body)
+		require.NoError(t, err)
+		start := time.Now()
+		response, err := w.client.Do(request)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		require.Equal(t, 400, response.StatusCode)
+		require.InDelta(t, 60, time.Since(start).Seconds(), 1)
+	})
+}
+
 func TestKeySeesOnlyItsModels(t *testing.T) {
 	inWorld(t, func(w *world) {
 		got := w.request("GET", "/v1/models", keyBapu, "")
--- a/entry/daemon/relay_test.go
+++ b/entry/daemon/relay_test.go
@@ -131,6 +131,38 @@
 	})
 }
 
+func TestLargeAnswerThatBreaksOffIsNotDoubled(t *testing.T) {
+	inWorld(t, func(w *world) {
+		for _, name := range []string{"s1", "s2"} {
+			w.agents[name].setRun(func(a *call.Attempt, s *wire.Stream) error {
+				_ = s.Send(&call.Frame{ID: a.ID, Step: call.StepHead, Status: 200})
+				for at := range int64(10) {
+					_ = s.Send(&call.Frame{ID: a.ID, Step: call.StepPart, Index: at, Data: make([]byte, 1<<20)})
+				}
+				return nil
+			})
+		}
+		got := w.request("GET", "/lookup/1", keyAnand, "")
+		require.Contains(t, got.body, "(broken off)")
+		require.Len(t, w.all("s1", "s2"), 1)
+	})
+}
+
+func TestAnswerWithoutBodyIsPassedOn(t *testing.T) {
+	inWorld(t, func(w *world) {
+		for _, name := range []string{"s1", "s2"} {
+			w.agents[name].setRun(func(a *call.Attempt, s *wire.Stream) error {
+				_ = s.Send(&call.Frame{ID: a.ID, Step: call.StepHead, Status: 204, Header: []call.Field{{Name: "X-Register", Value: "7"}}})
+				_ = s.Send(&call.Frame{ID: a.ID, Step: call.StepPart, Data: []byte("no body belongs here")})
+				return s.Send(&call.Frame{ID: a.ID, Step: call.StepEnd})
+			})
+		}
+		got := w.request("DELETE", "/lookup/1", keyAnand, "")
+		require.Equal(t, 204, got.status)
+		require.Equal(t, "7", got.header.Get("X-Register"))
+	})
+}
+
 func TestWrongVersionIsNotAnswered(t *testing.T) {
 	inWorld(t, func(w *world) {
 		for _, name := range []string{"e1", "e2"} {
--- a/entry/front/answer.go
+++ b/entry/front/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"math"
 	"net/http"
 	"strconv"
@@ -11,6 +12,9 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 )
 
+// mostStatus is the largest HTTP status that an answer may have.
+const mostStatus = 599
+
 // refusalBody is the shape of every refusal.
 type refusalBody struct {
 	Error refusalDetail `json:"error"`
@@ -171,6 +175,9 @@
 		a.writeHead(frame)
 	case call.StepPart:
 		_, err := a.w.Write(frame.Data)
+		if errors.Is(err, http.ErrBodyNotAllowed) {
+			return nil
+		}
 		return err
 	}
 	return nil
@@ -186,7 +193,15 @@
 	for name, values := range header {
 		a.w.Header()[name] = values
 	}
-	a.w.WriteHeader(int(frame.Status))
+	a.w.WriteHeader(validStatus(int(frame.Status)))
+}
+
+// validStatus replaces a status that cannot end an answer.
+func validStatus(status int) int {
+	if status < http.StatusOK || status > mostStatus {
+		return http.StatusBadGateway
+	}
+	return status
 }
 
 // finish breaks the connection after an incomplete answer, so that the caller
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -27,6 +28,15 @@
 // bytes.
 const maxBody = 4 << 20
 
+const (
+	// bodyLimit bounds the time in which a request body arrives.
+	bodyLimit = time.Minute
+	// mostRunning is the number of requests at once when Front.Most is zero.
+	mostRunning = 16 << 10
+	// retryFull is when a caller turned away by a full entry may ask again.
+	retryFull = time.Second
+)
+
 // Front serves callers. Its exported fields are set before Handler.
 type Front struct {
 	// Host is the daemon's.
@@ -41,6 +51,10 @@
 	Enter func() func()
 	// MaxBody is the largest request body in bytes; zero means 4 MiB.
 	MaxBody int64
+	// Most is the number of requests served at once; zero means 16,384.
+	Most int64
+
+	running atomic.Int64
 }
 
 // Handler returns the face as one HTTP handler.
@@ -86,6 +100,12 @@
 		if f.Draining() {
 			w.Header().Set("Connection", "close")
 		}
+		defer f.running.Add(-1)
+		if f.running.Add(1) > f.most() {
+			full := chain.Refuse(http.StatusServiceUnavailable, "entry_full", "this entry serves too many requests")
+			writeRefusal(w, full.After(retryFull))
+			return
+		}
 		q, err := f.read(w, r, face)
 		if err != nil {
 			writeRefusal(w, chain.RefusalOf(err))
@@ -95,6 +115,13 @@
 	})
 }
 
+func (f *Front) most() int64 {
+	if f.Most == 0 {
+		return mostRunning
+	}
+	return f.Most
+}
+
 // answer writes one kind of answer.
 type answer interface {
 	// begun reports whether the caller has the head.
@@ -163,7 +190,10 @@
 	if most == 0 {
 		most = maxBody
 	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyLimit))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	_ = control.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return nil, chain.Refuse(http.StatusRequestEntityTooLarge, "body_too_large", "the request body is too large")
--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -46,6 +46,39 @@
 	require.NotContains(t, w.Body.String(), "�")
 }
 
+func TestFullEntryRefusesAtOnce(t *testing.T) {
+	running, release := make(chan bool), make(chan bool)
+	wait := func(_ context.Context, r *chain.Request, _ chain.Next) error {
+		if r.Path == "/first" {
+			running <- true
+			<-release
+		}
+		return chain.Refuse(http.StatusNotFound, "none", "none")
+	}
+	f := &front.Front{
+		Chain:    &chain.Chain{Filters: []chain.Filter{wait}},
+		Draining: func() bool { return false },
+		Enter:    func() func() { return func() {} },
+		Most:     1,
+	}
+	h := f.Handler()
+	first := httptest.NewRecorder()
+	ended := make(chan bool)
+	go func() {
+		h.ServeHTTP(first, httptest.NewRequest("GET", "/first", nil))
+		close(ended)
+	}()
+	<-running
+	second := httptest.NewRecorder()
+	h.ServeHTTP(second, httptest.NewRequest("GET", "/second", nil))
+	require.Equal(t, http.StatusServiceUnavailable, second.Code)
+	require.Contains(t, second.Body.String(), `"ran":"no"`)
+	require.Equal(t, "1", second.Header().Get("Retry-After"))
+	close(release)
+	<-ended
+	require.Equal(t, http.StatusNotFound, first.Code)
+}
+
 func FuzzCallerRequest(f *testing.F) {
 	seeds := []struct{ method, path, body string }{
 		{"POST", "/v1/completions", `{"model":"m","prompt":"p","max_tokens":3}`},
--- a/entry/once/follow.go
+++ b/entry/once/follow.go
@@ -16,19 +16,25 @@
 	followDelay = 200 * time.Millisecond
 )
 
-// follow looks once at the claim of another attempt, helps to end it when its
-// entry has died, and returns the claim as it stands then.
-func (c *claim) follow(ctx context.Context, taken *plane.ClaimReply, limit time.Time) (*plane.ClaimReply, error) {
+// follow looks once at the claim of another attempt and returns it as it
+// stands then. An attempt that does not end soon may have lost its entry, so
+// its agent is asked.
+func (c *claim) follow(ctx context.Context, limit time.Time) (*plane.ClaimReply, error) {
 	if !time.Now().Before(limit) {
 		return nil, pending()
 	}
-	c.help(ctx, taken)
+	time.Sleep(followDelay)
 	reply, err := c.ask(ctx, &plane.ClaimAsk{Verb: plane.VerbAsk}, claimLimit)
 	if err != nil {
 		return nil, pending()
 	}
-	if reply.State == plane.ClaimTaken || reply.State == plane.ClaimOwned {
-		time.Sleep(followDelay)
+	if reply.State != plane.ClaimTaken && reply.State != plane.ClaimOwned {
+		return reply, nil
+	}
+	c.help(ctx, reply)
+	reply, err = c.ask(ctx, &plane.ClaimAsk{Verb: plane.VerbAsk}, claimLimit)
+	if err != nil {
+		return nil, pending()
 	}
 	return reply, nil
 }
--- a/entry/once/once.go
+++ b/entry/once/once.go
@@ -167,7 +167,7 @@
 		case plane.ClaimMixed:
 			return mixed()
 		case plane.ClaimTaken, plane.ClaimOwned:
-			if reply, err = c.follow(ctx, reply, limit); err != nil {
+			if reply, err = c.follow(ctx, limit); err != nil {
 				return err
 			}
 			continue
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -251,6 +251,9 @@
 	if j.deaths >= mostDeaths {
 		return chain.Refuse(http.StatusBadGateway, "endpoint_lost", "endpoints were lost while they ran the request")
 	}
+	if j.request.Service != "" && j.head {
+		return chain.Refuse(http.StatusBadGateway, "answer_broken", "the answer broke off").Maybe()
+	}
 	if verdict == verdictElsewhere && j.last == call.ReasonInvalid {
 		return chain.Refuse(http.StatusBadRequest, "invalid_request", "the endpoint does not accept the request")
 	}
@@ -277,7 +280,7 @@
 	q := j.request
 	id := make([]byte, call.IDSize)
 	_, _ = rand.Read(id)
-	return &call.Attempt{
+	a := &call.Attempt{
 		ID:        id,
 		Try:       int32(j.tries),
 		Workspace: q.Workspace,
@@ -297,12 +300,15 @@
 		Digest:    q.Digest,
 		Left:      max(time.Until(q.Deadline()), leastLeft),
 		Prefix:    j.prefix,
-		Method:    q.Method,
-		Path:      target(q),
-		Header:    fields(q.Header),
 		Body:      q.Body,
 		Suspect:   q.Suspect || j.deaths > 0,
 	}
+	if q.Service != "" {
+		a.Method = q.Method
+		a.Path = target(q)
+		a.Header = fields(q.Header)
+	}
+	return a
 }
 
 func target(q *chain.Request) string {
