--- a/ctrl/feeds/feeds.go
+++ b/ctrl/feeds/feeds.go
@@ -36,8 +36,12 @@
 	// roundTimeout bounds one quorum round or one commit.
 	roundTimeout = time.Second
 	// deafAfter is how long quorum rounds may fail before the feeds are
-	// closed, so that the daemons try another replica.
-	deafAfter = 1500 * time.Millisecond
+	// closed, so that the daemons try another replica before their leases
+	// end. It is longer than an election.
+	deafAfter = 2200 * time.Millisecond
+	// probeAfter is how long no beat may have asked for a quorum round before
+	// one is made without.
+	probeAfter = 500 * time.Millisecond
 	// resendAfter is how long a daemon may take to put a configuration in
 	// force before it gets the whole one again.
 	resendAfter = 3 * time.Second
@@ -129,7 +133,8 @@
 }
 
 // Run expires silent agents and exchanges news with the other replicas until
-// ctx ends; then it closes all feeds.
+// ctx ends; then it ends every feed and refuses new ones, so that daemons move
+// to another replica.
 func (f *Feeds) Run(ctx context.Context) {
 	f.prepare()
 	var group conc.WaitGroup
@@ -137,18 +142,12 @@
 	for _, name := range f.Peers {
 		group.Go(func() { f.listen(ctx, name) })
 	}
-	group.Wait()
-	f.closeAll()
-}
-
-// Close ends every feed and refuses new ones, so that daemons move to another
-// replica.
-func (f *Feeds) Close() {
-	f.prepare()
+	<-ctx.Done()
 	f.mutex.Lock()
 	f.closed = true
 	f.mutex.Unlock()
 	f.closeAll()
+	group.Wait()
 }
 
 func (f *Feeds) closeAll() {
@@ -249,13 +248,16 @@
 	f.listening = now
 }
 
-// settle lets the roster speak for agents that it does not know, to daemons
-// that joined before as well.
+// settle lets the roster speak for agents that it does not know, also to
+// daemons that joined before with a roster from elsewhere.
 func (f *Feeds) settle() {
 	f.Roster.Settle()
 	for _, m := range f.all() {
+		if len(m.hello.Vector) == 0 {
+			continue
+		}
 		m.mutex.Lock()
-		m.vector = m.hello.Vector
+		m.vector, m.followed = m.hello.Vector, false
 		m.mutex.Unlock()
 		notify(m.news)
 	}
@@ -273,7 +275,7 @@
 		f.probe(ctx)
 		return
 	}
-	if deaf >= deafAfter/3 {
+	if deaf >= probeAfter {
 		f.probe(ctx)
 	}
 	if listened < silence+sweepInterval {
--- a/ctrl/feeds/serve.go
+++ b/ctrl/feeds/serve.go
@@ -33,6 +33,9 @@
 	sent   time.Time
 	vector []roster.Mark
 	bans   uint64
+	// followed says that the daemon has the roster from this replica up to
+	// vector, and not from elsewhere.
+	followed bool
 	// fenced says that the fencing number was sent.
 	fenced bool
 	bye    bool
@@ -73,12 +76,18 @@
 	return err
 }
 
-// admit proves that this replica is up to date and gets an agent's fencing
-// number.
+// admit gets an agent's fencing number and then proves that this replica is
+// up to date. The enrolment was committed at the leader; without a later quorum
+// round this replica could still show the former incarnation as the newest.
 func (f *Feeds) admit(ctx context.Context, m *member) error {
-	if _, err := f.barriers.do(ctx, struct{}{}); err != nil {
+	if err := f.enrol(ctx, m); err != nil {
 		return err
 	}
+	_, err := f.barriers.do(ctx, struct{}{})
+	return err
+}
+
+func (f *Feeds) enrol(ctx context.Context, m *member) error {
 	if m.hello.Role != plane.RoleAgent {
 		return nil
 	}
@@ -90,11 +99,6 @@
 		_ = m.stream.Send(&plane.Update{Superseded: true})
 		return &Error{Op: "enrol " + m.hello.Name, Kind: KindSuperseded}
 	}
-	// The enrolment was committed at the leader; without a second quorum
-	// round this replica could still show the former incarnation as newest.
-	if _, err := f.barriers.do(ctx, struct{}{}); err != nil {
-		return err
-	}
 	m.fence = fence
 	return nil
 }
