--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -144,10 +144,10 @@
 		for _, at := range []struct {
 			wait  time.Duration
 			class call.Class
-		}{{0, call.ClassLong}, {10 * time.Second, call.ClassPerson}, {10 * time.Second, call.ClassPerson}} {
+		}{{0, call.ClassLong}, {50 * time.Second, call.ClassPerson}, {15 * time.Second, call.ClassPerson}} {
 			time.Sleep(at.wait)
 			go func() {
-				r := &chain.Request{Workspace: "w", Class: at.class, PromptTokens: 10, MaxTokens: 1, Start: time.Now(), Patience: time.Minute}
+				r := &chain.Request{Workspace: "w", Class: at.class, PromptTokens: 10, MaxTokens: 1, Start: time.Now(), Patience: 5 * time.Minute}
 				_ = l.Do(context.Background(), r, func(context.Context, *chain.Request) error {
 					order <- at.class
 					return nil
--- a/stubs/crowd/crowd.go
+++ b/stubs/crowd/crowd.go
@@ -100,13 +100,14 @@
 
 func (c *Crowd) person(ctx context.Context, tenant *Tenant, random *rand.Rand) {
 	ranks := newPopularity(len(tenant.Adapters))
+	stream := random.Float64() >= oddShare
 	if !c.pause(ctx, time.Duration(random.Int64N(int64(thinkTime)))) {
 		return
 	}
 	for {
 		adapter := c.adapter(tenant, ranks, random)
 		request := &Request{
-			Sort: SortPerson, Workspace: tenant.Workspace, Adapter: adapter, Stream: true,
+			Sort: SortPerson, Workspace: tenant.Workspace, Adapter: adapter, Stream: stream,
 			Prompt: prompt(random, adapter, 20+random.IntN(60)), MaxTokens: between(random, personTokens),
 		}
 		c.complete(ctx, tenant.Desk, request)
@@ -131,9 +132,10 @@
 
 func (c *Crowd) job(ctx context.Context, tenant *Tenant, random *rand.Rand, adapter string) {
 	work := make([]*Request, 0, jobSize)
+	stream := random.Float64() < oddShare
 	for range jobSize {
 		work = append(work, &Request{
-			Sort: SortBatch, Workspace: tenant.Workspace, Adapter: adapter,
+			Sort: SortBatch, Workspace: tenant.Workspace, Adapter: adapter, Stream: stream,
 			Prompt: prompt(random, adapter, 60+random.IntN(120)), MaxTokens: between(random, batchTokens),
 		})
 	}
--- a/stubs/crowd/plan.go
+++ b/stubs/crowd/plan.go
@@ -50,6 +50,9 @@
 	personTokens, batchTokens = 80, 220
 	// zipfExponent is the skew of the adapters' popularity.
 	zipfExponent = 1.2
+	// oddShare is the share of people whose program does not stream, and of
+	// jobs whose program does.
+	oddShare = 0.2
 	// resendShare is the share of filings that their caller sends again.
 	resendShare = 0.15
 )
