Grow by order, end replaced replicas, follow changed addresses

An order to replace admits a name that nobody was told of, so that a group can grow. A replica that was replaced while it was away hears of no leader, asks, and ends with 'not in the group any more' (told only by a leader that a majority confirms). Replies and orders go to the address that a replica gave last, so that one that moved with its folder is found.

--- a/ctrl/member/join.go
+++ b/ctrl/member/join.go
@@ -34,6 +34,9 @@
 	// Peers are the names and addresses of the group that the peer was told
 	// of, in order, with a comma behind each.
 	Peers string `protobuf:"bytes,5,opt"`
+	// Removed says that the peer leads and that the replica which asked, no
+	// empty one, is not in the group any more.
+	Removed bool `protobuf:"varint,6,opt"`
 }
 
 // Bootstrap returns the first membership of a new group, if self has to make
--- a/ctrl/node/admin.go
+++ b/ctrl/node/admin.go
@@ -41,7 +41,7 @@
 		if m.ID == view.Leader {
 			s.Leader = m.Name
 		}
-		shown := plane.Member{Replica: m.ID, Name: m.Name, Address: m.Address, Voter: m.Voter}
+		shown := plane.Member{Replica: m.ID, Name: m.Name, Address: n.outlets.present(m.ID, m.Address), Voter: m.Voter}
 		if view.Leading {
 			shown.Lag = view.Commit - min(m.Match, view.Commit)
 			shown.Silent = span.Duration(time.Duration(m.Silent) * tick)
@@ -77,10 +77,10 @@
 				continue
 			}
 			if m.ID == view.Leader {
-				return m.Address
+				return n.outlets.present(m.ID, m.Address)
 			}
 			if address == "" || (m.Voter && !voter) {
-				address, voter = m.Address, m.Voter
+				address, voter = n.outlets.present(m.ID, m.Address), m.Voter
 			}
 		}
 	}
--- a/ctrl/node/barrier.go
+++ b/ctrl/node/barrier.go
@@ -99,7 +99,7 @@
 		if m.ID != status.Leader {
 			continue
 		}
-		out := n.outlets.to(m.Address)
+		out := n.outlets.to(n.outlets.present(m.ID, m.Address))
 		if out == nil {
 			break
 		}
--- a/ctrl/node/carry.go
+++ b/ctrl/node/carry.go
@@ -127,6 +127,15 @@
 	}
 }
 
+// lost tells the core that a session has ended with what was on its way.
+func (l *loop) lost(address string) {
+	for _, m := range l.core.Status().Members {
+		if l.node.outlets.present(m.ID, m.Address) == address {
+			l.step(raft.Input{Lost: m.ID})
+		}
+	}
+}
+
 // fill puts a snapshot's data into a chunk. It fails when a newer snapshot
 // has taken the place; the core will begin anew.
 func (l *loop) fill(chunk *raft.Chunk) bool {
--- a/ctrl/node/failure_test.go
+++ b/ctrl/node/failure_test.go
@@ -364,7 +364,91 @@
 		for _, name := range sorted(g.replicas) {
 			require.Len(t, g.read(name, "big"), node.MaxData-4)
 		}
+		time.Sleep(10 * time.Second)
 		require.Equal(t, term, g.leader().Status().Term)
 		require.Less(t, g.sent.Load()-sent, int64(3*node.MaxData))
 	})
 }
+
+func TestGroupGrowsOneOrderAfterTheOther(t *testing.T) {
+	inBubble(t, 20, 3, func(g *group) {
+		g.fill(0, 5)
+		for _, name := range []string{"c4", "c5"} {
+			g.peers = append(g.peers, node.Peer{Name: name, Address: name + ":1"})
+			g.disks[name] = &disk.Memory{}
+			g.start(name)
+			time.Sleep(3 * time.Second)
+			_, learners := voters(g.leader())
+			require.Empty(t, learners)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			require.NoError(t, g.leader().Replace(ctx, name))
+			cancel()
+		}
+		// Two of five may go at the same time, as with a rack.
+		g.crash("c1")
+		g.crash("c2")
+		g.fill(5, 10)
+		g.check(10)
+	})
+}
+
+func TestReplicaComesBackUnderAnotherAddress(t *testing.T) {
+	inBubble(t, 21, 3, func(g *group) {
+		g.fill(0, 5)
+		name := g.others(g.leader().name)[0]
+		g.crash(name)
+		g.moved = map[string]string{name: name + ":2"}
+		g.start(name)
+		g.fill(5, 10)
+		g.check(10)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		require.NoError(t, g.leader().Move(ctx, name))
+		g.check(10)
+	})
+}
+
+func TestReplacedReplicaEndsWhenItComesBack(t *testing.T) {
+	inBubble(t, 22, 3, func(g *group) {
+		g.fill(0, 5)
+		name := g.others(g.leader().name)[0]
+		old := g.disks[name]
+		g.crash(name)
+		g.disks[name] = &disk.Memory{}
+		g.start(name)
+		time.Sleep(15 * time.Second)
+		g.crash(name)
+		kept := g.disks[name]
+		g.disks[name] = old
+		r := g.start(name)
+		time.Sleep(30 * time.Second)
+		<-r.ended
+		require.ErrorIs(t, r.err, &node.Error{Kind: node.KindRemoved})
+		g.network.Crash(name)
+		g.disks[name] = kept
+		g.start(name)
+		g.fill(5, 10)
+		g.check(10)
+	})
+}
+
+func TestLargeChangeIsSentAgainWhenItsSessionEnds(t *testing.T) {
+	inBubble(t, 23, 3, func(g *group) {
+		g.latency.Store(int64(40 * time.Millisecond))
+		time.Sleep(2 * time.Second)
+		leader := g.leader()
+		term := leader.Status().Term
+		g.crash(g.others(leader.name)[0])
+		other := g.others(leader.name)[1]
+		go func() {
+			time.Sleep(time.Second)
+			g.crash(other)
+			g.start(other)
+		}()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		_, err := leader.Propose(ctx, append([]byte("big="), make([]byte, node.MaxData-4)...))
+		require.NoError(t, err)
+		require.Equal(t, term, leader.Status().Term)
+	})
+}
--- a/ctrl/node/group_test.go
+++ b/ctrl/node/group_test.go
@@ -40,6 +40,8 @@
 	// mutex guards replicas in tests with callers beside the main one.
 	mutex    sync.Mutex
 	replicas map[string]*replica
+	// moved are the addresses that differ from the name with port 1.
+	moved map[string]string
 	// latency is the time one way between any two.
 	latency atomic.Int64
 	// sent counts the bytes on all connections.
@@ -94,6 +96,10 @@
 
 func (g *group) start(name string) *replica {
 	g.seed++
+	address := name + ":1"
+	if moved := g.moved[name]; moved != "" {
+		address = moved
+	}
 	r := &replica{name: name, state: map[string]string{}, ended: make(chan struct{})}
 	var log event.Log
 	if *verbose {
@@ -104,13 +110,13 @@
 			VM: name, Meter: meter.New(), Log: log,
 			Dial: count(&g.sent, r.dial(g.network.Dialer(name))), Listen: g.network.Listen,
 		},
-		Name: name, Address: name + ":1", Peers: g.peers,
+		Name: name, Address: address, Peers: g.peers,
 		Disk: g.disks[name].Disk(), Seed: g.seed, SnapshotEntries: g.every,
 		Apply: r.apply, Snapshot: r.snapshot, Restore: r.restore,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
-	listener, err := g.network.Listen(name + ":1")
+	listener, err := g.network.Listen(address)
 	require.NoError(g.t, err)
 	serving, end := context.WithCancel(context.Background())
 	go func() { _ = link.Serve(serving, listener, r.Handlers()) }()
--- a/ctrl/node/handlers.go
+++ b/ctrl/node/handlers.go
@@ -80,6 +80,11 @@
 	if err := n.call(ctx, func(l *loop) { answer = l.answer(ask) }); err != nil {
 		return err
 	}
+	if answer.Removed {
+		// Only a leader that still is one may say so.
+		index, err := n.localRound(ctx)
+		answer.Removed = err == nil && index != 0
+	}
 	return stream.Send(&answer)
 }
 
@@ -89,7 +94,9 @@
 	if status.Leading && ask.Empty && !known(status, ask.ID) {
 		l.admit(status, ask)
 	}
-	return l.describe(status)
+	answer := l.describe(status)
+	answer.Removed = status.Settled && !ask.Empty && !known(status, ask.ID)
+	return answer
 }
 
 func (l *loop) describe(status raft.Status) member.Answer {
@@ -99,7 +106,7 @@
 }
 
 func (l *loop) admit(status raft.Status, ask member.Ask) {
-	expected := false
+	expected := l.wanted[ask.Name]
 	for _, name := range l.repair.Names {
 		expected = expected || name == ask.Name
 	}
--- a/ctrl/node/join.go
+++ b/ctrl/node/join.go
@@ -14,26 +14,30 @@
 // belongs to no group.
 const joinInterval = 500 * time.Millisecond
 
-// join asks the peers until this replica is a member.
+// lonelyRounds is the number of intervals without a leader after which a
+// member asks whether it still is one: 10 s.
+const lonelyRounds = 20
+
+// join asks the peers while this replica is no member, to become one, and
+// when it has heard of no leader for long, to learn whether it still is one.
 func (n *Node) join(ctx context.Context) {
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
-	answered := -1
+	answered, lonely := -1, 0
 	for {
 		status := n.status.Load()
-		if known(*status, status.ID) {
-			return
-		}
-		answers := n.askPeers(ctx, *status)
-		if len(answers) != answered {
-			answered = len(answers)
-			n.Host.Log.Write("peers-asked", "answered", answered, "of", len(n.Peers)-1)
+		lonely++
+		if status.Leader != 0 {
+			lonely = 0
 		}
-		_ = n.call(ctx, func(l *loop) {
-			if members, ok := member.Bootstrap(l.describe(l.core.Status()), answers); ok {
-				l.step(raft.Input{Bootstrap: members})
+		if !known(*status, status.ID) || lonely > lonelyRounds {
+			answers := n.askPeers(ctx, *status)
+			if len(answers) != answered {
+				answered = len(answers)
+				n.Host.Log.Write("peers-asked", "answered", answered, "of", len(n.Peers)-1)
 			}
-		})
+			_ = n.call(ctx, func(l *loop) { l.hear(answers) })
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -42,6 +46,18 @@
 	}
 }
 
+// hear begins a group if this replica has to, or ends it if it was replaced.
+func (l *loop) hear(answers []member.Answer) {
+	if members, ok := member.Bootstrap(l.describe(l.core.Status()), answers); ok {
+		l.step(raft.Input{Bootstrap: members})
+	}
+	for _, answer := range answers {
+		if answer.Removed && l.failed == nil {
+			l.failed = &Error{Op: "ask " + answer.Name, Kind: KindRemoved}
+		}
+	}
+}
+
 // askPeers returns the answers of those peers that gave one in time.
 func (n *Node) askPeers(ctx context.Context, status raft.Status) []member.Answer {
 	ctx, cancel := context.WithTimeout(ctx, joinInterval)
--- a/ctrl/node/node.go
+++ b/ctrl/node/node.go
@@ -70,6 +70,8 @@
 	KindSize    Kind = "proposal too large"
 	KindMissing Kind = "no such replica"
 	KindDisk    Kind = "cannot use the data folder"
+	// KindRemoved says that another replica took this one's place.
+	KindRemoved Kind = "not in the group any more"
 )
 
 // Error is this package's error type.
--- a/ctrl/node/outlet.go
+++ b/ctrl/node/outlet.go
@@ -102,6 +102,17 @@
 	o.learned[sender.ID] = sender.Address
 }
 
+// present returns where a replica said last that it is, or else the address
+// that the group knows.
+func (o *outlets) present(id uint64, known string) string {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if learned, ok := o.learned[id]; ok {
+		return learned
+	}
+	return known
+}
+
 // to returns the way to an address, nil for the replica's own.
 func (o *outlets) to(address string) *outlet {
 	if address == o.node.Address || address == "" {
@@ -123,12 +134,9 @@
 // send queues a message; it is lost when the replica cannot be reached.
 func (o *outlets) send(m raft.Message) {
 	o.mutex.Lock()
-	address, ok := o.addresses[m.To]
-	if !ok {
-		address = o.learned[m.To]
-	}
+	address := o.addresses[m.To]
 	o.mutex.Unlock()
-	if out := o.to(address); out != nil {
+	if out := o.to(o.present(m.To, address)); out != nil {
 		out.push(m)
 	}
 }
@@ -161,6 +169,7 @@
 		o.set(nil)
 		_ = session.Close()
 		o.node.Host.Log.Write("peer-session-ended", "address", o.address, "err", err)
+		_ = o.node.post(ctx, event{run: func(l *loop) { l.lost(o.address) }})
 		o.pause(ctx, delay)
 	}
 }
--- a/ctrl/raft/core.go
+++ b/ctrl/raft/core.go
@@ -113,6 +113,8 @@
 		c.read(in.Read)
 	case in.Transfer != 0:
 		c.handOver(in.Transfer)
+	case in.Lost != 0:
+		c.lost(in.Lost)
 	case in.Compact != nil:
 		c.compact(*in.Compact, in.Keep)
 	case in.Bootstrap != nil:
--- a/ctrl/raft/leader.go
+++ b/ctrl/raft/leader.go
@@ -10,9 +10,6 @@
 	installing
 )
 
-// mostPatience bounds progress.patience, in election timeouts.
-const mostPatience = 32
-
 // progress is what the leader knows of one replica.
 type progress struct {
 	mode int
@@ -22,10 +19,11 @@
 	// flight counts append messages sent and not acknowledged.
 	flight int
 	// heard and quiet count ticks since the last message, and since the
-	// last one that moved the replication on. After patience quiet ticks
-	// what is under way is sent again; patience doubles each time, since a
-	// large message may just need longer.
-	heard, quiet, patience int
+	// last one that moved the replication on.
+	heard, quiet int
+	// size is that of the last append message, in multiples of
+	// Config.AppendBytes: what is larger is given longer to arrive.
+	size int
 	// offset is how much of the snapshot the replica has.
 	offset   uint64
 	snapshot Snapshot
@@ -79,26 +77,38 @@
 	c.sendEarly(Message{Kind: MessageBeat, To: id, Commit: peer.told, Read: c.roundSeq})
 }
 
-// repeat sends again what was not acknowledged for an election timeout.
+// repeat sends again what has long not been acknowledged.
 func (c *Core) repeat() {
 	for _, member := range c.members() {
 		peer := c.peers[member.ID]
-		if member.ID == c.config.ID || peer.match == c.log.last() || peer.quiet < max(peer.patience, c.config.ElectionTicks) {
+		if member.ID == c.config.ID || peer.match == c.log.last() {
 			continue
 		}
-		if peer.heard >= 2*c.config.ElectionTicks {
-			peer.patience = 0
+		if peer.quiet < c.config.ElectionTicks*(1+peer.size) || peer.heard >= 2*c.config.ElectionTicks {
 			continue
 		}
-		peer.patience = min(2*max(peer.patience, c.config.ElectionTicks), mostPatience*c.config.ElectionTicks)
-		peer.quiet = 0
-		peer.flight = 0
-		if peer.mode == streaming {
-			peer.mode = probing
-			peer.next = peer.match + 1
-		}
-		c.replicateTo(member.ID)
+		c.again(member.ID)
+	}
+}
+
+// lost takes the report that messages on their way to a replica are gone.
+func (c *Core) lost(id uint64) {
+	if c.role != roleLeader || c.peers[id] == nil || id == c.config.ID {
+		return
+	}
+	c.again(id)
+}
+
+// again begins anew behind the last entry acknowledged.
+func (c *Core) again(id uint64) {
+	peer := c.peers[id]
+	peer.quiet = 0
+	peer.flight = 0
+	if peer.mode == streaming {
+		peer.mode = probing
+		peer.next = peer.match + 1
 	}
+	c.replicateTo(id)
 }
 
 // propose appends commands and starts replicating them.
@@ -181,6 +191,10 @@
 func (c *Core) sendAppend(id uint64, peer *progress) {
 	term, _ := c.log.termAt(peer.next - 1)
 	entries := c.log.from(peer.next, c.config.AppendBytes)
+	peer.size = 0
+	for _, entry := range entries {
+		peer.size += len(entry.Data) / c.config.AppendBytes
+	}
 	c.sendEarly(Message{
 		Kind: MessageAppend, To: id, Index: peer.next - 1, LogTerm: term,
 		Entries: entries, Commit: c.commit, Read: c.roundSeq,
@@ -235,7 +249,7 @@
 	}
 	if index > peer.match {
 		peer.match = index
-		peer.quiet, peer.patience = 0, 0
+		peer.quiet = 0
 	}
 	if peer.mode == installing && index < peer.snapshot.Index {
 		return
--- a/ctrl/raft/raft_test.go
+++ b/ctrl/raft/raft_test.go
@@ -89,6 +89,9 @@
 	if s.chance(s.faults.change) {
 		s.change(r, other)
 	}
+	if s.chance(5) {
+		s.step(r, raft.Input{Lost: other})
+	}
 	if s.chance(s.faults.compact) {
 		s.compact(r)
 	}
--- a/ctrl/raft/snapshot.go
+++ b/ctrl/raft/snapshot.go
@@ -78,7 +78,7 @@
 	if peer.mode != installing || m.Index != peer.snapshot.Index {
 		return
 	}
-	peer.quiet, peer.patience = 0, 0
+	peer.quiet = 0
 	peer.flight = 0
 	peer.offset = m.Hint
 	c.sendChunk(m.From, peer)
--- a/ctrl/raft/status.go
+++ b/ctrl/raft/status.go
@@ -7,6 +7,8 @@
 	ID, Leader, Term      uint64
 	Commit, Applied, Last uint64
 	Leading               bool
+	// Settled says that the replica leads and the membership is committed.
+	Settled bool
 	// Empty says that the replica never took part in any group.
 	Empty   bool
 	Members []Standing
@@ -27,6 +29,7 @@
 		ID: c.config.ID, Leader: c.leader, Term: c.hard.Term,
 		Commit: c.commit, Applied: c.applied, Last: c.log.last(),
 		Leading: c.role == roleLeader,
+		Settled: c.role == roleLeader && c.knowsCommit() && c.groups[len(c.groups)-1].index <= c.commit,
 		Empty:   c.hard.Term == 0 && c.log.last() == 0,
 	}
 	for _, member := range c.members() {
--- a/ctrl/raft/types.go
+++ b/ctrl/raft/types.go
@@ -207,6 +207,9 @@
 	Read uint64
 	// Transfer hands the leadership to this replica.
 	Transfer uint64
+	// Lost says that messages to this replica may be lost; without it they
+	// are sent again after some time.
+	Lost uint64
 	// Compact says that a snapshot has been synced. Keep entries before it
 	// stay in memory for slow followers.
 	Compact *Snapshot
