--- a/entry/class/caller.go
+++ b/entry/class/caller.go
@@ -40,6 +40,34 @@
 	resends, leaves float64
 	last            string
 	lastAt          time.Time
+	streamed, whole habit
+}
+
+// habit is decayed counts of requests and of those that came near another.
+type habit struct {
+	requests, near float64
+}
+
+func (h *habit) add(near bool) {
+	h.requests++
+	if near {
+		h.near++
+	}
+}
+
+// share returns the share that came near another, and of how many.
+func (h *habit) share() (share, requests float64) {
+	if h.requests == 0 {
+		return 0, 0
+	}
+	return h.near / h.requests, h.requests
+}
+
+func (c *caller) habit(stream bool) *habit {
+	if stream {
+		return &c.streamed
+	}
+	return &c.whole
 }
 
 // decay brings the sums to the present.
@@ -47,7 +75,10 @@
 	passed := now.Sub(c.seen)
 	c.seen = now
 	share := math.Exp2(-passed.Seconds() / halfLife.Seconds())
-	for _, sum := range []*float64{&c.requests, &c.answers, &c.tokens, &c.pauses, &c.paused, &c.resends, &c.leaves} {
+	for _, sum := range []*float64{
+		&c.requests, &c.answers, &c.tokens, &c.pauses, &c.paused, &c.resends, &c.leaves,
+		&c.streamed.requests, &c.streamed.near, &c.whole.requests, &c.whole.near,
+	} {
 		*sum *= share
 	}
 	c.peak *= math.Exp2(-passed.Seconds() / flightHalfLife.Seconds())
--- a/entry/class/class.go
+++ b/entry/class/class.go
@@ -17,11 +17,14 @@
 // Error is this package's error type.
 type Error = fault.Error[Kind]
 
-// How long a caller of each class probably waits for the first token.
 const (
+	// How long a caller of each class probably waits for the first token.
 	patiencePerson = 10 * time.Second
 	patienceSoon   = 30 * time.Second
 	patienceLong   = 5 * time.Minute
+	// nearTime is the time between two requests of one run of a program, as
+	// one of several entries sees it.
+	nearTime = 5 * time.Second
 )
 
 // Class is the filter that sets a request's class and patience.
@@ -31,6 +34,8 @@
 
 	mutex   sync.Mutex
 	callers callers
+	// runs notes when each key last asked each adapter.
+	runs callers
 }
 
 // Do classes the request and learns from its end.
@@ -66,7 +71,17 @@
 	defer c.mutex.Unlock()
 	caller := c.callers.get(r.Key + "\x00" + r.Workspace)
 	caller.begin(now)
-	return caller, caller.features(r, now)
+	features := caller.features(r, now)
+	if r.Adapter == "" {
+		return caller, features
+	}
+	run := c.runs.get(r.Key + "\x00" + r.Workspace + "\x00" + r.Adapter)
+	features.Near = !run.seen.IsZero() && now.Sub(run.seen) < nearTime
+	run.seen = now
+	habit := caller.habit(r.Stream)
+	features.Habit, features.Habits = habit.share()
+	habit.add(features.Near)
+	return caller, features
 }
 
 func (c *Class) end(caller *caller, r *chain.Request, err error, now time.Time) {
--- a/entry/class/rule.go
+++ b/entry/class/rule.go
@@ -25,6 +25,13 @@
 	// requests that it was learnt from, decayed.
 	Think time.Duration
 	Known float64
+	// Near says that the key asked the same adapter shortly before.
+	Near bool
+	// Habit is the share, from 0 to 1, of the key's requests of this sort,
+	// streamed or whole, that came Near another; Habits is the number that it
+	// was learnt from, decayed.
+	Habit  float64
+	Habits float64
 	// Rate is the key's decayed rate of requests, per second.
 	Rate float64
 	// Resends and Leaves are decayed counts of the same request coming again
@@ -45,6 +52,8 @@
 	scoreLeave      = 0.5
 	scoreResend     = 0.5
 	scoreRate       = -1.0
+	scoreNear       = -1.5
+	scoreHabit      = 2.5
 
 	// personScore is the least score of a person, soonScore of soon work.
 	personScore = 0.5
@@ -76,7 +85,7 @@
 	if f.Service {
 		return inferService(f)
 	}
-	score := scoreSize(f) + scoreFlight(f) + scorePause(f) + scoreHabits(f)
+	score := scoreSize(f) + scoreFlight(f) + scorePause(f) + scoreHabits(f) + scoreRuns(f)
 	if f.Stream {
 		score += scoreStream
 	}
@@ -139,6 +148,19 @@
 	return score
 }
 
+// scoreRuns tells the runs of a program, which works through one adapter at a
+// time, from people, also where both use one key.
+func scoreRuns(f Features) float64 {
+	score := 0.0
+	if f.Near {
+		score += scoreNear
+	}
+	if f.Habits >= known {
+		score += scoreHabit * (1 - 2*f.Habit)
+	}
+	return score
+}
+
 func scoreHabits(f Features) float64 {
 	score := 0.0
 	if f.Leaves >= some {
--- a/stubs/score/score.go
+++ b/stubs/score/score.go
@@ -14,6 +14,7 @@
 const (
 	personFirst  = 2 * time.Second
 	personGap    = 120 * time.Millisecond
+	personAnswer = 4 * time.Second
 	lookupAnswer = time.Second
 	filingAnswer = 3 * time.Second
 	batchAnswer  = 60 * time.Second
@@ -136,6 +137,9 @@
 	case crowd.SortBatch:
 		return whole <= batchAnswer
 	}
+	if !request.Stream {
+		return whole <= personAnswer
+	}
 	if request.First.Sub(request.Sent) > personFirst {
 		return false
 	}
