Tell a partition from endpoints that a request killed

Cause: agents that fall silent in a partition do so within the time between two beats, and were compared within 100 ms only: most of their requests would have become suspects and run apart. A submission too large for the log was answered as if it might have been accepted. Change: lost agents are collected for 1.1 s; more than two are no deaths by a request. Refusals say whether anything was committed. Operators' orders end after 30 s. Tried and red: no limit, a window of 100 ms, no suspects of lost agents, a broken connection that is not forgiven.

--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -25,6 +25,9 @@
 const (
 	// commitTimeout bounds one commit.
 	commitTimeout = 3 * time.Second
+	// adminTimeout bounds an operator's order, which may wait for a replica to
+	// catch up.
+	adminTimeout = 30 * time.Second
 	// leaderTimeout is how long a stream for the leader waits for one to be
 	// known.
 	leaderTimeout = 3 * time.Second
--- a/ctrl/daemon/roster_test.go
+++ b/ctrl/daemon/roster_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -46,6 +47,11 @@
 		again := c.connect(far[0], agentHello("lost", 2))
 		c.until(time.Second, func() bool { return entry.knows("lost") }, "started again")
 		again.leave()
+		require.NoError(c.t, again.join(far[0]))
+		for range 100 {
+			require.True(c.t, entry.knows("lost"), "its connection broke and it came back")
+			time.Sleep(10 * time.Millisecond)
+		}
 	})
 }
 
@@ -177,6 +183,30 @@
 	})
 }
 
+// A request crashes one endpoint after another; a partition silences many
+// together, within the time between two beats, and makes no suspects.
+func TestPartitionMakesNoSuspects(t *testing.T) {
+	for _, silent := range []int{2, 3} {
+		inCluster(t, 17, func(c *cluster) {
+			entry := c.connect(c.leader(), entryHello("entry"))
+			for i := range silent {
+				agent := c.connect(c.follower(), agentHello(fmt.Sprint("agent", i), 1))
+				agent.set(func() {
+					agent.record = &roster.Record{Agent: agent.hello.Name, Incarnation: 1, Beat: 2, Digests: [][]byte{{byte(i)}}}
+				})
+				time.Sleep(300 * time.Millisecond)
+			}
+			time.Sleep(5 * time.Second)
+			for i := range silent {
+				c.network.Silence(fmt.Sprint("agent", i), c.follower())
+			}
+			c.until(4*time.Second, func() bool { return len(entry.roster.All()) == 0 }, "gone")
+			time.Sleep(2 * time.Second)
+			require.Equal(c.t, silent <= 2, len(entry.now().bans) > 0)
+		})
+	}
+}
+
 // Counts of any entry are in every replica's report.
 func TestBurnIsAddedUp(t *testing.T) {
 	inCluster(t, 16, func(c *cluster) {
--- a/ctrl/daemon/serve.go
+++ b/ctrl/daemon/serve.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/sha256"
+	"errors"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/ledger"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/node"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
@@ -75,11 +77,24 @@
 	ask.Outcome = cutOutcome(ask.Outcome)
 	result, err := d.propose(ctx, &state.Command{Claim: ask})
 	if err != nil || result.Claim == nil {
-		return &plane.ClaimReply{Refused: plane.KindTimeout}
+		return &plane.ClaimReply{Refused: refusal(err)}
 	}
 	return result.Claim
 }
 
+// refusal returns the kind that tells a caller what a failed commit means.
+// KindLeader says that nothing was committed, KindInvalid that it never can
+// be, KindTimeout that it may have been.
+func refusal(err error) plane.Kind {
+	switch {
+	case errors.Is(err, &node.Error{Kind: node.KindSize}):
+		return plane.KindInvalid
+	case errors.Is(err, &node.Error{Kind: node.KindNotLeader}), errors.Is(err, &node.Error{Kind: node.KindLost}):
+		return plane.KindLeader
+	}
+	return plane.KindTimeout
+}
+
 func validClaim(ask *plane.ClaimAsk) bool {
 	if len(ask.Key) == 0 || len(ask.Key) > 2*sha256.Size {
 		return false
@@ -118,6 +133,8 @@
 
 // admin carries out an operator's order to control itself.
 func (d *Daemon) admin(ctx context.Context, ask *plane.AdminAsk) *plane.AdminReply {
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
 	switch ask.Order {
 	case plane.OrderMove:
 		return adminReply(d.node.Move(ctx, ask.Name))
--- a/ctrl/daemon/submit.go
+++ b/ctrl/daemon/submit.go
@@ -75,7 +75,11 @@
 	proposal := &state.Proposal{Sum: sum, Author: ask.Author, Delta: conf.Diff(current, ask.Config)}
 	result, err := d.propose(ctx, &state.Command{Config: proposal})
 	if err != nil {
-		return d.refuse(plane.KindTimeout, "not known to be accepted, submit it again: "+err.Error())
+		kind := refusal(err)
+		if kind == plane.KindTimeout {
+			return d.refuse(kind, "not known to be accepted, submit it again: "+err.Error())
+		}
+		return d.refuse(kind, "not accepted: "+err.Error())
 	}
 	return result.Config
 }
--- a/ctrl/feeds/crash.go
+++ b/ctrl/feeds/crash.go
@@ -18,8 +18,13 @@
 	// be taken for endpoints that a request crashed. A request crashes one
 	// endpoint after another; a partition silences many together.
 	mostLost = 2
+	// lostTogether is the time within which agents count as lost together: a
+	// little more than the time between two of their beats.
+	lostTogether = 1100 * time.Millisecond
 	// mostDigests bounds the suspects of one death.
 	mostDigests = 1024
+	// crashTimeout bounds the attempts to commit the suspects of a lost agent.
+	crashTimeout = 10 * time.Second
 )
 
 // checkCrashes returns the crashes that an agent may report: its own, of a
@@ -49,18 +54,34 @@
 			return
 		}
 		last, lost := f.Roster.Lost(f.Replica(), m.hello.Name, m.hello.Incarnation, broken)
-		if !lost {
-			return
+		if lost {
+			f.bury([]roster.Record{last})
 		}
-		f.Host.Log.Write("agent-lost", "agent", m.hello.Name, "incarnation", m.hello.Incarnation)
-		f.Changed()
-		f.reportLost([]roster.Record{last})
 	})
 }
 
+// bury spreads that agents are gone and collects them for a while, to tell an
+// endpoint that died from a partition.
+func (f *Feeds) bury(lost []roster.Record) {
+	for i := range lost {
+		f.Host.Log.Write("agent-gone", "agent", lost[i].Agent, "incarnation", lost[i].Incarnation)
+	}
+	f.Changed()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if len(f.lost) == 0 {
+		time.AfterFunc(lostTogether, f.reportLost)
+	}
+	f.lost = append(f.lost, lost...)
+}
+
 // reportLost makes suspects of the requests that agents ran when they were
 // lost, unless many were lost together.
-func (f *Feeds) reportLost(lost []roster.Record) {
+func (f *Feeds) reportLost() {
+	f.mutex.Lock()
+	lost := f.lost
+	f.lost = nil
+	f.mutex.Unlock()
 	if len(lost) > mostLost {
 		f.Host.Log.Write("agents-lost-together", "agents", len(lost))
 		return
@@ -86,6 +107,3 @@
 		pause(ctx, newsInterval, nil)
 	}
 }
-
-// crashTimeout bounds the attempts to commit the suspects of a lost agent.
-const crashTimeout = 10 * time.Second
--- a/ctrl/feeds/feeds.go
+++ b/ctrl/feeds/feeds.go
@@ -25,7 +25,7 @@
 	silence = 3 * time.Second
 	// lostAfter is how long an agent whose connection broke has to be heard
 	// again.
-	lostAfter = time.Second
+	lostAfter = 500 * time.Millisecond
 	// sweepInterval is the time between two looks for silent agents.
 	sweepInterval = 100 * time.Millisecond
 	// settleTime is how long a replica listens before it may tell daemons
@@ -97,6 +97,8 @@
 	// listening is since when this replica has heard agents without a pause.
 	listening time.Time
 	closed    bool
+	// lost are the agents that were lost lately.
+	lost []roster.Record
 	// changed is closed and replaced when a lease or an acknowledgement
 	// changes.
 	changed chan struct{}
@@ -283,14 +285,9 @@
 	}
 	f.adopt(now)
 	gone := f.Roster.Expire(f.Replica(), silence)
-	if len(gone) == 0 {
-		return
-	}
-	for i := range gone {
-		f.Host.Log.Write("agent-gone", "agent", gone[i].Agent, "incarnation", gone[i].Incarnation)
+	if len(gone) > 0 {
+		f.bury(gone)
 	}
-	f.Changed()
-	go f.reportLost(gone)
 }
 
 // probe makes a quorum round although no beat asks for one, and closes the
