Let a replica that takes an agent over outrank its former reports

Cause: records were ordered by beat before turn. An entry that had a later report of an agent than the replica that adopted it from a dead one ignored the adoption and the removal for good, and went on choosing a dead endpoint. Change: turn goes before beat; a takeover always raises it.

--- a/ctrl/feeds/crash.go
+++ b/ctrl/feeds/crash.go
@@ -66,7 +66,7 @@
 	for i := range lost {
 		f.Host.Log.Write("agent-gone", "agent", lost[i].Agent, "incarnation", lost[i].Incarnation)
 	}
-	f.Changed()
+	f.rosterChanged()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if len(f.lost) == 0 {
--- a/ctrl/feeds/feeds.go
+++ b/ctrl/feeds/feeds.go
@@ -7,6 +7,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -14,7 +15,6 @@
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
-	"github.com/tanagerspindle/tanagerspindle/pkg/lease"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
@@ -81,7 +81,9 @@
 	// Loads is the fleet's load budget in loads per second.
 	Loads float64
 
-	once     sync.Once
+	once sync.Once
+	// engines is the number of live engines in the roster.
+	engines  atomic.Int32
 	barriers batch[struct{}, struct{}]
 	enrols   batch[state.Enrol, uint64]
 	burn     burn
@@ -104,20 +106,6 @@
 	changed chan struct{}
 }
 
-// holderKey identifies one incarnation of a daemon.
-type holderKey struct {
-	role, name  string
-	incarnation uint64
-}
-
-// holder is what a replica knows of a lease that it gave.
-type holder struct {
-	// number is the configuration that the daemon has in force.
-	number uint64
-	// until is the end of the lease, drift included.
-	until time.Time
-}
-
 // prepare makes the zero value usable.
 func (f *Feeds) prepare() {
 	f.once.Do(func() {
@@ -168,28 +156,23 @@
 	return members
 }
 
-// Changed tells the feeds that the machine or the roster has news.
+// Changed tells the feeds that the machine has news.
 func (f *Feeds) Changed() {
 	f.prepare()
 	for _, m := range f.all() {
 		notify(m.news)
 	}
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	for _, p := range f.peers {
-		if p.news != nil {
-			notify(p.news)
-		}
-	}
-	close(f.changed)
-	f.changed = make(chan struct{})
+	f.wakeWaiters()
 }
 
-func notify(signal chan struct{}) {
-	select {
-	case signal <- struct{}{}:
-	default:
+// rosterChanged wakes those who get the roster.
+func (f *Feeds) rosterChanged() {
+	for _, m := range f.all() {
+		if m.hello.Role == plane.RoleEntry {
+			notify(m.news)
+		}
 	}
+	f.wakeWaiters()
 }
 
 // round makes one quorum round for all beats that came before it.
@@ -216,105 +199,6 @@
 	return result.Fences, nil
 }
 
-// sweepAll looks for silent agents and peers until ctx ends.
-func (f *Feeds) sweepAll(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	last, settled := time.Now(), false
-	started := last
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		now := time.Now()
-		f.noticePause(now, now.Sub(last))
-		last = now
-		if !settled && now.Sub(started) >= settleTime {
-			settled = true
-			f.settle()
-		}
-		f.sweep(ctx, now)
-	}
-}
-
-// noticePause restarts the listening time after the process stood still:
-// agents may have been heard by nobody here meanwhile.
-func (f *Feeds) noticePause(now time.Time, gap time.Duration) {
-	if gap < silence/3 {
-		return
-	}
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.listening = now
-}
-
-// settle lets the roster speak for agents that it does not know, also to
-// daemons that joined before with a roster from elsewhere.
-func (f *Feeds) settle() {
-	f.Roster.Settle()
-	for _, m := range f.all() {
-		if len(m.hello.Vector) == 0 {
-			continue
-		}
-		m.mutex.Lock()
-		m.vector, m.followed = m.hello.Vector, false
-		m.mutex.Unlock()
-		notify(m.news)
-	}
-}
-
-// sweep removes agents that this replica has not heard for too long, adopts
-// those of silent replicas, and closes the feeds when there is no quorum.
-func (f *Feeds) sweep(ctx context.Context, now time.Time) {
-	f.mutex.Lock()
-	deaf := now.Sub(f.proved)
-	listened := now.Sub(f.listening)
-	f.dropHolders(now)
-	f.mutex.Unlock()
-	if deaf >= deafAfter {
-		f.probe(ctx)
-		return
-	}
-	if deaf >= probeAfter {
-		f.probe(ctx)
-	}
-	if listened < silence+sweepInterval {
-		return
-	}
-	f.adopt(now)
-	gone := f.Roster.Expire(f.Replica(), silence)
-	if len(gone) > 0 {
-		f.bury(gone)
-	}
-}
-
-// probe makes a quorum round although no beat asks for one, and closes the
-// feeds when rounds keep failing.
-func (f *Feeds) probe(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, roundTimeout/2)
-	defer cancel()
-	_, err := f.barriers.do(ctx, struct{}{})
-	if err == nil {
-		return
-	}
-	f.mutex.Lock()
-	deaf := time.Since(f.proved) >= deafAfter
-	f.mutex.Unlock()
-	if deaf {
-		f.closeAll()
-	}
-}
-
-func (f *Feeds) dropHolders(now time.Time) {
-	for key, held := range f.holders {
-		if !held.until.After(now) {
-			delete(f.holders, key)
-		}
-	}
-}
-
 // Entries returns the names of the entries that are connected here or at
 // another replica, sorted.
 func (f *Feeds) Entries() []string {
@@ -340,53 +224,3 @@
 	}
 	return names
 }
-
-// grant notes a lease that is about to be sent.
-func (f *Feeds) grant(m *member) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	held := f.hold(m)
-	held.until = time.Now().Add(lease.Length + lease.Drift)
-}
-
-// acknowledge notes the configuration that a daemon has in force.
-func (f *Feeds) acknowledge(m *member, number uint64) {
-	f.mutex.Lock()
-	held := f.hold(m)
-	news := held.number != number
-	held.number = number
-	f.mutex.Unlock()
-	if news {
-		f.wakeWaiters()
-	}
-}
-
-func (f *Feeds) hold(m *member) *holder {
-	held := f.holders[m.key()]
-	if held == nil {
-		held = &holder{number: m.hello.Number}
-		f.holders[m.key()] = held
-	}
-	return held
-}
-
-// release ends the lease of a daemon that said goodbye.
-func (f *Feeds) release(m *member) {
-	f.mutex.Lock()
-	delete(f.holders, m.key())
-	f.mutex.Unlock()
-	f.wakeWaiters()
-}
-
-// wakeWaiters wakes those who wait for acknowledgements, here and at peers.
-func (f *Feeds) wakeWaiters() {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	close(f.changed)
-	f.changed = make(chan struct{})
-	for _, p := range f.peers {
-		if p.news != nil {
-			notify(p.news)
-		}
-	}
-}
--- a/ctrl/feeds/peers.go
+++ b/ctrl/feeds/peers.go
@@ -102,7 +102,7 @@
 	p.heard, p.last = time.Now(), *news
 	f.mutex.Unlock()
 	if changed {
-		f.Changed()
+		f.rosterChanged()
 		return
 	}
 	f.wakeWaiters()
@@ -123,7 +123,7 @@
 		changed = f.Roster.Adopt(f.Replica(), replica) || changed
 	}
 	if changed {
-		f.Changed()
+		f.rosterChanged()
 	}
 }
 
--- a/ctrl/feeds/serve.go
+++ b/ctrl/feeds/serve.go
@@ -161,7 +161,7 @@
 		return
 	}
 	if f.place(m, beat.Record) {
-		f.Changed()
+		f.rosterChanged()
 	}
 }
 
@@ -218,7 +218,7 @@
 		return nil
 	}
 	if f.Roster.Leave(f.Replica(), m.hello.Name, m.hello.Incarnation) {
-		f.Changed()
+		f.rosterChanged()
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), roundTimeout)
 	defer cancel()
--- a/ctrl/feeds/update.go
+++ b/ctrl/feeds/update.go
@@ -63,12 +63,7 @@
 	if wait == 0 || m.hello.Fenced {
 		update.Fence = newest.Number
 	}
-	update.Loads = f.Loads
-	for _, record := range f.Roster.All() {
-		if record.Model != "" {
-			update.Agents++
-		}
-	}
+	update.Loads, update.Agents = f.Loads, f.engines.Load()
 	return true
 }
 
--- a/pkg/roster/origin.go
+++ b/pkg/roster/origin.go
@@ -18,13 +18,13 @@
 		return false
 	}
 	now := time.Now()
-	if old != nil {
+	if old != nil && old.Incarnation == record.Incarnation {
 		record.Turn = old.Turn
-		if old.Beat == record.Beat && old.Incarnation == record.Incarnation && same(old, &record, origin) {
+		if same(old, &record, origin) {
 			old.heard = now
 			return false
 		}
-		if old.Beat == record.Beat {
+		if old.Beat == record.Beat || old.Origin != origin || old.Gone {
 			record.Turn++
 		}
 	}
@@ -44,7 +44,7 @@
 	return record.Beat >= old.Beat
 }
 
-// same reports whether a report of the beat already held brings no news.
+// same reports whether a report brings no news.
 func same(old *held, record *Record, origin uint64) bool {
 	if old.Gone || old.Origin != origin {
 		return false
--- a/pkg/roster/record.go
+++ b/pkg/roster/record.go
@@ -23,7 +23,7 @@
 	// Incarnation is new at each start of the agent process.
 	Incarnation uint64 `protobuf:"varint,2,opt" json:"incarnation"`
 	// Beat counts the reports of this incarnation. Of two records with equal
-	// Fence the one with the larger Beat is newer.
+	// Fence and Turn the one with the larger Beat is newer.
 	Beat uint64 `protobuf:"varint,3,opt" json:"beat"`
 	// Fence is the fencing number that control gave this incarnation; a later
 	// incarnation of the same agent has a larger one.
@@ -66,8 +66,9 @@
 	// Age is how long ago the origin replica heard from the agent, in
 	// nanoseconds, when the record was sent.
 	Age int64 `protobuf:"varint,22,opt" json:"age"`
-	// Turn counts the changes that control made to a record of one Beat:
-	// another replica hears the agent now, or nobody does. Agents leave it 0.
+	// Turn counts the changes that control made to the record of an
+	// incarnation: another replica hears the agent now, or nobody does. Agents
+	// leave it 0.
 	Turn uint64 `protobuf:"varint,23,opt" json:"turn"`
 	// Shape is the Counter at which anything but the load changed last.
 	Shape uint64 `protobuf:"varint,24,opt" json:"shape"`
@@ -93,9 +94,11 @@
 }
 
 // Newer reports whether r replaces old: a larger fencing number wins, then a
-// larger beat of the same incarnation, then a larger turn. Of two replicas
-// that took the same turn, the one that hears the agent wins, then the one
-// with the larger ID, so that every holder keeps the same record.
+// larger turn of the same incarnation, then a larger beat. The turn goes first
+// so that a replica that takes an agent over is heard also by those who had a
+// later report from the former replica. Of two replicas that took the same
+// turn, the one that hears the agent wins, then the one with the larger ID, so
+// that every holder keeps the same record.
 func (r *Record) Newer(old *Record) bool {
 	if r.Fence != old.Fence {
 		return r.Fence > old.Fence
@@ -103,12 +106,12 @@
 	if r.Incarnation != old.Incarnation {
 		return r.Incarnation > old.Incarnation
 	}
-	if r.Beat != old.Beat {
-		return r.Beat > old.Beat
-	}
 	if r.Turn != old.Turn {
 		return r.Turn > old.Turn
 	}
+	if r.Beat != old.Beat {
+		return r.Beat > old.Beat
+	}
 	if r.Gone != old.Gone {
 		return old.Gone
 	}
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -99,6 +100,26 @@
 	}
 }
 
+// An entry may have a later report of an agent than the replica that adopts
+// it from a dead one; it must hear of the agent's end all the same.
+func TestAdoptedAgentIsRemovedEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dead, adopter, entry := &roster.Roster{}, &roster.Roster{}, &roster.Roster{}
+		report := func(beat uint64) {
+			dead.Report(1, roster.Record{Agent: "a", Incarnation: 1, Fence: 1, Beat: beat})
+		}
+		report(1)
+		adopter.Merge(dead.Since(nil))
+		report(2)
+		entry.Merge(dead.Since(nil))
+		require.True(t, adopter.Adopt(2, 1))
+		time.Sleep(4 * time.Second)
+		require.Len(t, adopter.Expire(2, 3*time.Second), 1)
+		entry.Merge(adopter.News(entry.Vector()))
+		require.Empty(t, entry.All())
+	})
+}
+
 func TestRestartedReplicaKeepsCounting(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		before, entry := &roster.Roster{}, &roster.Roster{}
