--- a/ctrl/folder/folder_test.go
+++ b/ctrl/folder/folder_test.go
@@ -152,6 +152,7 @@
 		b.write("b.json", "{} // only a comment")
 		b.wait()
 		b.require(2, 5, 1)
+		require.NotContains(t, b.log.String(), "event=folder-refused")
 	})
 }
 
--- a/pkg/strict/document.go
+++ b/pkg/strict/document.go
@@ -25,8 +25,6 @@
 	root *node
 	// Faults are those found so far.
 	Faults Faults
-	// Broken says that the content of some file is not in the document.
-	Broken bool
 }
 
 // node is a JSON value with the place it came from. Exactly one of members,
@@ -49,7 +47,6 @@
 func (d *Document) Merge(file string, text []byte) {
 	root := d.parse(file, text)
 	if root == nil {
-		d.Broken = true
 		return
 	}
 	d.root.file, d.root.line, d.root.column = root.file, root.line, root.column
@@ -66,7 +63,7 @@
 		d.fail(newPlace(file, text, at), nil, "nested deeper than "+strconv.Itoa(maxDepth)+" levels")
 		return nil
 	}
-	value, err := hujson.Parse(text)
+	value, err := parseValue(text)
 	if err != nil {
 		d.fail(newParsePlace(file, err), nil, parseText(err))
 		return nil
@@ -80,6 +77,19 @@
 	return root
 }
 
+// parseValue accepts a comment at the end that no line's end follows, which
+// the parser does not.
+func parseValue(text []byte) (hujson.Value, error) {
+	value, err := hujson.Parse(text)
+	if err == nil {
+		return value, nil
+	}
+	if ended, again := hujson.Parse(append(slices.Clip(text), '\n')); again == nil {
+		return ended, nil
+	}
+	return value, err
+}
+
 // overlay merges from into the object to.
 func overlay(to, from *node) {
 	for name, value := range from.members {
@@ -127,12 +137,10 @@
 }
 
 // Check adds faults that know only their path, with their places. It leaves
-// out those at a field that already has one, and all of them when the
-// document is Broken, since what they miss may stand in the file left out.
+// out those at a field that already has one. The fault of a file left out is
+// at the root, around every field: what the others miss may stand in that
+// file.
 func (d *Document) Check(faults Faults) {
-	if d.Broken {
-		return
-	}
 	known := len(d.Faults)
 	for _, one := range faults {
 		if slices.ContainsFunc(d.Faults[:known], func(old Fault) bool { return touches(old.Path, one.Path) }) {
--- a/spindle/report/picture.go
+++ b/spindle/report/picture.go
@@ -114,7 +114,7 @@
 func labels(goals []burn.Goal) []string {
 	names := make([]string, 0, len(goals))
 	for _, goal := range goals {
-		name := goal.Workspace + "\n" + goal.Route
+		name := goal.Workspace + "\n" + routeOf(goal)
 		if len(goal.Pages) > 0 {
 			name += "\nPAGE"
 		}
--- a/spindle/report/report.go
+++ b/spindle/report/report.go
@@ -104,7 +104,7 @@
 func goalCells(goal burn.Goal, window burn.Window, first bool) []string {
 	cells := []string{"", "", "", ""}
 	if first {
-		cells = []string{goal.Workspace, goal.Route, percent(goal.Share), percent(goal.Budget)}
+		cells = []string{goal.Workspace, routeOf(goal), percent(goal.Share), percent(goal.Budget)}
 	}
 	page := "-"
 	for _, length := range goal.Pages {
@@ -117,6 +117,14 @@
 		percent(window.Within), fmt.Sprintf("%.1f", window.Rate), percent(window.Spent), page)
 }
 
+// routeOf names the route; requests that name an adapter have none.
+func routeOf(goal burn.Goal) string {
+	if goal.Route == "" {
+		return "(adapters)"
+	}
+	return goal.Route
+}
+
 func percent(share float64) string { return fmt.Sprintf("%.2f%%", 100*share) }
 
 // short writes "5m" for 5m0s.
--- a/spindle/report/report_test.go
+++ b/spindle/report/report_test.go
@@ -24,7 +24,7 @@
 	var counts []plane.Window
 	for _, length := range burn.Lengths() {
 		counts = append(counts,
-			plane.Window{Workspace: "rajkot", Route: "summaries", Length: span.Duration(length), Good: 990, Bad: 10, Share: 0.95},
+			plane.Window{Workspace: "rajkot", Route: "", Length: span.Duration(length), Good: 990, Bad: 10, Share: 0.95},
 			plane.Window{Workspace: "surat", Route: "filing", Length: span.Duration(length), Good: 100, Bad: 400, Share: 0.95},
 		)
 	}
