--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -42,8 +42,8 @@
 	r.forgotten = map[uint64]uint64{}
 }
 
-// Merge takes the records of delta that are newer than those held and returns
-// them. After a whole delta, records that it covers but does not name are
+// Merge takes the records and loads of delta that are newer than those held
+// and returns the records as they are now. After a whole delta, records that it covers but does not name are
 // gone; they are returned with Gone set.
 func (r *Roster) Merge(delta *Delta) []Record {
 	r.mutex.Lock()
@@ -58,6 +58,11 @@
 	if delta.Whole {
 		changed = append(changed, r.dropMissing(delta)...)
 	}
+	for i := range delta.Loads {
+		if old := r.records[delta.Loads[i].Agent]; old != nil && old.take(&delta.Loads[i]) {
+			changed = append(changed, old.Record)
+		}
+	}
 	for _, mark := range delta.Vector {
 		r.vector[mark.Origin] = max(r.vector[mark.Origin], mark.Counter)
 	}
@@ -98,14 +103,25 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	has := vectorOf(vector)
-	whole := len(vector) > 0 && r.behind(has)
+	return r.since(has, len(vector) > 0 && r.behind(has))
+}
+
+// News returns the same for a holder that has followed this roster without a
+// break, and so knows of every removal up to its vector. It is never whole.
+func (r *Roster) News(vector []Mark) *Delta {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.since(vectorOf(vector), false)
+}
+
+func (r *Roster) since(has map[uint64]uint64, whole bool) *Delta {
 	delta := &Delta{Vector: marksOf(r.vector), Whole: whole}
 	now := time.Now()
 	for _, record := range r.records {
 		if !whole && record.Counter <= has[record.Origin] {
 			continue
 		}
-		if record.Gone && (whole || len(vector) == 0) {
+		if record.Gone && (whole || len(has) == 0) {
 			continue
 		}
 		shown := record.Record
@@ -116,13 +132,6 @@
 	return delta
 }
 
-// Behind reports whether the holder of a vector needs the whole roster.
-func (r *Roster) Behind(vector []Mark) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return len(vector) > 0 && r.behind(vectorOf(vector))
-}
-
 func (r *Roster) behind(has map[uint64]uint64) bool {
 	for origin, counter := range r.forgotten {
 		if has[origin] < counter {
