--- a/pkg/conf/config.go
+++ b/pkg/conf/config.go
@@ -20,7 +20,8 @@
 	Adapters map[string]Adapter `protobuf:"bytes,4,rep" json:"adapters"`
 	// Routes by name: they tie callers to adapters and to plain services.
 	Routes map[string]Route `protobuf:"bytes,5,rep" json:"routes"`
-	// Weights say which measures of service quality count most.
+	// Weights say which measures of service quality count most. They are
+	// checked and spread to the daemons; no decision uses them yet.
 	Weights Weights `protobuf:"bytes,6,opt" json:"weights"`
 }
 
