--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -120,6 +120,30 @@
 	})
 }
 
+// The replica that an agent left finds it silent before it hears of the move;
+// that must not remove the agent anywhere, whether it reports at the new
+// replica or is only heard there.
+func TestAgentThatMovedOutlastsItsFormerReplica(t *testing.T) {
+	for _, reports := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			former, present, entry := &roster.Roster{}, &roster.Roster{}, &roster.Roster{}
+			former.Report(9, roster.Record{Agent: "a", Incarnation: 1, Fence: 1, Beat: 1})
+			present.Merge(former.Since(nil))
+			if reports {
+				present.Report(2, roster.Record{Agent: "a", Incarnation: 1, Fence: 1, Beat: 2})
+			}
+			present.Touch(2, "a", 1)
+			time.Sleep(4 * time.Second)
+			require.Len(t, former.Expire(9, 3*time.Second), 1)
+			for _, holder := range []*roster.Roster{entry, present, former} {
+				holder.Merge(former.News(holder.Vector()))
+				holder.Merge(present.News(holder.Vector()))
+				require.Len(t, holder.All(), 1)
+			}
+		})
+	}
+}
+
 func TestRestartedReplicaKeepsCounting(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		before, entry := &roster.Roster{}, &roster.Roster{}
