Bound one workspace's part of the claims; meters; fewer wake-ups

Cause: one workspace could fill the table of claims and so refuse the others theirs. Replicas answered each other's news with news, 10 times a second for ever. A lease that was noted anew after it had run out forgot what its holder had acknowledged. Change: a workspace gets half of the table; a replica that hears from a peer wakes its own daemons only; the acknowledged number belongs to the feed. A replica with a new ID under an old name lets the old one's agents be adopted.

--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -199,6 +199,9 @@
 			return
 		case <-ticker.C:
 		}
+		claims, size := d.machine.Claims()
+		d.Host.Meter.Set("claims", int64(claims))
+		d.Host.Meter.Set("claims_bytes", size)
 		if !d.node.Status().Leading || !d.machine.Due(time.Now().UnixNano()) {
 			continue
 		}
--- a/ctrl/feeds/feeds.go
+++ b/ctrl/feeds/feeds.go
@@ -163,16 +163,21 @@
 		notify(m.news)
 	}
 	f.wakeWaiters()
+	f.wakePeers()
 }
 
-// rosterChanged wakes those who get the roster.
+// rosterChanged spreads a change that this replica heard of first.
 func (f *Feeds) rosterChanged() {
+	f.wakeEntries()
+	f.wakePeers()
+}
+
+func (f *Feeds) wakeEntries() {
 	for _, m := range f.all() {
 		if m.hello.Role == plane.RoleEntry {
 			notify(m.news)
 		}
 	}
-	f.wakeWaiters()
 }
 
 // round makes one quorum round for all beats that came before it.
--- a/ctrl/feeds/holder.go
+++ b/ctrl/feeds/holder.go
@@ -33,17 +33,18 @@
 	f.mutex.Lock()
 	held := f.hold(m)
 	news := held.number != number
-	held.number = number
+	held.number, m.acknowledged = number, number
 	f.mutex.Unlock()
 	if news {
 		f.wakeWaiters()
+		f.wakePeers()
 	}
 }
 
 func (f *Feeds) hold(m *member) *holder {
 	held := f.holders[m.key()]
 	if held == nil {
-		held = &holder{number: m.hello.Number}
+		held = &holder{number: m.acknowledged}
 		f.holders[m.key()] = held
 	}
 	return held
@@ -55,14 +56,21 @@
 	delete(f.holders, m.key())
 	f.mutex.Unlock()
 	f.wakeWaiters()
+	f.wakePeers()
 }
 
-// wakeWaiters wakes those who wait for acknowledgements, here and at peers.
+// wakeWaiters wakes those who wait for acknowledgements here.
 func (f *Feeds) wakeWaiters() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	close(f.changed)
 	f.changed = make(chan struct{})
+}
+
+// wakePeers lets the other replicas hear of what changed here.
+func (f *Feeds) wakePeers() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	for _, p := range f.peers {
 		if p.news != nil {
 			notify(p.news)
--- a/ctrl/feeds/peers.go
+++ b/ctrl/feeds/peers.go
@@ -89,23 +89,24 @@
 	}
 }
 
-// take merges what a peer told.
+// take merges what a peer told. It wakes no peers: each of them hears it from
+// the one who knew first.
 func (f *Feeds) take(name string, news *News) {
-	changed := false
-	if news.Roster != nil {
-		changed = len(f.Roster.Merge(news.Roster)) > 0
-		news.Roster = nil
+	if news.Roster != nil && len(f.Roster.Merge(news.Roster)) > 0 {
+		f.wakeEntries()
 	}
+	news.Roster = nil
 	f.burn.add(news.Burn)
 	f.mutex.Lock()
 	p := f.peers[name]
+	former := p.last.Replica
 	p.heard, p.last = time.Now(), *news
 	f.mutex.Unlock()
-	if changed {
+	f.wakeWaiters()
+	if former != 0 && former != news.Replica && f.Roster.Adopt(f.Replica(), former) {
+		// A new replica has taken the place of one with another ID.
 		f.rosterChanged()
-		return
 	}
-	f.wakeWaiters()
 }
 
 // adopt takes over the agents of peers that have gone silent.
--- a/ctrl/feeds/serve.go
+++ b/ctrl/feeds/serve.go
@@ -20,6 +20,9 @@
 	cancel context.CancelFunc
 	// fence is an agent's fencing number.
 	fence uint64
+	// acknowledged is the configuration that the daemon has in force; the
+	// mutex of Feeds guards it.
+	acknowledged uint64
 	// news and answers wake the writer.
 	news    chan struct{}
 	answers chan struct{}
@@ -57,7 +60,7 @@
 	if err := stream.Receive(&m.hello); err != nil {
 		return &Error{Op: "receive hello", Kind: KindStream, Err: err}
 	}
-	m.number, m.vector = m.hello.Number, m.hello.Vector
+	m.number, m.vector, m.acknowledged = m.hello.Number, m.hello.Vector, m.hello.Number
 	if err := f.admit(ctx, m); err != nil {
 		return err
 	}
--- a/ctrl/feeds/sweep.go
+++ b/ctrl/feeds/sweep.go
@@ -106,6 +106,8 @@
 		}
 	}
 	f.engines.Store(engines)
+	f.Host.Meter.Set("engines", int64(engines))
+	f.Host.Meter.Set("feeds", int64(len(f.all())))
 }
 
 func notify(signal chan struct{}) {
--- a/ctrl/ledger/ledger.go
+++ b/ctrl/ledger/ledger.go
@@ -63,6 +63,14 @@
 	claims map[string]*Claim
 	due    queue
 	used   int64
+	// own is each workspace's part of the number of claims and of used.
+	own map[string]*part
+}
+
+// part is one workspace's part of the table.
+type part struct {
+	claims int
+	used   int64
 }
 
 // Apply takes one step at a committed time and returns how the claim stands
@@ -122,7 +130,7 @@
 	if claim.Window <= 0 {
 		claim.Window = int64(defaultWindow)
 	}
-	if len(l.claims) >= l.most() || l.used+claim.size() > l.bytes() {
+	if l.full(claim) {
 		return &plane.ClaimReply{Refused: plane.KindFull, State: plane.ClaimNone}
 	}
 	claim.Until = now + max(claim.Window, int64(openLife))
@@ -132,6 +140,17 @@
 	return reply
 }
 
+// full reports whether there is no room for a new claim. One workspace gets at
+// most half of the table, so that it cannot keep the others from theirs.
+func (l *Ledger) full(claim *Claim) bool {
+	size := claim.size()
+	if len(l.claims) >= l.most() || l.used+size > l.bytes() {
+		return true
+	}
+	own := l.own[claim.Workspace]
+	return own != nil && (2*own.claims >= l.most() || 2*(own.used+size) > l.bytes())
+}
+
 // finish records an outcome. One that is too large, or for which no memory is
 // left, keeps its status and digest only.
 func (l *Ledger) finish(claim *Claim, outcome *call.Outcome, now int64) {
@@ -146,9 +165,9 @@
 	if len(kept.Body) > MostBody || l.used+outcomeSize(kept) > l.bytes() {
 		kept.Cut, kept.Body, kept.Header = true, nil, nil
 	}
-	l.used -= claim.size()
+	l.count(claim, 0, -claim.size())
 	claim.Outcome = kept
-	l.used += claim.size()
+	l.count(claim, 0, claim.size())
 	l.close(claim, plane.ClaimDone, now)
 }
 
@@ -190,7 +209,7 @@
 
 // Restore replaces the table.
 func (l *Ledger) Restore(claims []Claim) {
-	l.claims, l.due, l.used = nil, nil, 0
+	l.claims, l.due, l.used, l.own = nil, nil, 0, nil
 	for i := range claims {
 		l.add(&claims[i])
 	}
@@ -202,13 +221,31 @@
 	}
 	l.claims[string(claim.Key)] = claim
 	heap.Push(&l.due, claim)
-	l.used += claim.size()
+	l.count(claim, 1, claim.size())
+}
+
+// count adds to the sums of the table and of the claim's workspace.
+func (l *Ledger) count(claim *Claim, claims int, size int64) {
+	l.used += size
+	if l.own == nil {
+		l.own = map[string]*part{}
+	}
+	own := l.own[claim.Workspace]
+	if own == nil {
+		own = &part{}
+		l.own[claim.Workspace] = own
+	}
+	own.claims += claims
+	own.used += size
+	if own.claims == 0 {
+		delete(l.own, claim.Workspace)
+	}
 }
 
 func (l *Ledger) remove(claim *Claim) {
 	heap.Remove(&l.due, claim.place)
 	delete(l.claims, string(claim.Key))
-	l.used -= claim.size()
+	l.count(claim, -1, -claim.size())
 }
 
 func (l *Ledger) most() int {
--- a/ctrl/ledger/ledger_test.go
+++ b/ctrl/ledger/ledger_test.go
@@ -68,9 +68,9 @@
 func TestFullLedgerRefusesNewClaimsAndForgetsNone(t *testing.T) {
 	l := &ledger.Ledger{Most: 3, Bytes: 8 << 10}
 	for i := range 3 {
-		require.Equal(t, plane.ClaimOwned, l.Apply(ask(plane.VerbClaim, fmt.Sprint(i), "1", "x"), 0).State)
+		require.Equal(t, plane.ClaimOwned, l.Apply(owned(fmt.Sprint(i), fmt.Sprint(i)), 0).State)
 	}
-	require.Equal(t, plane.KindFull, l.Apply(ask(plane.VerbClaim, "new", "1", "x"), 0).Refused)
+	require.Equal(t, plane.KindFull, l.Apply(owned("new", "new"), 0).Refused)
 	big := ask(plane.VerbDone, "0", "1", "")
 	big.Outcome.Body = make([]byte, 16<<10)
 	reply := l.Apply(big, 0)
@@ -85,6 +85,27 @@
 	require.Zero(t, bytes)
 }
 
+func owned(key, workspace string) *plane.ClaimAsk {
+	claim := ask(plane.VerbClaim, key, "1", "x")
+	claim.Workspace = workspace
+	return claim
+}
+
+func TestOneWorkspaceCannotFillTheLedger(t *testing.T) {
+	l := &ledger.Ledger{Most: 4}
+	restored := &ledger.Ledger{Most: 4}
+	for _, key := range []string{"1", "2"} {
+		require.Equal(t, plane.ClaimOwned, l.Apply(owned(key, "greedy"), 0).State)
+	}
+	restored.Restore(l.Snapshot())
+	for _, table := range []*ledger.Ledger{l, restored} {
+		require.Equal(t, plane.KindFull, table.Apply(owned("3", "greedy"), 0).Refused)
+		require.Equal(t, plane.ClaimOwned, table.Apply(owned("4", "other"), 0).State)
+		table.Apply(ask(plane.VerbVoid, "1", "1", ""), 0)
+		require.Equal(t, plane.ClaimOwned, table.Apply(owned("3", "greedy"), 0).State)
+	}
+}
+
 // BenchmarkClaim reports the memory that one claim takes on the heap, beside
 // the ledger's own count of it.
 func BenchmarkClaim(b *testing.B) {
@@ -105,7 +126,9 @@
 	l := &ledger.Ledger{}
 	for i := range claims {
 		key := fmt.Sprintf("%032d", i)
-		l.Apply(ask(plane.VerbClaim, key, key[16:], key), 0)
+		claim := ask(plane.VerbClaim, key, key[16:], key)
+		claim.Workspace = fmt.Sprint(i % 4)
+		l.Apply(claim, 0)
 		end := ask(plane.VerbDone, key, key[16:], "")
 		end.Outcome.Body = make([]byte, body)
 		l.Apply(end, 0)
--- a/ctrl/quota/quota.go
+++ b/ctrl/quota/quota.go
@@ -204,6 +204,8 @@
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	err := o.Propose(ctx, horizons)
+	o.Host.Meter.Add("quota_records", 1)
+	o.Host.Meter.Add("quota_horizons", int64(len(horizons)))
 	if err != nil {
 		o.Host.Log.Write("quota-record-failed", "workspaces", len(horizons), "err", err)
 	}
--- a/ctrl/quota/quota_test.go
+++ b/ctrl/quota/quota_test.go
@@ -16,6 +16,8 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 )
 
@@ -51,7 +53,7 @@
 			w.config.Workspaces[fmt.Sprintf("w%d", i)] = limits
 		}
 		for i := range w.replicas {
-			r := &replica{}
+			r := &replica{Owner: quota.Owner{Host: host.Host{Meter: meter.New()}}}
 			r.Config = func() *conf.Config { return w.config }
 			r.Horizon = r.machine.Horizon
 			r.Propose = func(ctx context.Context, horizons []state.Horizon) error { return w.propose(ctx, i, horizons) }
--- a/ctrl/state/machine.go
+++ b/ctrl/state/machine.go
@@ -210,6 +210,14 @@
 	return m.ledger.Apply(&read, m.time)
 }
 
+// Claims returns the number of claims and the memory they take, in bytes, by
+// the ledger's count.
+func (m *Machine) Claims() (claims int, bytes int64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.ledger.Size()
+}
+
 // Bans returns the suspects and quarantined requests, and the revision of the
 // list.
 func (m *Machine) Bans() ([]plane.Ban, uint64) {
