Lose a cancellation for real in the pin test

Cause: the test cut the network, which also held back the unload orders, so it passed without the mechanism it is for.

--- a/agent/daemon/daemon_test.go
+++ b/agent/daemon/daemon_test.go
@@ -1,7 +1,10 @@
 package daemon_test
 
 import (
+	"context"
+	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,17 +99,39 @@
 	})
 }
 
+// deaf is a connection whose end the other side does not see while lost is
+// set.
+type deaf struct {
+	net.Conn
+	lost *atomic.Bool
+}
+
+func (d *deaf) Close() error {
+	if d.lost.Load() {
+		return nil
+	}
+	return d.Conn.Close()
+}
+
 func TestLostCancelKeepsThePin(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
+		lost := &atomic.Bool{}
 		s := start(t, func(s *site) {
-			s.engine.Slots, s.engine.Address = 1, "engine:8000"
+			s.engine.Slots = 1
+			dial := s.agent.DialPlain
+			s.agent.DialPlain = func(ctx context.Context, address string) (net.Conn, error) {
+				conn, err := dial(ctx, address)
+				return &deaf{Conn: conn, lost: lost}, err
+			}
 		})
 		defer s.end()
 		entry := s.dial()
 		stream := entry.open(s.attempt("alpha", "long", 2000))
 		time.Sleep(2 * time.Second)
-		s.network.Silence("vm", "engine")
+		lost.Store(true)
 		_ = stream.Close()
+		time.Sleep(time.Second)
+		lost.Store(false)
 		next := entry.background(s.attempt("beta", "next", 10))
 		time.Sleep(10 * time.Second)
 		require.Empty(t, next, "the engine still runs on the only slot")
