Unload an adapter that answers as another version; drain one slot at a time

Cause: after an answer on the wrong version the slot stayed trusted, so the next request met the same fault. Several newcomers could each close a busy slot to new runs although the load budget fills one in seconds. Change: slots.Distrust unloads such a key once it is free and counts a failed load; at most one slot drains for a newcomer.

--- a/agent/daemon/daemon_test.go
+++ b/agent/daemon/daemon_test.go
@@ -34,16 +34,48 @@
 	})
 }
 
-func TestOtherVersionIsWithheld(t *testing.T) {
+func TestOtherVersionIsWithheldAndUnloaded(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
+		wrong := &atomic.Bool{}
+		wrong.Store(true)
 		s := start(t, func(s *site) {
-			s.engine.RunVersion = func(string, string) string { return "v0" }
+			s.engine.RunVersion = func(_, version string) string {
+				if wrong.Load() {
+					return "v0"
+				}
+				return version
+			}
 		})
 		defer s.end()
-		r := s.dial().run(s.attempt("alpha", "first", 20))
+		entry := s.dial()
+		r := entry.run(s.attempt("alpha", "first", 20))
 		require.Equal(t, call.ReasonVersion, r.reason())
 		require.True(t, r.refused.Ran)
 		require.Empty(t, r.text)
+		wrong.Store(false)
+		time.Sleep(2 * time.Second)
+		again := s.attempt("alpha", "first", 20)
+		whole(t, again, entry.run(again))
+		require.Len(t, s.store.Loads(), 2, "loaded anew")
+	})
+}
+
+func TestQueuedPastItsDeadlineIsNotRun(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := start(t, func(s *site) { s.engine.Places = 1 })
+		defer s.end()
+		entry := s.dial()
+		long := s.attempt("alpha", "long", 500)
+		running := entry.background(long)
+		time.Sleep(time.Second)
+		late := s.attempt("alpha", "late", 10)
+		late.Left = time.Second
+		sent := time.Now()
+		r := entry.run(late)
+		require.Equal(t, call.ReasonLate, r.reason())
+		require.False(t, r.refused.Ran)
+		require.InDelta(t, 1, r.at.Sub(sent).Seconds(), 0.3)
+		whole(t, long, <-running)
 	})
 }
 
--- a/agent/slots/slots.go
+++ b/agent/slots/slots.go
@@ -39,6 +39,9 @@
 	// draining says that no new pin is given, so that a more valuable
 	// newcomer gets the slot when the pins are gone.
 	draining bool
+	// distrusted says that the engine runs something else under the key; it
+	// gets no new pin and is unloaded when the pins are gone.
+	distrusted bool
 }
 
 func (s *slot) pinned() bool { return s.pins > 0 || s.foreign }
@@ -118,7 +121,11 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	held := s.held[key]
-	return held != nil && held.state == stateResident && !held.draining
+	return held.usable()
+}
+
+func (s *slot) usable() bool {
+	return s != nil && s.state == stateResident && !s.draining && !s.distrusted
 }
 
 // Pin keeps a resident key in its slot until release is called, which is when
@@ -127,7 +134,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	held := s.held[key]
-	if held == nil || held.state != stateResident || held.draining {
+	if !held.usable() {
 		return nil, false
 	}
 	held.pins++
@@ -138,6 +145,7 @@
 func (s *Slots) unpin(held *slot) {
 	s.mutex.Lock()
 	held.pins--
+	s.dropDistrusted(held)
 	s.mutex.Unlock()
 	s.Changed()
 }
--- a/agent/slots/slots_test.go
+++ b/agent/slots/slots_test.go
@@ -126,6 +126,20 @@
 	})
 }
 
+func TestOneSlotDrainsAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(2)
+		f.want("one")
+		f.want("two")
+		for _, name := range []string{"one", "two"} {
+			release, _ := f.slots.Pin(key(name))
+			defer release()
+		}
+		require.Empty(t, f.slots.Plan([]slots.Demand{{Key: key("x"), Waiting: 99}, {Key: key("y"), Waiting: 98}}, nil))
+		require.NotEqual(t, f.slots.Ready(key("one")), f.slots.Ready(key("two")))
+	})
+}
+
 func TestNoOrderWithoutFenceOrLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := start(1)
--- a/agent/slots/sync.go
+++ b/agent/slots/sync.go
@@ -40,12 +40,40 @@
 // expel unloads a key that the engine holds without a slot.
 func (s *Slots) expel(key Key) {
 	s.Host.Log.Write("adapter-stray", "adapter", key.Adapter, "version", key.Version)
-	s.changes++
-	stray := &slot{key: key, state: stateUnloading}
+	stray := &slot{key: key}
 	s.held[key] = stray
+	s.drop(stray)
+}
+
+// Distrust unloads a key under which the engine ran something else, once no
+// run is on it. It counts as a failed load.
+func (s *Slots) Distrust(key Key) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	held := s.held[key]
+	if held == nil || held.distrusted {
+		return
+	}
+	held.distrusted = true
+	s.fail(key)
+	s.dropDistrusted(held)
+}
+
+// dropDistrusted unloads a slot that is distrusted and free. The mutex is
+// held.
+func (s *Slots) dropDistrusted(held *slot) {
+	if held.distrusted && !held.pinned() && held.state == stateResident && s.held[held.key] == held && s.mayOrder() {
+		s.drop(held)
+	}
+}
+
+// drop unloads a slot. The mutex is held.
+func (s *Slots) drop(held *slot) {
+	s.changes++
+	held.state = stateUnloading
 	o := &order{slots: s, context: s.context, epoch: s.epoch, fence: s.fence}
 	go func() {
-		o.unload(stray)
+		o.unload(held)
 		s.Changed()
 	}()
 }
--- a/agent/slots/worth.go
+++ b/agent/slots/worth.go
@@ -14,6 +14,9 @@
 	// forgetBelow is the rate, in requests per second, under which the demand
 	// of a key is forgotten.
 	forgetBelow = 1e-5
+	// maxDraining bounds the slots that wait for a newcomer; loads are too few
+	// for more to be filled soon.
+	maxDraining = 1
 	// popularRate is the rate, in requests per second, from which a key is
 	// loaded into an empty slot before a request waits for it.
 	popularRate = 0.02
@@ -128,6 +131,7 @@
 	newcomers := s.newcomers(wanted, now)
 	residents := s.residents(waiting, now)
 	empty := s.limit - len(s.held)
+	draining := 0
 	var planned []Key
 	for _, newcomer := range newcomers {
 		if empty > 0 {
@@ -136,15 +140,19 @@
 			continue
 		}
 		victim := takeVictim(&residents, newcomer.worth)
-		if victim == nil {
+		if victim == nil || (victim.slot.pinned() && draining >= maxDraining) {
 			break
 		}
 		if victim.slot.pinned() {
 			victim.slot.draining = true
+			draining++
 			continue
 		}
 		// A slot that was emptied for a newcomer stays reserved for it.
-		victim.slot.draining = victim.drained
+		if victim.drained && draining < maxDraining {
+			victim.slot.draining = true
+			draining++
+		}
 		planned = append(planned, newcomer.key)
 	}
 	return planned
