--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -25,6 +25,9 @@
 const (
 	// commitTimeout bounds one commit.
 	commitTimeout = 3 * time.Second
+	// adminTimeout bounds an operator's order, which may wait for a replica to
+	// catch up.
+	adminTimeout = 30 * time.Second
 	// leaderTimeout is how long a stream for the leader waits for one to be
 	// known.
 	leaderTimeout = 3 * time.Second
@@ -166,8 +169,6 @@
 	workers.Go(func() { d.permits.Run(working) })
 	workers.Go(func() { d.expire(working) })
 	workers.Go(func() { d.watch(working) })
-	release := context.AfterFunc(ctx, d.feeds.Close)
-	defer release()
 	err = d.node.Run(ctx)
 	stopWorking()
 	workers.Wait()
--- a/ctrl/daemon/history_test.go
+++ b/ctrl/daemon/history_test.go
@@ -82,7 +82,7 @@
 			group.Go(func() {
 				for time.Now().Before(end) {
 					step(c, h, client, source)
-					time.Sleep(time.Duration(source.IntN(400)) * time.Millisecond)
+					time.Sleep(time.Duration(source.IntN(800)) * time.Millisecond)
 				}
 			})
 		}
@@ -225,7 +225,7 @@
 		Step:      stepClaim,
 		Partition: partitionByKey,
 	}
-	verbs := []plane.Verb{plane.VerbClaim, plane.VerbClaim, plane.VerbClaim, plane.VerbDone, plane.VerbUnknown, plane.VerbVoid, plane.VerbVoid, plane.VerbAsk}
+	verbs := []plane.Verb{plane.VerbClaim, plane.VerbClaim, plane.VerbClaim, plane.VerbDone, plane.VerbUnknown, plane.VerbVoid, plane.VerbVoid, plane.VerbAsk, plane.VerbAsk, plane.VerbAsk, plane.VerbAsk}
 	for seed := range uint64(3) {
 		h := runHistory(t, 30+seed, func(c *cluster, h *history, client int, source *rand.Rand) {
 			to := fmt.Sprintf("c%d", 1+source.IntN(3))
--- a/ctrl/daemon/roster_test.go
+++ b/ctrl/daemon/roster_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -37,7 +38,7 @@
 		time.Sleep(5 * time.Second)
 		require.True(c.t, entry.knows("lost") && entry.knows("killed"), "a report without change keeps an agent")
 
-		c.network.Lose("lost")
+		c.network.Silence("lost", far[0])
 		c.until(4*time.Second, func() bool { return !entry.knows("lost") }, "lost with its VM")
 		c.network.Crash("killed")
 		c.until(2*time.Second, func() bool { return !entry.knows("killed") }, "killed")
@@ -46,11 +47,17 @@
 		again := c.connect(far[0], agentHello("lost", 2))
 		c.until(time.Second, func() bool { return entry.knows("lost") }, "started again")
 		again.leave()
+		require.NoError(c.t, again.join(far[0]))
+		for range 100 {
+			require.True(c.t, entry.knows("lost"), "its connection broke and it came back")
+			time.Sleep(10 * time.Millisecond)
+		}
 	})
 }
 
 // An agent that moves to another replica stays in the roster, and so do all
-// agents when replicas restart or the leader crashes.
+// agents when the leader crashes and when their replica restarts, which they
+// reach again only after the time in which a silent agent is gone.
 func TestControlRestartsEmptyNoRoster(t *testing.T) {
 	inCluster(t, 12, func(c *cluster) {
 		leader := c.leader()
@@ -76,8 +83,16 @@
 		watch(8 * time.Second)
 		c.start(leader)
 		watch(20 * time.Second)
-		require.NoError(c.t, agents["a"].join(leader))
-		watch(5 * time.Second)
+		second := c.others(leader)[1]
+		c.crash(second)
+		watch(time.Second)
+		c.start(second)
+		watch(2500 * time.Millisecond)
+		for _, agent := range agents {
+			<-agent.ended
+			require.NoError(c.t, agent.join(second))
+		}
+		watch(10 * time.Second)
 		require.Zero(c.t, missing)
 		require.Zero(c.t, entry.now().whole)
 	})
@@ -91,8 +106,8 @@
 		entry := c.connect(c.others(leader)[0], entryHello("entry"))
 		agent := c.connect(leader, agentHello("agent", 1))
 		c.until(2*time.Second, func() bool { return entry.knows("agent") }, "join")
-		c.network.Lose(leader)
-		c.network.Lose("agent")
+		c.network.Silence("agent", leader)
+		c.network.Isolate(leader, append(c.others(leader), "agent")...)
 		c.until(8*time.Second, func() bool { return !entry.knows("agent") }, "gone with its replica")
 		agent.leave()
 	})
@@ -168,6 +183,30 @@
 	})
 }
 
+// A request crashes one endpoint after another; a partition silences many
+// together, within the time between two beats, and makes no suspects.
+func TestPartitionMakesNoSuspects(t *testing.T) {
+	for _, silent := range []int{2, 3} {
+		inCluster(t, 17, func(c *cluster) {
+			entry := c.connect(c.leader(), entryHello("entry"))
+			for i := range silent {
+				agent := c.connect(c.follower(), agentHello(fmt.Sprint("agent", i), 1))
+				agent.set(func() {
+					agent.record = &roster.Record{Agent: agent.hello.Name, Incarnation: 1, Beat: 2, Digests: [][]byte{{byte(i)}}}
+				})
+				time.Sleep(300 * time.Millisecond)
+			}
+			time.Sleep(5 * time.Second)
+			for i := range silent {
+				c.network.Silence(fmt.Sprint("agent", i), c.follower())
+			}
+			c.until(4*time.Second, func() bool { return len(entry.roster.All()) == 0 }, "gone")
+			time.Sleep(2 * time.Second)
+			require.Equal(c.t, silent <= 2, len(entry.now().bans) > 0)
+		})
+	}
+}
+
 // Counts of any entry are in every replica's report.
 func TestBurnIsAddedUp(t *testing.T) {
 	inCluster(t, 16, func(c *cluster) {
--- a/ctrl/feeds/peers.go
+++ b/ctrl/feeds/peers.go
@@ -102,7 +102,7 @@
 	p.heard, p.last = time.Now(), *news
 	f.mutex.Unlock()
 	if changed {
-		f.Changed()
+		f.rosterChanged()
 		return
 	}
 	f.wakeWaiters()
@@ -123,7 +123,7 @@
 		changed = f.Roster.Adopt(f.Replica(), replica) || changed
 	}
 	if changed {
-		f.Changed()
+		f.rosterChanged()
 	}
 }
 
@@ -161,8 +161,7 @@
 func (f *Feeds) tell(p *peer, vector *[]roster.Mark) *News {
 	message := &News{Replica: f.Replica(), Number: f.Machine.Number()}
 	if !covers(*vector, f.Roster.Vector()) {
-		message.Roster = f.Roster.Since(*vector)
-		message.Roster.Whole = false
+		message.Roster = f.Roster.News(*vector)
 		message.Roster.Sender = message.Replica
 		*vector = joinVectors(*vector, message.Roster.Vector)
 	}
--- a/ctrl/feeds/serve.go
+++ b/ctrl/feeds/serve.go
@@ -33,6 +33,11 @@
 	sent   time.Time
 	vector []roster.Mark
 	bans   uint64
+	// followed says that the daemon has the roster from this replica up to
+	// vector, and not from elsewhere.
+	followed bool
+	// debt is the loads that an entry has still to be sent.
+	debt debt
 	// fenced says that the fencing number was sent.
 	fenced bool
 	bye    bool
@@ -156,7 +161,7 @@
 		return
 	}
 	if f.place(m, beat.Record) {
-		f.Changed()
+		f.rosterChanged()
 	}
 }
 
@@ -213,7 +218,7 @@
 		return nil
 	}
 	if f.Roster.Leave(f.Replica(), m.hello.Name, m.hello.Incarnation) {
-		f.Changed()
+		f.rosterChanged()
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), roundTimeout)
 	defer cancel()
--- a/ctrl/node/failure_test.go
+++ b/ctrl/node/failure_test.go
@@ -73,6 +73,26 @@
 	})
 }
 
+func TestNothingIsAcknowledgedBeforeItsSync(t *testing.T) {
+	for _, size := range []int{1, 3} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			inBubble(t, 16, size, func(g *group) {
+				g.fill(0, 3)
+				leader := g.leader()
+				failing := leader.name
+				if size > 1 {
+					failing = g.others(leader.name)[0]
+					g.crash(g.others(leader.name)[1])
+				}
+				g.disks[failing].Fail = func() bool { return true }
+				g.refused(leader.name, time.Second)
+				<-g.replicas[failing].ended
+				require.ErrorIs(t, g.replicas[failing].err, &node.Error{Kind: node.KindDisk})
+			})
+		})
+	}
+}
+
 func TestCutOffLeaderStopsLeading(t *testing.T) {
 	cuts := map[string]func(g *group, leader string){
 		"both ways": func(g *group, leader string) { g.network.Isolate(leader, g.others(leader)...) },
@@ -93,11 +113,15 @@
 				g.fill(0, 5)
 				old := g.leader()
 				cut(g, old.name)
+				early, end := context.WithTimeout(context.Background(), 100*time.Millisecond)
+				_, err := old.Barrier(early)
+				end()
+				require.ErrorIs(t, err, &node.Error{Kind: node.KindTimeout})
 				g.refused(old.name, 700*time.Millisecond)
 				time.Sleep(time.Second)
 				require.False(t, old.Status().Leading)
 				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-				_, err := old.Barrier(ctx)
+				_, err = old.Barrier(ctx)
 				cancel()
 				require.ErrorIs(t, err, &node.Error{Kind: node.KindTimeout})
 				g.fill(5, 10)
@@ -325,3 +349,22 @@
 		require.LessOrEqual(t, leader.Host.Meter.Value("read_rounds")-before, int64(5))
 	})
 }
+
+func TestLargeChangeBetweenRegionsKeepsItsLeader(t *testing.T) {
+	inBubble(t, 19, 3, func(g *group) {
+		g.latency.Store(int64(75 * time.Millisecond))
+		time.Sleep(2 * time.Second)
+		leader := g.leader()
+		term := leader.Status().Term
+		sent := g.sent.Load()
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		_, err := leader.Propose(ctx, append([]byte("big="), make([]byte, node.MaxData-4)...))
+		require.NoError(t, err)
+		for _, name := range sorted(g.replicas) {
+			require.Len(t, g.read(name, "big"), node.MaxData-4)
+		}
+		require.Equal(t, term, g.leader().Status().Term)
+		require.Less(t, g.sent.Load()-sent, int64(3*node.MaxData))
+	})
+}
--- a/stubs/score/score.go
+++ b/stubs/score/score.go
@@ -14,6 +14,7 @@
 const (
 	personFirst  = 2 * time.Second
 	personGap    = 120 * time.Millisecond
+	personAnswer = 4 * time.Second
 	lookupAnswer = time.Second
 	filingAnswer = 3 * time.Second
 	batchAnswer  = 60 * time.Second
@@ -84,7 +85,7 @@
 			continue
 		}
 		s.count(request)
-		if !bucket.Admit(request.Sent, cost(request)) {
+		if !bucket.Admit(request.Sent, Cost(request)) {
 			continue
 		}
 		within++
@@ -110,9 +111,9 @@
 	}
 }
 
-// cost is what the ideal bucket debits: prompt plus answer where they are
+// Cost is what the ideal bucket debits: prompt plus answer where they are
 // known, else the estimate that a full answer gives.
-func cost(request *crowd.Request) int64 {
+func Cost(request *crowd.Request) int64 {
 	if request.Adapter == "" {
 		return 1
 	}
@@ -136,6 +137,9 @@
 	case crowd.SortBatch:
 		return whole <= batchAnswer
 	}
+	if !request.Stream {
+		return whole <= personAnswer
+	}
 	if request.First.Sub(request.Sent) > personFirst {
 		return false
 	}
