Decode documents through one type

Cause: pkg/strict had two types for one job, pkg/launch a type that only named a function. Change: Document.Decode takes what records start from; Serve is spelled out. Measured: the tests of conf, setup, strict, launch, folder and spindle pass with -race.

--- a/pkg/conf/load.go
+++ b/pkg/conf/load.go
@@ -98,8 +98,7 @@
 
 func decode(document *strict.Document) (*Config, error) {
 	config := &Config{Weights: Default().Weights}
-	decoder := strict.Decoder{Fresh: fresh}
-	decoder.Decode(document, config)
+	document.Decode(config, fresh)
 	document.Check(config.faults())
 	if err := failed("load", document.Faults); err != nil {
 		return nil, err
--- a/pkg/launch/launch.go
+++ b/pkg/launch/launch.go
@@ -45,9 +45,6 @@
 // Error is this package's error type.
 type Error = fault.Error[Kind]
 
-// Serve runs a daemon until ctx ends; then it drains and returns nil.
-type Serve func(ctx context.Context, h host.Host, s *setup.Setup) error
-
 // Program is one process. Its fields are set before Main.
 type Program struct {
 	// Role is the one that the settings must be for.
@@ -59,13 +56,13 @@
 	// Signals carries requests to stop. The first ends the context of Serve;
 	// the second ends the process at once.
 	Signals <-chan os.Signal
-	// Serve runs the daemon.
-	Serve Serve
+	// Serve runs the daemon until ctx ends; then it drains and returns nil.
+	Serve func(ctx context.Context, h host.Host, s *setup.Setup) error
 }
 
 // Run runs a daemon of the given role with the arguments and signals of this
 // process, and returns its exit code.
-func Run(role string, serve Serve) int {
+func Run(role string, serve func(ctx context.Context, h host.Host, s *setup.Setup) error) int {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
--- a/pkg/setup/fuzz_test.go
+++ b/pkg/setup/fuzz_test.go
@@ -48,8 +48,7 @@
 	document := strict.New()
 	document.Merge("file", text)
 	settings := Default()
-	decoder := strict.Decoder{}
-	decoder.Decode(document, &settings)
+	document.Decode(&settings, nil)
 	settings.Certificate, settings.Key, settings.Authority = "", "", ""
 	document.Check(settings.faults())
 	return &settings, document.Faults
--- a/pkg/setup/setup.go
+++ b/pkg/setup/setup.go
@@ -133,8 +133,7 @@
 	document := strict.New()
 	document.Merge(file, text)
 	setup := Default()
-	decoder := strict.Decoder{}
-	decoder.Decode(document, &setup)
+	document.Decode(&setup, nil)
 	setup.anchor(filepath.Dir(file))
 	document.Check(setup.faults())
 	return &setup, document.Faults
--- a/pkg/strict/document_test.go
+++ b/pkg/strict/document_test.go
@@ -55,8 +55,7 @@
 		t.Run(name, func(t *testing.T) {
 			document := strict.New()
 			document.Merge("file", []byte(test.text))
-			decoder := strict.Decoder{}
-			decoder.Decode(document, &sample{})
+			document.Decode(&sample{}, nil)
 			var faults strict.Faults
 			faults.Add([]string{"count", "a"}, "bad")
 			faults.Add([]string{"name"}, "bad")
