--- a/spindle/cmds/ban.go
+++ b/spindle/cmds/ban.go
@@ -28,13 +28,13 @@
 		Usage:  "list and lift quarantines of requests that crash endpoints",
 		Action: requireCommand,
 		Commands: []*cli.Command{
-			{Name: "list", Usage: "list quarantined and suspected requests", Action: p.listBans},
+			{Name: "list", Usage: "list quarantined and suspected requests", Action: p.showBans},
 			{Name: "lift", Usage: "end the quarantine of DIGEST", ArgsUsage: "DIGEST", Action: p.liftBan},
 		},
 	}
 }
 
-func (p *Program) listBans(ctx context.Context, c *cli.Command) error {
+func (p *Program) showBans(ctx context.Context, c *cli.Command) error {
 	if err := noArgument(c); err != nil {
 		return err
 	}
@@ -42,13 +42,17 @@
 	if err != nil {
 		return err
 	}
-	list := make([]listedBan, 0, len(view.Bans))
-	for _, ban := range view.Bans {
+	return p.show(c, view.Bans, banText(view.Bans))
+}
+
+func listBans(bans []plane.Ban) []listedBan {
+	list := make([]listedBan, 0, len(bans))
+	for _, ban := range bans {
 		list = append(list, listedBan{
 			Digest: hex.EncodeToString(ban.Digest), Suspect: ban.Suspect, Deaths: ban.Deaths, Alone: ban.Alone, Left: ban.Left,
 		})
 	}
-	return p.show(c, list, banText(list))
+	return list
 }
 
 func banText(list []listedBan) string {
--- a/spindle/cmds/report.go
+++ b/spindle/cmds/report.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	result := report.New(view.Burn)
+	result := report.New(view.burn)
 	if addresses := c.StringSlice(flagMetrics); len(addresses) > 0 {
 		result.Fetch(ctx, p.Client, addresses)
 	}
--- a/spindle/cmds/status.go
+++ b/spindle/cmds/status.go
@@ -14,10 +14,54 @@
 )
 
 // overview is the result of status: the leader's view where it answers, and
-// what each address said.
+// what each address said. It does not change when the messages between the
+// processes do.
 type overview struct {
-	*plane.Status
-	Replicas []replica `json:"replicas"`
+	Leader    string         `json:"leader"`
+	Term      uint64         `json:"term"`
+	Commit    uint64         `json:"commit"`
+	Number    uint64         `json:"number"`
+	Members   []plane.Member `json:"members"`
+	Endpoints []endpoint     `json:"endpoints"`
+	Entries   []string       `json:"entries"`
+	Bans      []listedBan    `json:"bans"`
+	Replicas  []replica      `json:"replicas"`
+	// burn holds the counts for report.
+	burn []plane.Window
+}
+
+// endpoint is what operators need to know of one.
+type endpoint struct {
+	Name       string `json:"name"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	// Serves is the engine's model or the plain service's name.
+	Serves string `json:"serves"`
+	State  string `json:"state"`
+	// Running and Queued count requests, Adapters what is in the Slots.
+	Running  int32 `json:"running"`
+	Places   int32 `json:"places"`
+	Queued   int64 `json:"queued"`
+	Adapters int   `json:"adapters"`
+	Slots    int32 `json:"slots"`
+}
+
+func newEndpoint(r roster.Record) endpoint {
+	return endpoint{
+		Name: r.Agent, Address: r.Address, DataCentre: r.DataCentre, Serves: r.Model + r.Service, State: stateOf(r),
+		Running: r.Running, Places: r.Places, Queued: sum(r.Queued), Adapters: len(r.Resident), Slots: r.Slots,
+	}
+}
+
+func newOverview(s *plane.Status, replicas []replica) *overview {
+	view := &overview{
+		Leader: s.Leader, Term: s.Term, Commit: s.Commit, Number: s.Number, Members: s.Members, Entries: s.Entries,
+		Endpoints: make([]endpoint, 0, len(s.Endpoints)), Bans: listBans(s.Bans), Replicas: replicas, burn: s.Burn,
+	}
+	for _, record := range s.Endpoints {
+		view.Endpoints = append(view.Endpoints, newEndpoint(record))
+	}
+	return view
 }
 
 // replica is what one address of control answered.
@@ -67,7 +111,7 @@
 	if best == nil {
 		return nil, &Error{Op: c.FullName(), Kind: KindUnreachable, Err: fmt.Errorf("%s", faultsOf(replicas))}
 	}
-	return &overview{Status: best, Replicas: replicas}, nil
+	return newOverview(best, replicas), nil
 }
 
 func (k *control) askStatus(ctx context.Context, address string) replica {
@@ -146,10 +190,9 @@
 	text.WriteString("\n")
 	table := tabwriter.NewWriter(text, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "ENDPOINT\tADDRESS\tDATA CENTRE\tSERVES\tSTATE\tRUNNING\tQUEUED\tADAPTERS")
-	for _, record := range o.Endpoints {
+	for _, e := range o.Endpoints {
 		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d/%d\t%d\t%d/%d\n",
-			record.Agent, record.Address, record.DataCentre, record.Model+record.Service, stateOf(record),
-			record.Running, record.Places, sum(record.Queued), len(record.Resident), record.Slots)
+			e.Name, e.Address, e.DataCentre, e.Serves, e.State, e.Running, e.Places, e.Queued, e.Adapters, e.Slots)
 	}
 	_ = table.Flush()
 }
