Pay urgent requests first, and tell people from programs at one of several entries

Cause: in a workspace that sends several times its rate, lookups of one token were refused or waited 5 to 9 s. Their wait was taken from the first waiter's, often a long one's; the fleet's backlog in seconds was used as a factor; new ones came after everything that had waited 2 s. Half of a batch's requests counted as a person's: each entry sees a third of a key's requests, few at once. Change: tokens go in the order in which callers' patience ends; the estimate counts what lies before a request from what control has given a time for, at the entry's part of the rate; a more urgent first waiter is asked for at once; less urgent ones leave 16 tokens; a piece is at most what the rate gives in 500 ms. Classes: the share of requests that come at once after an answer; streams, whole answers and each service route of a key are judged apart.

--- a/entry/class/caller.go
+++ b/entry/class/caller.go
@@ -15,6 +15,8 @@
 	halfLife = 30 * time.Second
 	// flightHalfLife is the same for the peak of requests in progress.
 	flightHalfLife = 10 * time.Second
+	// chainTime is how soon after an answer a program sends its next request.
+	chainTime = 100 * time.Millisecond
 	// mostCallers bounds the callers remembered.
 	mostCallers = 1 << 14
 	// longestThink bounds a pause, so that a night's rest is one long pause
@@ -29,14 +31,18 @@
 	flight int
 	// peak is the decayed peak of flight.
 	peak float64
-	// rate is the decayed count of requests over the half-life.
+	// requests is the decayed count of requests.
 	requests float64
 	// answers and tokens are decayed sums of answers and their sizes.
 	answers, tokens float64
 	// pauses and paused are decayed sums of pauses and their lengths in
 	// seconds; idle is when the last answer ended.
-	pauses, paused  float64
-	idle            time.Time
+	pauses, paused float64
+	idle           time.Time
+	// chained is the decayed count of requests that came within chainTime of
+	// an answer's end, as those of a program do that sends the next at once.
+	chained         float64
+	ended           time.Time
 	resends, leaves float64
 	last            string
 	lastAt          time.Time
@@ -47,7 +53,7 @@
 	passed := now.Sub(c.seen)
 	c.seen = now
 	share := math.Exp2(-passed.Seconds() / halfLife.Seconds())
-	for _, sum := range []*float64{&c.requests, &c.answers, &c.tokens, &c.pauses, &c.paused, &c.resends, &c.leaves} {
+	for _, sum := range []*float64{&c.requests, &c.answers, &c.tokens, &c.pauses, &c.paused, &c.chained, &c.resends, &c.leaves} {
 		*sum *= share
 	}
 	c.peak *= math.Exp2(-passed.Seconds() / flightHalfLife.Seconds())
@@ -56,6 +62,10 @@
 func (c *caller) begin(now time.Time) {
 	c.decay(now)
 	c.requests++
+	if !c.ended.IsZero() && now.Sub(c.ended) <= chainTime {
+		c.chained++
+	}
+	c.ended = time.Time{}
 	if !c.idle.IsZero() {
 		pause := min(now.Sub(c.idle), longestThink)
 		c.pauses++
@@ -75,6 +85,8 @@
 		Flight:    c.peak,
 		Known:     c.pauses,
 		Rate:      c.requests * math.Ln2 / halfLife.Seconds(),
+		Chained:   c.chained / c.requests,
+		Requests:  c.requests,
 	}
 	if c.answers > 0 {
 		f.Usual = c.tokens / c.answers
@@ -96,7 +108,10 @@
 func (c *caller) end(r *chain.Request, err error, now time.Time) {
 	c.decay(now)
 	c.flight--
-	c.idle = now
+	c.ended = now
+	if c.flight == 0 {
+		c.idle = now
+	}
 	var refusal *chain.Refusal
 	if errors.As(err, &refusal) && refusal.Status == chain.StatusGone {
 		c.leaves++
--- a/entry/class/class.go
+++ b/entry/class/class.go
@@ -43,6 +43,19 @@
 	return err
 }
 
+// name tells callers apart by their key, and the uses of one key: people and
+// programs often share it.
+func name(r *chain.Request) string {
+	use := "whole"
+	switch {
+	case r.Service != "":
+		use = r.RouteName
+	case r.Stream:
+		use = "stream"
+	}
+	return r.Key + "\x00" + r.Workspace + "\x00" + use
+}
+
 func (c *Class) infer(f Features) call.Class {
 	if c.Infer != nil {
 		return c.Infer(f)
@@ -64,7 +77,7 @@
 func (c *Class) begin(r *chain.Request, now time.Time) (*caller, Features) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	caller := c.callers.get(r.Key + "\x00" + r.Workspace)
+	caller := c.callers.get(name(r))
 	caller.begin(now)
 	return caller, caller.features(r, now)
 }
--- a/entry/class/class_test.go
+++ b/entry/class/class_test.go
@@ -27,6 +27,9 @@
 		{"back to back, large", class.Features{MaxTokens: 4096, Flight: 1, Think: 10 * time.Millisecond, Known: 20, Rate: 2}, call.ClassLong},
 		{"many at once", class.Features{MaxTokens: 512, Flight: 16}, call.ClassLong},
 		{"many at once though streamed", class.Features{Stream: true, MaxTokens: 512, Flight: 16, Known: 9, Think: time.Millisecond}, call.ClassLong},
+		{"chained though few at once, as one of several entries sees it", class.Features{MaxTokens: 200, Flight: 2, Chained: 0.3, Requests: 5}, call.ClassSoon},
+		{"chained and large", class.Features{MaxTokens: 4096, Flight: 2, Chained: 0.3, Requests: 5}, call.ClassLong},
+		{"busy desk of people", class.Features{Stream: true, MaxTokens: 100, Flight: 3, Chained: 0.05, Requests: 20, Rate: 0.7}, call.ClassPerson},
 		{"large limit but small answers", class.Features{MaxTokens: 8192, Usual: 50, Flight: 1}, call.ClassPerson},
 		{"caller who left and came again", class.Features{MaxTokens: 4096, Flight: 1, Leaves: 1, Resends: 1}, call.ClassPerson},
 		{"lookup", class.Features{Service: true, Flight: 1}, call.ClassPerson},
@@ -80,6 +83,27 @@
 	require.GreaterOrEqual(t, script[call.ClassLong], 90, "%v", script)
 }
 
+func TestPersonIsFoundBesideABatchOfTheSameKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &class.Class{}
+		ask := func(stream bool) call.Class {
+			r := &chain.Request{Key: "k", Stream: stream, MaxTokens: 300, Start: time.Now()}
+			_ = c.Do(t.Context(), r, func(context.Context, *chain.Request) error {
+				time.Sleep(5 * time.Second)
+				return nil
+			})
+			return r.Class
+		}
+		for range 16 {
+			go ask(false)
+		}
+		time.Sleep(time.Second)
+		require.Equal(t, call.ClassPerson, ask(true))
+		require.Equal(t, call.ClassLong, ask(false))
+		time.Sleep(time.Minute)
+	})
+}
+
 func TestPersonReturnsAfterABatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &class.Class{}
--- a/entry/class/rule.go
+++ b/entry/class/rule.go
@@ -25,6 +25,11 @@
 	// requests that it was learnt from, decayed.
 	Think time.Duration
 	Known float64
+	// Chained is the share of the key's requests that came at once after an
+	// answer, of Requests, their decayed number. With several entries only a
+	// part of a program's requests are seen to.
+	Chained  float64
+	Requests float64
 	// Rate is the key's decayed rate of requests, per second.
 	Rate float64
 	// Resends and Leaves are decayed counts of the same request coming again
@@ -42,6 +47,8 @@
 	scoreManyFlight = -3.0
 	scoreThink      = 1.5
 	scoreNoThink    = -2.0
+	scoreWhole      = -0.5
+	scoreChained    = -2.5
 	scoreLeave      = 0.5
 	scoreResend     = 0.5
 	scoreRate       = -1.0
@@ -63,6 +70,9 @@
 	// noThinkTime what only programs manage.
 	thinkTime   = time.Second
 	noThinkTime = 200 * time.Millisecond
+	// chainedShare is the share of chained requests from which a program is
+	// taken to send them: a third with three entries, if it waits for answers.
+	chainedShare = 0.2
 	// known is how many requests the pause is learnt from before it counts.
 	known = 3.0
 	// highRate is a rate of requests per second that no person types.
@@ -76,9 +86,9 @@
 	if f.Service {
 		return inferService(f)
 	}
-	score := scoreSize(f) + scoreFlight(f) + scorePause(f) + scoreHabits(f)
+	score := scoreSize(f) + scoreFlight(f) + scorePause(f) + scoreHabits(f) + scoreWhole
 	if f.Stream {
-		score += scoreStream
+		score += scoreStream - scoreWhole
 	}
 	switch {
 	case score >= personScore:
@@ -127,6 +137,9 @@
 	if f.Rate >= highRate {
 		score += scoreRate
 	}
+	if f.Requests >= known && f.Chained >= chainedShare {
+		return score + scoreChained
+	}
 	if f.Known < known {
 		return score
 	}
--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -32,11 +32,15 @@
 	// answer tokens paid for at once.
 	firstPiece   = 64
 	longestPiece = 1024
+	// pieceTime bounds a piece by what the workspace's rate gives in it.
+	pieceTime = 500 * time.Millisecond
+	// spareTokens are left by less urgent requests for urgent ones.
+	spareTokens = 16
 	// mostWaiters bounds the requests of one workspace and class that wait
 	// for tokens.
 	mostWaiters = 512
-	// extendLead is how much earlier than a new request a stream that needs
-	// more tokens counts as having come.
+	// extendLead is how much earlier than a new request of its class a stream
+	// that needs more tokens counts as having come.
 	extendLead = 2 * time.Second
 	// soonest is the least time to come back.
 	soonest = 100 * time.Millisecond
@@ -126,7 +130,10 @@
 
 // reserve takes tokens, or waits for them while the caller probably does.
 func (l *Limit) reserve(ctx context.Context, r *chain.Request, need int64) (*reservation, error) {
-	w := &waiter{need: need, class: r.Class, due: dueAt(time.Now(), r.Class), until: r.Deadline(), done: make(chan error, 1)}
+	w := &waiter{
+		need: need, spare: l.spare(r, need), class: r.Class,
+		due: r.Deadline(), until: r.Deadline(), done: make(chan error, 1),
+	}
 	l.mutex.Lock()
 	s := l.share(r.Workspace)
 	w.paid = &reservation{share: s}
@@ -148,22 +155,24 @@
 	}
 }
 
-// dueAt orders waiters: less urgent ones are overtaken, but not for ever.
-func dueAt(now time.Time, class call.Class) time.Time {
-	switch class {
-	case call.ClassPerson:
-		return now
-	case call.ClassSoon:
-		return now.Add(2 * time.Second)
+// spare returns what a request that is less urgent leaves for small urgent
+// ones, which then need not wait for control.
+func (l *Limit) spare(r *chain.Request, need int64) int64 {
+	config := l.Config()
+	if r.Class == call.ClassPerson || config == nil {
+		return 0
+	}
+	if need+spareTokens > config.Workspaces[r.Workspace].Burst/2 {
+		return 0
 	}
-	return now.Add(15 * time.Second)
+	return spareTokens
 }
 
 // join pays at once, puts the waiter in the queue, or refuses. The caller
 // holds the mutex.
 func (l *Limit) join(s *share, w *waiter) error {
 	now := time.Now()
-	if len(s.waiters) == 0 && s.take(now, w.need, w.paid) {
+	if s.isFirst(w) && s.take(now, w) {
 		w.done <- nil
 		return nil
 	}
@@ -175,7 +184,7 @@
 			return late(wait)
 		}
 	}
-	s.enqueue(w)
+	s.enqueue(now, w)
 	l.nudge()
 	return nil
 }
@@ -198,17 +207,20 @@
 
 // extend pays for a further piece of the answer and waits as long as it takes.
 func (l *Limit) extend(ctx context.Context, r *chain.Request, paid *reservation, sent int64) (int64, error) {
-	piece := min(max(paid.answer, firstPiece), longestPiece, r.MaxTokens-paid.answer)
+	piece := min(l.piece(r, paid), r.MaxTokens-paid.answer)
 	if piece <= 0 {
 		return paid.answer, nil
 	}
-	w := &waiter{need: piece, class: r.Class, due: time.Now().Add(-extendLead), paid: paid, done: make(chan error, 1), extends: true}
+	w := &waiter{
+		need: piece, spare: l.spare(r, piece), class: r.Class, extends: true,
+		due: time.Now().Add(r.Patience - extendLead), paid: paid, done: make(chan error, 1),
+	}
 	l.mutex.Lock()
 	paid.spend(time.Now(), paid.base+sent)
-	if len(paid.share.waiters) == 0 && paid.share.take(time.Now(), piece, paid) {
+	if paid.share.isFirst(w) && paid.share.take(time.Now(), w) {
 		w.done <- nil
 	} else {
-		paid.share.enqueue(w)
+		paid.share.enqueue(time.Now(), w)
 		l.nudge()
 	}
 	l.mutex.Unlock()
@@ -226,6 +238,13 @@
 	return paid.answer, nil
 }
 
+// piece returns how many answer tokens to pay for next: as many as were paid
+// for before, but little enough that others of the workspace are not held up.
+func (l *Limit) piece(r *chain.Request, paid *reservation) int64 {
+	most := min(int64(l.rate(r.Workspace)*pieceTime.Seconds()), longestPiece)
+	return max(min(paid.answer, most), firstPiece)
+}
+
 // withdraw takes a waiter out and reports whether it had been paid for.
 func (l *Limit) withdraw(w *waiter) bool {
 	l.mutex.Lock()
--- a/entry/limit/loop.go
+++ b/entry/limit/loop.go
@@ -104,17 +104,18 @@
 	defer l.mutex.Unlock()
 	now := time.Now()
 	for _, grant := range reply.Grants {
-		wanted := slices.ContainsFunc(ask.Asks, func(a plane.Ask) bool { return a.Workspace == grant.Workspace && a.Want > 0 })
-		if !wanted {
+		at := slices.IndexFunc(ask.Asks, func(a plane.Ask) bool { return a.Workspace == grant.Workspace && a.Want > 0 })
+		if at < 0 {
 			continue
 		}
-		l.take(l.share(grant.Workspace), sent, now, &grant)
+		l.take(l.share(grant.Workspace), sent, now, &grant, ask.Asks[at].Least)
 	}
 }
 
-func (l *Limit) take(s *share, sent, now time.Time, grant *plane.Grant) {
+// take adds a grant to the share; least is what was asked for.
+func (l *Limit) take(s *share, sent, now time.Time, grant *plane.Grant, least int64) {
 	s.demand = grant.Demand
-	s.due = time.Time{}
+	s.due, s.lack = time.Time{}, 0
 	s.askAt = now.Add(shortestPoll)
 	if grant.Tokens > 0 {
 		s.leases = append(s.leases, &held{id: grant.Lease, left: grant.Tokens, until: sent.Add(grant.Life.Std()), used: now})
@@ -130,6 +131,7 @@
 	}
 	if grant.Wait > 0 && len(s.waiters) > 0 {
 		s.due = now.Add(grant.Wait.Std())
+		s.lack = least
 		s.askAt = now.Add(min(max(grant.Wait.Std(), shortestPoll), longestPoll))
 		l.shed(s, now)
 	}
@@ -139,7 +141,7 @@
 func (l *Limit) serve(s *share, now time.Time) {
 	for len(s.waiters) > 0 {
 		w := s.waiters[0]
-		if !s.take(now, w.need, w.paid) {
+		if !s.take(now, w) {
 			return
 		}
 		s.waiters = slices.Delete(s.waiters, 0, 1)
--- a/entry/limit/share.go
+++ b/entry/limit/share.go
@@ -35,11 +35,12 @@
 	leases    []*held
 	// waiters are in the order of due.
 	waiters []*waiter
-	// askAt is when control is asked next; due when it expects to have what
-	// the first waiter needs.
+	// askAt is when control is asked next. At due it expects to have lack
+	// tokens for this entry, which is what the first waiter lacked.
 	askAt time.Time
 	due   time.Time
-	// demand is the fleet's wish for tokens over the rate.
+	lack  int64
+	// demand is the fleet's wish for tokens over the rate, in seconds.
 	demand float64
 	// spent is the decayed spending of the last spendTime, as of usedAt.
 	spent  float64
@@ -60,9 +61,12 @@
 
 // waiter is a request that needs tokens.
 type waiter struct {
-	need  int64
+	need int64
+	// spare is what must be left when the waiter is paid.
+	spare int64
 	class call.Class
-	due   time.Time
+	// due is when the caller's patience ends; the earliest comes first.
+	due time.Time
 	// until is when the caller's patience ends; zero for a stream that has
 	// begun.
 	until   time.Time
@@ -71,11 +75,12 @@
 	done    chan error
 }
 
-// take spends tokens into a reservation, or none if there are too few.
-func (s *share) take(now time.Time, need int64, paid *reservation) bool {
-	if s.available(now) < need {
+// take pays a waiter in full, or not at all if there are too few tokens.
+func (s *share) take(now time.Time, w *waiter) bool {
+	if s.available(now) < w.need+w.spare {
 		return false
 	}
+	need, paid := w.need, w.paid
 	s.note(now, need)
 	for _, lease := range s.leases {
 		tokens := min(lease.left, need)
@@ -147,7 +152,9 @@
 	return s.spent * max(left, 0)
 }
 
-func (s *share) enqueue(w *waiter) {
+// enqueue puts a waiter in its place. A new first one may need less, so
+// control is asked again at once.
+func (s *share) enqueue(now time.Time, w *waiter) {
 	at, _ := slices.BinarySearchFunc(s.waiters, w, func(other, w *waiter) int {
 		if other.due.After(w.due) {
 			return 1
@@ -155,6 +162,13 @@
 		return -1
 	})
 	s.waiters = slices.Insert(s.waiters, at, w)
+	if at == 0 {
+		s.askAt = now
+	}
+}
+
+func (s *share) isFirst(w *waiter) bool {
+	return len(s.waiters) == 0 || w.due.Before(s.waiters[0].due)
 }
 
 func (s *share) remove(w *waiter) bool {
@@ -181,22 +195,25 @@
 
 func (s *share) wait(now time.Time) time.Duration { return max(s.due.Sub(now), 0) }
 
-// estimate returns how long a waiter will wait behind those before it.
+// estimate returns how long a waiter will wait behind those before it. Beyond
+// what control has given a time for, tokens come at this entry's part of the
+// rate.
 func (s *share) estimate(now time.Time, w *waiter, rate float64) time.Duration {
-	ahead := w.need
-	for i, other := range s.waiters {
-		if other == w || other.due.After(w.due) {
-			break
+	ahead, all := w.need-s.available(now), w.need
+	for _, other := range s.waiters {
+		if other == w {
+			continue
 		}
-		if i > 0 {
+		all += other.need
+		if !other.due.After(w.due) {
 			ahead += other.need
 		}
 	}
-	if len(s.waiters) == 0 || s.waiters[0] == w {
-		ahead = 0
+	beyond := float64(ahead-s.lack) / rate
+	if beyond > 0 {
+		beyond *= max(s.demand*rate/float64(max(all, 1)), 1)
 	}
-	seconds := float64(ahead) / rate * max(s.demand, 1)
-	return s.wait(now) + time.Duration(seconds*float64(time.Second))
+	return max(s.wait(now)+time.Duration(beyond*float64(time.Second)), 0)
 }
 
 // asks returns what to ask of control now, and takes out what goes back.
@@ -218,7 +235,7 @@
 		want += w.need
 	}
 	if len(s.waiters) > 0 {
-		least = max(s.waiters[0].need-available, 0)
+		least = max(s.waiters[0].need+s.waiters[0].spare-available, 0)
 	}
 	if s.demand <= 1 {
 		ahead := int64(s.recent(now) * aheadTime.Seconds() / spendTime.Seconds())
