--- a/entry/class/class.go
+++ b/entry/class/class.go
@@ -17,14 +17,11 @@
 // Error is this package's error type.
 type Error = fault.Error[Kind]
 
+// How long a caller of each class probably waits for the first token.
 const (
-	// How long a caller of each class probably waits for the first token.
 	patiencePerson = 10 * time.Second
 	patienceSoon   = 30 * time.Second
 	patienceLong   = 5 * time.Minute
-	// nearTime is the time between two requests of one run of a program, as
-	// one of several entries sees it.
-	nearTime = 5 * time.Second
 )
 
 // Class is the filter that sets a request's class and patience.
@@ -34,8 +31,6 @@
 
 	mutex   sync.Mutex
 	callers callers
-	// runs notes when each key last asked each adapter.
-	runs callers
 }
 
 // Do classes the request and learns from its end.
@@ -48,6 +43,19 @@
 	return err
 }
 
+// name tells callers apart by their key, and the uses of one key: people and
+// programs often share it.
+func name(r *chain.Request) string {
+	use := "whole"
+	switch {
+	case r.Service != "":
+		use = r.RouteName
+	case r.Stream:
+		use = "stream"
+	}
+	return r.Key + "\x00" + r.Workspace + "\x00" + use
+}
+
 func (c *Class) infer(f Features) call.Class {
 	if c.Infer != nil {
 		return c.Infer(f)
@@ -69,19 +77,9 @@
 func (c *Class) begin(r *chain.Request, now time.Time) (*caller, Features) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	caller := c.callers.get(r.Key + "\x00" + r.Workspace)
+	caller := c.callers.get(name(r))
 	caller.begin(now)
-	features := caller.features(r, now)
-	if r.Adapter == "" {
-		return caller, features
-	}
-	run := c.runs.get(r.Key + "\x00" + r.Workspace + "\x00" + r.Adapter)
-	features.Near = !run.seen.IsZero() && now.Sub(run.seen) < nearTime
-	run.seen = now
-	habit := caller.habit(r.Stream)
-	features.Habit, features.Habits = habit.share()
-	habit.add(features.Near)
-	return caller, features
+	return caller, caller.features(r, now)
 }
 
 func (c *Class) end(caller *caller, r *chain.Request, err error, now time.Time) {
