--- a/entry/class/caller.go
+++ b/entry/class/caller.go
@@ -41,7 +41,10 @@
 	idle           time.Time
 	// chained is the decayed count of requests that came within chainTime of
 	// an answer's end, as those of a program do that sends the next at once.
-	chained         float64
+	chained float64
+	// runs is the decayed count of requests to adapters, near of those that
+	// came shortly after another to the same adapter.
+	runs, near      float64
 	ended           time.Time
 	resends, leaves float64
 	last            string
@@ -53,7 +56,7 @@
 	passed := now.Sub(c.seen)
 	c.seen = now
 	share := math.Exp2(-passed.Seconds() / halfLife.Seconds())
-	for _, sum := range []*float64{&c.requests, &c.answers, &c.tokens, &c.pauses, &c.paused, &c.chained, &c.resends, &c.leaves} {
+	for _, sum := range []*float64{&c.requests, &c.answers, &c.tokens, &c.pauses, &c.paused, &c.chained, &c.runs, &c.near, &c.resends, &c.leaves} {
 		*sum *= share
 	}
 	c.peak *= math.Exp2(-passed.Seconds() / flightHalfLife.Seconds())
@@ -76,6 +79,21 @@
 	c.peak = max(c.peak, float64(c.flight))
 }
 
+// habit returns the share of requests that came near another, and of how many.
+func (c *caller) habit() (share, requests float64) {
+	if c.runs == 0 {
+		return 0, 0
+	}
+	return c.near / c.runs, c.runs
+}
+
+func (c *caller) noteRun(near bool) {
+	c.runs++
+	if near {
+		c.near++
+	}
+}
+
 func (c *caller) features(r *chain.Request, now time.Time) Features {
 	f := Features{
 		Service:   r.Service != "",
--- a/entry/class/class.go
+++ b/entry/class/class.go
@@ -17,11 +17,14 @@
 // Error is this package's error type.
 type Error = fault.Error[Kind]
 
-// How long a caller of each class probably waits for the first token.
 const (
+	// How long a caller of each class probably waits for the first token.
 	patiencePerson = 10 * time.Second
 	patienceSoon   = 30 * time.Second
 	patienceLong   = 5 * time.Minute
+	// nearTime is the time between two requests of one run of a program, as
+	// one of several entries sees it.
+	nearTime = 5 * time.Second
 )
 
 // Class is the filter that sets a request's class and patience.
@@ -31,6 +34,8 @@
 
 	mutex   sync.Mutex
 	callers callers
+	// runs notes when each key last asked each adapter.
+	runs callers
 }
 
 // Do classes the request and learns from its end.
@@ -79,7 +84,21 @@
 	defer c.mutex.Unlock()
 	caller := c.callers.get(name(r))
 	caller.begin(now)
-	return caller, caller.features(r, now)
+	features := caller.features(r, now)
+	if r.Adapter != "" {
+		features.Near = c.near(r, now)
+		features.Habit, features.Habits = caller.habit()
+		caller.noteRun(features.Near)
+	}
+	return caller, features
+}
+
+// near reports whether the key has asked the same adapter shortly before.
+func (c *Class) near(r *chain.Request, now time.Time) bool {
+	run := c.runs.get(r.Key + "\x00" + r.Workspace + "\x00" + r.Adapter)
+	last := run.seen
+	run.seen = now
+	return !last.IsZero() && now.Sub(last) < nearTime
 }
 
 func (c *Class) end(caller *caller, r *chain.Request, err error, now time.Time) {
--- a/entry/class/class_test.go
+++ b/entry/class/class_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -120,3 +121,23 @@
 		require.Equal(t, call.ClassPerson, ask())
 	})
 }
+
+func TestARunUnderASharedKeyIsNotAPerson(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c := &class.Class{}
+		ask := func(adapter string) call.Class {
+			r := &chain.Request{Key: "k", Adapter: adapter, Stream: true, MaxTokens: 200, Start: time.Now()}
+			_ = c.Do(t.Context(), r, func(context.Context, *chain.Request) error { return nil })
+			return r.Class
+		}
+		for turn := range 10 {
+			require.Equal(t, call.ClassPerson, ask(fmt.Sprintf("desk-%d", turn)))
+			time.Sleep(10 * time.Second)
+		}
+		for range 120 {
+			ask("night")
+			time.Sleep(500 * time.Millisecond)
+		}
+		require.NotEqual(t, call.ClassPerson, ask("night"))
+	})
+}
--- a/entry/class/rule.go
+++ b/entry/class/rule.go
@@ -30,6 +30,12 @@
 	// part of a program's requests are seen to.
 	Chained  float64
 	Requests float64
+	// Near says that the key asked the same adapter shortly before, and Habit
+	// is the share of its requests to adapters that came so, of Habits, their
+	// decayed number.
+	Near   bool
+	Habit  float64
+	Habits float64
 	// Rate is the key's decayed rate of requests, per second.
 	Rate float64
 	// Resends and Leaves are decayed counts of the same request coming again
@@ -49,6 +55,8 @@
 	scoreNoThink    = -2.0
 	scoreWhole      = -0.5
 	scoreChained    = -2.5
+	scoreNear       = -1.0
+	scoreHabit      = 2.0
 	scoreLeave      = 0.5
 	scoreResend     = 0.5
 	scoreRate       = -1.0
@@ -86,7 +94,7 @@
 	if f.Service {
 		return inferService(f)
 	}
-	score := scoreSize(f) + scoreFlight(f) + scorePause(f) + scoreHabits(f) + scoreWhole
+	score := scoreSize(f) + scoreFlight(f) + scorePause(f) + scoreHabits(f) + scoreRuns(f) + scoreWhole
 	if f.Stream {
 		score += scoreStream - scoreWhole
 	}
@@ -152,6 +160,19 @@
 	return score
 }
 
+// scoreRuns tells the runs of a program, which works through one adapter at a
+// time, from people under the same key.
+func scoreRuns(f Features) float64 {
+	score := 0.0
+	if f.Near {
+		score += scoreNear
+	}
+	if f.Habits >= known {
+		score += scoreHabit * (1 - 2*f.Habit)
+	}
+	return score
+}
+
 func scoreHabits(f Features) float64 {
 	score := 0.0
 	if f.Leaves >= some {
