Let entries forget agents that died while all of control was down

Cause: after a restart of all replicas nobody spoke for what they had said before, so an entry kept an agent that had died meanwhile for good; the same for agents of a replica that was replaced. Change: a replica's vector starts at its clock and so covers its former process; a whole roster also covers replicas that are no longer members. An ask for tokens that no record comes for in time gets a hint to wait. Result: the entry keeps the living throughout and loses the dead after the 10 s in which nobody may speak for them.

--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -99,7 +99,7 @@
 		d.node = d.newNode()
 		d.feeds = &feeds.Feeds{
 			Host: d.Host, Name: d.Name, Peers: d.others(), Loads: d.Loads,
-			Replica: func() uint64 { return d.node.Status().ID },
+			Replica: func() uint64 { return d.node.Status().ID }, Members: d.members,
 			Machine: &d.machine, Roster: &d.roster,
 			Propose: d.propose, Barrier: d.barrier, Open: d.node.Open,
 		}
@@ -125,6 +125,15 @@
 	return n
 }
 
+// members returns the IDs of all replicas.
+func (d *Daemon) members() []uint64 {
+	var ids []uint64
+	for _, member := range d.node.Status().Members {
+		ids = append(ids, member.Replica)
+	}
+	return ids
+}
+
 func (d *Daemon) barrier(ctx context.Context) error {
 	_, err := d.node.Barrier(ctx)
 	return err
--- a/ctrl/daemon/roster_test.go
+++ b/ctrl/daemon/roster_test.go
@@ -98,6 +98,42 @@
 	})
 }
 
+// When all of control restarts at once, entries keep their endpoints while
+// these come back, and lose the one that died meanwhile once the replicas have
+// listened for a while. Nothing committed is lost.
+func TestAllOfControlRestarts(t *testing.T) {
+	inCluster(t, 18, func(c *cluster) {
+		entry := c.connect("c1", entryHello("entry"))
+		agents := []*client{c.connect("c1", agentHello("a", 1)), c.connect("c2", agentHello("b", 1)), c.connect("c3", agentHello("dead", 1))}
+		_, err := c.submit("c1", config(1, 10), "ann", 5*time.Second)
+		require.NoError(c.t, err)
+		for _, peer := range c.peers {
+			c.crash(peer.Name)
+		}
+		time.Sleep(2 * time.Second)
+		for _, peer := range c.peers {
+			c.start(peer.Name)
+		}
+		c.leader()
+		<-entry.ended
+		require.NoError(c.t, entry.join("c2"))
+		time.Sleep(2 * time.Second)
+		for _, agent := range agents[:2] {
+			<-agent.ended
+			require.NoError(c.t, agent.join("c1"))
+		}
+		for range 30 {
+			require.True(c.t, entry.knows("a") && entry.knows("b"))
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.Equal(c.t, 3, len(entry.roster.All()), "nobody has listened long enough to speak for the dead")
+		time.Sleep(10 * time.Second)
+		require.True(c.t, entry.knows("a") && entry.knows("b") && !entry.knows("dead"))
+		require.True(c.t, entry.lease.Valid())
+		require.Equal(c.t, uint64(1), c.running["c3"].Status().Number)
+	})
+}
+
 // The agents of a replica that dies together with them are adopted, and
 // expire.
 func TestAgentsLostWithTheirReplica(t *testing.T) {
--- a/ctrl/feeds/feeds.go
+++ b/ctrl/feeds/feeds.go
@@ -67,8 +67,10 @@
 	// Name is the replica's, and Peers those of the other replicas.
 	Name  string
 	Peers []string
-	// Replica returns the replica's ID; 0 while it has none.
+	// Replica returns the replica's ID, 0 while it has none, and Members those
+	// of all replicas; nil knows none.
 	Replica func() uint64
+	Members func() []uint64
 	// Machine is the replicated state, Roster the endpoints known here.
 	Machine *state.Machine
 	Roster  *roster.Roster
--- a/ctrl/feeds/sweep.go
+++ b/ctrl/feeds/sweep.go
@@ -24,6 +24,9 @@
 			settled = true
 			f.settle()
 		}
+		if replica := f.Replica(); replica != 0 {
+			f.Roster.Begin(replica)
+		}
 		f.countEngines()
 		f.sweep(ctx, now)
 	}
--- a/ctrl/feeds/update.go
+++ b/ctrl/feeds/update.go
@@ -83,7 +83,9 @@
 	}
 	m.followed = true
 	delta.Sender = f.Replica()
-	if !delta.Whole {
+	if delta.Whole {
+		delta.Vector = f.coverFormer(delta.Vector, m.hello.Vector)
+	} else {
 		delta.Records = m.debt.divide(delta.Records, m.vector)
 	}
 	for i := range delta.Records {
@@ -98,6 +100,22 @@
 	return true
 }
 
+// coverFormer adds the marks of replicas that are no longer members: nobody
+// else can say that their agents are gone.
+func (f *Feeds) coverFormer(vector, held []roster.Mark) []roster.Mark {
+	if f.Members == nil {
+		return vector
+	}
+	members := f.Members()
+	var former []roster.Mark
+	for _, mark := range held {
+		if len(members) > 0 && !slices.Contains(members, mark.Origin) {
+			former = append(former, mark)
+		}
+	}
+	return joinVectors(vector, former)
+}
+
 // covers reports whether the first vector has every mark of the second.
 func covers(vector, other []roster.Mark) bool {
 	for _, mark := range other {
--- a/ctrl/quota/grant.go
+++ b/ctrl/quota/grant.go
@@ -93,7 +93,7 @@
 		select {
 		case <-next.done:
 		case <-ctx.Done():
-			return reply
+			return o.postpone(reply, short)
 		}
 		if next.failed {
 			return o.postpone(reply, short)
@@ -102,7 +102,7 @@
 	}
 }
 
-// postpone answers asks whose record was not committed.
+// postpone answers asks whose record was not committed in time.
 func (o *Owner) postpone(reply *plane.GrantReply, short []int) *plane.GrantReply {
 	for _, i := range short {
 		reply.Grants[i].Wait = span.Duration(tick)
--- a/pkg/roster/origin.go
+++ b/pkg/roster/origin.go
@@ -77,6 +77,20 @@
 	return true
 }
 
+// Begin says that this replica starts to count. All that it said before, when
+// it was another process, is covered by its vector from now on, so that a
+// whole roster can remove agents that only it had known.
+func (r *Roster) Begin(origin uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.prepare()
+	if r.counting {
+		return
+	}
+	r.counting = true
+	r.vector[origin] = max(r.vector[origin], uint64(time.Now().UnixMicro()))
+}
+
 // Expire marks the agents that the origin replica itself heard last, and not
 // for age, as gone and returns their records. Removals older than some
 // minutes are forgotten.
