Let the histories catch a false refusal as not run

Cause: the completions' history compared bodies as the entry wrote them, but the agent writes the engine's request anew, so a false 'not run' passed. Change: the check looks for the prompt; an interrupted run that is handed back has a test of its own.

--- a/agent/daemon/daemon_test.go
+++ b/agent/daemon/daemon_test.go
@@ -246,3 +246,23 @@
 		require.NotNil(t, second.end)
 	})
 }
+
+func TestInterruptedRunIsNotCalledNotRun(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := start(t, func(s *site) { s.engine.Places = 1 })
+		defer s.end()
+		entry := s.dial()
+		long := s.attempt("alpha", "long", 2000)
+		long.Class = call.ClassLong
+		interrupted := entry.background(long)
+		time.Sleep(3 * time.Second)
+		person := s.attempt("alpha", "person", 400)
+		running := entry.background(person)
+		time.Sleep(time.Second)
+		s.engine.Leave(true)
+		r := <-interrupted
+		require.Equal(t, call.ReasonLeaving, r.reason())
+		require.True(t, r.refused.Ran)
+		whole(t, person, <-running)
+	})
+}
--- a/agent/daemon/history_test.go
+++ b/agent/daemon/history_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/stubs/model"
 )
 
 const (
@@ -125,7 +126,7 @@
 				whole(t, record.attempt, record.result)
 			}
 			if refused := record.result.refused; refused != nil && !refused.Ran {
-				require.NotContains(t, seen, string(record.attempt.Body[1:len(record.attempt.Body)-1]), "refused as not run: %s", refused.Reason)
+				require.NotContains(t, seen, `"`+model.Prompt(record.attempt.Body)+`"`, "refused as not run: %s", refused.Reason)
 			}
 		}
 		answered, unrun := h.count()
