Prove spindle replace at real control

Cause: repair is the order that operators can least afford to fail. Change: a replica comes back with an empty folder, is replaced, and the group then commits without another replica. Measured: go test -race -run 'Real|Replace' ./spindle/cmds: ok, 5.7 s.

--- a/spindle/cmds/real_test.go
+++ b/spindle/cmds/real_test.go
@@ -159,3 +159,18 @@
 		d.require(ExitDone, "in force", "apply", d.rate(2))
 	})
 }
+
+func TestReplaceAdmitsAnEmptyReplicaAtRealControl(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		d.require(ExitDone, "number 1 is in force", "apply", d.rate(1))
+		require.NoError(t, d.fleet.Stop("ctrl2"))
+		require.NoError(t, os.RemoveAll(filepath.Join(d.fleet.Folder, "ctrl2")))
+		d.fleet.StartControl(2)
+		d.require(ExitDone, "ctrl2 is replaced", "replace", "ctrl2")
+		// The repaired group must do without either of the others.
+		require.NoError(t, d.fleet.Stop("ctrl1"))
+		d.require(ExitDone, "number 2 is in force", "apply", d.rate(2))
+		d.fleet.StartControl(1)
+		d.require(ExitUnreachable, "", "replace", "ctrl9")
+	})
+}
