--- a/agent/slots/slots_test.go
+++ b/agent/slots/slots_test.go
@@ -6,12 +6,12 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerspindle/tanagerspindle/agent/slots"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 )
 
@@ -82,7 +82,7 @@
 }
 
 func TestLeastExpectedUnpinnedGoesFirst(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := start(3)
 		for _, name := range []string{"hot", "hot", "hot", "pinned", "rare"} {
 			f.want(name)
@@ -99,7 +99,7 @@
 }
 
 func TestVictimIsWorthLessThanTheNewcomer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := start(1)
 		for range 20 {
 			f.want("hot")
@@ -111,7 +111,7 @@
 }
 
 func TestPinnedSlotDrainsForAMoreValuableNewcomer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := start(1)
 		f.want("old")
 		release, _ := f.slots.Pin(key("old"))
@@ -127,7 +127,7 @@
 }
 
 func TestOneSlotDrainsAtATime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := start(2)
 		f.want("one")
 		f.want("two")
@@ -141,7 +141,7 @@
 }
 
 func TestNoOrderWithoutFenceOrLease(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := start(1)
 		f.slots.SetFence(0)
 		require.False(t, f.want("a"))
@@ -154,7 +154,7 @@
 }
 
 func TestFailedLoadBacksOffAndFreesTheSlot(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := start(1)
 		f.setFail(func(slots.Key) bool { return true })
 		require.True(t, f.want("bad"))
@@ -170,7 +170,7 @@
 }
 
 func TestSyncWithTheEngine(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := start(3)
 		f.slots.Open(3, map[slots.Key]bool{key("foreign"): true})
 		f.want("lost")
@@ -190,7 +190,7 @@
 // TestRandomHistory drives the slots with random orders, pins and failures and
 // checks that no pinned key is unloaded and no slot is taken twice.
 func TestRandomHistory(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(1, 2))
 		f := start(4)
 		failing := rand.New(rand.NewPCG(3, 4))
--- a/ctrl/daemon/cluster_test.go
+++ b/ctrl/daemon/cluster_test.go
@@ -10,13 +10,13 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/daemon"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/disk"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/event"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
@@ -54,7 +54,7 @@
 	// be used in another: two collections empty the pool.
 	runtime.GC()
 	runtime.GC()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		c := &cluster{t: t, network: vnet.New(), disks: map[string]*disk.Memory{}, running: map[string]*running{}, seed: seed * 1000, ctx: ctx}
 		c.network.Latency = func(string, string) time.Duration { return time.Millisecond }
--- a/ctrl/feeds/burn_test.go
+++ b/ctrl/feeds/burn_test.go
@@ -2,16 +2,16 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 )
 
 func TestBurnLeavesItsWindows(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		counts := &burn{}
 		for range 10 {
 			counts.add([]plane.Burn{{Workspace: "w", Route: "r", Good: 2, Bad: 1}})
--- a/ctrl/feeds/traffic_test.go
+++ b/ctrl/feeds/traffic_test.go
@@ -9,12 +9,12 @@
 	"runtime"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
@@ -70,7 +70,7 @@
 	runtime.GC()
 	runtime.GC()
 	received := atomic.Int64{}
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		network := vnet.New()
 		f := &Feeds{
--- a/ctrl/permit/permit_test.go
+++ b/ctrl/permit/permit_test.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"net"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/permit"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/span"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
@@ -95,7 +95,7 @@
 		{name: "flight", loads: 100, flight: 8, ends: false, most: 8, most1: 8},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				f := start(t, test.loads, test.flight)
 				agents := []*agent{f.agent("a"), f.agent("b"), f.agent("c")}
 				total := 0
@@ -122,7 +122,7 @@
 }
 
 func TestSameAdapterLoadsOnceAtATime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := start(t, 100, 8)
 		a, b, c := f.agent("a"), f.agent("b"), f.agent("c")
 		hot := wish("hot", "w", 1)
@@ -145,7 +145,7 @@
 }
 
 func TestLoadsAreSharedFairlyOverWorkspaces(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := start(t, 2, 8)
 		a := f.agent("a")
 		given := map[string]int{}
@@ -168,7 +168,7 @@
 }
 
 func TestUrgentFirstAndLongRunsAge(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := start(t, 1, 8)
 		a := f.agent("a")
 		began := time.Now()
@@ -199,7 +199,7 @@
 }
 
 func TestPermitsExpireAndUnusedOnesReturn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := start(t, 1, 1)
 		a, b := f.agent("a"), f.agent("b")
 		a.ask(t, nil, wish("one", "w", 1))
@@ -219,7 +219,7 @@
 }
 
 func TestIdleLoadsComeLast(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := start(t, 1, 8)
 		a := f.agent("a")
 		a.ask(t, nil, wish("idle", "a", 0, 0, 0), wish("long", "b", 0, 0, 1))
@@ -230,7 +230,7 @@
 }
 
 func TestFormerLeadersPermitEndsNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := start(t, 10, 1)
 		a := f.agent("a")
 		a.ask(t, nil, wish("one", "w", 1))
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -103,7 +102,7 @@
 // An entry may have a later report of an agent than the replica that adopts
 // it from a dead one; it must hear of the agent's end all the same.
 func TestAdoptedAgentIsRemovedEverywhere(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		dead, adopter, entry := &roster.Roster{}, &roster.Roster{}, &roster.Roster{}
 		report := func(beat uint64) {
 			dead.Report(1, roster.Record{Agent: "a", Incarnation: 1, Fence: 1, Beat: beat})
@@ -125,7 +124,7 @@
 // replica or is only heard there.
 func TestAgentThatMovedOutlastsItsFormerReplica(t *testing.T) {
 	for _, reports := range []bool{true, false} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			former, present, entry := &roster.Roster{}, &roster.Roster{}, &roster.Roster{}
 			former.Report(9, roster.Record{Agent: "a", Incarnation: 1, Fence: 1, Beat: 1})
 			present.Merge(former.Since(nil))
--- a/spindle/cmds/real_test.go
+++ b/spindle/cmds/real_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/daemon"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/folder"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/vnet"
 	"github.com/tanagerspindle/tanagerspindle/stubs/fleet"
 )
@@ -32,7 +33,7 @@
 func deploy(t *testing.T, body func(d *deployment)) {
 	runtime.GC()
 	runtime.GC()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		d := &deployment{t: t, network: vnet.New(), dir: t.TempDir()}
 		d.network.Latency = func(string, string) time.Duration { return time.Millisecond }
 		d.fleet = &fleet.Fleet{
