--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -25,6 +25,9 @@
 const (
 	// commitTimeout bounds one commit.
 	commitTimeout = 3 * time.Second
+	// adminTimeout bounds an operator's order, which may wait for a replica to
+	// catch up.
+	adminTimeout = 30 * time.Second
 	// leaderTimeout is how long a stream for the leader waits for one to be
 	// known.
 	leaderTimeout = 3 * time.Second
@@ -96,7 +99,7 @@
 		d.node = d.newNode()
 		d.feeds = &feeds.Feeds{
 			Host: d.Host, Name: d.Name, Peers: d.others(), Loads: d.Loads,
-			Replica: func() uint64 { return d.node.Status().ID },
+			Replica: func() uint64 { return d.node.Status().ID }, Members: d.members,
 			Machine: &d.machine, Roster: &d.roster,
 			Propose: d.propose, Barrier: d.barrier, Open: d.node.Open,
 		}
@@ -122,6 +125,15 @@
 	return n
 }
 
+// members returns the IDs of all replicas.
+func (d *Daemon) members() []uint64 {
+	var ids []uint64
+	for _, member := range d.node.Status().Members {
+		ids = append(ids, member.Replica)
+	}
+	return ids
+}
+
 func (d *Daemon) barrier(ctx context.Context) error {
 	_, err := d.node.Barrier(ctx)
 	return err
@@ -196,6 +208,9 @@
 			return
 		case <-ticker.C:
 		}
+		claims, size := d.machine.Claims()
+		d.Host.Meter.Set("claims", int64(claims))
+		d.Host.Meter.Set("claims_bytes", size)
 		if !d.node.Status().Leading || !d.machine.Due(time.Now().UnixNano()) {
 			continue
 		}
--- a/ctrl/daemon/roster_test.go
+++ b/ctrl/daemon/roster_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -46,6 +47,11 @@
 		again := c.connect(far[0], agentHello("lost", 2))
 		c.until(time.Second, func() bool { return entry.knows("lost") }, "started again")
 		again.leave()
+		require.NoError(c.t, again.join(far[0]))
+		for range 100 {
+			require.True(c.t, entry.knows("lost"), "its connection broke and it came back")
+			time.Sleep(10 * time.Millisecond)
+		}
 	})
 }
 
@@ -92,6 +98,42 @@
 	})
 }
 
+// When all of control restarts at once, entries keep their endpoints while
+// these come back, and lose the one that died meanwhile once the replicas have
+// listened for a while. Nothing committed is lost.
+func TestAllOfControlRestarts(t *testing.T) {
+	inCluster(t, 18, func(c *cluster) {
+		entry := c.connect("c1", entryHello("entry"))
+		agents := []*client{c.connect("c1", agentHello("a", 1)), c.connect("c2", agentHello("b", 1)), c.connect("c3", agentHello("dead", 1))}
+		_, err := c.submit("c1", config(1, 10), "ann", 5*time.Second)
+		require.NoError(c.t, err)
+		for _, peer := range c.peers {
+			c.crash(peer.Name)
+		}
+		time.Sleep(2 * time.Second)
+		for _, peer := range c.peers {
+			c.start(peer.Name)
+		}
+		c.leader()
+		<-entry.ended
+		require.NoError(c.t, entry.join("c2"))
+		time.Sleep(2 * time.Second)
+		for _, agent := range agents[:2] {
+			<-agent.ended
+			require.NoError(c.t, agent.join("c1"))
+		}
+		for range 30 {
+			require.True(c.t, entry.knows("a") && entry.knows("b"))
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.Equal(c.t, 3, len(entry.roster.All()), "nobody has listened long enough to speak for the dead")
+		time.Sleep(10 * time.Second)
+		require.True(c.t, entry.knows("a") && entry.knows("b") && !entry.knows("dead"))
+		require.True(c.t, entry.lease.Valid())
+		require.Equal(c.t, uint64(1), c.running["c3"].Status().Number)
+	})
+}
+
 // The agents of a replica that dies together with them are adopted, and
 // expire.
 func TestAgentsLostWithTheirReplica(t *testing.T) {
@@ -177,6 +219,30 @@
 	})
 }
 
+// A request crashes one endpoint after another; a partition silences many
+// together, within the time between two beats, and makes no suspects.
+func TestPartitionMakesNoSuspects(t *testing.T) {
+	for _, silent := range []int{2, 3} {
+		inCluster(t, 17, func(c *cluster) {
+			entry := c.connect(c.leader(), entryHello("entry"))
+			for i := range silent {
+				agent := c.connect(c.follower(), agentHello(fmt.Sprint("agent", i), 1))
+				agent.set(func() {
+					agent.record = &roster.Record{Agent: agent.hello.Name, Incarnation: 1, Beat: 2, Digests: [][]byte{{byte(i)}}}
+				})
+				time.Sleep(300 * time.Millisecond)
+			}
+			time.Sleep(5 * time.Second)
+			for i := range silent {
+				c.network.Silence(fmt.Sprint("agent", i), c.follower())
+			}
+			c.until(4*time.Second, func() bool { return len(entry.roster.All()) == 0 }, "gone")
+			time.Sleep(2 * time.Second)
+			require.Equal(c.t, silent <= 2, len(entry.now().bans) > 0)
+		})
+	}
+}
+
 // Counts of any entry are in every replica's report.
 func TestBurnIsAddedUp(t *testing.T) {
 	inCluster(t, 16, func(c *cluster) {
--- a/entry/class/class_test.go
+++ b/entry/class/class_test.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/entry/class"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 )
 
@@ -27,6 +28,9 @@
 		{"back to back, large", class.Features{MaxTokens: 4096, Flight: 1, Think: 10 * time.Millisecond, Known: 20, Rate: 2}, call.ClassLong},
 		{"many at once", class.Features{MaxTokens: 512, Flight: 16}, call.ClassLong},
 		{"many at once though streamed", class.Features{Stream: true, MaxTokens: 512, Flight: 16, Known: 9, Think: time.Millisecond}, call.ClassLong},
+		{"chained though few at once, as one of several entries sees it", class.Features{MaxTokens: 200, Flight: 2, Chained: 0.3, Requests: 5}, call.ClassSoon},
+		{"chained and large", class.Features{MaxTokens: 4096, Flight: 2, Chained: 0.3, Requests: 5}, call.ClassLong},
+		{"busy desk of people", class.Features{Stream: true, MaxTokens: 100, Flight: 3, Chained: 0.05, Requests: 20, Rate: 0.7}, call.ClassPerson},
 		{"large limit but small answers", class.Features{MaxTokens: 8192, Usual: 50, Flight: 1}, call.ClassPerson},
 		{"caller who left and came again", class.Features{MaxTokens: 4096, Flight: 1, Leaves: 1, Resends: 1}, call.ClassPerson},
 		{"lookup", class.Features{Service: true, Flight: 1}, call.ClassPerson},
@@ -41,7 +45,7 @@
 // traffic runs requests of one key and returns the class of each.
 func traffic(t *testing.T, count, atOnce int, think, answer time.Duration, tokens int64) map[call.Class]int {
 	classes := map[call.Class]int{}
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := &class.Class{}
 		got := make(chan call.Class, count)
 		turns := make(chan byte, count)
@@ -80,8 +84,29 @@
 	require.GreaterOrEqual(t, script[call.ClassLong], 90, "%v", script)
 }
 
+func TestPersonIsFoundBesideABatchOfTheSameKey(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c := &class.Class{}
+		ask := func(stream bool) call.Class {
+			r := &chain.Request{Key: "k", Stream: stream, MaxTokens: 300, Start: time.Now()}
+			_ = c.Do(t.Context(), r, func(context.Context, *chain.Request) error {
+				time.Sleep(5 * time.Second)
+				return nil
+			})
+			return r.Class
+		}
+		for range 16 {
+			go ask(false)
+		}
+		time.Sleep(time.Second)
+		require.Equal(t, call.ClassPerson, ask(true))
+		require.Equal(t, call.ClassLong, ask(false))
+		time.Sleep(time.Minute)
+	})
+}
+
 func TestPersonReturnsAfterABatch(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := &class.Class{}
 		ask := func() call.Class {
 			r := &chain.Request{Key: "k", MaxTokens: 300, Start: time.Now()}
@@ -96,3 +121,23 @@
 		require.Equal(t, call.ClassPerson, ask())
 	})
 }
+
+func TestARunUnderASharedKeyIsNotAPerson(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c := &class.Class{}
+		ask := func(adapter string) call.Class {
+			r := &chain.Request{Key: "k", Adapter: adapter, Stream: true, MaxTokens: 200, Start: time.Now()}
+			_ = c.Do(t.Context(), r, func(context.Context, *chain.Request) error { return nil })
+			return r.Class
+		}
+		for turn := range 10 {
+			require.Equal(t, call.ClassPerson, ask(fmt.Sprintf("desk-%d", turn)))
+			time.Sleep(10 * time.Second)
+		}
+		for range 120 {
+			ask("night")
+			time.Sleep(500 * time.Millisecond)
+		}
+		require.NotEqual(t, call.ClassPerson, ask("night"))
+	})
+}
--- a/pkg/roster/origin.go
+++ b/pkg/roster/origin.go
@@ -18,13 +18,13 @@
 		return false
 	}
 	now := time.Now()
-	if old != nil {
+	if old != nil && old.Incarnation == record.Incarnation {
 		record.Turn = old.Turn
-		if old.Beat == record.Beat && old.Incarnation == record.Incarnation && same(old, &record, origin) {
+		if same(old, &record, origin) {
 			old.heard = now
 			return false
 		}
-		if old.Beat == record.Beat {
+		if old.Beat == record.Beat || old.Origin != origin || old.Gone {
 			record.Turn++
 		}
 	}
@@ -44,7 +44,7 @@
 	return record.Beat >= old.Beat
 }
 
-// same reports whether a report of the beat already held brings no news.
+// same reports whether a report brings no news.
 func same(old *held, record *Record, origin uint64) bool {
 	if old.Gone || old.Origin != origin {
 		return false
@@ -77,6 +77,20 @@
 	return true
 }
 
+// Begin says that this replica starts to count. All that it said before, when
+// it was another process, is covered by its vector from now on, so that a
+// whole roster can remove agents that only it had known.
+func (r *Roster) Begin(origin uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.prepare()
+	if r.counting {
+		return
+	}
+	r.counting = true
+	r.vector[origin] = max(r.vector[origin], uint64(time.Now().UnixMicro()))
+}
+
 // Expire marks the agents that the origin replica itself heard last, and not
 // for age, as gone and returns their records. Removals older than some
 // minutes are forgotten.
