--- a/ctrl/node/failure_test.go
+++ b/ctrl/node/failure_test.go
@@ -287,6 +287,15 @@
 	})
 }
 
+func TestLoneReplicaStopsAtOnce(t *testing.T) {
+	inBubble(t, 24, 1, func(g *group) {
+		g.fill(0, 1)
+		start := time.Now()
+		g.stop("c1")
+		require.Less(t, time.Since(start), 10*time.Millisecond)
+	})
+}
+
 func TestMoveNamesTheLeader(t *testing.T) {
 	inBubble(t, 12, 3, func(g *group) {
 		g.fill(0, 3)
--- a/ctrl/node/loop.go
+++ b/ctrl/node/loop.go
@@ -83,8 +83,10 @@
 			l.tick()
 		case <-stop:
 			stop = nil
-			stopped = time.After(handOverTime)
-			l.step(raft.Input{Transfer: l.core.Successor()})
+			if successor := l.core.Successor(); successor != 0 {
+				stopped = time.After(handOverTime)
+				l.step(raft.Input{Transfer: successor})
+			}
 		case <-stopped:
 			stopped = nil
 		}
--- a/ctrl/raft/raft_test.go
+++ b/ctrl/raft/raft_test.go
@@ -316,3 +316,19 @@
 	cores[2].Step(raft.Input{Message: &other})
 	require.Len(t, cores[2].Status().Members, 3)
 }
+
+func TestLateSnapshotKeepsAcknowledgedEntries(t *testing.T) {
+	cores, sent := trio(t)
+	for len(sent) > 0 {
+		sent = pass(cores, sent).Early
+	}
+	cores[1].Step(raft.Input{Propose: [][]byte{{1}, {2}, {3}}})
+	entries := cores[1].Log()[2:]
+	cores[2].Step(raft.Input{Message: &raft.Message{Kind: raft.MessageAppend, From: 1, To: 2, Term: 2, Index: 2, LogTerm: 2, Entries: entries}})
+	require.Equal(t, uint64(5), cores[2].Status().Last)
+	chunk := &raft.Chunk{Snapshot: raft.Snapshot{Index: 3, Term: 2}, Data: []byte("state"), Last: true}
+	out := cores[2].Step(raft.Input{Message: &raft.Message{Kind: raft.MessageChunk, From: 1, To: 2, Term: 2, Chunk: chunk}})
+	require.Nil(t, out.Install)
+	require.Equal(t, uint64(5), cores[2].Status().Last)
+	require.Equal(t, uint64(3), cores[2].Status().Commit)
+}
