Admit a known replica again when its namesake is gone

A learner whose admission was never committed was not empty any more, so that no leader took it again; it would have been told that it was replaced. Now only a living replica of the same name proves that, and only to a leader that has led for 2 s. Without one, the replica is admitted again as a learner: it kept its folder, so that its ID has forgotten nothing.

--- a/ctrl/member/join.go
+++ b/ctrl/member/join.go
@@ -34,8 +34,8 @@
 	// Peers are the names and addresses of the group that the peer was told
 	// of, in order, with a comma behind each.
 	Peers string `protobuf:"bytes,5,opt"`
-	// Removed says that the peer leads and that the replica which asked, no
-	// empty one, is not in the group any more.
+	// Removed says that the peer leads and that a living replica of the same
+	// name took the place of the one that asked.
 	Removed bool `protobuf:"varint,6,opt"`
 }
 
--- a/ctrl/node/carry.go
+++ b/ctrl/node/carry.go
@@ -111,6 +111,7 @@
 		clear(l.wanted)
 	}
 	if now != 0 {
+		l.leadingSince = l.ticks
 		l.node.applier.push(task{gained: now})
 	}
 	l.leading = now
--- a/ctrl/node/handlers.go
+++ b/ctrl/node/handlers.go
@@ -88,17 +88,35 @@
 	return stream.Send(&answer)
 }
 
-// answer says who this replica is and, if it leads, admits an empty one.
+// answer says who this replica is. A leader admits a replica that is empty,
+// or that has no living namesake in the group: its joining was cut short, or
+// its successor is lost too. Its ID has forgotten nothing. Else it was
+// replaced.
 func (l *loop) answer(ask member.Ask) member.Answer {
 	status := l.core.Status()
-	if status.Leading && ask.Empty && !known(status, ask.ID) {
+	answer := l.describe(status)
+	if !status.Leading || known(status, ask.ID) {
+		return answer
+	}
+	if ask.Empty || !l.lives(status, ask.Name) {
 		l.admit(status, ask)
+		return answer
 	}
-	answer := l.describe(status)
-	answer.Removed = status.Settled && !ask.Empty && !known(status, ask.ID)
+	// A new leader has not had the time to miss anybody.
+	answer.Removed = status.Settled && l.ticks-l.leadingSince > 2*aliveTicks
 	return answer
 }
 
+// lives reports whether a member of this name was heard lately.
+func (l *loop) lives(status raft.Status, name string) bool {
+	for _, m := range status.Members {
+		if m.Name == name && (m.ID == status.ID || m.Silent <= aliveTicks) {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *loop) describe(status raft.Status) member.Answer {
 	return member.Answer{
 		ID: status.ID, Name: l.node.Name, Address: l.node.Address, Empty: status.Empty, Peers: l.peers,
--- a/ctrl/node/loop.go
+++ b/ctrl/node/loop.go
@@ -37,6 +37,8 @@
 	ticks  int
 	// leading is the term in which the replica leads, 0 if it does not.
 	leading uint64
+	// leadingSince is the tick in which it began to.
+	leadingSince int
 	// sending is the snapshot that replicas are being sent.
 	sending     *snap.Saved
 	sendingTick int
