End the permit streams of a replica that lost the leadership

Cause: the coordinator was reset only where the leadership was gained. An agent that stayed connected to the former leader got permits from it while the next leader gave others: twice the load budget. Change: it is reset at the loss too, which ends its streams. Result: streams at a cut-off leader end within a second, those that a follower copies within 5 s; red without the change.

--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -150,13 +150,12 @@
 	return names
 }
 
-// lead follows the leadership of this replica.
+// lead follows the leadership of this replica. A replica that lost it ends the
+// permit streams, so that agents find the next leader and only one coordinator
+// spends the load budget.
 func (d *Daemon) lead(term uint64, leading bool) {
-	d.Host.Log.Write("leadership", "term", term, "leading", leading)
 	d.quota.Lead(term, leading)
-	if leading {
-		d.permits.Reset(term)
-	}
+	d.permits.Reset(term)
 }
 
 // Run serves until ctx ends. Then it closes the daemons' feeds, hands the
--- a/ctrl/daemon/service_test.go
+++ b/ctrl/daemon/service_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 )
 
@@ -104,3 +105,37 @@
 		}
 	})
 }
+
+// A replica that lost the leadership gives no more permits: its streams end,
+// whether agents reached it directly or through a follower.
+func TestPermitStreamsEndWithTheLeadership(t *testing.T) {
+	inCluster(t, 42, func(c *cluster) {
+		leader := c.leader()
+		ended := make(chan error, 2)
+		for _, to := range []string{leader, c.others(leader)[0]} {
+			session, err := link.Dial(c.ctx, c.network.Dialer("agent"), to+":1")
+			require.NoError(c.t, err)
+			defer func() { _ = session.Close() }()
+			stream, err := session.Open(plane.MethodPermit)
+			require.NoError(c.t, err)
+			require.NoError(c.t, stream.Send(&plane.PermitAsk{Agent: "agent " + to, Incarnation: 1}))
+			go func() {
+				for {
+					if err := stream.Receive(&plane.Permit{}); err != nil {
+						ended <- err
+						return
+					}
+				}
+			}()
+		}
+		time.Sleep(5 * time.Second)
+		require.Empty(c.t, ended)
+		c.network.Isolate(leader, c.others(leader)...)
+		start := time.Now()
+		<-ended
+		require.Less(c.t, time.Since(start), time.Second, "the cut-off leader's own stream")
+		<-ended
+		require.Less(c.t, time.Since(start), 5*time.Second, "the one that a follower copies")
+		c.network.Rejoin(leader, c.others(leader)...)
+	})
+}
