--- a/ctrl/state/machine.go
+++ b/ctrl/state/machine.go
@@ -128,12 +128,22 @@
 	m.bans.Expire(m.time)
 }
 
-// Snapshot returns the encoded state.
+// Snapshot returns the encoded state. Readers do not wait for the encoding,
+// which takes long when there are many claims.
 func (m *Machine) Snapshot() ([]byte, error) {
+	data, err := codec.Encode(m.image())
+	if err != nil {
+		return nil, &Error{Op: "snapshot", Kind: KindEncode, Err: err}
+	}
+	return data, nil
+}
+
+// image copies the state; what it shares with the machine is never changed.
+func (m *Machine) image() *image {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	shown := &image{
-		Time: m.time, Config: m.config, History: m.history, Claims: m.ledger.Snapshot(),
+		Time: m.time, Config: m.config, History: slices.Clone(m.history), Claims: m.ledger.Snapshot(),
 		Next: m.next, Bans: m.bans.Snapshot(),
 	}
 	for _, horizon := range m.horizons {
@@ -144,11 +154,7 @@
 		shown.Fences = append(shown.Fences, fence.Fence)
 	}
 	slices.SortFunc(shown.Fences, func(a, b Fence) int { return cmp.Compare(a.Number, b.Number) })
-	data, err := codec.Encode(shown)
-	if err != nil {
-		return nil, &Error{Op: "snapshot", Kind: KindEncode, Err: err}
-	}
-	return data, nil
+	return shown
 }
 
 // Restore replaces the state by a snapshot.
