--- a/spindle/cmds/real_test.go
+++ b/spindle/cmds/real_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/daemon"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/folder"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/vnet"
 	"github.com/tanagerspindle/tanagerspindle/stubs/fleet"
 )
@@ -32,7 +33,7 @@
 func deploy(t *testing.T, body func(d *deployment)) {
 	runtime.GC()
 	runtime.GC()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		d := &deployment{t: t, network: vnet.New(), dir: t.TempDir()}
 		d.network.Latency = func(string, string) time.Duration { return time.Millisecond }
 		d.fleet = &fleet.Fleet{
@@ -159,3 +160,18 @@
 		d.require(ExitDone, "in force", "apply", d.rate(2))
 	})
 }
+
+func TestReplaceAdmitsAnEmptyReplicaAtRealControl(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		d.require(ExitDone, "number 1 is in force", "apply", d.rate(1))
+		require.NoError(t, d.fleet.Stop("ctrl2"))
+		require.NoError(t, os.RemoveAll(filepath.Join(d.fleet.Folder, "ctrl2")))
+		d.fleet.StartControl(2)
+		d.require(ExitDone, "ctrl2 is replaced", "replace", "ctrl2")
+		// The repaired group must do without either of the others.
+		require.NoError(t, d.fleet.Stop("ctrl1"))
+		d.require(ExitDone, "number 2 is in force", "apply", d.rate(2))
+		d.fleet.StartControl(1)
+		d.require(ExitUnreachable, "", "replace", "ctrl9")
+	})
+}
