--- a/ctrl/node/group_test.go
+++ b/ctrl/node/group_test.go
@@ -32,14 +32,20 @@
 
 // group is a control group in one synctest bubble.
 type group struct {
-	t        *testing.T
-	seed     uint64
-	network  *vnet.Network
-	peers    []node.Peer
-	disks    map[string]*disk.Memory
+	t       *testing.T
+	seed    uint64
+	network *vnet.Network
+	peers   []node.Peer
+	disks   map[string]*disk.Memory
+	// mutex guards replicas in tests with callers beside the main one.
+	mutex    sync.Mutex
 	replicas map[string]*replica
+	// latency is the time one way between any two.
+	latency atomic.Int64
 	// sent counts the bytes on all connections.
 	sent atomic.Int64
+	// wiped counts the disks lost.
+	wiped int
 	// every is the number of entries between snapshots.
 	every uint64
 }
@@ -66,7 +72,8 @@
 			t: t, seed: seed, network: vnet.New(),
 			disks: map[string]*disk.Memory{}, replicas: map[string]*replica{},
 		}
-		g.network.Latency = func(string, string) time.Duration { return 2 * time.Millisecond }
+		g.latency.Store(int64(2 * time.Millisecond))
+		g.network.Latency = func(string, string) time.Duration { return time.Duration(g.latency.Load()) }
 		for i := range size {
 			name := fmt.Sprintf("c%d", i+1)
 			g.peers = append(g.peers, node.Peer{Name: name, Address: name + ":1"})
@@ -112,14 +119,23 @@
 		end()
 		close(r.ended)
 	}()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
 	g.replicas[name] = r
 	return r
 }
 
-// stop ends a replica in order.
-func (g *group) stop(name string) {
+func (g *group) take(name string) *replica {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
 	r := g.replicas[name]
 	delete(g.replicas, name)
+	return r
+}
+
+// stop ends a replica in order.
+func (g *group) stop(name string) {
+	r := g.take(name)
 	r.cancel()
 	<-r.ended
 }
@@ -127,8 +143,7 @@
 // crash ends a replica as the loss of power does: nothing more reaches its
 // disk or the network.
 func (g *group) crash(name string) {
-	r := g.replicas[name]
-	delete(g.replicas, name)
+	r := g.take(name)
 	r.dead.Store(true)
 	g.disks[name].Crash()
 	g.network.Crash(name)
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/entry/limit"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
@@ -41,7 +42,7 @@
 
 // inLimit runs a test with a limit of 100 tokens per second.
 func inLimit(t *testing.T, grant func(ask *plane.GrantAsk) (*plane.GrantReply, error), test func(l *limit.Limit, o *owner)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		o := &owner{grant: grant}
 		config := &conf.Config{Number: 1, Workspaces: map[string]conf.Workspace{"w": {Rate: 100, Burst: 1000}}}
 		l := &limit.Limit{
--- a/pkg/roster/record.go
+++ b/pkg/roster/record.go
@@ -2,6 +2,8 @@
 package roster
 
 import (
+	"slices"
+
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 )
 
@@ -21,7 +23,7 @@
 	// Incarnation is new at each start of the agent process.
 	Incarnation uint64 `protobuf:"varint,2,opt" json:"incarnation"`
 	// Beat counts the reports of this incarnation. Of two records with equal
-	// Fence the one with the larger Beat is newer.
+	// Fence and Turn the one with the larger Beat is newer.
 	Beat uint64 `protobuf:"varint,3,opt" json:"beat"`
 	// Fence is the fencing number that control gave this incarnation; a later
 	// incarnation of the same agent has a larger one.
@@ -64,9 +66,12 @@
 	// Age is how long ago the origin replica heard from the agent, in
 	// nanoseconds, when the record was sent.
 	Age int64 `protobuf:"varint,22,opt" json:"age"`
-	// Turn counts the changes that control made to a record of one Beat:
-	// another replica hears the agent now, or nobody does. Agents leave it 0.
+	// Turn counts the changes that control made to the record of an
+	// incarnation: another replica hears the agent now, or nobody does. Agents
+	// leave it 0.
 	Turn uint64 `protobuf:"varint,23,opt" json:"turn"`
+	// Shape is the Counter at which anything but the load changed last.
+	Shape uint64 `protobuf:"varint,24,opt" json:"shape"`
 }
 
 // Resident is one adapter version at an endpoint.
@@ -89,9 +94,11 @@
 }
 
 // Newer reports whether r replaces old: a larger fencing number wins, then a
-// larger beat of the same incarnation, then a larger turn. Of two replicas
-// that took the same turn, the one that hears the agent wins, then the one
-// with the larger ID, so that every holder keeps the same record.
+// larger turn of the same incarnation, then a larger beat. The turn goes first
+// so that a replica that takes an agent over is heard also by those who had a
+// later report from the former replica. Of two replicas that took the same
+// turn, the one that hears the agent wins, then the one with the larger ID, so
+// that every holder keeps the same record.
 func (r *Record) Newer(old *Record) bool {
 	if r.Fence != old.Fence {
 		return r.Fence > old.Fence
@@ -99,12 +106,12 @@
 	if r.Incarnation != old.Incarnation {
 		return r.Incarnation > old.Incarnation
 	}
-	if r.Beat != old.Beat {
-		return r.Beat > old.Beat
-	}
 	if r.Turn != old.Turn {
 		return r.Turn > old.Turn
 	}
+	if r.Beat != old.Beat {
+		return r.Beat > old.Beat
+	}
 	if r.Gone != old.Gone {
 		return old.Gone
 	}
@@ -129,4 +136,45 @@
 	Vector []Mark `protobuf:"bytes,2,rep" json:"vector"`
 	// Whole says that records missing here are gone.
 	Whole bool `protobuf:"varint,3,opt" json:"whole"`
+	// Loads holds the load of agents whose records are known otherwise. They
+	// are sent at a bounded rate, so the vector does not cover them.
+	Loads []Load `protobuf:"bytes,5,rep" json:"loads"`
+}
+
+// Load is the part of a record that changes with each request.
+type Load struct {
+	Agent string `protobuf:"bytes,1,opt" json:"agent"`
+	// Fence and Beat say which report it is from.
+	Fence   uint64  `protobuf:"varint,2,opt" json:"fence"`
+	Beat    uint64  `protobuf:"varint,3,opt" json:"beat"`
+	Running int32   `protobuf:"varint,4,opt" json:"running"`
+	Queued  []int32 `protobuf:"varint,5,rep" json:"queued"`
+	Speed   int64   `protobuf:"varint,6,opt" json:"speed"`
+}
+
+// Load returns the record's load.
+func (r *Record) Load() Load {
+	return Load{
+		Agent: r.Agent, Fence: r.Fence, Beat: r.Beat,
+		Running: r.Running, Queued: r.Queued, Speed: r.Speed,
+	}
+}
+
+// take puts a newer load into the record and reports whether it was newer.
+func (r *Record) take(load *Load) bool {
+	if r.Gone || load.Fence != r.Fence || load.Beat <= r.Beat {
+		return false
+	}
+	r.Beat, r.Running, r.Queued, r.Speed = load.Beat, load.Running, load.Queued, load.Speed
+	return true
+}
+
+// likeShape reports whether two records differ in their load at most.
+func (r *Record) likeShape(other *Record) bool {
+	return r.Origin == other.Origin && r.Incarnation == other.Incarnation && r.Fence == other.Fence &&
+		r.Address == other.Address && r.DataCentre == other.DataCentre &&
+		r.Model == other.Model && r.Service == other.Service &&
+		r.Slots == other.Slots && r.Places == other.Places && r.Fenced == other.Fenced &&
+		r.Ready == other.Ready && r.Leaving == other.Leaving && r.Gone == other.Gone &&
+		slices.Equal(r.Resident, other.Resident)
 }
