--- a/agent/daemon/daemon_test.go
+++ b/agent/daemon/daemon_test.go
@@ -1,7 +1,10 @@
 package daemon_test
 
 import (
+	"context"
+	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,16 +34,48 @@
 	})
 }
 
-func TestOtherVersionIsWithheld(t *testing.T) {
+func TestOtherVersionIsWithheldAndUnloaded(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
+		wrong := &atomic.Bool{}
+		wrong.Store(true)
 		s := start(t, func(s *site) {
-			s.engine.RunVersion = func(string, string) string { return "v0" }
+			s.engine.RunVersion = func(_, version string) string {
+				if wrong.Load() {
+					return "v0"
+				}
+				return version
+			}
 		})
 		defer s.end()
-		r := s.dial().run(s.attempt("alpha", "first", 20))
+		entry := s.dial()
+		r := entry.run(s.attempt("alpha", "first", 20))
 		require.Equal(t, call.ReasonVersion, r.reason())
 		require.True(t, r.refused.Ran)
 		require.Empty(t, r.text)
+		wrong.Store(false)
+		time.Sleep(2 * time.Second)
+		again := s.attempt("alpha", "first", 20)
+		whole(t, again, entry.run(again))
+		require.Len(t, s.store.Loads(), 2, "loaded anew")
+	})
+}
+
+func TestQueuedPastItsDeadlineIsNotRun(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := start(t, func(s *site) { s.engine.Places = 1 })
+		defer s.end()
+		entry := s.dial()
+		long := s.attempt("alpha", "long", 500)
+		running := entry.background(long)
+		time.Sleep(time.Second)
+		late := s.attempt("alpha", "late", 10)
+		late.Left = time.Second
+		sent := time.Now()
+		r := entry.run(late)
+		require.Equal(t, call.ReasonLate, r.reason())
+		require.False(t, r.refused.Ran)
+		require.InDelta(t, 1, r.at.Sub(sent).Seconds(), 0.3)
+		whole(t, long, <-running)
 	})
 }
 
@@ -96,17 +131,39 @@
 	})
 }
 
+// deaf is a connection whose end the other side does not see while lost is
+// set.
+type deaf struct {
+	net.Conn
+	lost *atomic.Bool
+}
+
+func (d *deaf) Close() error {
+	if d.lost.Load() {
+		return nil
+	}
+	return d.Conn.Close()
+}
+
 func TestLostCancelKeepsThePin(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
+		lost := &atomic.Bool{}
 		s := start(t, func(s *site) {
-			s.engine.Slots, s.engine.Address = 1, "engine:8000"
+			s.engine.Slots = 1
+			dial := s.agent.DialPlain
+			s.agent.DialPlain = func(ctx context.Context, address string) (net.Conn, error) {
+				conn, err := dial(ctx, address)
+				return &deaf{Conn: conn, lost: lost}, err
+			}
 		})
 		defer s.end()
 		entry := s.dial()
 		stream := entry.open(s.attempt("alpha", "long", 2000))
 		time.Sleep(2 * time.Second)
-		s.network.Silence("vm", "engine")
+		lost.Store(true)
 		_ = stream.Close()
+		time.Sleep(time.Second)
+		lost.Store(false)
 		next := entry.background(s.attempt("beta", "next", 10))
 		time.Sleep(10 * time.Second)
 		require.Empty(t, next, "the engine still runs on the only slot")
