--- a/entry/class/caller.go
+++ b/entry/class/caller.go
@@ -41,39 +41,14 @@
 	idle           time.Time
 	// chained is the decayed count of requests that came within chainTime of
 	// an answer's end, as those of a program do that sends the next at once.
-	chained         float64
+	chained float64
+	// runs is the decayed count of requests to adapters, near of those that
+	// came shortly after another to the same adapter.
+	runs, near      float64
 	ended           time.Time
 	resends, leaves float64
 	last            string
 	lastAt          time.Time
-	streamed, whole habit
-}
-
-// habit is decayed counts of requests and of those that came near another.
-type habit struct {
-	requests, near float64
-}
-
-func (h *habit) add(near bool) {
-	h.requests++
-	if near {
-		h.near++
-	}
-}
-
-// share returns the share that came near another, and of how many.
-func (h *habit) share() (share, requests float64) {
-	if h.requests == 0 {
-		return 0, 0
-	}
-	return h.near / h.requests, h.requests
-}
-
-func (c *caller) habit(stream bool) *habit {
-	if stream {
-		return &c.streamed
-	}
-	return &c.whole
 }
 
 // decay brings the sums to the present.
@@ -81,10 +56,7 @@
 	passed := now.Sub(c.seen)
 	c.seen = now
 	share := math.Exp2(-passed.Seconds() / halfLife.Seconds())
-	for _, sum := range []*float64{
-		&c.requests, &c.answers, &c.tokens, &c.pauses, &c.paused, &c.chained, &c.resends, &c.leaves,
-		&c.streamed.requests, &c.streamed.near, &c.whole.requests, &c.whole.near,
-	} {
+	for _, sum := range []*float64{&c.requests, &c.answers, &c.tokens, &c.pauses, &c.paused, &c.chained, &c.runs, &c.near, &c.resends, &c.leaves} {
 		*sum *= share
 	}
 	c.peak *= math.Exp2(-passed.Seconds() / flightHalfLife.Seconds())
@@ -107,6 +79,21 @@
 	c.peak = max(c.peak, float64(c.flight))
 }
 
+// habit returns the share of requests that came near another, and of how many.
+func (c *caller) habit() (share, requests float64) {
+	if c.runs == 0 {
+		return 0, 0
+	}
+	return c.near / c.runs, c.runs
+}
+
+func (c *caller) noteRun(near bool) {
+	c.runs++
+	if near {
+		c.near++
+	}
+}
+
 func (c *caller) features(r *chain.Request, now time.Time) Features {
 	f := Features{
 		Service:   r.Service != "",
--- a/entry/class/class.go
+++ b/entry/class/class.go
@@ -85,16 +85,20 @@
 	caller := c.callers.get(name(r))
 	caller.begin(now)
 	features := caller.features(r, now)
-	if r.Adapter == "" {
-		return caller, features
+	if r.Adapter != "" {
+		features.Near = c.near(r, now)
+		features.Habit, features.Habits = caller.habit()
+		caller.noteRun(features.Near)
 	}
+	return caller, features
+}
+
+// near reports whether the key has asked the same adapter shortly before.
+func (c *Class) near(r *chain.Request, now time.Time) bool {
 	run := c.runs.get(r.Key + "\x00" + r.Workspace + "\x00" + r.Adapter)
-	features.Near = !run.seen.IsZero() && now.Sub(run.seen) < nearTime
+	last := run.seen
 	run.seen = now
-	habit := caller.habit(r.Stream)
-	features.Habit, features.Habits = habit.share()
-	habit.add(features.Near)
-	return caller, features
+	return !last.IsZero() && now.Sub(last) < nearTime
 }
 
 func (c *Class) end(caller *caller, r *chain.Request, err error, now time.Time) {
--- a/entry/class/rule.go
+++ b/entry/class/rule.go
@@ -25,18 +25,17 @@
 	// requests that it was learnt from, decayed.
 	Think time.Duration
 	Known float64
-	// Near says that the key asked the same adapter shortly before.
-	Near bool
-	// Habit is the share, from 0 to 1, of the key's requests of this sort,
-	// streamed or whole, that came Near another; Habits is the number that it
-	// was learnt from, decayed.
-	Habit  float64
-	Habits float64
 	// Chained is the share of the key's requests that came at once after an
 	// answer, of Requests, their decayed number. With several entries only a
 	// part of a program's requests are seen to.
 	Chained  float64
 	Requests float64
+	// Near says that the key asked the same adapter shortly before, and Habit
+	// is the share of its requests to adapters that came so, of Habits, their
+	// decayed number.
+	Near   bool
+	Habit  float64
+	Habits float64
 	// Rate is the key's decayed rate of requests, per second.
 	Rate float64
 	// Resends and Leaves are decayed counts of the same request coming again
@@ -56,11 +55,11 @@
 	scoreNoThink    = -2.0
 	scoreWhole      = -0.5
 	scoreChained    = -2.5
+	scoreNear       = -1.0
+	scoreHabit      = 2.0
 	scoreLeave      = 0.5
 	scoreResend     = 0.5
 	scoreRate       = -1.0
-	scoreNear       = -1.5
-	scoreHabit      = 2.5
 
 	// personScore is the least score of a person, soonScore of soon work.
 	personScore = 0.5
@@ -162,7 +161,7 @@
 }
 
 // scoreRuns tells the runs of a program, which works through one adapter at a
-// time, from people, also where both use one key.
+// time, from people under the same key.
 func scoreRuns(f Features) float64 {
 	score := 0.0
 	if f.Near {
