Prove that a bystander is cleared and that suspicion ends without traffic

Cause: the report of a suspect that ended well had no test, and the test of expiry was kept going by repeated crash reports.

--- a/ctrl/daemon/roster_test.go
+++ b/ctrl/daemon/roster_test.go
@@ -214,6 +214,14 @@
 		reply := &plane.AdminReply{}
 		require.NoError(c.t, c.call("operator", c.follower(), plane.MethodAdmin, &plane.AdminAsk{Order: plane.OrderLift, Digest: []byte("poison")}, reply))
 		require.Equal(c.t, plane.KindNone, reply.Refused)
+		c.until(time.Second, func() bool { return len(entry.now().bans) == 1 }, "lifted")
+		first.set(func() {
+			first.crash = []plane.Crash{{Agent: "first", Incarnation: 1, Count: 2, Digests: [][]byte{[]byte("bystander")}}}
+		})
+		c.until(time.Second, func() bool { return len(entry.now().bans) == 2 }, "another suspect")
+		require.NoError(c.t, first.stream.Send(&plane.Beat{Seq: 1000, Cleared: [][]byte{[]byte("bystander")}}))
+		c.until(time.Second, func() bool { return len(entry.now().bans) == 1 }, "it ended well elsewhere")
+		first.set(func() { first.crash = nil })
 		time.Sleep(2*time.Minute + 3*time.Second)
 		require.Empty(c.t, entry.now().bans, "lifted, and the bystander's suspicion expired")
 	})
