--- a/ctrl/daemon/leader.go
+++ b/ctrl/daemon/leader.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/ctrl/feeds"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/node"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
 	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
@@ -39,7 +40,7 @@
 		served = map[string]link.Handler{}
 	}
 	served[plane.MethodFeed] = d.feeds.Serve
-	served["exchange"] = d.feeds.Exchange
+	served[feeds.MethodExchange] = d.feeds.Exchange
 	served[plane.MethodStatus] = d.serveStatus
 	served[plane.MethodFetch] = d.serveFetch
 	leader := map[string]link.Handler{
--- a/ctrl/quota/quota.go
+++ b/ctrl/quota/quota.go
@@ -17,7 +17,6 @@
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
-	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 )
@@ -50,15 +49,6 @@
 	entryLife = time.Minute
 )
 
-// Kind classifies the failures of this package.
-type Kind string
-
-// KindLost says that the leadership was lost.
-const KindLost Kind = "leadership lost"
-
-// Error is this package's error type.
-type Error = fault.Error[Kind]
-
 // Owner grants tokens while its replica leads. Its fields are set before Run.
 type Owner struct {
 	// Host gives log and meter.
--- a/ctrl/state/machine.go
+++ b/ctrl/state/machine.go
@@ -25,7 +25,6 @@
 const (
 	KindEncode   Kind = "cannot encode"
 	KindSnapshot Kind = "bad snapshot"
-	KindHistory  Kind = "history is gone"
 )
 
 // Error is this package's error type.
