--- a/agent/slots/worth.go
+++ b/agent/slots/worth.go
@@ -11,6 +11,8 @@
 	halfLife = time.Minute
 	// horizon is the time ahead for which the demand counts.
 	horizon = 30 * time.Second
+	// waitingWorth is how many expected requests one waiting person counts.
+	waitingWorth = 10
 	// forgetBelow is the rate, in requests per second, under which the demand
 	// of a key is forgotten.
 	forgetBelow = 1e-5
@@ -43,7 +45,7 @@
 // Expected is the default of Slots.Worth: the requests expected within the
 // horizon and those that wait.
 func Expected(u Use) float64 {
-	return u.Rate*horizon.Seconds() + u.Waiting
+	return u.Rate*horizon.Seconds() + u.Waiting*waitingWorth
 }
 
 // Recent values keys by their last use, as least-recently-used eviction does.
