Wake the load coordinator when the next token is there

Cause: it looked each 100 ms, so a permit came up to that late and the part of a token earned above one was lost under saturation. Change: the next look is when the missing part of a token will be there.

--- a/ctrl/permit/permit.go
+++ b/ctrl/permit/permit.go
@@ -98,16 +98,14 @@
 
 // Run gives permits until ctx ends.
 func (c *Coordinator) Run(ctx context.Context) {
-	timer := time.NewTicker(tick)
-	defer timer.Stop()
-	for {
-		c.grant()
+	for ctx.Err() == nil {
+		timer := time.NewTimer(c.grant())
 		select {
 		case <-ctx.Done():
-			return
 		case <-timer.C:
 		case <-c.woken():
 		}
+		timer.Stop()
 	}
 }
 
@@ -132,8 +130,9 @@
 	}
 }
 
-// grant gives as many permits as the budget allows.
-func (c *Coordinator) grant() {
+// grant gives as many permits as the budget allows, and returns the time to
+// the next look: when the next token is there, if that is what lacks.
+func (c *Coordinator) grant() time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := time.Now()
@@ -142,10 +141,15 @@
 	for c.tokens >= 1 && c.inFlight() < c.Flight {
 		candidates := c.candidates(now)
 		if len(candidates) == 0 {
-			return
+			return tick
 		}
 		c.permit(now, candidates[c.choose(now, candidates)])
 	}
+	if c.tokens >= 1 || c.Loads <= 0 {
+		return tick
+	}
+	missing := time.Duration((1 - c.tokens) / (c.Loads * c.present()) * float64(time.Second))
+	return min(missing+time.Microsecond, tick)
 }
 
 func (c *Coordinator) choose(now time.Time, candidates []Candidate) int {
@@ -166,17 +170,21 @@
 // static share, which is kept back for them.
 func (c *Coordinator) refill(now time.Time) {
 	if !c.filled.IsZero() {
-		known := len(c.agents) + len(c.away)
-		share := 1.0
-		if known > 0 {
-			share = float64(len(c.agents)) / float64(known)
-		}
-		c.tokens += now.Sub(c.filled).Seconds() * c.Loads * share
+		c.tokens += now.Sub(c.filled).Seconds() * c.Loads * c.present()
 		c.tokens = min(c.tokens, burst)
 	}
 	c.filled = now
 }
 
+// present is the share of the known agents that are connected.
+func (c *Coordinator) present() float64 {
+	known := len(c.agents) + len(c.away)
+	if known == 0 {
+		return 1
+	}
+	return max(float64(len(c.agents)), minWeight) / float64(known)
+}
+
 func (c *Coordinator) expire(now time.Time) {
 	for id, f := range c.flights {
 		if now.After(f.until) {
--- a/ctrl/permit/permit_test.go
+++ b/ctrl/permit/permit_test.go
@@ -89,10 +89,10 @@
 		loads       float64
 		flight      int
 		ends        bool
-		most, most1 int
+		most, least int
 	}{
-		{name: "rate", loads: 2, flight: 8, ends: true, most: 61, most1: 58},
-		{name: "flight", loads: 100, flight: 8, ends: false, most: 8, most1: 8},
+		{name: "rate", loads: 2, flight: 8, ends: true, most: 61, least: 59},
+		{name: "flight", loads: 100, flight: 8, ends: false, most: 8, least: 8},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -114,7 +114,7 @@
 					time.Sleep(100 * time.Millisecond)
 				}
 				require.LessOrEqual(t, total, test.most)
-				require.GreaterOrEqual(t, total, test.most1)
+				require.GreaterOrEqual(t, total, test.least)
 				f.stop()
 			})
 		})
