Test the feed: older numbers, leases, lost counts, superseded processes

Cause: the feed was tested only through the whole entry, with a control that is always up to date. Change: tests with a replica that is behind, skips a delta, does not answer, or knows a later process. Engines getting a caller's header turns a test red now.

--- a/entry/daemon/face_test.go
+++ b/entry/daemon/face_test.go
@@ -146,6 +146,7 @@
 				require.NoError(t, err)
 				require.NotContains(t, string(raw), keyAnand)
 				require.NotContains(t, string(raw), digest.Key(keyAnand))
+				require.True(t, attempt.Service != "" || len(attempt.Header) == 0)
 				for _, field := range attempt.Header {
 					require.NotContains(t, []string{"Authorization", "X-Api-Key", "X-Court-Key"}, field.Name)
 				}
--- /dev/null
+++ b/entry/feed/feed_test.go
@@ -0,0 +1,192 @@
+package feed_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/feed"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/lease"
+	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+	"github.com/tanagerspindle/tanagerspindle/pkg/uplink"
+	"github.com/tanagerspindle/tanagerspindle/pkg/vnet"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
+)
+
+// replica answers each beat with what a test says, nil for no answer.
+type replica struct {
+	mutex  sync.Mutex
+	beats  []plane.Beat
+	hellos []plane.Hello
+	answer func(beat *plane.Beat) *plane.Update
+}
+
+func (r *replica) serve(_ context.Context, stream *wire.Stream) error {
+	var hello plane.Hello
+	if err := stream.Receive(&hello); err != nil {
+		return err
+	}
+	r.mutex.Lock()
+	r.hellos = append(r.hellos, hello)
+	r.mutex.Unlock()
+	for {
+		var beat plane.Beat
+		if err := stream.Receive(&beat); err != nil {
+			return err
+		}
+		r.mutex.Lock()
+		r.beats = append(r.beats, beat)
+		update := r.answer(&beat)
+		r.mutex.Unlock()
+		if update == nil {
+			continue
+		}
+		update.Seq = beat.Seq
+		if err := stream.Send(update); err != nil {
+			return err
+		}
+	}
+}
+
+// inFeed runs a test with a feed from one replica; ended gets Run's result.
+func inFeed(t *testing.T, r *replica, test func(f *feed.Feed, ended <-chan error)) {
+	bubble.Test(t, func(t *testing.T) {
+		network := vnet.New()
+		listener, err := network.Listen("control:1")
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = link.Serve(ctx, listener, map[string]link.Handler{plane.MethodFeed: r.serve}) }()
+		h := host.Host{VM: "entry", Meter: meter.New(), Dial: network.Dialer("entry")}
+		up := &uplink.Uplink{Host: h, Replicas: []string{"control:1"}}
+		f := &feed.Feed{Host: h, Incarnation: 1, Uplink: up}
+		go up.Run(ctx)
+		ended := make(chan error, 1)
+		go func() { ended <- f.Run(ctx) }()
+		time.Sleep(50 * time.Millisecond)
+		test(f, ended)
+		cancel()
+		time.Sleep(10 * time.Minute)
+	})
+}
+
+func whole(number uint64, keys ...string) *conf.Delta {
+	config := &conf.Config{Number: number, Keys: map[string]conf.Key{}}
+	for _, key := range keys {
+		config.Keys[key] = conf.Key{Workspace: "w"}
+	}
+	return conf.Diff(nil, config)
+}
+
+func renewed(number uint64, delta *conf.Delta) *plane.Update {
+	return &plane.Update{Lease: span.Duration(lease.Length), Number: number, Config: delta}
+}
+
+func TestOlderConfigurationIsNotTaken(t *testing.T) {
+	r := &replica{}
+	r.answer = func(beat *plane.Beat) *plane.Update {
+		if beat.Number == 0 {
+			return renewed(5, whole(5, "new"))
+		}
+		return renewed(4, whole(4, "withdrawn"))
+	}
+	inFeed(t, r, func(f *feed.Feed, _ <-chan error) {
+		time.Sleep(5 * time.Second)
+		require.Equal(t, uint64(5), f.Config().Number)
+		require.Contains(t, f.Config().Keys, "new")
+		require.NotContains(t, f.Config().Keys, "withdrawn")
+	})
+}
+
+func TestLeaseIsNotRenewedForANewerConfigurationThanHeld(t *testing.T) {
+	r := &replica{}
+	r.answer = func(beat *plane.Beat) *plane.Update {
+		if beat.Number == 0 {
+			return renewed(5, whole(5))
+		}
+		return renewed(6, nil)
+	}
+	inFeed(t, r, func(f *feed.Feed, _ <-chan error) {
+		require.True(t, f.Valid())
+		time.Sleep(lease.Length)
+		require.False(t, f.Valid())
+	})
+}
+
+func TestDeltaThatDoesNotFitStartsTheFeedAnew(t *testing.T) {
+	r := &replica{}
+	r.answer = func(beat *plane.Beat) *plane.Update {
+		if beat.Number == 0 {
+			return renewed(5, whole(5))
+		}
+		return renewed(7, &conf.Delta{From: 6, To: 7, Put: &conf.Config{Number: 7}})
+	}
+	inFeed(t, r, func(f *feed.Feed, _ <-chan error) {
+		time.Sleep(5 * time.Second)
+		require.Equal(t, uint64(5), f.Config().Number)
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		require.Greater(t, len(r.hellos), 1)
+		require.Equal(t, uint64(5), r.hellos[len(r.hellos)-1].Number)
+	})
+}
+
+func TestSupersededProcessStops(t *testing.T) {
+	r := &replica{answer: func(*plane.Beat) *plane.Update { return renewed(5, whole(5)) }}
+	inFeed(t, r, func(f *feed.Feed, ended <-chan error) {
+		require.True(t, f.Valid())
+		r.mutex.Lock()
+		r.answer = func(*plane.Beat) *plane.Update { return &plane.Update{Superseded: true} }
+		r.mutex.Unlock()
+		require.ErrorIs(t, <-ended, &feed.Error{Kind: feed.KindSuperseded})
+		require.False(t, f.Valid())
+	})
+}
+
+func TestBurnCountsAreSentUntilConfirmed(t *testing.T) {
+	deaf := true
+	r := &replica{}
+	r.answer = func(*plane.Beat) *plane.Update {
+		if deaf {
+			return nil
+		}
+		return renewed(5, whole(5))
+	}
+	carried := func() int {
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		count := 0
+		for _, beat := range r.beats {
+			for _, burn := range beat.Burn {
+				require.Equal(t, plane.Burn{Workspace: "w", Route: "route", Good: 1, Bad: 1}, burn)
+				count++
+			}
+		}
+		return count
+	}
+	inFeed(t, r, func(f *feed.Feed, _ <-chan error) {
+		f.Count("w", "route", true)
+		f.Count("w", "route", false)
+		time.Sleep(5 * time.Second)
+		lost := carried()
+		require.Greater(t, lost, 1, "sent again after each stream that did not confirm them")
+		r.mutex.Lock()
+		deaf = false
+		r.mutex.Unlock()
+		time.Sleep(5 * time.Second)
+		confirmed := carried()
+		r.mutex.Lock()
+		deaf = true
+		r.mutex.Unlock()
+		time.Sleep(5 * time.Second)
+		require.Equal(t, confirmed, carried())
+	})
+}
