--- a/stubs/prove/site.go
+++ b/stubs/prove/site.go
@@ -26,7 +26,7 @@
 	// settleTime is how long processes may take to end after a run.
 	settleTime = 5 * time.Minute
 	// lossTime is how long the process of a lost VM takes to end.
-	lossTime = 20 * time.Second
+	lossTime = 8 * time.Second
 )
 
 // The two callers' keys.
