--- a/stubs/prove/prove_test.go
+++ b/stubs/prove/prove_test.go
@@ -31,8 +31,8 @@
 	folder := t.TempDir()
 	bubble.Test(t, func(t *testing.T) {
 		site, err := prove.Start(t.Context(), folder, shape, tune)
-		defer site.Close()
 		require.NoError(t, err)
+		defer site.Close()
 		body(t, site)
 		for _, engine := range site.Fleet.Engines {
 			require.Empty(t, engine.Faults())
--- a/stubs/prove/site.go
+++ b/stubs/prove/site.go
@@ -78,9 +78,6 @@
 		},
 		Folder: folder,
 	}
-	if os.Getenv("PROVE_LOG") != "" {
-		s.Fleet.Log = os.Stderr
-	}
 	if tune != nil {
 		tune(s.Fleet)
 	}
@@ -91,17 +88,23 @@
 	}}
 	ctx, s.cancel = context.WithCancel(ctx)
 	s.Fleet.Start(ctx)
-	ready, stop := context.WithTimeout(ctx, startLimit)
-	defer stop()
-	if err := s.Fleet.Apply(ready, Config(1)); err != nil {
-		return s, &Error{Op: "apply", Kind: KindStart, Err: err}
-	}
-	if err := s.Fleet.Ready(ready); err != nil {
-		return s, &Error{Op: "wait", Kind: KindStart, Err: err}
+	if err := s.begin(ctx); err != nil {
+		s.Close()
+		return nil, &Error{Op: "begin", Kind: KindStart, Err: err}
 	}
 	return s, nil
 }
 
+// begin waits until the deployment serves Config(1).
+func (s *Site) begin(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	if err := s.Fleet.Apply(ctx, Config(1)); err != nil {
+		return err
+	}
+	return s.Fleet.Ready(ctx)
+}
+
 // Close stops everything and waits until it has ended.
 func (s *Site) Close() {
 	s.Fleet.Close()
@@ -203,4 +206,3 @@
 	}
 	return "", &Error{Op: "find leader", Kind: KindLeader, Err: fmt.Errorf("waited: %w", ctx.Err())}
 }
-
