--- a/stubs/prove/prove_test.go
+++ b/stubs/prove/prove_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,15 +39,6 @@
 	})
 }
 
-// load sends streams, whole completions, lookups and filings to healthy
-// entries until stopped; each caller pauses after an answer.
-type load struct {
-	site  *prove.Site
-	pause time.Duration
-	over  atomic.Bool
-	group conc.WaitGroup
-}
-
 const (
 	loadCallers = 6
 	// shortPause and longPause are pauses of callers.
@@ -56,38 +46,28 @@
 	longPause  = time.Second
 )
 
-func newLoad(site *prove.Site, pause time.Duration) *load {
-	l := &load{site: site, pause: pause}
+// load has callers send streams, whole completions, lookups and filings to
+// healthy entries.
+func load(site *prove.Site, pause time.Duration) {
 	for caller := range loadCallers {
-		l.group.Go(func() {
-			for serial := 0; !l.over.Load(); serial++ {
-				site.Send(l.ask(caller, serial))
-				time.Sleep(l.pause)
-			}
-		})
+		site.Repeat(pause, func(serial int) { site.Send(ask(site, caller, serial)) })
 	}
-	return l
 }
 
-func (l *load) ask(caller, serial int) prove.Ask {
-	entry := l.site.Balance((caller + serial) % l.site.Fleet.Shape.Entries)
+func ask(site *prove.Site, caller, serial int) prove.Ask {
+	entry := site.Balance((caller + serial) % site.Fleet.Shape.Entries)
 	name := fmt.Sprintf("caller%d-%d", caller, serial)
-	ask := prove.Ask{Entry: entry, Key: prove.KeyAnand, Adapter: "notes", Prompt: name, Tokens: 20 + 10*caller, Stream: caller%2 == 0}
-	if caller%3 == 1 {
-		ask.Key, ask.Adapter = prove.KeyBela, "drafts"
-	}
 	switch caller {
 	case loadCallers - 2:
 		return prove.Ask{Entry: entry, Key: prove.KeyAnand, Method: http.MethodGet, Path: "/lookup/" + name}
 	case loadCallers - 1:
 		return prove.Ask{Entry: entry, Key: prove.KeyBela, Method: http.MethodPost, Path: "/filing", Body: name}
 	}
-	return ask
-}
-
-func (l *load) stop() {
-	l.over.Store(true)
-	l.group.Wait()
+	asked := prove.Ask{Entry: entry, Key: prove.KeyAnand, Adapter: "notes", Prompt: name, Tokens: 20 + 10*caller, Stream: caller%2 == 0}
+	if caller%3 == 1 {
+		asked.Key, asked.Adapter = prove.KeyBela, "drafts"
+	}
+	return asked
 }
 
 // requireWhole checks that every request got the whole answer of its own, and
@@ -110,40 +90,75 @@
 }
 
 // TestPlannedStopsUnderLoad stops an entry, an agent of each kind and the
-// control leader, and starts them again.
+// control leader, and starts them again. Everything is answered whole, and
+// nothing that an endpoint had begun is begun again elsewhere.
 func TestPlannedStopsUnderLoad(t *testing.T) {
 	in(t, shape(), nil, func(t *testing.T, site *prove.Site) {
-		traffic := newLoad(site, shortPause)
-		time.Sleep(2 * time.Second)
-		require.NoError(t, site.Fleet.Stop("entry1"))
-		site.Fleet.StartEntry(1)
-		for _, name := range []string{"engine0", "service1"} {
+		load(site, shortPause)
+		for _, name := range []string{"entry1", "engine0", "service1"} {
 			time.Sleep(2 * time.Second)
+			before := time.Now()
+			group := burst(site, name)
+			time.Sleep(100 * time.Millisecond)
+			require.NotEmpty(t, site.Completions(name, 0, before))
 			require.NoError(t, site.Fleet.Stop(name))
-			site.Fleet.StartAgent(name)
+			require.Greater(t, time.Since(before), 300*time.Millisecond, "nothing ran")
+			restart(site, name)
+			group.Wait()
 		}
 		time.Sleep(2 * time.Second)
 		leader, err := site.Leader(t.Context())
 		require.NoError(t, err)
 		require.NoError(t, site.Fleet.Stop(leader))
 		time.Sleep(time.Second)
-		site.Fleet.StartControl(int(leader[len(leader)-1] - '0'))
+		site.Fleet.StartControl(number(leader))
 		time.Sleep(5 * time.Second)
-		traffic.stop()
+		site.Quiet()
 		requireWhole(t, site, 100)
+		for _, received := range site.Completions("", -1, time.Time{}) {
+			require.NotContains(t, received.Body, `"offset"`, "begun again")
+		}
 	})
 }
 
+// burstSize is the number of requests of each kind in a burst.
+const burstSize = 4
+
+// burst sends long streams and filings at once to all endpoints.
+func burst(site *prove.Site, name string) *conc.WaitGroup {
+	group := &conc.WaitGroup{}
+	for index := range burstSize {
+		asks := []prove.Ask{
+			{Key: prove.KeyAnand, Adapter: "notes", Prompt: fmt.Sprint(name, "n", index), Tokens: 100, Stream: true},
+			{Key: prove.KeyBela, Adapter: "drafts", Prompt: fmt.Sprint(name, "d", index), Tokens: 100, Stream: true},
+			{Key: prove.KeyAnand, Method: http.MethodPost, Path: "/filing", Body: fmt.Sprint(name, "f", index)},
+		}
+		for _, ask := range asks {
+			ask.Entry = index % 2
+			group.Go(func() { site.Send(ask) })
+		}
+	}
+	return group
+}
+
+func restart(site *prove.Site, name string) {
+	if name == "entry1" {
+		site.Fleet.StartEntry(1)
+		return
+	}
+	site.Fleet.StartAgent(name)
+}
+
 // TestEngineLeavesUnderLoad lets an engine leave while it runs requests.
 func TestEngineLeavesUnderLoad(t *testing.T) {
 	in(t, shape(), nil, func(t *testing.T, site *prove.Site) {
-		traffic := newLoad(site, shortPause)
+		load(site, shortPause)
 		time.Sleep(3 * time.Second)
 		require.NotEmpty(t, site.Completions("", 0, time.Time{}))
 		left := time.Now()
 		site.Fleet.Engines[0].Leave(true)
 		time.Sleep(10 * time.Second)
-		traffic.stop()
+		site.Quiet()
 		require.Empty(t, site.Completions("", 0, left.Add(3*time.Second)))
 		require.NotEmpty(t, site.Completions("", 1, left.Add(3*time.Second)))
 		requireWhole(t, site, 80)
@@ -154,7 +169,7 @@
 // entry and the agents, between it and control, and both at once.
 func TestConnectionsGoSilentUnderLoad(t *testing.T) {
 	in(t, shape(), nil, func(t *testing.T, site *prove.Site) {
-		traffic := newLoad(site, shortPause)
+		load(site, shortPause)
 		time.Sleep(2 * time.Second)
 		for _, hosts := range [][]string{site.Agents(), site.Controls(), append(site.Agents(), site.Controls()...)} {
 			for _, host := range hosts {
@@ -162,7 +177,7 @@
 			}
 			time.Sleep(6 * time.Second)
 		}
-		traffic.stop()
+		site.Quiet()
 		requireWhole(t, site, 100)
 		for _, sent := range site.Sent() {
 			require.Less(t, sent.Ended.Sub(sent.Began), 10*time.Second, "%v", sent)
@@ -173,7 +188,7 @@
 // TestVersionSwitchUnderLoad makes another version the current one.
 func TestVersionSwitchUnderLoad(t *testing.T) {
 	in(t, shape(), nil, func(t *testing.T, site *prove.Site) {
-		traffic := newLoad(site, shortPause)
+		load(site, shortPause)
 		time.Sleep(3 * time.Second)
 		config := prove.Config(2)
 		notes := config.Adapters["notes"]
@@ -184,7 +199,7 @@
 		applied := time.Now()
 		require.Less(t, applied.Sub(began), 5*time.Second)
 		time.Sleep(5 * time.Second)
-		traffic.stop()
+		site.Quiet()
 		requireWhole(t, site, 60)
 		counts := map[string]int{}
 		for _, sent := range site.Sent() {
@@ -209,17 +224,12 @@
 // both entries, one of which control cannot tell.
 func TestKeyWithdrawnWhileAnEntryIsCutOff(t *testing.T) {
 	in(t, shape(), nil, func(t *testing.T, site *prove.Site) {
-		var over atomic.Bool
-		var group conc.WaitGroup
 		for caller := range 4 {
-			group.Go(func() {
-				for serial := 0; !over.Load(); serial++ {
-					site.Send(prove.Ask{
-						Entry: caller % 2, Key: prove.KeyBela, Adapter: "drafts", Prompt: fmt.Sprintf("bela%d-%d", caller, serial),
-						Tokens: 10 + 100*(caller/2), Stream: true,
-					})
-					time.Sleep(20 * time.Millisecond)
-				}
+			site.Repeat(20*time.Millisecond, func(serial int) {
+				site.Send(prove.Ask{
+					Entry: caller % 2, Key: prove.KeyBela, Adapter: "drafts", Prompt: fmt.Sprintf("bela%d-%d", caller, serial),
+					Tokens: 10 + 100*(caller/2), Stream: true,
+				})
 			})
 		}
 		time.Sleep(2 * time.Second)
@@ -241,8 +251,7 @@
 		site.Network.Rejoin("entry0", site.Controls()...)
 		time.Sleep(5 * time.Second)
 		require.True(t, site.Healthy(0))
-		over.Store(true)
-		group.Wait()
+		site.Quiet()
 		require.Empty(t, site.Completions("bela", -1, applied.Add(5*time.Second)))
 		for _, sent := range site.Sent() {
 			if sent.Began.After(applied.Add(5*time.Second)) && sent.Key == prove.KeyBela {
@@ -263,24 +272,16 @@
 	s.Engines = 3
 	tune := func(f *fleet.Fleet) { f.TuneEngine = poisonous }
 	in(t, s, tune, func(t *testing.T, site *prove.Site) {
-		var over atomic.Bool
-		var group conc.WaitGroup
-		group.Go(func() {
-			for serial := 0; !over.Load(); serial++ {
-				site.Send(prove.Ask{Entry: serial % 2, Key: prove.KeyBela, Adapter: "drafts", Prompt: poison, Tokens: 10})
-				time.Sleep(200 * time.Millisecond)
-			}
+		site.Repeat(200*time.Millisecond, func(serial int) {
+			site.Send(prove.Ask{Entry: serial % 2, Key: prove.KeyBela, Adapter: "drafts", Prompt: poison, Tokens: 10})
 		})
-		group.Go(func() {
-			for serial := 0; !over.Load(); serial++ {
-				site.Send(prove.Ask{
-					Entry: serial % 2, Key: prove.KeyBela, Adapter: "drafts", Prompt: fmt.Sprint("bystander", serial), Tokens: 20, Stream: true,
-				})
-			}
+		site.Repeat(20*time.Millisecond, func(serial int) {
+			site.Send(prove.Ask{
+				Entry: serial % 2, Key: prove.KeyBela, Adapter: "drafts", Prompt: fmt.Sprint("bystander", serial), Tokens: 20, Stream: true,
+			})
 		})
 		time.Sleep(40 * time.Second)
-		over.Store(true)
-		group.Wait()
+		site.Quiet()
 		require.LessOrEqual(t, len(site.Completions(poison, -1, time.Time{})), 2, "engines that died of it")
 		require.NotEmpty(t, site.Completions(poison, -1, time.Time{}))
 		refused := 0
--- a/stubs/prove/repair_test.go
+++ b/stubs/prove/repair_test.go
@@ -21,7 +21,7 @@
 	for _, first := range []string{"follower", "leader"} {
 		t.Run(first, func(t *testing.T) {
 			in(t, shape(), nil, func(t *testing.T, site *prove.Site) {
-				traffic := newLoad(site, longPause)
+				load(site, longPause)
 				for number := uint64(2); number <= 4; number++ {
 					require.NoError(t, site.Fleet.Apply(t.Context(), prove.Config(number)))
 				}
@@ -38,7 +38,7 @@
 				site.Lose(second)
 				requireInForce(t, site, 4)
 				require.NoError(t, site.Fleet.Apply(t.Context(), prove.Config(5)))
-				traffic.stop()
+				site.Quiet()
 				requireInForce(t, site, 5)
 				requireWhole(t, site, 60)
 			})
--- a/stubs/prove/sent.go
+++ b/stubs/prove/sent.go
@@ -193,18 +193,17 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// Balance returns an entry whose health check is green, the wanted one first,
-// as a balancer chooses.
+// Balance returns an entry whose last health check was green, the wanted one
+// first, as a balancer chooses.
 func (s *Site) Balance(wanted int) int {
-	for {
-		for offset := range s.Fleet.Shape.Entries {
-			entry := (wanted + offset) % s.Fleet.Shape.Entries
-			if s.Healthy(entry) {
-				return entry
-			}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for offset := range s.healthy {
+		if entry := (wanted + offset) % len(s.healthy); s.healthy[entry] {
+			return entry
 		}
-		time.Sleep(100 * time.Millisecond)
 	}
+	return wanted
 }
 
 // Completions returns what engines received with a text in the prompt after a
--- a/stubs/prove/site.go
+++ b/stubs/prove/site.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/digest"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
@@ -27,6 +29,8 @@
 	settleTime = 5 * time.Minute
 	// lossTime is how long the process of a lost VM takes to end.
 	lossTime = 8 * time.Second
+	// healthInterval is the time between two of the balancer's health checks.
+	healthInterval = 300 * time.Millisecond
 )
 
 // The two callers' keys.
@@ -58,10 +62,13 @@
 	Fleet   *fleet.Fleet
 	Network *vnet.Network
 
-	client *http.Client
-	cancel context.CancelFunc
-	mutex  sync.Mutex
-	sent   []*Sent
+	client  *http.Client
+	cancel  context.CancelFunc
+	callers conc.WaitGroup
+	mutex   sync.Mutex
+	sent    []*Sent
+	over    bool
+	healthy []bool
 }
 
 // Start starts a deployment of a shape, with the replicas' data under folder,
@@ -87,11 +94,13 @@
 		DisableKeepAlives: true,
 	}}
 	ctx, s.cancel = context.WithCancel(ctx)
+	s.healthy = make([]bool, shape.Entries)
 	s.Fleet.Start(ctx)
 	if err := s.begin(ctx); err != nil {
 		s.Close()
 		return nil, &Error{Op: "begin", Kind: KindStart, Err: err}
 	}
+	s.callers.Go(s.watchHealth)
 	return s, nil
 }
 
@@ -105,13 +114,52 @@
 	return s.Fleet.Ready(ctx)
 }
 
+// Repeat runs a caller in the background until Quiet: act after act, with
+// pauses between them.
+func (s *Site) Repeat(pause time.Duration, act func(serial int)) {
+	s.callers.Go(func() {
+		for serial := 0; !s.isOver(); serial++ {
+			act(serial)
+			time.Sleep(pause)
+		}
+	})
+}
+
+// Quiet ends the callers, each after its answer.
+func (s *Site) Quiet() {
+	s.mutex.Lock()
+	s.over = true
+	s.mutex.Unlock()
+	s.callers.Wait()
+}
+
+func (s *Site) isOver() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.over
+}
+
 // Close stops everything and waits until it has ended.
 func (s *Site) Close() {
+	s.Quiet()
 	s.Fleet.Close()
 	s.cancel()
 	time.Sleep(settleTime)
 }
 
+// watchHealth asks for the entries' health checks as a balancer does.
+func (s *Site) watchHealth() {
+	for !s.isOver() {
+		for entry := range s.healthy {
+			healthy := s.Healthy(entry)
+			s.mutex.Lock()
+			s.healthy[entry] = healthy
+			s.mutex.Unlock()
+		}
+		time.Sleep(healthInterval)
+	}
+}
+
 // Config returns the configuration that the deployment starts with, under a
 // number: two workspaces with an adapter and a key each, a route for lookups
 // and one for filings.
