--- a/spindle/demo/steps.go
+++ b/spindle/demo/steps.go
@@ -22,8 +22,10 @@
 	leaverKey = "demo-leaver"
 	summary   = "surat-summary"
 	completed = "/v1/completions"
-	// burstSize is how many requests the small workspace sends at once.
-	burstSize = 12
+	// burstSize is how many requests the small workspace sends, thinkTime the
+	// pause before each.
+	burstSize = 7
+	thinkTime = 300 * time.Millisecond
 )
 
 func (d *Demo) steps() []func(context.Context) {
@@ -132,19 +134,16 @@
 	d.expectRefusal(unknown, d.ask(ctx, 0, unknown), http.StatusNotFound)
 }
 
-// overRate sends a burst far over the small workspace's allowance. Some are
-// answered, the others refused at once with a time to come back.
+// overRate goes on asking, as a person does, after the small workspace's burst
+// is used up. Some requests are answered, the others refused at once with a
+// time to come back, because the caller would not wait so long.
 func (d *Demo) overRate(ctx context.Context) {
 	const prompt = "Opening hours, please."
-	q := question{name: "burst over the rate", key: kioskKey, method: http.MethodPost, path: completed, body: prompted("kiosk-short", prompt, 60, false)}
-	replies := make([]reply, burstSize)
-	var flight conc.WaitGroup
-	for index := range replies {
-		flight.Go(func() { replies[index] = d.ask(ctx, index, q) })
-	}
-	flight.Wait()
+	q := question{name: "beyond the burst", key: kioskKey, method: http.MethodPost, path: completed, body: prompted("kiosk-short", prompt, 60, true)}
 	answered, refused := 0, 0
-	for _, r := range replies {
+	for turn := range burstSize {
+		time.Sleep(thinkTime)
+		r := d.ask(ctx, turn, q)
 		if r.status == http.StatusTooManyRequests && r.header.Get("Retry-After") != "" {
 			refused++
 			d.expectRefusal(q, r, http.StatusTooManyRequests)
@@ -153,7 +152,7 @@
 		answered++
 		d.expect(q, r, "kiosk-short", "1", prompt, 60)
 	}
-	d.summarize("burst over the rate", answered > 0 && refused > 0, fmt.Sprintf("%d answered, %d refused", answered, refused))
+	d.summarize("beyond the burst", answered > 0 && refused > 0, fmt.Sprintf("%d answered, %d refused", answered, refused))
 }
 
 func (d *Demo) summarize(name string, good bool, detail string) {
