--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -96,5 +96,9 @@
 // Reader returns the buffered reading side, for copying raw bytes onward.
 func (s *Stream) Reader() io.Reader { return s.reader }
 
-// Close ends the stream in both directions.
-func (s *Stream) Close() error { return s.conn.Close() }
+// Close ends the stream in both directions, and a Receive under way with it:
+// the multiplexer's own Close ends the sending direction only.
+func (s *Stream) Close() error {
+	_ = s.conn.SetReadDeadline(time.Now())
+	return s.conn.Close()
+}
