Leave connections to the endpoint that have gone silent

Cause: a run, an order or a call over a connection that a middlebox has lost track of waited for good and held its place; idle connections were reused. Change: agent/idle fails a read that waits too long (10 s between tokens, 30 s to the first byte and for a service); each request to the engine has a new connection. A held-back reader is not timed. Not tried with the mechanism taken out.

--- a/agent/daemon/fail_test.go
+++ b/agent/daemon/fail_test.go
@@ -238,3 +238,42 @@
 		require.False(t, r.refused.Ran)
 	})
 }
+
+func TestSilentConnectionsToTheEndpointAreLeft(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := start(t, func(s *site) { s.engine.Places = 1 })
+		defer s.end()
+		entry := s.dial()
+		running := entry.background(s.attempt("alpha", "long", 3000))
+		time.Sleep(2 * time.Second)
+		s.network.Silence("vm", "vm")
+		silenced := time.Now()
+		r := <-running
+		require.Equal(t, call.ReasonEngine, r.reason())
+		require.True(t, r.refused.Ran)
+		require.Less(t, r.at.Sub(silenced), 12*time.Second)
+		next := s.attempt("alpha", "next", 10)
+		whole(t, next, entry.run(next))
+	})
+}
+
+func TestSilentConnectionOfAFilingLeavesItUnknown(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := start(t, func(s *site) {
+			plainService(s)
+			s.service.Delay, s.service.Places = 2*time.Second, 1
+		})
+		defer s.end()
+		entry := s.dial()
+		filing := s.filing("case 1")
+		running := entry.background(filing)
+		time.Sleep(time.Second)
+		s.network.Silence("vm", "vm")
+		r := <-running
+		require.Equal(t, call.ReasonEngine, r.reason())
+		require.True(t, r.refused.Ran)
+		require.Nil(t, entry.probe(filing).Outcome)
+		require.Equal(t, map[string]int{"case 1": 1}, s.service.Filings())
+		require.NotNil(t, entry.run(s.filing("case 2")).end)
+	})
+}
--- a/agent/daemon/site_test.go
+++ b/agent/daemon/site_test.go
@@ -119,6 +119,7 @@
 // start builds a site in a bubble; change may alter it before it runs.
 func start(t *testing.T, change func(*site)) *site {
 	network := vnet.New()
+	network.Latency = func(string, string) time.Duration { return 100 * time.Microsecond }
 	ctx, cancel := context.WithCancel(t.Context())
 	s := &site{t: t, ctx: ctx, network: network, store: &store.Store{}, stop: cancel, stopped: make(chan error, 1)}
 	s.control = &control{fence: 1, coordinator: &permit.Coordinator{Loads: 4, Flight: 8}}
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -11,6 +11,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/agent/idle"
 )
 
 const (
@@ -20,6 +22,10 @@
 	unloadTimeout = 10 * time.Second
 	// dialTimeout bounds the connecting to the engine.
 	dialTimeout = 2 * time.Second
+	// firstLimit is the longest wait for the first byte of an answer, gapLimit
+	// for each further one.
+	firstLimit = 30 * time.Second
+	gapLimit   = 10 * time.Second
 	// reportTimeout bounds a question about the engine's state.
 	reportTimeout = 2 * time.Second
 	// maxReport bounds a report, in bytes.
@@ -42,17 +48,21 @@
 // Start prepares the client; Stop ends it.
 func (e *Engine) Start() {
 	e.transport = &http.Transport{
-		DialContext:         e.dial,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     10 * time.Second,
-		DisableCompression:  true,
+		DialContext: e.dial,
+		// An idle connection may have gone silent, and the engine is near.
+		DisableKeepAlives:  true,
+		DisableCompression: true,
 	}
 }
 
 func (e *Engine) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	return e.Dial(ctx, address)
+	conn, err := e.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &idle.Conn{Conn: conn, First: firstLimit, Gap: gapLimit}, nil
 }
 
 // Stop closes idle connections.
--- /dev/null
+++ b/agent/idle/conn.go
@@ -0,0 +1,36 @@
+// Package idle ends connections to an endpoint that have gone silent: a
+// middlebox may have lost track of one, so that no end of it ever shows.
+package idle
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// Conn fails a read that waits too long. A connection that nobody reads from,
+// because the reader is held back, is not timed. The exported fields are set
+// before use.
+type Conn struct {
+	net.Conn
+	// First is the longest wait for the first byte, Gap for each further one.
+	First, Gap time.Duration
+
+	begun atomic.Bool
+}
+
+// Read reads with the limit that applies now.
+func (c *Conn) Read(p []byte) (int, error) {
+	limit := c.First
+	if c.begun.Load() {
+		limit = c.Gap
+	}
+	if err := c.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.begun.Store(true)
+	}
+	return n, err
+}
--- a/agent/plain/service.go
+++ b/agent/plain/service.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/agent/idle"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 )
 
@@ -20,6 +21,8 @@
 	readSize = 16 << 10
 	// dialTimeout bounds the connecting to the service.
 	dialTimeout = 2 * time.Second
+	// silence is the longest wait for each piece of an answer.
+	silence = 30 * time.Second
 )
 
 // Service is the client of one plain service. Its exported fields are set
@@ -41,10 +44,11 @@
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
 		conn, err := s.Dial(ctx, address)
-		if err == nil {
-			dialled.Store(true)
+		if err != nil {
+			return nil, err
 		}
-		return conn, err
+		dialled.Store(true)
+		return &idle.Conn{Conn: conn, First: silence, Gap: silence}, nil
 	}
 	request, err := s.request(ctx, a)
 	if err != nil {
