--- a/stubs/plain/service.go
+++ b/stubs/plain/service.go
@@ -66,7 +66,7 @@
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		return
+		panic(http.ErrAbortHandler)
 	}
 	s.record(r, string(body))
 	if s.Poison != "" && strings.Contains(string(body), s.Poison) {
@@ -74,13 +74,14 @@
 		panic(http.ErrAbortHandler)
 	}
 	if !s.enter(r.Context()) {
-		return
+		panic(http.ErrAbortHandler)
 	}
 	defer s.leave()
 	select {
 	case <-time.After(s.Delay):
 	case <-r.Context().Done():
-		return
+		// A handler that returns answers 200; a dying process does not.
+		panic(http.ErrAbortHandler)
 	}
 	s.answer(w, r, string(body))
 }
