--- a/stubs/prove/key_test.go
+++ b/stubs/prove/key_test.go
@@ -63,6 +63,8 @@
 	began := time.Now()
 	require.NoError(t, site.Fleet.Apply(t.Context(), config))
 	applied := time.Now()
+	// An operator waits ten seconds on a replica that is cut off before it asks
+	// the next one.
 	t.Logf("in force after %v", applied.Sub(began))
 	time.Sleep(10 * time.Second)
 	require.Empty(t, site.Completions("bela", -1, applied.Add(keyLimit)))
