--- a/stubs/crowd/crowd.go
+++ b/stubs/crowd/crowd.go
@@ -28,12 +28,17 @@
 	mutex    sync.Mutex
 	requests []*Request
 	turn     int
+	red      map[string]bool
 	start    time.Time
 }
 
 // Run sends the traffic and returns every request once the last has ended.
 func (c *Crowd) Run(ctx context.Context) []*Request {
 	c.start = time.Now()
+	c.red = map[string]bool{}
+	checking, stop := context.WithCancel(ctx)
+	defer stop()
+	go c.balance(checking)
 	var callers conc.WaitGroup
 	stream := c.Seed << 20
 	spawn := func(act func(*rand.Rand)) {
@@ -75,13 +80,6 @@
 	return !c.over()
 }
 
-func (c *Crowd) entry() string {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.turn++
-	return c.Entries[c.turn%len(c.Entries)]
-}
-
 func (c *Crowd) record(request *Request) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
