Share one pause and one wake-up in place of eleven

Cause: waiting for a time or a context stood in eleven places, joining wake-ups in five. Change: pkg/pause and pkg/wake.

--- a/agent/demand/demand.go
+++ b/agent/demand/demand.go
@@ -7,6 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/wake"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
+
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
@@ -48,24 +52,12 @@
 	mutex  sync.Mutex
 	ended  []plane.Ended
 	heard  time.Time
-	change chan struct{}
+	change wake.Signal
 }
 
 // Changed makes the agent ask anew.
 func (d *Demand) Changed() {
-	select {
-	case d.changes() <- struct{}{}:
-	default:
-	}
-}
-
-func (d *Demand) changes() chan struct{} {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if d.change == nil {
-		d.change = make(chan struct{}, 1)
-	}
-	return d.change
+	d.change.Set()
 }
 
 // Ended gives a permit back. A permit of the static share has ID 0 and is
@@ -88,7 +80,7 @@
 	go d.runShare(ctx)
 	for ctx.Err() == nil {
 		d.connect(ctx)
-		pause(ctx, reopenPause)
+		pause.For(ctx, reopenPause)
 	}
 }
 
@@ -117,7 +109,7 @@
 		if !d.ask(stream) {
 			return
 		}
-		if !pause(ctx, askPause) {
+		if !pause.For(ctx, askPause) {
 			return
 		}
 		timer := time.NewTimer(askInterval - askPause)
@@ -125,7 +117,7 @@
 		case <-ctx.Done():
 			timer.Stop()
 			return
-		case <-d.changes():
+		case <-d.change.C():
 		case <-timer.C:
 		}
 		timer.Stop()
@@ -180,7 +172,7 @@
 func (d *Demand) runShare(ctx context.Context) {
 	earned := 0.0
 	last := time.Now()
-	for pause(ctx, shareTick) {
+	for pause.For(ctx, shareTick) {
 		now := time.Now()
 		passed := now.Sub(last).Seconds()
 		last = now
@@ -197,15 +189,3 @@
 		d.Granted(&plane.Permit{Adapter: wishes[0].Adapter, Version: wishes[0].Version})
 	}
 }
-
-// pause waits and reports whether ctx still goes on.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/agent/feed/feed.go
+++ b/agent/feed/feed.go
@@ -8,6 +8,10 @@
 	"sync"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/wake"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
+
 	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
@@ -58,7 +62,7 @@
 	Applied func(*plane.Update)
 
 	mutex   sync.Mutex
-	change  chan struct{}
+	change  wake.Signal
 	number  uint64
 	bans    uint64
 	beat    uint64
@@ -74,19 +78,7 @@
 
 // Changed makes the feed beat soon.
 func (f *Feed) Changed() {
-	select {
-	case f.changes() <- struct{}{}:
-	default:
-	}
-}
-
-func (f *Feed) changes() chan struct{} {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if f.change == nil {
-		f.change = make(chan struct{}, 1)
-	}
-	return f.change
+	f.change.Set()
 }
 
 // Crashed reports an endpoint's death until control has acknowledged it.
@@ -108,7 +100,7 @@
 		if fault, ok := err.(*Error); ok {
 			return fault
 		}
-		wait(ctx, reopenPause)
+		pause.For(ctx, reopenPause)
 	}
 	return nil
 }
@@ -172,13 +164,13 @@
 		if b.beat(false) != nil {
 			return
 		}
-		if !wait(ctx, beatPause) {
+		if !pause.For(ctx, beatPause) {
 			return
 		}
 		timer := time.NewTimer(beatInterval - beatPause)
 		select {
 		case <-ctx.Done():
-		case <-b.feed.changes():
+		case <-b.feed.change.C():
 		case <-timer.C:
 		}
 		timer.Stop()
@@ -276,14 +268,3 @@
 	}
 	f.crashes = pending
 }
-
-func wait(ctx context.Context, limit time.Duration) bool {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/ctrl/folder/folder.go
+++ b/ctrl/folder/folder.go
@@ -31,6 +31,8 @@
 	"fmt"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
+
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
@@ -167,7 +169,7 @@
 		return content{}, false
 	}
 	for settled := false; !settled; {
-		if !sleep(ctx, settle) {
+		if !pause.For(ctx, settle) {
 			return content{}, false
 		}
 		next, _ := conf.Sum(f.Dir)
@@ -190,17 +192,6 @@
 	return now, true
 }
 
-func sleep(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // mayStart reports whether the content found at the start is a change that
 // follows the committed configuration.
 func (f *Folder) mayStart(mark string, committed uint64) bool {
--- a/ctrl/node/outlet.go
+++ b/ctrl/node/outlet.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
+
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
@@ -157,7 +159,7 @@
 	for ctx.Err() == nil {
 		session, err := o.dial(ctx)
 		if err != nil {
-			o.pause(ctx, delay)
+			pause.For(ctx, delay)
 			delay = min(2*delay, longestDelay)
 			continue
 		}
@@ -170,7 +172,7 @@
 		_ = session.Close()
 		o.node.Host.Log.Write("peer-session-ended", "address", o.address, "err", err)
 		_ = o.node.post(ctx, event{run: func(l *loop) { l.lost(o.address) }})
-		o.pause(ctx, delay)
+		pause.For(ctx, delay)
 	}
 }
 
@@ -180,13 +182,6 @@
 	return link.Dial(ctx, o.node.Host.Dial, o.address)
 }
 
-func (o *outlet) pause(ctx context.Context, delay time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(delay):
-	}
-}
-
 // feed sends what is queued until the session ends.
 func (o *outlet) feed(ctx context.Context, session *link.Session) error {
 	sender := hello{ID: o.node.status.Load().ID, Address: o.node.Address}
--- a/ctrl/quota/grant.go
+++ b/ctrl/quota/grant.go
@@ -89,7 +89,7 @@
 		if len(short) == 0 {
 			return reply
 		}
-		o.nudge()
+		o.kick.Set()
 		select {
 		case <-next.done:
 		case <-ctx.Done():
@@ -113,14 +113,6 @@
 	return reply
 }
 
-// nudge asks for a record at once.
-func (o *Owner) nudge() {
-	select {
-	case o.kick <- struct{}{}:
-	default:
-	}
-}
-
 func (o *Owner) giveBack(ask *plane.GrantAsk) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
--- a/ctrl/quota/quota.go
+++ b/ctrl/quota/quota.go
@@ -15,6 +15,8 @@
 	"sync"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/wake"
+
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
@@ -68,7 +70,7 @@
 	entries map[caller]*replies
 	config  *conf.Config
 	next    uint64
-	kick    chan struct{}
+	kick    wake.Signal
 	round   *round
 }
 
@@ -98,10 +100,9 @@
 }
 
 func (o *Owner) prepare() {
-	if o.kick != nil {
+	if o.round != nil {
 		return
 	}
-	o.kick = make(chan struct{}, 1)
 	o.round = &round{done: make(chan struct{})}
 }
 
@@ -138,7 +139,7 @@
 			return
 		case <-ticker.C:
 			o.smooth()
-		case <-o.kick:
+		case <-o.kick.C():
 		}
 		o.record(ctx)
 	}
--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -4,10 +4,13 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/wake"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
+
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
@@ -72,8 +75,7 @@
 	lease  lease.Lease
 	roster roster.Roster
 	burn   burn
-	nudge  chan struct{}
-	once   sync.Once
+	nudge  wake.Signal
 }
 
 // bans is the quarantine by digest. It is not changed.
@@ -120,7 +122,6 @@
 // Run keeps the feed up until ctx ends, then says farewell. The error is of
 // KindSuperseded when the process must stop.
 func (f *Feed) Run(ctx context.Context) error {
-	f.prepare()
 	watched, stop := context.WithCancel(ctx)
 	defer stop()
 	go f.watch(watched)
@@ -134,17 +135,13 @@
 		if err != nil && ctx.Err() == nil {
 			f.Host.Log.Write("feed-lost", "err", err)
 			f.Host.Meter.Add("feeds_lost", 1)
-			pause(ctx, beatLeast)
+			pause.For(ctx, beatLeast)
 		}
 	}
 	f.lease.End()
 	return nil
 }
 
-func (f *Feed) prepare() {
-	f.once.Do(func() { f.nudge = make(chan struct{}, 1) })
-}
-
 // watch calls OnExpire while the entry has been without authority for too
 // long.
 func (f *Feed) watch(ctx context.Context) {
@@ -204,19 +201,7 @@
 }
 
 func (f *Feed) soon() {
-	select {
-	case f.nudge <- struct{}{}:
-	default:
-	}
-}
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	f.nudge.Set()
 }
 
 // turn is one stream to one replica.
--- a/entry/feed/turn.go
+++ b/entry/feed/turn.go
@@ -28,7 +28,7 @@
 		case <-overdue.C:
 			t.feed.Uplink.Move()
 			return &Error{Op: "renew lease", Kind: KindSilent}
-		case <-t.feed.nudge:
+		case <-t.feed.nudge.C():
 			next.Reset(max(beatLeast-time.Since(sent), 0))
 		case <-next.C:
 			if err := t.send(false); err != nil {
--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/wake"
+
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
@@ -59,7 +61,7 @@
 
 	mutex  sync.Mutex
 	shares map[string]*share
-	wake   chan struct{}
+	wake   wake.Signal
 	seq    uint64
 }
 
@@ -185,7 +187,7 @@
 		}
 	}
 	s.enqueue(now, w)
-	l.nudge()
+	l.wake.Set()
 	return nil
 }
 
@@ -221,7 +223,7 @@
 		w.done <- nil
 	} else {
 		paid.share.enqueue(time.Now(), w)
-		l.nudge()
+		l.wake.Set()
 	}
 	l.mutex.Unlock()
 	select {
@@ -283,14 +285,3 @@
 	}
 	return math.Max(float64(config.Workspaces[workspace].Rate), 1)
 }
-
-// nudge wakes Run. The caller holds the mutex.
-func (l *Limit) nudge() {
-	if l.wake == nil {
-		l.wake = make(chan struct{}, 1)
-	}
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
-}
--- a/entry/limit/loop.go
+++ b/entry/limit/loop.go
@@ -22,15 +22,12 @@
 // Run exchanges tokens with control until ctx ends, then gives back what is
 // left.
 func (l *Limit) Run(ctx context.Context) {
-	l.mutex.Lock()
-	l.nudge()
-	wake := l.wake
-	l.mutex.Unlock()
+	l.wake.Set()
 	for ctx.Err() == nil {
 		timer := time.NewTimer(l.pause(time.Now()))
 		select {
 		case <-ctx.Done():
-		case <-wake:
+		case <-l.wake.C():
 		case <-timer.C:
 		}
 		timer.Stop()
--- a/entry/relay/attempt.go
+++ b/entry/relay/attempt.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
+
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/entry/picker"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
@@ -88,7 +90,7 @@
 		if err == nil && found.State != call.StateRunning {
 			return j.close(a, found)
 		}
-		pause(ctx, probeDelay)
+		pause.For(ctx, probeDelay)
 	}
 	return verdictFinal, unknown(chain.CodePending)
 }
@@ -151,12 +153,3 @@
 	}
 	return &found, nil
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/uplink/uplink.go
+++ b/pkg/uplink/uplink.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
+
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
@@ -50,7 +52,7 @@
 		session, err := u.dial(ctx, u.Replicas[next%len(u.Replicas)])
 		if err != nil {
 			u.Host.Log.Write("control-unreachable", "address", u.Replicas[next%len(u.Replicas)], "err", err)
-			u.pause(ctx, delay)
+			pause.For(ctx, delay/2+rand.N(delay/2))
 			delay = min(2*delay, longestDelay)
 			continue
 		}
@@ -71,14 +73,6 @@
 	return link.Dial(ctx, u.Host.Dial, address)
 }
 
-func (u *Uplink) pause(ctx context.Context, delay time.Duration) {
-	jittered := delay/2 + rand.N(delay/2)
-	select {
-	case <-ctx.Done():
-	case <-time.After(jittered):
-	}
-}
-
 func (u *Uplink) set(session *link.Session) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
--- a/pkg/vnet/network.go
+++ b/pkg/vnet/network.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
+
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 )
 
@@ -96,8 +98,8 @@
 
 // reach waits for one round trip, and for as long as a partition lasts.
 func (n *Network) reach(ctx context.Context, from, to string) error {
-	if err := travel(ctx, n.latency(from, to)+n.latency(to, from)); err != nil {
-		return &Error{Op: "dial " + to, Kind: KindTimeout, Err: err}
+	if !pause.For(ctx, n.latency(from, to)+n.latency(to, from)) {
+		return &Error{Op: "dial " + to, Kind: KindTimeout, Err: ctx.Err()}
 	}
 	for {
 		blocked, changed := n.blocked(from, to)
@@ -113,22 +115,6 @@
 	}
 }
 
-// travel waits for a time. It makes no timer for none: timers of no length
-// inside bubbles have crashed the runtime.
-func travel(ctx context.Context, length time.Duration) error {
-	if length <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (n *Network) latency(from, to string) time.Duration {
 	if n.Latency == nil {
 		return 0
--- a/spindle/cmds/control.go
+++ b/spindle/cmds/control.go
@@ -6,6 +6,8 @@
 	"net"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
+
 	"github.com/urfave/cli/v3"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/launch"
@@ -81,7 +83,7 @@
 				last = explain(err, address)
 			}
 		}
-		if !pause(ctx) {
+		if !pause.For(ctx, retryDelay) {
 			return nil, &Error{Op: "spindle", Kind: KindUnreachable, Err: last}
 		}
 	}
@@ -99,17 +101,6 @@
 	return err
 }
 
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(retryDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (k *control) fetch(ctx context.Context) (*plane.Fetched, error) {
 	return ask(ctx, k, plane.MethodFetch, 0, &plane.FetchAsk{},
 		func(reply *plane.Fetched) bool { return waiting(reply.Refused) })
--- a/stubs/model/complete.go
+++ b/stubs/model/complete.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
+
 	"github.com/julienschmidt/httprouter"
 )
 
@@ -128,11 +130,11 @@
 	}
 	count := Count(q.prompt)
 	cached := e.remember(q)
-	pause(ctx, time.Duration(count-cached)*e.Prefill)
+	pause.For(ctx, time.Duration(count-cached)*e.Prefill)
 	last, finish := e.limit(q)
 	stream := newAnswer(w, q.Stream, version)
 	for index := q.Resume.Offset; index < last; index++ {
-		pause(ctx, e.tokenTime(places))
+		pause.For(ctx, e.tokenTime(places))
 		if ctx.Err() != nil {
 			return
 		}
--- a/stubs/model/engine.go
+++ b/stubs/model/engine.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
+
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/tanagerspindle/tanagerspindle/stubs/beacon"
@@ -117,7 +119,7 @@
 		release := context.AfterFunc(ctx, func() { _ = server.Close() })
 		_ = server.Serve(listener)
 		release()
-		pause(ctx, e.Restart)
+		pause.For(ctx, e.Restart)
 	}
 	return nil
 }
@@ -191,12 +193,3 @@
 func (e *Engine) fault(format string, values ...any) {
 	e.faults = append(e.faults, fmt.Sprintf(format, values...))
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/stubs/store/store.go
+++ b/stubs/store/store.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
+
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 )
 
@@ -59,8 +61,8 @@
 // Load delivers one adapter version to an engine. It waits for the rate, then
 // for the transfer.
 func (s *Store) Load(ctx context.Context, engine, adapter, version string) error {
-	if err := sleep(ctx, s.reserve()); err != nil {
-		return err
+	if !pause.For(ctx, s.reserve()) {
+		return ctx.Err()
 	}
 	index := s.begin(Load{Engine: engine, Adapter: adapter, Version: version, Start: time.Now()})
 	err := s.transfer(ctx)
@@ -107,8 +109,8 @@
 // than fullSpeed loads share the store.
 func (s *Store) transfer(ctx context.Context) error {
 	for left := loadTime; left > 0; {
-		if err := sleep(ctx, slice); err != nil {
-			return err
+		if !pause.For(ctx, slice) {
+			return ctx.Err()
 		}
 		left -= s.progress()
 	}
@@ -134,17 +136,3 @@
 	defer s.mutex.Unlock()
 	return s.peak
 }
-
-func sleep(ctx context.Context, wait time.Duration) error {
-	if wait <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
