Say unknown of a request that may not repeat when control cannot be asked

Cause: a whole-deployment test showed a filing whose first sending ran, and whose resend at another entry without control was refused as not run. True of that sending, not of the filing: its caller would file anew and pay twice. Change: such refusals say unknown, with a time to send the same again.

--- a/entry/once/once.go
+++ b/entry/once/once.go
@@ -344,8 +344,12 @@
 	return outcome
 }
 
+// unreachable refuses a request that could not be claimed. This sending has
+// not run, but an earlier one under the same key may have, and without control
+// nobody here can tell.
 func unreachable() *chain.Refusal {
-	return chain.Refuse(http.StatusServiceUnavailable, "no_control", "the request could not be claimed").After(retryLater)
+	refusal := chain.Refuse(http.StatusServiceUnavailable, "no_control", "control could not be asked about the request; send it again")
+	return refusal.Maybe().After(retryLater)
 }
 
 func unknown() *chain.Refusal {
