--- a/agent/daemon/daemon_test.go
+++ b/agent/daemon/daemon_test.go
@@ -8,10 +8,9 @@
 	"testing"
 	"time"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
-
 	"github.com/stretchr/testify/require"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/stubs/model"
 )
--- a/agent/demand/demand.go
+++ b/agent/demand/demand.go
@@ -7,12 +7,10 @@
 	"sync"
 	"time"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/wake"
-
-	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
-
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wake"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
 )
 
--- a/agent/feed/feed.go
+++ b/agent/feed/feed.go
@@ -8,17 +8,15 @@
 	"sync"
 	"time"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/wake"
-
-	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
-
 	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/lease"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 	"github.com/tanagerspindle/tanagerspindle/pkg/uplink"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wake"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
 )
 
--- a/ctrl/folder/folder.go
+++ b/ctrl/folder/folder.go
@@ -31,11 +31,10 @@
 	"fmt"
 	"time"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
-
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 )
 
--- a/ctrl/member/member.go
+++ b/ctrl/member/member.go
@@ -9,10 +9,9 @@
 	"hash/crc32"
 	"io/fs"
 
+	"github.com/tanagerspindle/tanagerspindle/ctrl/disk"
 	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
-
-	"github.com/tanagerspindle/tanagerspindle/ctrl/disk"
 )
 
 // fileName is the file that holds a replica's identity.
--- a/ctrl/node/admin.go
+++ b/ctrl/node/admin.go
@@ -4,11 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/span"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
-
-	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
 )
 
 // pollInterval is the time between two looks at an order's progress.
--- a/ctrl/node/apply.go
+++ b/ctrl/node/apply.go
@@ -4,10 +4,9 @@
 	"context"
 	"sync"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
-
 	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/snap"
+	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 )
 
 // task is something for the applier; one kind of field is set.
--- a/ctrl/node/group_test.go
+++ b/ctrl/node/group_test.go
@@ -16,15 +16,14 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tanagerspindle/tanagerspindle/ctrl/disk"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/node"
 	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/event"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
 	"github.com/tanagerspindle/tanagerspindle/pkg/vnet"
-
-	"github.com/tanagerspindle/tanagerspindle/ctrl/disk"
-	"github.com/tanagerspindle/tanagerspindle/ctrl/node"
 )
 
 var verbose = flag.Bool("events", false, "print the replicas' events")
--- a/ctrl/node/handlers.go
+++ b/ctrl/node/handlers.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/link"
-	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
-
 	"github.com/tanagerspindle/tanagerspindle/ctrl/member"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
+	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
 )
 
 // The methods of the streams between replicas.
--- a/ctrl/node/lane.go
+++ b/ctrl/node/lane.go
@@ -4,10 +4,9 @@
 	"context"
 	"sync"
 
+	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
-
-	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
 )
 
 const (
--- a/ctrl/node/node.go
+++ b/ctrl/node/node.go
@@ -9,14 +9,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
-	"github.com/tanagerspindle/tanagerspindle/pkg/host"
-
 	"github.com/tanagerspindle/tanagerspindle/ctrl/disk"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/member"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/snap"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/wlog"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 )
 
 const (
--- a/ctrl/node/outlet.go
+++ b/ctrl/node/outlet.go
@@ -5,14 +5,12 @@
 	"sync"
 	"time"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
-
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/link"
-
 	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
+	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 )
 
 const (
--- a/ctrl/node/speed_test.go
+++ b/ctrl/node/speed_test.go
@@ -11,11 +11,10 @@
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 
+	"github.com/tanagerspindle/tanagerspindle/ctrl/node"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
-
-	"github.com/tanagerspindle/tanagerspindle/ctrl/node"
 )
 
 // loopback runs replicas over TCP and real files until the test ends, and
--- a/ctrl/quota/quota.go
+++ b/ctrl/quota/quota.go
@@ -15,12 +15,11 @@
 	"sync"
 	"time"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/wake"
-
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wake"
 )
 
 const (
--- a/ctrl/raft/check_test.go
+++ b/ctrl/raft/check_test.go
@@ -3,9 +3,8 @@
 import (
 	"fmt"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
-
 	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
+	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 )
 
 func decodeMembers(s *sim, entry raft.Entry) []raft.Member {
--- a/ctrl/raft/raft_test.go
+++ b/ctrl/raft/raft_test.go
@@ -9,9 +9,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
-
 	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
+	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 )
 
 func TestMain(m *testing.M) {
--- a/ctrl/snap/snap.go
+++ b/ctrl/snap/snap.go
@@ -8,11 +8,10 @@
 	"strings"
 	"sync"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
-	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
-
 	"github.com/tanagerspindle/tanagerspindle/ctrl/disk"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
+	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 )
 
 const (
--- a/ctrl/wlog/reader.go
+++ b/ctrl/wlog/reader.go
@@ -5,10 +5,9 @@
 	"strconv"
 	"strings"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
-
 	"github.com/tanagerspindle/tanagerspindle/ctrl/disk"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
+	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 )
 
 const suffix = ".log"
--- a/ctrl/wlog/wlog.go
+++ b/ctrl/wlog/wlog.go
@@ -5,11 +5,10 @@
 import (
 	"fmt"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
-	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
-
 	"github.com/tanagerspindle/tanagerspindle/ctrl/disk"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
+	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 )
 
 // SegmentBytes is the size at which a new segment file begins.
--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -10,14 +10,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/wake"
-
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wake"
 )
 
 // Kind classifies the failures of this package.
--- a/entry/relay/attempt.go
+++ b/entry/relay/attempt.go
@@ -6,12 +6,11 @@
 	"net/http"
 	"time"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
-
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/entry/picker"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 )
 
--- a/pkg/uplink/uplink.go
+++ b/pkg/uplink/uplink.go
@@ -7,11 +7,10 @@
 	"sync"
 	"time"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
-
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
 )
 
--- a/pkg/vnet/network.go
+++ b/pkg/vnet/network.go
@@ -9,9 +9,8 @@
 	"sync"
 	"time"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
-
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 )
 
 // Kind classifies the failures of this package.
--- a/spindle/cmds/control.go
+++ b/spindle/cmds/control.go
@@ -6,12 +6,11 @@
 	"net"
 	"time"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
-
 	"github.com/urfave/cli/v3"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/launch"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/setup"
 )
--- a/stubs/model/complete.go
+++ b/stubs/model/complete.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
-
 	"github.com/julienschmidt/httprouter"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 )
 
 // defaultTokens is the length of an answer without a limit.
--- a/stubs/model/engine.go
+++ b/stubs/model/engine.go
@@ -11,10 +11,9 @@
 	"sync"
 	"time"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
-
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/stubs/beacon"
 	"github.com/tanagerspindle/tanagerspindle/stubs/store"
 )
--- a/stubs/store/store.go
+++ b/stubs/store/store.go
@@ -6,9 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
-
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 )
 
 const (
