--- a/agent/runner/report.go
+++ b/agent/runner/report.go
@@ -47,6 +47,15 @@
 	return record
 }
 
+// loaded adds the present load to a frame.
+func (r *Runner) loaded(frame *call.Frame) *call.Frame {
+	frame.Queued = r.Queue.Lengths()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	frame.Running = int32(len(r.running))
+	return frame
+}
+
 // Fenced reports whether the endpoint refuses orders with an old fencing
 // number. A plain service takes no orders.
 func (r *Runner) Fenced() bool {
--- a/agent/runner/task.go
+++ b/agent/runner/task.go
@@ -175,7 +175,7 @@
 
 // last sends the last frame.
 func (t *task) last(frame *call.Frame) {
-	t.send(frame)
+	t.send(t.runner.loaded(frame))
 	close(t.over)
 	t.runner.Reported()
 }
@@ -201,7 +201,7 @@
 	t.headed = true
 	t.mutex.Unlock()
 	if first {
-		t.send(&call.Frame{Step: call.StepHead, Status: status, Header: header, Waited: int64(waited)})
+		t.send(t.runner.loaded(&call.Frame{Step: call.StepHead, Status: status, Header: header, Waited: int64(waited)}))
 	}
 }
 
--- a/entry/picker/picker.go
+++ b/entry/picker/picker.go
@@ -244,6 +244,16 @@
 	}, nil
 }
 
+// Heard takes the load that came with an answer of the choice's endpoint.
+func (p *Picker) Heard(c *Choice, running int32, queued []int32) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	e := c.endpoint
+	e.record.Running, e.record.Queued = running, queued
+	e.report++
+	e.since, e.ended = 0, 0
+}
+
 // Release ends the attempt's count.
 func (p *Picker) Release(c *Choice) {
 	p.mutex.Lock()
--- a/entry/picker/picker_test.go
+++ b/entry/picker/picker_test.go
@@ -248,3 +248,19 @@
 		}
 	})
 }
+
+func TestLoadThatCameWithAnAnswerCounts(t *testing.T) {
+	p := &picker.Picker{Random: func(int) int { return 0 }}
+	p.Update([]roster.Record{
+		{Agent: "one", Incarnation: 1, Model: "base", Places: 8, Ready: true},
+		{Agent: "two", Incarnation: 1, Model: "base", Places: 8, Ready: true},
+	})
+	want := &picker.Want{Model: "base", Adapter: "adapter", Version: "1"}
+	first, err := p.Pick(want)
+	require.NoError(t, err)
+	p.Heard(first, 8, []int32{20, 0, 0})
+	p.Release(first)
+	second, err := p.Pick(want)
+	require.NoError(t, err)
+	require.NotEqual(t, first.Agent, second.Agent)
+}
--- a/entry/relay/attempt.go
+++ b/entry/relay/attempt.go
@@ -36,7 +36,7 @@
 	defer j.relay.pool.put(s)
 	a := j.newAttempt(choice)
 	if !j.request.Once {
-		return j.exchange(ctx, s, a)
+		return j.exchange(ctx, s, a, choice)
 	}
 	return j.once(ctx, s, a, choice)
 }
@@ -64,7 +64,7 @@
 	if err := j.request.Claim(ctx, a, choice.Agent); err != nil {
 		return verdictFinal, err
 	}
-	verdict, err := j.exchange(ctx, s, a)
+	verdict, err := j.exchange(ctx, s, a, choice)
 	if verdict == verdictBroken {
 		verdict, err = j.settle(ctx, a, choice)
 	}
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/entry/picker"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
@@ -37,6 +38,7 @@
 type exchange struct {
 	job     *job
 	attempt *call.Attempt
+	choice  *picker.Choice
 	session *pooled
 	stream  *wire.Stream
 	// index is the next part's; tokens counts those of this attempt.
@@ -54,14 +56,14 @@
 	asking bool
 }
 
-func (j *job) exchange(ctx context.Context, s *pooled, a *call.Attempt) (verdict, error) {
+func (j *job) exchange(ctx context.Context, s *pooled, a *call.Attempt, choice *picker.Choice) (verdict, error) {
 	stream, err := s.session.Open(plane.MethodAttempt)
 	if err != nil {
 		j.relay.pool.retire(s)
 		return verdictElsewhere, err
 	}
 	defer func() { _ = stream.Close() }()
-	e := &exchange{job: j, attempt: a, session: s, stream: stream, paid: j.request.Reserved}
+	e := &exchange{job: j, attempt: a, choice: choice, session: s, stream: stream, paid: j.request.Reserved}
 	stop := context.AfterFunc(ctx, e.cancel)
 	defer stop()
 	if err := stream.Send(a); err != nil {
@@ -120,6 +122,9 @@
 		if ctx.Err() != nil && frame.Step != call.StepRefuse {
 			continue
 		}
+		if len(frame.Queued) > 0 {
+			e.job.relay.Picker.Heard(e.choice, frame.Running, frame.Queued)
+		}
 		done, verdict, err := e.take(ctx, &frame)
 		if done {
 			return verdict, err
--- a/pkg/call/frame.go
+++ b/pkg/call/frame.go
@@ -74,6 +74,12 @@
 	// Waited is how long the attempt waited for a load, in nanoseconds; in
 	// StepHead.
 	Waited int64 `protobuf:"varint,13,opt"`
+	// Running and Queued are the endpoint's load as in its reports, in a
+	// StepHead and in the last frame: so that entries know the load of those
+	// that they use sooner than control tells them. Without Queued there is
+	// none.
+	Running int32   `protobuf:"varint,14,opt"`
+	Queued  []int32 `protobuf:"varint,15,rep"`
 }
 
 // Check reports the first invalid field.
