--- a/agent/slots/slots.go
+++ b/agent/slots/slots.go
@@ -1,4 +1,4 @@
-// Package slots keeps the truth about the adapter slots of the engine beside
+// Package slots is the authority on the adapter slots of the engine beside
 // the agent: what is resident, what is pinned, what is loaded next and what
 // goes for it. Nothing else orders the engine to load or unload.
 package slots
--- a/ctrl/folder/folder.go
+++ b/ctrl/folder/folder.go
@@ -1,7 +1,7 @@
 // Package folder watches an operators' folder on a control VM and submits its
 // content when operators change it.
 //
-// The committed configuration is the truth and the folder only a way to
+// The committed configuration is authoritative and the folder only a way to
 // change it: several folders and the command line may be in use at once, and
 // a VM may come back with old files. So the content counts, not the time of
 // files, and it is submitted only when it is known to be an operator's change
