--- a/stubs/bench/bench.go
+++ b/stubs/bench/bench.go
@@ -48,8 +48,6 @@
 	Folder string
 	// Faults brings about failures during the traffic; nil none.
 	Faults func(ctx context.Context, f *fleet.Fleet, network *vnet.Network)
-	// Seen is called with the deployment once it has started; nil is not.
-	Seen func(f *fleet.Fleet)
 }
 
 // Result is what a run showed.
@@ -89,9 +87,6 @@
 	if b.Faults != nil {
 		go b.Faults(ctx, f, network)
 	}
-	if b.Seen != nil {
-		b.Seen(f)
-	}
 	start := time.Now()
 	requests := callers.Run(ctx)
 	watch.end()
