--- a/ctrl/node/outlet.go
+++ b/ctrl/node/outlet.go
@@ -14,6 +14,9 @@
 )
 
 const (
+	// endDelay is how soon a stream ends with its context; not zero, see
+	// wire.Stream.EndReceive.
+	endDelay = time.Millisecond
 	// dialTimeout bounds one attempt to connect.
 	dialTimeout = time.Second
 	// firstDelay and longestDelay bound the pause after a failed attempt.
@@ -228,7 +231,7 @@
 		return err
 	}
 	defer func() { _ = stream.Close() }()
-	release := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	release := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now().Add(endDelay)) })
 	defer release()
 	if err := stream.Send(request); err != nil {
 		return err
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -89,7 +89,7 @@
 // hangUp ends a Receive under way. Closing a stream alone ends only its
 // sending direction.
 func (e *exchange) hangUp() {
-	_ = e.stream.Conn().SetReadDeadline(time.Now())
+	e.stream.EndReceive()
 	_ = e.stream.Close()
 }
 
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -17,6 +17,11 @@
 // MaxMessage is the largest message accepted, in bytes.
 const MaxMessage = 16 << 20
 
+// endDelay is how soon a Receive ends. It is not zero, because a timer that has
+// expired before it is waited for can crash the runtime in a synctest bubble
+// under the race detector.
+const endDelay = time.Millisecond
+
 // Kind classifies the failures of this package.
 type Kind string
 
@@ -99,6 +104,12 @@
 // Close ends the stream in both directions, and a Receive under way with it:
 // the multiplexer's own Close ends the sending direction only.
 func (s *Stream) Close() error {
-	_ = s.conn.SetReadDeadline(time.Now())
+	s.EndReceive()
 	return s.conn.Close()
 }
+
+// EndReceive makes a Receive under way, and each later one, fail within
+// endDelay.
+func (s *Stream) EndReceive() {
+	_ = s.conn.SetReadDeadline(time.Now().Add(endDelay))
+}
