--- a/ctrl/node/outlet.go
+++ b/ctrl/node/outlet.go
@@ -223,8 +223,8 @@
 	}
 }
 
-// call exchanges one request for one reply. Closing a stream does not wake
-// its reader, so the end of ctx sets a deadline.
+// call exchanges one request for one reply. The end of ctx ends the sending
+// side too, which may wait for a peer that reads nothing.
 func call(ctx context.Context, session *link.Session, method string, request, reply any) error {
 	stream, err := session.Open(method)
 	if err != nil {
