Call what stands already: bubble's own emptying, conf's default window

Cause: the read of the whole change found the pools emptied twice before four kinds of bubbles, the default window written three times, and error kinds that nothing returns. Change: each stands once; dead kinds are gone. No check or bound changed.

--- a/ctrl/daemon/cluster_test.go
+++ b/ctrl/daemon/cluster_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"maps"
 	"os"
-	"runtime"
 	"slices"
 	"sync"
 	"testing"
@@ -50,10 +49,6 @@
 }
 
 func inCluster(t *testing.T, seed uint64, run func(c *cluster)) {
-	// yamux keeps timers in a sync.Pool, and a timer of one bubble must not
-	// be used in another: two collections empty the pool.
-	runtime.GC()
-	runtime.GC()
 	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		c := &cluster{t: t, network: vnet.New(), disks: map[string]*disk.Memory{}, running: map[string]*running{}, seed: seed * 1000, ctx: ctx}
--- a/ctrl/ledger/ledger.go
+++ b/ctrl/ledger/ledger.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 )
 
@@ -22,8 +23,6 @@
 	MostBytes = 256 << 20
 	// MostBody is the largest answer recorded in full, in bytes.
 	MostBody = 64 << 10
-	// defaultWindow is how long a claim without a window is kept.
-	defaultWindow = 24 * time.Hour
 	// openLife is how long a claim without an outcome is kept at least.
 	openLife = 24 * time.Hour
 	// claimBytes is what a claim takes besides its fields, in bytes.
@@ -128,7 +127,7 @@
 		Sum: ask.Sum, Workspace: ask.Workspace, Route: ask.Route, Window: int64(ask.Window), State: plane.ClaimTaken,
 	}
 	if claim.Window <= 0 {
-		claim.Window = int64(defaultWindow)
+		claim.Window = int64(conf.DefaultWindow)
 	}
 	if l.full(claim) {
 		return &plane.ClaimReply{Refused: plane.KindFull, State: plane.ClaimNone}
--- a/entry/daemon/world_test.go
+++ b/entry/daemon/world_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -202,10 +201,6 @@
 // inWorld runs a test in virtual time with engines e1 and e2 and services s1
 // and s2.
 func inWorld(t *testing.T, test func(w *world)) {
-	// yamux keeps timers in a global sync.Pool; two collections empty it, so
-	// that none of another bubble is used in this one.
-	runtime.GC()
-	runtime.GC()
 	bubble.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		defer w.close()
--- a/entry/once/once.go
+++ b/entry/once/once.go
@@ -12,6 +12,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/digest"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
@@ -40,8 +41,6 @@
 	// after a failed one.
 	askTimeout = time.Second
 	askDelay   = 50 * time.Millisecond
-	// defaultWindow is how long a claim is kept when its route says nothing.
-	defaultWindow = 24 * time.Hour
 	// mostRecorded is the largest answer recorded whole, in bytes.
 	mostRecorded = 256 << 10
 	// retryLater is when callers may ask again after control was not reached.
@@ -141,7 +140,7 @@
 func (o *Once) newClaim(ctx context.Context, r *chain.Request) *claim {
 	window := r.Route.Window.Std()
 	if window == 0 {
-		window = defaultWindow
+		window = conf.DefaultWindow
 	}
 	sum := digest.Of([]byte(r.Method), []byte(r.Path), []byte(r.Query), r.Body)
 	key := digest.Of([]byte("content"), []byte(r.Workspace), []byte(r.RouteName), sum)
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -32,8 +32,6 @@
 const (
 	KindDial    Kind = "cannot connect"
 	KindOpen    Kind = "cannot open stream"
-	KindMethod  Kind = "unknown method"
-	KindRemote  Kind = "refused by the other end"
 	KindSilent  Kind = "connection is silent"
 	KindSession Kind = "cannot start session"
 )
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -27,10 +27,9 @@
 
 // The kinds of failure.
 const (
-	KindSize   Kind = "message too large"
-	KindRead   Kind = "cannot read"
-	KindWrite  Kind = "cannot write"
-	KindRemote Kind = "remote failure"
+	KindSize  Kind = "message too large"
+	KindRead  Kind = "cannot read"
+	KindWrite Kind = "cannot write"
 )
 
 // Error is this package's error type.
--- a/spindle/cmds/cmds_test.go
+++ b/spindle/cmds/cmds_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"os"
 	"path/filepath"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -100,9 +99,6 @@
 // run runs one command line against the replicas in a bubble and returns its
 // output and exit code in one text.
 func run(t *testing.T, r *replicas, arguments ...string) string {
-	// yamux keeps timers in a sync.Pool, which must not outlive a bubble.
-	runtime.GC()
-	runtime.GC()
 	var result string
 	bubble.Test(t, func(t *testing.T) {
 		network := vnet.New()
--- a/spindle/cmds/real_test.go
+++ b/spindle/cmds/real_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -31,8 +30,6 @@
 }
 
 func deploy(t *testing.T, body func(d *deployment)) {
-	runtime.GC()
-	runtime.GC()
 	bubble.Test(t, func(t *testing.T) {
 		d := &deployment{t: t, network: vnet.New(), dir: t.TempDir()}
 		d.network.Latency = func(string, string) time.Duration { return time.Millisecond }
