--- /dev/null
+++ b/agent/gate/gate.go
@@ -0,0 +1,210 @@
+// Package gate decides which requests may go to an engine now, in which order,
+// and which are refused at once because they could not be served in time.
+//
+// It answers a burst of requests on one engine: what is admitted beyond the
+// engine's memory would preempt running requests and read their prompts again,
+// and prompts that are read together stall the tokens of all others.
+package gate
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+const (
+	tierResumed = iota
+	tierTimely
+	tierLate
+)
+
+const (
+	// prefillRate is how many prompt tokens an engine reads in a millisecond;
+	// from the users' sheets: 25.8.
+	prefillRate = 25.0
+	// prefillAhead is how much reading of prompts may be under way before the
+	// next one is admitted. Two prompts of the usual size; a third of the
+	// longest pause between events of a stream.
+	prefillAhead = 90 * time.Millisecond
+	// memoryShare is the part of the engine's memory that is given away; the
+	// rest holds parts of prompts that others share.
+	memoryShare = 0.92
+	// hintSpread is how far an answer may exceed the caller's estimate, which
+	// is right at the median only, before its memory was not counted.
+	hintSpread = 2
+	// leastService is the time that a request takes at least at an engine: the
+	// reading of a short prompt and the first events.
+	leastService = 100 * time.Millisecond
+	// tokenTime is the time for one token of an answer at a full engine; from
+	// the users' sheets: 8.2 ms and 4 ms for a full batch.
+	tokenTime = 12 * time.Millisecond
+)
+
+// Gate admits requests to one engine. Its exported fields may change between
+// calls; it is used by one goroutine at a time.
+type Gate struct {
+	// Slots is how many requests the engine runs at once.
+	Slots int
+	// Tokens is how many tokens fit into its memory.
+	Tokens int64
+
+	waiting []*Want
+	running map[*Want]struct{}
+	used    int64
+	// reading is when the prompts admitted so far will have been read.
+	reading time.Time
+}
+
+// Add takes a request in.
+func (g *Gate) Add(w *Want) { g.waiting = append(g.waiting, w) }
+
+// Drop takes a waiting request out and reports whether it was there.
+func (g *Gate) Drop(w *Want) bool {
+	at := slices.Index(g.waiting, w)
+	if at < 0 {
+		return false
+	}
+	g.waiting = slices.Delete(g.waiting, at, at+1)
+	return true
+}
+
+// Waiting returns the waiting requests, most urgent first.
+func (g *Gate) Waiting(now time.Time) []*Want {
+	slices.SortStableFunc(g.waiting, func(a, b *Want) int {
+		switch {
+		case a.before(b, now):
+			return -1
+		case b.before(a, now):
+			return 1
+		}
+		return 0
+	})
+	return slices.Clone(g.waiting)
+}
+
+// Running returns the number of requests at the engine.
+func (g *Gate) Running() int { return len(g.running) }
+
+// Fits reports whether the engine has room for a request now.
+func (g *Gate) Fits(w *Want, now time.Time) bool {
+	if len(g.running) == 0 {
+		return true
+	}
+	return len(g.running) < g.Slots && g.used+w.tokens() <= g.room() && g.reading.Sub(now) < prefillAhead
+}
+
+func (g *Gate) room() int64 { return int64(float64(g.Tokens) * memoryShare) }
+
+// Begin moves a request from waiting to running.
+func (g *Gate) Begin(w *Want, now time.Time) {
+	g.Drop(w)
+	if g.running == nil {
+		g.running = map[*Want]struct{}{}
+	}
+	g.running[w] = struct{}{}
+	g.used += w.tokens()
+	if g.reading.Before(now) {
+		g.reading = now
+	}
+	g.reading = g.reading.Add(readTime(w))
+	w.began = now
+}
+
+// End takes a running request out.
+func (g *Gate) End(w *Want) {
+	if _, ok := g.running[w]; !ok {
+		return
+	}
+	delete(g.running, w)
+	g.used -= w.tokens()
+}
+
+func readTime(w *Want) time.Duration {
+	return time.Duration(float64(w.Ask.Prompt) / prefillRate * float64(time.Millisecond))
+}
+
+// Load returns the work at the engine and in front of it as a share of what
+// the engine can do, in thousandths.
+func (g *Gate) Load() int64 {
+	if g.Slots == 0 || g.Tokens == 0 {
+		return 0
+	}
+	tokens := g.used
+	for _, w := range g.waiting {
+		tokens += w.tokens()
+	}
+	slots := int64(len(g.running)+len(g.waiting)) * 1000 / int64(g.Slots)
+	return max(slots, tokens*1000/max(g.room(), 1))
+}
+
+// Wait estimates when a request that comes now could begin, after a load that
+// takes some time, given what would go before it.
+func (g *Gate) Wait(w *Want, load time.Duration, now time.Time) time.Duration {
+	reading := max(g.reading.Sub(now), 0)
+	tokens, ahead := g.used+w.tokens(), 0
+	for _, other := range g.waiting {
+		if other == w || !other.before(w, now) {
+			continue
+		}
+		ahead++
+		reading += readTime(other)
+		tokens += other.tokens()
+	}
+	wait := max(reading-prefillAhead, 0)
+	if over := tokens - g.room(); over > 0 && len(g.running) > 0 {
+		wait = max(wait, g.freeing(over))
+	}
+	if over := len(g.running) + ahead + 1 - g.Slots; over > 0 {
+		wait = max(wait, g.freeing(int64(over)*g.meanTokens()))
+	}
+	return max(wait, load)
+}
+
+// freeing estimates how long it takes until running requests have given back
+// so many tokens.
+func (g *Gate) freeing(tokens int64) time.Duration {
+	mean, life := g.meanTokens(), time.Duration(0)
+	for w := range g.running {
+		life += time.Duration(w.tokens()-w.Ask.Prompt) * tokenTime
+	}
+	life /= time.Duration(len(g.running))
+	// Requests end evenly over their life: one after another frees its tokens.
+	each := life / time.Duration(len(g.running))
+	return time.Duration((tokens+mean-1)/mean) * each
+}
+
+func (g *Gate) meanTokens() int64 {
+	if len(g.running) == 0 {
+		return 1
+	}
+	return max(g.used/int64(len(g.running)), 1)
+}
+
+// Hopeless reports whether a request that could begin after wait is better
+// refused at once: it would be late where another engine or a later moment may
+// serve it in time.
+func (g *Gate) Hopeless(w *Want, wait time.Duration, now time.Time) bool {
+	left := w.until().Sub(now)
+	if wait+leastService > left {
+		return true
+	}
+	if w.Ask.Resumed {
+		return false
+	}
+	timely := w.goal().Sub(now) - readTime(w)
+	if wait <= timely {
+		return false
+	}
+	return !w.Ask.Last || wait > left/lateShare
+}
+
+// lateShare is the part of the time that a caller has left, as a divisor, that
+// it may wait at its last engine for a late answer.
+const lateShare = 4
--- /dev/null
+++ b/agent/gate/gate_test.go
@@ -0,0 +1,116 @@
+package gate_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/agent/gate"
+	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+)
+
+var start = time.Unix(1000, 0)
+
+func want(prompt, answer int64, after time.Duration, change func(*admit.Ask)) *gate.Want {
+	ask := &admit.Ask{
+		Endpoint: "e", Model: "m", Prompt: prompt, Answer: answer,
+		Goal: span.Duration(time.Second), Left: span.Duration(8 * time.Second),
+	}
+	if change != nil {
+		change(ask)
+	}
+	return &gate.Want{Ask: ask, Arrived: start.Add(after)}
+}
+
+func TestOrderOfWaitingRequests(t *testing.T) {
+	g := &gate.Gate{Slots: 4, Tokens: 10_000}
+	late := want(10, 10, -2*time.Second, nil)
+	second := want(10, 10, 0, nil)
+	first := want(10, 10, -time.Millisecond, nil)
+	urgent := want(10, 10, 0, func(a *admit.Ask) { a.Rank = -1 })
+	resumed := want(10, 10, -3*time.Second, func(a *admit.Ask) { a.Resumed = true })
+	for _, w := range []*gate.Want{late, second, first, urgent, resumed} {
+		g.Add(w)
+	}
+	require.Equal(t, []*gate.Want{resumed, urgent, first, second, late}, g.Waiting(start))
+	require.True(t, g.Drop(first))
+	require.False(t, g.Drop(first))
+}
+
+// A burst of prompts is admitted at the speed at which the engine reads them,
+// so that running streams do not stall for longer than a few prompts take.
+func TestBurstIsReadOneAfterAnother(t *testing.T) {
+	g := &gate.Gate{Slots: 64, Tokens: 142_000}
+	admitted := 0
+	for range 20 {
+		w := want(1460, 170, 0, nil)
+		if g.Fits(w, start) {
+			g.Begin(w, start)
+			admitted++
+		}
+	}
+	require.LessOrEqual(t, admitted, 3)
+	require.True(t, g.Fits(want(1460, 170, 0, nil), start.Add(200*time.Millisecond)))
+}
+
+// Memory is not promised twice: a preempted request reads its prompt anew.
+func TestMemoryIsNotOverbooked(t *testing.T) {
+	g := &gate.Gate{Slots: 64, Tokens: 10_000}
+	var running []*gate.Want
+	now := start
+	for range 20 {
+		now = now.Add(time.Second)
+		w := want(1000, 1000, 0, nil)
+		if g.Fits(w, now) {
+			g.Begin(w, now)
+			running = append(running, w)
+		}
+	}
+	require.Len(t, running, 4)
+	g.End(running[0])
+	g.End(running[0])
+	require.True(t, g.Fits(want(1000, 1000, 0, nil), now))
+	require.True(t, (&gate.Gate{Slots: 1, Tokens: 10}).Fits(want(1000, 1000, 0, nil), now), "an empty engine decides itself")
+}
+
+func TestSlotsAreNotOverbooked(t *testing.T) {
+	g := &gate.Gate{Slots: 2, Tokens: 10_000}
+	for i := range 2 {
+		g.Begin(want(1, 1, 0, nil), start.Add(time.Duration(i)*time.Second))
+	}
+	require.False(t, g.Fits(want(1, 1, 0, nil), start.Add(time.Minute)))
+	require.Positive(t, g.Wait(want(1, 1, 0, nil), 0, start))
+	require.EqualValues(t, 1000, g.Load())
+}
+
+func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
+	g := &gate.Gate{Slots: 2, Tokens: 10_000}
+	last := func(a *admit.Ask) { a.Last = true }
+	for name, test := range map[string]struct {
+		want *gate.Want
+		wait time.Duration
+		hope bool
+	}{
+		"in time":                     {want(10, 10, 0, nil), 500 * time.Millisecond, true},
+		"late, others may do better":  {want(10, 10, 0, nil), 1500 * time.Millisecond, false},
+		"late, but there is no other": {want(10, 10, 0, last), 1500 * time.Millisecond, true},
+		"too late at the last one":    {want(10, 10, 0, last), 3 * time.Second, false},
+		"after the caller has gone":   {want(10, 10, 0, last), 8 * time.Second, false},
+		"resumed":                     {want(10, 10, 0, func(a *admit.Ask) { a.Resumed = true }), 3 * time.Second, true},
+	} {
+		require.Equal(t, !test.hope, g.Hopeless(test.want, test.wait, start), name)
+	}
+}
+
+func TestWaitGrowsWithTheWorkAhead(t *testing.T) {
+	g := &gate.Gate{Slots: 64, Tokens: 142_000}
+	before := g.Wait(want(1460, 170, 0, nil), 0, start)
+	for i := range 30 {
+		g.Add(want(1460, 170, time.Duration(i-31)*time.Millisecond, nil))
+	}
+	require.Zero(t, before)
+	require.Greater(t, g.Wait(want(1460, 170, 0, nil), 0, start), time.Second)
+	require.Equal(t, 9*time.Second, g.Wait(want(1460, 170, 0, nil), 9*time.Second, start))
+}
--- /dev/null
+++ b/agent/gate/want.go
@@ -0,0 +1,56 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
+)
+
+// Want is one request that wants to go to the engine.
+type Want struct {
+	// Ask is what the entry said. It is not changed.
+	Ask *admit.Ask
+	// Arrived is when the ask came.
+	Arrived time.Time
+
+	began time.Time
+}
+
+// goal is when the first token is late.
+func (w *Want) goal() time.Time { return w.Arrived.Add(w.Ask.Goal.Std()) }
+
+// until is when the caller gives up.
+func (w *Want) until() time.Time { return w.Arrived.Add(w.Ask.Left.Std()) }
+
+// tokens is the memory that the request will probably take at the engine.
+func (w *Want) tokens() int64 {
+	answer := w.Ask.Answer
+	if hint := w.Ask.Hint; hint > 0 {
+		answer = min(answer, hint*hintSpread)
+	}
+	return w.Ask.Prompt + answer
+}
+
+// tier orders wants: those of callers who have a part of the answer first,
+// then those that can still be in time, then the late ones.
+func (w *Want) tier(now time.Time) int {
+	if w.Ask.Resumed {
+		return tierResumed
+	}
+	if now.Before(w.goal()) {
+		return tierTimely
+	}
+	return tierLate
+}
+
+// before reports whether a goes before b.
+func (w *Want) before(other *Want, now time.Time) bool {
+	a, b := w.tier(now), other.tier(now)
+	if a != b {
+		return a < b
+	}
+	if w.Ask.Rank != other.Ask.Rank {
+		return w.Ask.Rank < other.Ask.Rank
+	}
+	return w.goal().Before(other.goal())
+}
--- /dev/null
+++ b/agent/keeper/engine.go
@@ -0,0 +1,60 @@
+package keeper
+
+import "github.com/tanagerspindle/tanagerspindle/agent/shelf"
+
+// Report is what an engine says of itself.
+type Report struct {
+	// Born is when the engine's process started, in Unix milliseconds; 0 when
+	// it does not say.
+	Born int64
+	// Models are the base models that it holds.
+	Models []string
+	// Adapters are those that it holds or awaits.
+	Adapters []shelf.Held
+	// Busy says that it is loading or unloading a base model.
+	Busy bool
+	// Seq counts the orders that it has taken since its start.
+	Seq uint64
+	// Running and Queued are the numbers of requests that it runs and that
+	// wait in it.
+	Running, Queued int
+	// Leaving says that it takes no more requests.
+	Leaving bool
+}
+
+// holds reports whether a base model is there.
+func (r *Report) holds(model string) bool {
+	for _, name := range r.Models {
+		if name == model {
+			return true
+		}
+	}
+	return false
+}
+
+// Order is what the agent wants its engine to do.
+type Order struct {
+	// Endpoint is the engine that is meant; empty when its name is not known.
+	Endpoint string
+	// Load is false for an unload. Adapter is empty for a base model.
+	Load           bool
+	Model, Adapter string
+	// Version is the one to load; 0 loads the newest.
+	Version int64
+	// Expected is the number of orders that the engine must have taken before;
+	// otherwise it refuses this one, however late it arrives.
+	Expected uint64
+}
+
+// Outcome is an engine's answer to an order.
+type Outcome string
+
+// The outcomes.
+const (
+	// OutcomeTaken says that the order is being carried out.
+	OutcomeTaken Outcome = "taken"
+	// OutcomeHolds says that it holds already.
+	OutcomeHolds Outcome = "holds"
+	// OutcomeRefused says that it was not taken.
+	OutcomeRefused Outcome = "refused"
+)
--- /dev/null
+++ b/agent/keeper/keeper.go
@@ -0,0 +1,259 @@
+// Package keeper runs the agent beside an engine whose requests come from the
+// entries directly: it admits them, gives the engine its orders and follows
+// its reports.
+//
+// The agent is the only one to order its engine, so that two never order
+// against each other, and none needs a lease for it. Requests do not pass
+// through it, so that its end cuts off none of them.
+package keeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/tanagerspindle/tanagerspindle/agent/gate"
+	"github.com/tanagerspindle/tanagerspindle/agent/shelf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wake"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// The kinds of failure.
+const (
+	KindListen Kind = "cannot listen"
+	KindServe  Kind = "cannot serve entries"
+)
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+const (
+	// idlePoll and busyPoll are the times between two reports while nothing is
+	// waited for, and while an adapter is on its way: a tenth of its load.
+	idlePoll = 150 * time.Millisecond
+	busyPoll = 25 * time.Millisecond
+	// reportTimeout bounds one report from the engine on this VM.
+	reportTimeout = 400 * time.Millisecond
+	// downAfter is how many reports in a row may fail before the engine counts
+	// as down.
+	downAfter = 2
+	// stepInterval is the longest time between two looks at what waits, for
+	// what only the passing of time changes.
+	stepInterval = 10 * time.Millisecond
+	// leastLoad is the time for which a missing adapter is waited for at
+	// least: a load from the weight store at full speed takes 250 ms.
+	leastLoad = 250 * time.Millisecond
+)
+
+// Keeper is one agent. Its exported fields are set before Run.
+type Keeper struct {
+	// Host gives log, meter and network.
+	Host host.Host
+	// Listen is where entries reach the agent, as IP:port.
+	Listen string
+	// Report asks the engine for a report, and Order gives it an order. An
+	// error of Order means that the order may have been taken.
+	Report func(ctx context.Context) (*Report, error)
+	Order  func(ctx context.Context, order *Order) (Outcome, error)
+	// Engine returns what is configured of the engine; nil while unknown.
+	Engine func() *conf.Engine
+	// Endpoint returns the engine's name, empty while unknown.
+	Endpoint func() string
+
+	once  sync.Once
+	mutex sync.Mutex
+	gate  gate.Gate
+	shelf shelf.Shelf
+	// tasks are the requests that wait, by their want.
+	tasks   map[*gate.Want]*task
+	last    *Report
+	failed  int
+	leaving bool
+	// ordering says that an order is on its way to the engine.
+	ordering bool
+	// expected is the count of orders that the next one must find; it is known
+	// when counted is set. answered is when the last order was answered.
+	expected uint64
+	counted  bool
+	answered time.Time
+	// loading is since when a base model is on its way.
+	loading time.Time
+	kick    wake.Signal
+	polled  wake.Signal
+	context context.Context
+}
+
+func (k *Keeper) prepare() {
+	k.once.Do(func() {
+		k.tasks = map[*gate.Want]*task{}
+		k.context = context.Background()
+	})
+}
+
+// Run serves entries until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	k.prepare()
+	listener, err := k.Host.Listen(k.Listen)
+	if err != nil {
+		return &Error{Op: "listen on " + k.Listen, Kind: KindListen, Err: err}
+	}
+	serving, stop := context.WithCancel(ctx)
+	defer stop()
+	k.mutex.Lock()
+	k.context = serving
+	k.mutex.Unlock()
+	var parts conc.WaitGroup
+	parts.Go(func() { k.poll(serving) })
+	parts.Go(func() { k.look(serving) })
+	k.Host.Log.Write("keeper-started", "listen", k.Listen)
+	err = link.Serve(serving, listener, map[string]link.Handler{admit.Method: k.Admit})
+	stop()
+	parts.Wait()
+	k.Host.Log.Write("keeper-stopped", "err", err)
+	if err != nil && ctx.Err() == nil {
+		return &Error{Op: "serve", Kind: KindServe, Err: err}
+	}
+	return nil
+}
+
+// Release takes versions of adapters that new requests need.
+func (k *Keeper) Release(releases []plane.Release) {
+	k.prepare()
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	now := time.Now()
+	for _, release := range releases {
+		k.shelf.Release(shelf.Key{Model: release.Model, Adapter: release.Adapter}, release.Version, now)
+	}
+	k.kick.Set()
+}
+
+// look takes a step after each change and each stepInterval.
+func (k *Keeper) look(ctx context.Context) {
+	timer := time.NewTimer(stepInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.kick.C():
+		case <-timer.C:
+		}
+		if k.step(time.Now()) {
+			timer.Reset(stepInterval)
+			continue
+		}
+		timer.Reset(idlePoll)
+	}
+}
+
+// step admits, refuses and orders what can be now, and reports whether
+// anything waits.
+func (k *Keeper) step(now time.Time) (waits bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.configure()
+	if k.last == nil {
+		if k.failed >= downAfter {
+			k.refuseAll(admit.ReasonDown)
+		}
+		return len(k.tasks) > 0
+	}
+	wanted := k.admitAll(now)
+	k.nextOrder(wanted, now)
+	return len(k.tasks) > 0
+}
+
+// configure takes the engine's size from the configuration.
+func (k *Keeper) configure() {
+	engine := k.Engine()
+	if engine == nil {
+		return
+	}
+	k.gate.Slots, k.gate.Tokens = int(engine.Slots), engine.Tokens
+	k.shelf.Places = int(engine.Places)
+}
+
+// admitAll goes through the waiting requests in their order, and returns the
+// adapters that some of them wait for.
+func (k *Keeper) admitAll(now time.Time) []shelf.Key {
+	var wanted []shelf.Key
+	full := false
+	for _, w := range k.gate.Waiting(now) {
+		t := k.tasks[w]
+		if !k.last.holds(w.Ask.Model) {
+			if k.refuseModel(t, now) {
+				continue
+			}
+			full = true
+			continue
+		}
+		version, ready := int64(0), true
+		if w.Ask.Adapter != "" {
+			version, ready = k.shelf.Ready(t.key, w.Ask.Version, now)
+		}
+		if !ready {
+			wanted = append(wanted, t.key)
+		}
+		if ready && !full && k.gate.Fits(w, now) {
+			k.begin(t, version, now)
+			continue
+		}
+		full = full || ready
+		k.giveUp(t, ready, now)
+	}
+	return wanted
+}
+
+// refuseModel refuses a request whose base model is neither there nor coming.
+func (k *Keeper) refuseModel(t *task, now time.Time) bool {
+	if k.last.Busy || !k.loading.IsZero() {
+		wait := k.modelWait(now)
+		if !k.gate.Hopeless(t.want, wait, now) {
+			return false
+		}
+		k.finish(t, &admit.Reply{Reason: admit.ReasonBusy, Wait: waitOf(wait), Load: k.gate.Load()})
+		return true
+	}
+	k.finish(t, &admit.Reply{Reason: admit.ReasonEmpty, Wait: waitOf(leastLoad)})
+	return true
+}
+
+// giveUp refuses a waiting request that could not be served in time.
+func (k *Keeper) giveUp(t *task, ready bool, now time.Time) {
+	load := time.Duration(0)
+	if !ready {
+		load = k.loadWait(t.key)
+	}
+	wait := k.gate.Wait(t.want, load, now)
+	if k.gate.Hopeless(t.want, wait, now) {
+		k.finish(t, &admit.Reply{Reason: admit.ReasonBusy, Wait: waitOf(wait), Load: k.gate.Load()})
+	}
+}
+
+// loadWait estimates how long a missing adapter takes to come.
+func (k *Keeper) loadWait(key shelf.Key) time.Duration {
+	if k.shelf.Has(key) {
+		return leastLoad / 2
+	}
+	turns := k.shelf.Flight()/shelf.MostFlight + 1
+	return time.Duration(turns) * leastLoad
+}
+
+func (k *Keeper) refuseAll(reason admit.Reason) {
+	for _, t := range k.tasks {
+		if !t.begun {
+			k.finish(t, &admit.Reply{Reason: reason, Wait: waitOf(leastLoad)})
+		}
+	}
+}
--- /dev/null
+++ b/agent/keeper/orders.go
@@ -0,0 +1,166 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/agent/shelf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
+)
+
+const (
+	// orderTimeout bounds one order; a late one is refused by its count.
+	orderTimeout = 300 * time.Millisecond
+	// modelLife is how long a load of a base model is believed to be under
+	// way. The users' models take 2.9 s, longer when several load at once.
+	modelLife = 12 * time.Second
+)
+
+// poll follows the engine's reports until ctx ends.
+func (k *Keeper) poll(ctx context.Context) {
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, reportTimeout)
+		asked := time.Now()
+		report, err := k.Report(limited)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		interval := k.take(report, err, asked)
+		k.kick.Set()
+		timer := time.NewTimer(interval)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-k.polled.C():
+			pause.For(ctx, busyPoll/2)
+		}
+		timer.Stop()
+	}
+}
+
+// take applies a report that was asked for at a time, and returns the time
+// until the next.
+func (k *Keeper) take(report *Report, err error, asked time.Time) time.Duration {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	now := time.Now()
+	if err != nil {
+		k.failed++
+		if k.failed == downAfter {
+			k.Host.Log.Write("engine-down", "err", err)
+			k.last = nil
+			k.shelf.Clear()
+		}
+		return idlePoll
+	}
+	if k.failed >= downAfter {
+		k.Host.Log.Write("engine-up", "born", report.Born, "models", len(report.Models), "adapters", len(report.Adapters))
+	}
+	k.failed = 0
+	if k.last != nil && (report.Born != k.last.Born || report.Seq < k.last.Seq) {
+		k.Host.Log.Write("engine-restarted", "born", report.Born, "seq", report.Seq, "former_born", k.last.Born, "former_seq", k.last.Seq)
+		k.shelf.Clear()
+		k.loading = time.Time{}
+	}
+	k.last = report
+	if !k.ordering && !asked.Before(k.answered) {
+		k.expected, k.counted = report.Seq, true
+	}
+	k.shelf.Sync(report.Adapters, now)
+	if len(report.Models) > 0 || now.Sub(k.loading) > modelLife {
+		k.loading = time.Time{}
+	}
+	if k.shelf.Flight() > 0 || report.Busy || !k.loading.IsZero() {
+		return busyPoll
+	}
+	return idlePoll
+}
+
+// nextOrder gives the engine its next order, one at a time. The mutex is held.
+func (k *Keeper) nextOrder(wanted []shelf.Key, now time.Time) {
+	if k.ordering || !k.counted || k.last.Leaving {
+		return
+	}
+	if order, ok := k.modelOrder(now); ok {
+		k.loading = now
+		k.ordering = true
+		go k.give(order, nil)
+		return
+	}
+	if len(k.last.Models) == 0 {
+		return
+	}
+	next, ok := k.shelf.Next(wanted, now)
+	if !ok {
+		return
+	}
+	k.shelf.Sent(next, now)
+	k.ordering = true
+	order := &Order{Load: next.Load, Model: next.Key.Model, Adapter: next.Key.Adapter, Version: next.Version}
+	go k.give(order, &next)
+}
+
+// modelOrder returns the order that loads a base model into an empty engine.
+func (k *Keeper) modelOrder(now time.Time) (*Order, bool) {
+	engine := k.Engine()
+	if engine == nil || len(engine.Models) == 0 || len(k.last.Models) > 0 || k.last.Busy || !k.loading.IsZero() {
+		return nil, false
+	}
+	return &Order{Load: true, Model: k.modelToLoad(engine)}, true
+}
+
+// modelToLoad returns the model that most requests wait for, or the first.
+func (k *Keeper) modelToLoad(engine *conf.Engine) string {
+	waiting := map[string]int{}
+	for w := range k.tasks {
+		waiting[w.Ask.Model]++
+	}
+	chosen := engine.Models[0].Name
+	for _, model := range engine.Models {
+		if waiting[model.Name] > waiting[chosen] {
+			chosen = model.Name
+		}
+	}
+	return chosen
+}
+
+// modelWait estimates how long a base model on its way takes.
+func (k *Keeper) modelWait(now time.Time) time.Duration {
+	engine := k.Engine()
+	if engine == nil || len(engine.Models) == 0 {
+		return modelLife
+	}
+	usual := engine.Models[0].Load.Std()
+	return max(usual-now.Sub(k.loading), usual/4)
+}
+
+// give sends one order and notes what became of it.
+func (k *Keeper) give(order *Order, next *shelf.Order) {
+	order.Endpoint = k.Endpoint()
+	k.mutex.Lock()
+	order.Expected = k.expected
+	ctx, cancel := context.WithTimeout(k.context, orderTimeout)
+	k.mutex.Unlock()
+	defer cancel()
+	outcome, err := k.Order(ctx, order)
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.ordering, k.counted, k.answered = false, false, time.Now()
+	k.Host.Meter.Add("orders", 1)
+	k.Host.Log.Write("engine-ordered", "load", order.Load, "model", order.Model, "adapter", order.Adapter, "version", order.Version,
+		"expected", order.Expected, "outcome", outcome, "err", err)
+	switch {
+	case err != nil:
+		// It may be taken later, unless another order is taken first.
+	case outcome == OutcomeTaken:
+		k.expected, k.counted = order.Expected+1, true
+	case outcome == OutcomeRefused && next != nil:
+		k.shelf.Refused(*next)
+	case outcome == OutcomeRefused:
+		k.loading = time.Time{}
+	}
+	k.polled.Set()
+	k.kick.Set()
+}
--- /dev/null
+++ b/agent/keeper/task.go
@@ -0,0 +1,132 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/agent/gate"
+	"github.com/tanagerspindle/tanagerspindle/agent/shelf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
+)
+
+// task is one request of one entry.
+type task struct {
+	want  *gate.Want
+	key   shelf.Key
+	reply chan *admit.Reply
+	// begun says that the request may be at the engine.
+	begun bool
+}
+
+// Admit serves one stream: an Ask, the Reply, and the end of the request.
+func (k *Keeper) Admit(ctx context.Context, stream *wire.Stream) error {
+	k.prepare()
+	ask := &admit.Ask{}
+	if err := stream.Receive(ask); err != nil {
+		return err
+	}
+	now := time.Now()
+	t := &task{
+		want:  &gate.Want{Ask: ask, Arrived: now},
+		key:   shelf.Key{Model: ask.Model, Adapter: ask.Adapter},
+		reply: make(chan *admit.Reply, 1),
+	}
+	if !k.enter(t, now) {
+		return stream.Send(&admit.Reply{Reason: admit.ReasonLeaving})
+	}
+	defer k.leave(t)
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		// The entry sends nothing more; this ends when the stream does.
+		_ = stream.Receive(&admit.Ask{})
+	}()
+	select {
+	case reply := <-t.reply:
+		k.log(t, reply)
+		if err := stream.Send(reply); err != nil || reply.Reason != admit.ReasonNone {
+			return err
+		}
+	case <-gone:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-gone:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+func (k *Keeper) log(t *task, reply *admit.Reply) {
+	k.Host.Meter.Add("admissions", 1)
+	waited := time.Since(t.want.Arrived)
+	k.Host.Meter.Observe("admission", waited)
+	if reply.Reason == admit.ReasonNone {
+		reply.Wait = span.Duration(waited)
+		return
+	}
+	k.Host.Meter.Add("refused_"+string(reply.Reason), 1)
+	k.Host.Log.Write("admission-refused", "request", t.want.Ask.ID, "adapter", t.want.Ask.Adapter, "reason", reply.Reason,
+		"wait", reply.Wait, "load", reply.Load, "goal", t.want.Ask.Goal, "left", t.want.Ask.Left, "last", t.want.Ask.Last)
+}
+
+// enter takes a request in; it returns false while the agent stops.
+func (k *Keeper) enter(t *task, now time.Time) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.leaving {
+		return false
+	}
+	k.tasks[t.want] = t
+	k.gate.Add(t.want)
+	if t.key.Adapter != "" {
+		k.shelf.Touch(t.key, now)
+		if t.want.Ask.Version > 0 {
+			k.shelf.Release(t.key, t.want.Ask.Version, now)
+		}
+	}
+	k.kick.Set()
+	return true
+}
+
+// begin lets a request go to the engine.
+func (k *Keeper) begin(t *task, version int64, now time.Time) {
+	k.gate.Begin(t.want, now)
+	t.begun = true
+	if t.key.Adapter != "" {
+		k.shelf.Pin(t.key)
+	}
+	t.reply <- &admit.Reply{Version: version, Load: k.gate.Load()}
+}
+
+// finish refuses a waiting request.
+func (k *Keeper) finish(t *task, reply *admit.Reply) {
+	k.gate.Drop(t.want)
+	delete(k.tasks, t.want)
+	t.reply <- reply
+}
+
+// leave takes a request out, whether it waits, runs or was refused.
+func (k *Keeper) leave(t *task) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.tasks[t.want] != t {
+		return
+	}
+	delete(k.tasks, t.want)
+	if !t.begun {
+		k.gate.Drop(t.want)
+		return
+	}
+	k.gate.End(t.want)
+	if t.key.Adapter != "" {
+		k.shelf.Unpin(t.key)
+	}
+	k.kick.Set()
+}
+
+func waitOf(wait time.Duration) span.Duration { return span.Duration(max(wait, time.Millisecond)) }
--- /dev/null
+++ b/agent/shelf/shelf.go
@@ -0,0 +1,309 @@
+// Package shelf decides which adapters an engine holds that loads them in
+// order and reports what it holds.
+//
+// It answers skewed demand on few places: popular adapters stay, rare ones take
+// turns in the places of those that are used least. An adapter in use is never
+// unloaded. What the engine reports is the truth; orders that are under way
+// count as carried out and as not, whichever is worse.
+package shelf
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+const (
+	// MostFlight is how many adapters may be on their way to one engine at
+	// once; a bound of the users' engines.
+	MostFlight = 4
+	// orderLife is how long an order without an effect is believed to be under
+	// way. A load takes 250 ms, longer when many run at once.
+	orderLife = 3 * time.Second
+	// renewSpread is the time over which engines renew an adapter that is in
+	// use, so that not all who hold it stop at once. The users allow 5 s.
+	renewSpread = 2 * time.Second
+)
+
+// Key names an adapter of a base model.
+type Key struct{ Model, Adapter string }
+
+// Held is an adapter at the engine, as the engine reports it.
+type Held struct {
+	Key     Key
+	Version int64
+	// Coming says that it is on its way.
+	Coming bool
+}
+
+// Order is what the engine should do next.
+type Order struct {
+	Key  Key
+	Load bool
+	// Version is the one to load; 0 loads the newest.
+	Version int64
+}
+
+// item is an adapter at the engine.
+type item struct {
+	version int64
+	coming  bool
+	// leaving says that it is to be unloaded or replaced: it is no longer
+	// given out.
+	leaving bool
+}
+
+// Shelf holds the places of one engine. Its exported fields may change between
+// calls; it is used by one goroutine at a time.
+type Shelf struct {
+	// Places is how many adapters the engine holds at once.
+	Places int
+	// Jitter returns a share between 0 and 1 for a renewal; nil means 0.
+	Jitter func() float64
+
+	items map[Key]*item
+	// ordered are the orders whose effect has not been reported.
+	ordered map[Key]pending
+	pins    map[Key]int
+	uses    map[Key]*use
+	// newest are the versions that new requests need, with the time from which
+	// a held one is renewed although it is in use.
+	newest map[Key]release
+}
+
+type pending struct {
+	order Order
+	until time.Time
+}
+
+type release struct {
+	version int64
+	renew   time.Time
+}
+
+// Sync takes what the engine reports to hold.
+func (s *Shelf) Sync(report []Held, now time.Time) {
+	s.prepare()
+	items := make(map[Key]*item, len(report))
+	for _, held := range report {
+		known := items[held.Key]
+		if known == nil {
+			known = &item{}
+			items[held.Key] = known
+		}
+		if held.Coming {
+			known.coming = true
+			continue
+		}
+		known.version = held.Version
+	}
+	s.items = items
+	for key, p := range s.ordered {
+		if s.settled(p.order) || !now.Before(p.until) {
+			delete(s.ordered, key)
+			continue
+		}
+		if held := items[key]; held != nil {
+			held.leaving = true
+		}
+	}
+}
+
+// settled reports whether an order has had its effect.
+func (s *Shelf) settled(order Order) bool {
+	held := s.items[order.Key]
+	if !order.Load {
+		return held == nil
+	}
+	return held != nil && (held.coming || held.version >= max(order.Version, 1))
+}
+
+func (s *Shelf) prepare() {
+	if s.pins == nil {
+		s.items, s.ordered = map[Key]*item{}, map[Key]pending{}
+		s.pins, s.uses, s.newest = map[Key]int{}, map[Key]*use{}, map[Key]release{}
+	}
+}
+
+// Clear forgets what an engine held that has started anew.
+func (s *Shelf) Clear() {
+	s.prepare()
+	s.items, s.ordered = map[Key]*item{}, map[Key]pending{}
+}
+
+// Release notes that new requests need a version of an adapter.
+func (s *Shelf) Release(key Key, version int64, now time.Time) {
+	s.prepare()
+	if s.newest[key].version >= version {
+		return
+	}
+	share := 0.0
+	if s.Jitter != nil {
+		share = s.Jitter()
+	}
+	s.newest[key] = release{version: version, renew: now.Add(time.Duration(share * float64(renewSpread)))}
+}
+
+// Ready returns the version that the engine holds of an adapter, if a request
+// that needs at least the given one may use it now.
+func (s *Shelf) Ready(key Key, version int64, now time.Time) (held int64, ok bool) {
+	known := s.items[key]
+	if known == nil || known.leaving || known.version == 0 || known.version < version {
+		return 0, false
+	}
+	if wanted := s.newest[key]; known.version < wanted.version && !now.Before(wanted.renew) {
+		return 0, false
+	}
+	return known.version, true
+}
+
+// Pin keeps an adapter while a request uses it; Unpin ends that.
+func (s *Shelf) Pin(key Key) {
+	s.prepare()
+	s.pins[key]++
+}
+
+// Unpin ends one Pin.
+func (s *Shelf) Unpin(key Key) {
+	s.pins[key]--
+	if s.pins[key] <= 0 {
+		delete(s.pins, key)
+	}
+}
+
+// Has reports whether the engine holds or awaits an adapter in any version.
+func (s *Shelf) Has(key Key) bool { return s.items[key] != nil || s.ordered[key].order.Load }
+
+// Flight returns how many adapters are on their way.
+func (s *Shelf) Flight() int {
+	count := 0
+	for key, held := range s.items {
+		if held.coming && !s.ordered[key].order.Load {
+			count++
+		}
+	}
+	for _, p := range s.ordered {
+		if p.order.Load {
+			count++
+		}
+	}
+	return count
+}
+
+// taken returns how many places are taken at most.
+func (s *Shelf) taken() int {
+	count := len(s.items)
+	for key, p := range s.ordered {
+		if p.order.Load && s.items[key] == nil {
+			count++
+		}
+	}
+	return count
+}
+
+// Next returns the order that the engine should get now. wanted are the
+// adapters that requests wait for, the most urgent first.
+func (s *Shelf) Next(wanted []Key, now time.Time) (Order, bool) {
+	s.prepare()
+	if s.Flight() >= MostFlight {
+		return Order{}, false
+	}
+	freeing := s.freeing()
+	for _, key := range wanted {
+		if _, under := s.ordered[key]; under {
+			continue
+		}
+		load := Order{Key: key, Load: true, Version: s.newest[key].version}
+		if held := s.items[key]; held != nil {
+			if !held.coming && held.version < load.Version && !now.Before(s.newest[key].renew) {
+				return load, true
+			}
+			continue
+		}
+		if s.taken() < s.Places {
+			return load, true
+		}
+		if freeing > 0 {
+			// A place is being freed for this one already.
+			freeing--
+			continue
+		}
+		if victim, ok := s.victim(wanted, now); ok {
+			return Order{Key: victim}, true
+		}
+	}
+	return s.renewal(now)
+}
+
+// freeing returns how many places are being freed.
+func (s *Shelf) freeing() int {
+	count := 0
+	for _, p := range s.ordered {
+		if !p.order.Load {
+			count++
+		}
+	}
+	return count
+}
+
+// victim returns the adapter that is used least and that nobody needs now.
+func (s *Shelf) victim(wanted []Key, now time.Time) (Key, bool) {
+	var chosen Key
+	least, found := 0.0, false
+	for key, held := range s.items {
+		if held.coming || held.leaving || s.pins[key] > 0 || slices.Contains(wanted, key) {
+			continue
+		}
+		worth := s.uses[key].at(now)
+		if !found || worth < least || worth == least && key.compare(chosen) < 0 {
+			chosen, least, found = key, worth, true
+		}
+	}
+	return chosen, found
+}
+
+// renewal returns the order that replaces an adapter whose version is old.
+func (s *Shelf) renewal(now time.Time) (Order, bool) {
+	var chosen Key
+	found := false
+	for key, wanted := range s.newest {
+		held := s.items[key]
+		_, under := s.ordered[key]
+		if held == nil || held.coming || under || held.version >= wanted.version || now.Before(wanted.renew) {
+			continue
+		}
+		if !found || key.compare(chosen) < 0 {
+			chosen, found = key, true
+		}
+	}
+	return Order{Key: chosen, Load: true, Version: s.newest[chosen].version}, found
+}
+
+func (k Key) compare(other Key) int {
+	return cmp.Or(cmp.Compare(k.Model, other.Model), cmp.Compare(k.Adapter, other.Adapter))
+}
+
+// Sent notes that an order may have reached the engine.
+func (s *Shelf) Sent(order Order, now time.Time) {
+	s.prepare()
+	s.ordered[order.Key] = pending{order: order, until: now.Add(orderLife)}
+	if held := s.items[order.Key]; held != nil {
+		held.leaving = true
+	}
+}
+
+// Refused notes that the engine did not take an order.
+func (s *Shelf) Refused(order Order) {
+	delete(s.ordered, order.Key)
+	if held := s.items[order.Key]; held != nil {
+		held.leaving = false
+	}
+}
--- /dev/null
+++ b/agent/shelf/shelf_test.go
@@ -0,0 +1,199 @@
+package shelf_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/agent/shelf"
+)
+
+var start = time.Unix(1000, 0)
+
+func key(name string) shelf.Key { return shelf.Key{Model: "m", Adapter: name} }
+
+// engine carries out orders as the users' engines do.
+type engine struct {
+	t      *testing.T
+	shelf  *shelf.Shelf
+	held   map[shelf.Key]int64
+	coming map[shelf.Key]int64
+	users  map[shelf.Key]int
+	now    time.Time
+}
+
+func newEngine(t *testing.T, places int) *engine {
+	return &engine{
+		t: t, shelf: &shelf.Shelf{Places: places}, now: start,
+		held: map[shelf.Key]int64{}, coming: map[shelf.Key]int64{}, users: map[shelf.Key]int{},
+	}
+}
+
+func (e *engine) report() {
+	var report []shelf.Held
+	for key, version := range e.held {
+		report = append(report, shelf.Held{Key: key, Version: version})
+	}
+	for key, version := range e.coming {
+		report = append(report, shelf.Held{Key: key, Version: version, Coming: true})
+	}
+	e.shelf.Sync(report, e.now)
+}
+
+// order gives the engine its next order and reports whether there was one.
+func (e *engine) order(wanted ...shelf.Key) (shelf.Order, bool) {
+	order, ok := e.shelf.Next(wanted, e.now)
+	if !ok {
+		return order, false
+	}
+	e.shelf.Sent(order, e.now)
+	if !order.Load {
+		require.Zero(e.t, e.users[order.Key], "an adapter in use is unloaded")
+		delete(e.held, order.Key)
+		return order, true
+	}
+	e.coming[order.Key] = max(order.Version, 1)
+	all := map[shelf.Key]bool{}
+	for key := range e.held {
+		all[key] = true
+	}
+	for key := range e.coming {
+		all[key] = true
+	}
+	require.LessOrEqual(e.t, len(all), e.shelf.Places, "more adapters than places")
+	require.LessOrEqual(e.t, len(e.coming), shelf.MostFlight)
+	return order, true
+}
+
+func (e *engine) arrive() {
+	for key, version := range e.coming {
+		if e.users[key] == 0 {
+			e.held[key] = version
+			delete(e.coming, key)
+		}
+	}
+	e.report()
+}
+
+func TestLoadsWhatIsWantedUntilThePlacesAreTaken(t *testing.T) {
+	e := newEngine(t, 2)
+	a, b, c := key("a"), key("b"), key("c")
+	for _, wanted := range []shelf.Key{a, b} {
+		e.shelf.Touch(wanted, e.now)
+		order, ok := e.order(wanted)
+		require.True(t, ok)
+		require.Equal(t, shelf.Order{Key: wanted, Load: true}, order)
+	}
+	_, ok := e.order(a, b)
+	require.False(t, ok, "both are on their way")
+	e.arrive()
+	e.shelf.Touch(b, e.now)
+	e.shelf.Touch(c, e.now)
+	order, ok := e.order(c)
+	require.True(t, ok)
+	require.Equal(t, shelf.Order{Key: a}, order, "used least")
+	_, ok = e.order(c)
+	require.False(t, ok, "the place is not known to be free yet")
+	e.report()
+	order, _ = e.order(c)
+	require.Equal(t, shelf.Order{Key: c, Load: true}, order)
+}
+
+func TestAdaptersInUseStay(t *testing.T) {
+	e := newEngine(t, 1)
+	e.order(key("a"))
+	e.arrive()
+	e.shelf.Pin(key("a"))
+	_, ok := e.order(key("b"))
+	require.False(t, ok)
+	e.shelf.Unpin(key("a"))
+	order, _ := e.order(key("b"))
+	require.Equal(t, shelf.Order{Key: key("a")}, order)
+	_, ok = e.shelf.Ready(key("a"), 0, e.now)
+	require.False(t, ok, "it is leaving")
+}
+
+func TestRefusedAndLostOrders(t *testing.T) {
+	e := newEngine(t, 1)
+	order, _ := e.shelf.Next([]shelf.Key{key("a")}, e.now)
+	e.shelf.Sent(order, e.now)
+	_, ok := e.shelf.Next([]shelf.Key{key("a")}, e.now)
+	require.False(t, ok)
+	e.shelf.Refused(order)
+	order, ok = e.shelf.Next([]shelf.Key{key("a")}, e.now)
+	require.True(t, ok)
+	e.shelf.Sent(order, e.now)
+	e.now = e.now.Add(time.Minute)
+	e.report()
+	_, ok = e.shelf.Next([]shelf.Key{key("a")}, e.now)
+	require.True(t, ok, "the order has had no effect")
+}
+
+func TestNewVersionReplacesTheOldOne(t *testing.T) {
+	e := newEngine(t, 2)
+	e.shelf.Jitter = func() float64 { return 0.5 }
+	e.order(key("a"))
+	e.arrive()
+	e.shelf.Release(key("a"), 2, e.now)
+	_, ok := e.shelf.Ready(key("a"), 0, e.now)
+	require.True(t, ok, "it is renewed a little later")
+	_, ok = e.shelf.Ready(key("a"), 2, e.now)
+	require.False(t, ok, "a request that needs the new one")
+	e.now = e.now.Add(time.Second)
+	_, ok = e.shelf.Ready(key("a"), 0, e.now)
+	require.False(t, ok)
+	order, ok := e.order()
+	require.True(t, ok)
+	require.Equal(t, shelf.Order{Key: key("a"), Load: true, Version: 2}, order)
+	e.arrive()
+	version, ok := e.shelf.Ready(key("a"), 2, e.now)
+	require.True(t, ok)
+	require.EqualValues(t, 2, version)
+	_, ok = e.order()
+	require.False(t, ok)
+}
+
+func TestRestartedEngineIsEmpty(t *testing.T) {
+	e := newEngine(t, 2)
+	e.order(key("a"))
+	e.arrive()
+	e.shelf.Clear()
+	_, ok := e.shelf.Ready(key("a"), 0, e.now)
+	require.False(t, ok)
+	order, _ := e.shelf.Next([]shelf.Key{key("a")}, e.now)
+	require.True(t, order.Load)
+}
+
+// Random demand never overfills the places nor unloads what is in use.
+func TestRandomDemand(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 6))
+	e := newEngine(t, 6)
+	for range 5000 {
+		e.now = e.now.Add(20 * time.Millisecond)
+		name := key(fmt.Sprint(random.IntN(20)))
+		switch random.IntN(5) {
+		case 0, 1:
+			e.shelf.Touch(name, e.now)
+			e.order(name)
+		case 2:
+			if _, ok := e.shelf.Ready(name, 0, e.now); ok {
+				require.Contains(t, e.held, name)
+				e.shelf.Pin(name)
+				e.users[name]++
+			}
+		case 3:
+			if e.users[name] > 0 {
+				e.users[name]--
+				e.shelf.Unpin(name)
+			}
+		case 4:
+			e.arrive()
+			if random.IntN(50) == 0 {
+				e.shelf.Release(name, int64(random.IntN(9)+1), e.now)
+			}
+		}
+	}
+}
--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -46,6 +46,8 @@
 	KindNode   Kind = "replica stopped"
 	KindLeader Kind = "no leader"
 	KindState  Kind = "bad result"
+	// KindInvalid says that what was submitted can never be accepted.
+	KindInvalid Kind = "invalid"
 )
 
 // Error is this package's error type.
@@ -67,6 +69,11 @@
 	Address string
 	// Peers are all replicas, this one included.
 	Peers []Peer
+	// Voters, Late and Dead are those of node.Node: a group that any replica
+	// may join.
+	Voters int
+	Late   bool
+	Dead   time.Duration
 	// Folder holds the replica's data.
 	Folder string
 	// Disk replaces Folder, and Seed makes IDs and timeouts repeatable, in
@@ -98,9 +105,10 @@
 		d.permits = &permit.Coordinator{Host: d.Host, Loads: d.Loads, Flight: d.Flight, Choose: d.Choose}
 		d.node = d.newNode()
 		d.feeds = &feeds.Feeds{
-			Host: d.Host, Name: d.Name, Peers: d.others(), Loads: d.Loads,
+			Host: d.Host, Name: d.Name, Peers: d.others, Loads: d.Loads,
 			Replica: func() uint64 { return d.node.Status().ID }, Members: d.members,
-			Machine: &d.machine, Roster: &d.roster,
+			Addresses: d.addresses,
+			Machine:   &d.machine, Roster: &d.roster,
 			Propose: d.propose, Barrier: d.barrier, Open: d.node.Open,
 		}
 		d.machine.Changed = d.feeds.Changed
@@ -114,6 +122,7 @@
 func (d *Daemon) newNode() *node.Node {
 	n := &node.Node{
 		Host: d.Host, Name: d.Name, Address: d.Address, Folder: d.Folder, Disk: d.Disk, Seed: d.Seed,
+		Voters: d.Voters, Late: d.Late, Dead: d.Dead,
 		Apply:    func(entry node.Entry) []byte { return d.machine.Apply(entry.Time, entry.Data) },
 		Snapshot: d.machine.Snapshot,
 		Restore:  d.machine.Restore,
@@ -139,15 +148,34 @@
 	return err
 }
 
+// others returns the names of the other replicas: the peers, or the members
+// of a group that any replica may join.
 func (d *Daemon) others() []string {
 	var names []string
-	for _, peer := range d.Peers {
-		if peer.Name != d.Name {
+	if d.Voters > 0 {
+		for _, member := range d.node.Status().Members {
+			names = append(names, member.Name)
+		}
+	} else {
+		for _, peer := range d.Peers {
 			names = append(names, peer.Name)
 		}
 	}
+	names = slices.DeleteFunc(names, func(name string) bool { return name == d.Name })
 	slices.Sort(names)
-	return names
+	return slices.Compact(names)
+}
+
+// addresses returns where daemons reach the replicas that vote.
+func (d *Daemon) addresses() []string {
+	var addresses []string
+	for _, member := range d.node.Status().Members {
+		if member.Voter {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
 }
 
 // lead follows the leadership of this replica. A replica that lost it ends the
--- /dev/null
+++ b/ctrl/daemon/site.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
+	"github.com/tanagerspindle/tanagerspindle/pkg/census"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+// Replace commits a configuration that takes the place of any with a lower
+// number and returns the newest number; one with an older or equal number is
+// acknowledged and changes nothing. After an error the configuration may or
+// may not have been accepted: submit it again.
+func (d *Daemon) Replace(ctx context.Context, next *conf.Config) (newest uint64, err error) {
+	d.prepare()
+	if err := next.Check(); err != nil {
+		return 0, &Error{Op: "check configuration", Kind: KindInvalid, Err: err}
+	}
+	if number := d.machine.Number(); next.Number <= number {
+		return number, nil
+	}
+	result, err := d.propose(ctx, &state.Command{Whole: next})
+	if err != nil {
+		return 0, err
+	}
+	d.Host.Log.Write("configuration-replaced", "number", next.Number, "newest", result.Config.Number)
+	return result.Config.Number, nil
+}
+
+// Announce commits what an endpoint says of itself; what is old or known
+// already needs no commit.
+func (d *Daemon) Announce(ctx context.Context, report *census.Record) error {
+	d.prepare()
+	if err := report.Check(); err != nil {
+		return &Error{Op: "check announcement", Kind: KindInvalid, Err: err}
+	}
+	if !d.machine.JudgeReport(report) {
+		return nil
+	}
+	_, err := d.propose(ctx, &state.Command{Reports: []census.Record{*report}})
+	d.Host.Log.Write("endpoint-announced", "endpoint", report.Name, "service", report.Service, "address", report.Address,
+		"leaving", report.Leaving, "born", report.Born, "seq", report.Seq, "err", err)
+	return err
+}
+
+// Depart commits that an endpoint has left. Born is 0 when the endpoint does
+// not say which process of its name it was.
+func (d *Daemon) Depart(ctx context.Context, name string, born int64) error {
+	d.prepare()
+	_, err := d.propose(ctx, &state.Command{Leaves: []state.Leave{{Name: name, Born: born}}})
+	d.Host.Log.Write("endpoint-departed", "endpoint", name, "born", born, "err", err)
+	return err
+}
+
+// Release commits a version of an adapter that new requests run on.
+func (d *Daemon) Release(ctx context.Context, named *plane.Release) error {
+	d.prepare()
+	if err := named.Check(); err != nil {
+		return &Error{Op: "check release", Kind: KindInvalid, Err: err}
+	}
+	if d.machine.Released(named) {
+		return nil
+	}
+	_, err := d.propose(ctx, &state.Command{Release: named})
+	d.Host.Log.Write("adapter-released", "model", named.Model, "adapter", named.Adapter, "version", named.Version, "err", err)
+	return err
+}
--- a/ctrl/feeds/feeds.go
+++ b/ctrl/feeds/feeds.go
@@ -64,13 +64,17 @@
 type Feeds struct {
 	// Host gives log and meter.
 	Host host.Host
-	// Name is the replica's, and Peers those of the other replicas.
+	// Name is the replica's, and Peers returns those of the other replicas; nil
+	// knows none.
 	Name  string
-	Peers []string
+	Peers func() []string
 	// Replica returns the replica's ID, 0 while it has none, and Members those
 	// of all replicas; nil knows none.
 	Replica func() uint64
 	Members func() []uint64
+	// Addresses returns where daemons reach the replicas, sorted; nil tells
+	// daemons nothing.
+	Addresses func() []string
 	// Machine is the replicated state, Roster the endpoints known here.
 	Machine *state.Machine
 	Roster  *roster.Roster
@@ -114,9 +118,6 @@
 		f.members = map[*member]struct{}{}
 		f.holders = map[holderKey]*holder{}
 		f.peers = map[string]*peer{}
-		for _, name := range f.Peers {
-			f.peers[name] = &peer{burn: map[goal]plane.Burn{}}
-		}
 		f.changed = make(chan struct{})
 		f.proved, f.listening = time.Now(), time.Now()
 		f.barriers.run = f.round
@@ -131,10 +132,7 @@
 	f.prepare()
 	var group conc.WaitGroup
 	group.Go(func() { f.sweepAll(ctx) })
-	for _, name := range f.Peers {
-		group.Go(func() { f.listen(ctx, name) })
-	}
-	<-ctx.Done()
+	f.listenAll(ctx, &group)
 	f.mutex.Lock()
 	f.closed = true
 	f.mutex.Unlock()
--- a/ctrl/feeds/peers.go
+++ b/ctrl/feeds/peers.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
@@ -55,6 +58,61 @@
 	burn map[goal]plane.Burn
 }
 
+// listenAll keeps an exchange with each of the other replicas open until ctx
+// ends, and follows changes of who they are.
+func (f *Feeds) listenAll(ctx context.Context, group *conc.WaitGroup) {
+	if f.Peers == nil {
+		<-ctx.Done()
+		return
+	}
+	open := map[string]context.CancelFunc{}
+	for {
+		names := f.Peers()
+		for _, name := range names {
+			if open[name] != nil {
+				continue
+			}
+			f.meet(name)
+			listening, cancel := context.WithCancel(ctx)
+			open[name] = cancel
+			group.Go(func() { f.listen(listening, name) })
+		}
+		for name, cancel := range open {
+			if !slices.Contains(names, name) {
+				cancel()
+				delete(open, name)
+				f.part(name)
+			}
+		}
+		pause(ctx, peerInterval, nil)
+		if ctx.Err() != nil {
+			for _, cancel := range open {
+				cancel()
+			}
+			return
+		}
+	}
+}
+
+// meet makes room for what a replica tells.
+func (f *Feeds) meet(name string) *peer {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	p := f.peers[name]
+	if p == nil {
+		p = &peer{burn: map[goal]plane.Burn{}}
+		f.peers[name] = p
+	}
+	return p
+}
+
+// part forgets a replica that is no longer in the group.
+func (f *Feeds) part(name string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	delete(f.peers, name)
+}
+
 // listen keeps an exchange with a peer open until ctx ends.
 func (f *Feeds) listen(ctx context.Context, name string) {
 	for ctx.Err() == nil {
@@ -97,8 +155,8 @@
 	}
 	news.Roster = nil
 	f.burn.add(news.Burn)
+	p := f.meet(name)
 	f.mutex.Lock()
-	p := f.peers[name]
 	former := p.last.Replica
 	p.heard, p.last = time.Now(), *news
 	f.mutex.Unlock()
@@ -137,12 +195,8 @@
 		return &Error{Op: "receive ask", Kind: KindStream, Err: err}
 	}
 	news := make(chan struct{}, 1)
+	p := f.meet(ask.Name)
 	f.mutex.Lock()
-	p := f.peers[ask.Name]
-	if p == nil {
-		p = &peer{burn: map[goal]plane.Burn{}}
-		f.peers[ask.Name] = p
-	}
 	p.news = news
 	f.mutex.Unlock()
 	vector := ask.Vector
--- a/ctrl/feeds/serve.go
+++ b/ctrl/feeds/serve.go
@@ -36,6 +36,10 @@
 	sent   time.Time
 	vector []roster.Mark
 	bans   uint64
+	// changes is the revision of endpoints and releases, replicas the
+	// addresses of control that were sent last.
+	changes  uint64
+	replicas []string
 	// followed says that the daemon has the roster from this replica up to
 	// vector, and not from elsewhere.
 	followed bool
@@ -61,6 +65,7 @@
 		return &Error{Op: "receive hello", Kind: KindStream, Err: err}
 	}
 	m.number, m.vector, m.acknowledged = m.hello.Number, m.hello.Vector, m.hello.Number
+	m.changes = m.hello.Changes
 	if err := f.admit(ctx, m); err != nil {
 		return err
 	}
--- a/ctrl/feeds/update.go
+++ b/ctrl/feeds/update.go
@@ -29,6 +29,9 @@
 	if m.hello.Role == plane.RoleEntry && f.composeRoster(m, update) {
 		news = true
 	}
+	if m.hello.Role != plane.RoleAgent && f.composeSite(m, update) {
+		news = true
+	}
 	if revision := f.Machine.BansRevision(); revision != m.bans {
 		update.Bans, update.BansRevision = f.Machine.Bans()
 		m.bans = update.BansRevision
@@ -40,11 +43,11 @@
 	return update, news
 }
 
-// composeConfig adds what leads an entry to the committed configuration.
-// Agents act on requests and not on the configuration; they only acknowledge
-// its number.
+// composeConfig adds what leads a daemon to the committed configuration.
+// Agents whose endpoints announce themselves to them act on requests and not
+// on the configuration; they only acknowledge its number.
 func (f *Feeds) composeConfig(m *member, update *plane.Update) {
-	if m.hello.Role == plane.RoleEntry {
+	if m.hello.Role != plane.RoleAgent {
 		update.Config = f.Machine.Deltas(m.number)
 	}
 	if update.Config != nil {
@@ -53,6 +56,28 @@
 	m.number, m.sent = update.Number, time.Now()
 }
 
+// composeSite adds endpoints, releases and control's own addresses where they
+// have changed.
+func (f *Feeds) composeSite(m *member, update *plane.Update) bool {
+	news := false
+	if f.Machine.Changes() != m.changes {
+		update.Endpoints, update.Releases, update.Changes = f.Machine.Site(m.changes)
+		m.changes = update.Changes
+		news = true
+	}
+	if f.Addresses == nil {
+		return news
+	}
+	if replicas := f.Addresses(); !slices.Equal(replicas, m.replicas) {
+		m.replicas, update.Replicas = replicas, replicas
+		news = true
+	}
+	if m.hello.Role == plane.RoleEntry {
+		update.Entries = int32(len(f.Entries()))
+	}
+	return news
+}
+
 // composeAgent adds what only agents need. It returns false when a later
 // incarnation of the agent exists.
 func (f *Feeds) composeAgent(m *member, update *plane.Update) bool {
--- a/ctrl/member/join.go
+++ b/ctrl/member/join.go
@@ -37,6 +37,9 @@
 	// Removed says that the peer leads and that a living replica of the same
 	// name took the place of the one that asked.
 	Removed bool `protobuf:"varint,6,opt"`
+	// Leader is the address of the leader that the peer follows; empty when it
+	// knows none.
+	Leader string `protobuf:"bytes,7,opt"`
 }
 
 // Bootstrap returns the first membership of a new group, if self has to make
--- a/ctrl/member/repair.go
+++ b/ctrl/member/repair.go
@@ -8,13 +8,16 @@
 
 // Repair says when replicas are replaced. All fields count the core's ticks.
 type Repair struct {
-	// Names are those that the group should have.
+	// Names are those that the group should have, unless Voters is set.
 	Names []string
 	// Dead is how long a voter must have been silent before a learner of the
 	// same name takes its place without being asked for.
 	Dead int
 	// Alive is how long a replica that counts as alive may be silent.
 	Alive int
+	// Voters is how many voters a group should have that any replica may
+	// join; 0 keeps the group to Names.
+	Voters int
 }
 
 // Next returns the next membership change that the leader should make, if
@@ -29,21 +32,57 @@
 		if learner.Voter || learner.Match < status.Commit || learner.Silent > r.Alive {
 			continue
 		}
-		old, found := voterNamed(status, learner.Name)
+		if change, ok := r.admit(status, learner, wanted); ok {
+			return change, true
+		}
+	}
+	return raft.Change{}, false
+}
+
+// admit returns the next step of a learner that is ready on its way to be a
+// voter.
+func (r Repair) admit(status raft.Status, learner raft.Standing, wanted map[string]bool) (raft.Change, bool) {
+	promote := raft.Change{Operation: raft.OperationPromote, Member: learner.Member}
+	old, found := voterNamed(status, learner.Name)
+	if !found && r.Voters > 0 {
+		if voters(status) < r.Voters {
+			return promote, true
+		}
+		old, found = r.deadVoter(status)
 		if !found {
-			if wanted[learner.Name] || slices.Contains(r.Names, learner.Name) {
-				return raft.Change{Operation: raft.OperationPromote, Member: learner.Member}, true
-			}
-			continue
+			return raft.Change{}, false
 		}
-		if old.ID == status.ID || (!wanted[learner.Name] && old.Silent < r.Dead) {
-			continue
+		return raft.Change{Operation: raft.OperationRemove, Member: old.Member}, r.holdsWithout(status, old.ID)
+	}
+	if !found {
+		return promote, wanted[learner.Name] || slices.Contains(r.Names, learner.Name)
+	}
+	if old.ID == status.ID || (!wanted[learner.Name] && old.Silent < r.Dead) {
+		return raft.Change{}, false
+	}
+	return raft.Change{Operation: raft.OperationRemove, Member: old.Member}, r.holdsWithout(status, old.ID)
+}
+
+func voters(status raft.Status) int {
+	count := 0
+	for _, member := range status.Members {
+		if member.Voter {
+			count++
 		}
-		if r.holdsWithout(status, old.ID) {
-			return raft.Change{Operation: raft.OperationRemove, Member: old.Member}, true
+	}
+	return count
+}
+
+// deadVoter returns the voter that has been silent for longest, if it counts
+// as dead.
+func (r Repair) deadVoter(status raft.Status) (raft.Standing, bool) {
+	var dead raft.Standing
+	for _, member := range status.Members {
+		if member.Voter && member.ID != status.ID && member.Silent >= max(r.Dead, dead.Silent) {
+			dead = member
 		}
 	}
-	return raft.Change{}, false
+	return dead, dead.ID != 0
 }
 
 func voterNamed(status raft.Status, name string) (raft.Standing, bool) {
--- a/ctrl/node/group_test.go
+++ b/ctrl/node/group_test.go
@@ -48,6 +48,10 @@
 	wiped int
 	// every is the number of entries between snapshots.
 	every uint64
+	// voters opens the group to any replica; late are those that start into a
+	// group that has begun.
+	voters int
+	late   map[string]bool
 }
 
 // replica is one run of a node with a map of strings as its state.
@@ -106,8 +110,12 @@
 		},
 		Name: name, Address: address, Peers: g.peers,
 		Disk: g.disks[name].Disk(), Seed: g.seed, SnapshotEntries: g.every,
+		Voters: g.voters, Late: g.late[name],
 		Apply: r.apply, Snapshot: r.snapshot, Restore: r.restore,
 	}
+	if g.voters > 0 {
+		r.Dead = openDead
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	listener, err := g.network.Listen(address)
--- a/ctrl/node/handlers.go
+++ b/ctrl/node/handlers.go
@@ -119,11 +119,22 @@
 func (l *loop) describe(status raft.Status) member.Answer {
 	return member.Answer{
 		ID: status.ID, Name: l.node.Name, Address: l.node.Address, Empty: status.Empty, Peers: l.peers,
+		Leader: l.leaderAddress(status),
 	}
 }
 
+// leaderAddress returns where the leader is, empty when none is known.
+func (l *loop) leaderAddress(status raft.Status) string {
+	for _, m := range status.Members {
+		if m.ID == status.Leader {
+			return l.node.outlets.present(m.ID, m.Address)
+		}
+	}
+	return ""
+}
+
 func (l *loop) admit(status raft.Status, ask member.Ask) {
-	expected := l.wanted[ask.Name]
+	expected := l.wanted[ask.Name] || l.node.Voters > 0
 	for _, name := range l.repair.Names {
 		expected = expected || name == ask.Name
 	}
--- a/ctrl/node/join.go
+++ b/ctrl/node/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -48,7 +49,8 @@
 
 // hear begins a group if this replica has to, or ends it if it was replaced.
 func (l *loop) hear(answers []member.Answer) {
-	if members, ok := member.Bootstrap(l.describe(l.core.Status()), answers); ok {
+	members, ok := member.Bootstrap(l.describe(l.core.Status()), answers)
+	if ok && !l.node.Late {
 		l.step(raft.Input{Bootstrap: members})
 	}
 	for _, answer := range answers {
@@ -64,8 +66,8 @@
 	defer cancel()
 	ask := member.Ask{ID: status.ID, Name: n.Name, Address: n.Address, Empty: status.Empty}
 	asked := pool.NewWithResults[*member.Answer]()
-	for _, peer := range n.Peers {
-		out := n.outlets.to(peer.Address)
+	for _, address := range n.askAddresses(status) {
+		out := n.outlets.to(address)
 		if out == nil {
 			continue
 		}
@@ -76,9 +78,10 @@
 			}
 			var answer member.Answer
 			if err := call(ctx, session, methodJoin, &ask, &answer); err != nil {
-				n.Host.Log.Write("peer-silent", "name", peer.Name, "err", err)
+				n.Host.Log.Write("peer-silent", "address", address, "err", err)
 				return nil
 			}
+			n.outlets.heardLeader(answer.Leader)
 			return &answer
 		})
 	}
@@ -90,3 +93,18 @@
 	}
 	return answers
 }
+
+// askAddresses returns whom to ask: the peers, the members known, and the
+// leaders that answers have named.
+func (n *Node) askAddresses(status raft.Status) []string {
+	var addresses []string
+	for _, peer := range n.Peers {
+		addresses = append(addresses, peer.Address)
+	}
+	for _, m := range status.Members {
+		addresses = append(addresses, n.outlets.present(m.ID, m.Address))
+	}
+	addresses = append(addresses, n.outlets.leaders()...)
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
--- a/ctrl/node/loop.go
+++ b/ctrl/node/loop.go
@@ -48,7 +48,7 @@
 func newLoop(n *Node, identity member.Identity, core *raft.Core, log *wlog.Log, store *snap.Store) *loop {
 	l := &loop{
 		node: n, identity: identity, core: core, log: log, store: store,
-		repair:  member.Repair{Dead: deadTicks, Alive: aliveTicks},
+		repair:  member.Repair{Dead: int(n.Dead / tick), Alive: aliveTicks, Voters: n.Voters},
 		waiting: map[uint64]*proposal{},
 		reads:   map[uint64]chan uint64{},
 		wanted:  map[string]bool{},
--- a/ctrl/node/node.go
+++ b/ctrl/node/node.go
@@ -29,8 +29,7 @@
 	beatTicks = 10
 	// repairTicks is the time between two looks at the membership: 500 ms.
 	repairTicks = 50
-	// deadTicks is how long a voter must be silent before a replacement of
-	// the same name takes its place unasked: 10 s.
+	// deadTicks is the default of Node.Dead: 10 s.
 	deadTicks = 1000
 	// aliveTicks is how long a replica that counts as alive may be silent:
 	// 1 s.
@@ -97,6 +96,16 @@
 	Folder string
 	// Disk replaces Folder in tests.
 	Disk *disk.Disk
+	// Voters lets any replica join, up to this number of voters, and any take
+	// the place of one that is dead; Peers are then only where to ask first.
+	// Zero keeps the group to Peers.
+	Voters int
+	// Late says that the group has begun before, so that this replica never
+	// begins one.
+	Late bool
+	// Dead is how long a voter must be silent before another replica takes
+	// its place unasked; zero means ten seconds.
+	Dead time.Duration
 	// Seed makes IDs and election timeouts repeatable in tests; zero means
 	// random ones.
 	Seed uint64
@@ -138,6 +147,9 @@
 		if n.Seed == 0 {
 			n.Seed = rand.Uint64()
 		}
+		if n.Dead == 0 {
+			n.Dead = deadTicks * tick
+		}
 	})
 }
 
--- a/ctrl/node/outlet.go
+++ b/ctrl/node/outlet.go
@@ -31,6 +31,8 @@
 	byAddress map[string]*outlet
 	// addresses are the members', learned those of other senders.
 	addresses, learned map[uint64]string
+	// leader is the address of the leader that a peer named last.
+	leader string
 
 	started func(*outlet)
 }
@@ -105,6 +107,26 @@
 	o.learned[sender.ID] = sender.Address
 }
 
+// heardLeader notes the leader that a peer follows.
+func (o *outlets) heardLeader(address string) {
+	if address == "" {
+		return
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.leader = address
+}
+
+// leaders returns the address of the leader that a peer named, if any did.
+func (o *outlets) leaders() []string {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.leader == "" {
+		return nil
+	}
+	return []string{o.leader}
+}
+
 // present returns where a replica said last that it is, or else the address
 // that the group knows.
 func (o *outlets) present(id uint64, known string) string {
--- a/ctrl/state/command.go
+++ b/ctrl/state/command.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/tanagerspindle/tanagerspindle/ctrl/bans"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/ledger"
+	"github.com/tanagerspindle/tanagerspindle/pkg/census"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 )
@@ -26,6 +27,21 @@
 	Clears [][]byte `protobuf:"bytes,7,rep"`
 	// Lift is a digest whose quarantine an operator ends.
 	Lift []byte `protobuf:"bytes,8,opt"`
+	// Whole is a configuration that takes the place of any with a lower
+	// number.
+	Whole *conf.Config `protobuf:"bytes,9,opt"`
+	// Reports are announcements of endpoints, Leaves those of their ends.
+	Reports []census.Record `protobuf:"bytes,10,rep"`
+	Leaves  []Leave         `protobuf:"bytes,11,rep"`
+	// Release names a version of an adapter that new requests run on.
+	Release *plane.Release `protobuf:"bytes,12,opt"`
+}
+
+// Leave says that an endpoint has left.
+type Leave struct {
+	Name string `protobuf:"bytes,1,opt"`
+	// Born tells which process of the name; 0 does not.
+	Born int64 `protobuf:"varint,2,opt"`
 }
 
 // Proposal is a configuration that wants to be the next one.
@@ -97,4 +113,8 @@
 	Fences   []Fence        `protobuf:"bytes,6,rep"`
 	Next     uint64         `protobuf:"varint,7,opt"`
 	Bans     *bans.Table    `protobuf:"bytes,8,opt"`
+	// Changes counts the changes of endpoints and releases.
+	Changes   uint64          `protobuf:"varint,9,opt"`
+	Endpoints []census.Record `protobuf:"bytes,10,rep"`
+	Releases  []plane.Release `protobuf:"bytes,11,rep"`
 }
--- a/ctrl/state/machine.go
+++ b/ctrl/state/machine.go
@@ -12,6 +12,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/bans"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/ledger"
+	"github.com/tanagerspindle/tanagerspindle/pkg/census"
 	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
@@ -50,6 +51,10 @@
 	fences   map[string]*fence
 	next     uint64
 	bans     bans.Bans
+	// changes counts the changes of the census and of releases.
+	changes  uint64
+	census   census.Census
+	releases map[releaseKey]plane.Release
 }
 
 // reservation is a horizon with the local time at which it was applied.
@@ -92,7 +97,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.time = max(m.time, at)
-	number, revision, next := m.number(), m.bans.Revision(), m.next
+	number, revision, next, changes := m.number(), m.bans.Revision(), m.next, m.changes
 	result := &Result{}
 	if command.Config != nil {
 		result.Config = m.propose(command.Config)
@@ -110,8 +115,10 @@
 		m.end(end)
 	}
 	m.applyBans(command, result)
+	m.applySite(command, result)
 	m.ledger.Expire(m.time)
-	return result, number != m.number() || revision != m.bans.Revision() || next != m.next
+	news := number != m.number() || revision != m.bans.Revision() || next != m.next || changes != m.changes
+	return result, news
 }
 
 func (m *Machine) applyBans(command *Command, result *Result) {
@@ -144,6 +151,7 @@
 	shown := &image{
 		Time: m.time, Config: m.config, History: slices.Clone(m.history), Claims: m.ledger.Snapshot(),
 		Next: m.next, Bans: m.bans.Snapshot(),
+		Changes: m.changes, Endpoints: m.census.Snapshot(), Releases: m.releasesSince(0),
 	}
 	for _, horizon := range m.horizons {
 		shown.Horizons = append(shown.Horizons, horizon.Horizon)
@@ -177,6 +185,7 @@
 	m.ledger.Restore(shown.Claims)
 	m.bans.Restore(shown.Bans)
 	m.next = shown.Next
+	m.restoreSite(shown)
 	m.horizons = map[string]reservation{}
 	for _, horizon := range shown.Horizons {
 		m.horizons[horizon.Workspace] = reservation{Horizon: horizon, seen: now}
--- a/entry/relay/pool.go
+++ b/entry/pool/pool.go
@@ -1,38 +1,59 @@
-package relay
+// Package pool keeps sessions to agents, opened on demand and closed when
+// idle.
+package pool
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
 )
 
+// Kind classifies the failures of this package.
+type Kind string
+
+// The kinds of failure.
+const (
+	KindDial   Kind = "cannot connect"
+	KindClosed Kind = "closed"
+)
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
 const (
 	// idleLimit is how long a session without attempts is kept.
 	idleLimit = time.Minute
 	// freshFor is how long a session counts as alive after it was heard.
 	freshFor = 500 * time.Millisecond
-	// pingLimit is how long a pong may take before a pooled session is given
+	// pingLimit is how long a pong may take before a Session session is given
 	// up although the connection seems open.
 	pingLimit = time.Second
-	// dialLimit bounds one attempt to connect.
+	// dialLimit bounds one attempt to connect, when the pool names no bound.
 	dialLimit = time.Second
 )
 
-// pool keeps sessions to agents, opened on demand and closed when idle.
-type pool struct {
-	dial func(ctx context.Context, address string) (net.Conn, error)
+// Pool keeps sessions to agents. Its exported fields are set before use; it is
+// safe for concurrent use.
+type Pool struct {
+	// Dial connects to IP:port.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// DialLimit bounds one attempt to connect; zero means a second.
+	DialLimit time.Duration
 
 	mutex    sync.Mutex
-	sessions map[string]*pooled
+	sessions map[string]*Session
 	closed   bool
 }
 
-// pooled is one session and the number of attempts on it.
-type pooled struct {
+// Session is one session and the number of users that it has.
+type Session struct {
 	address string
 	session *link.Session
 	// ready is closed when session or err is set.
@@ -46,8 +67,8 @@
 	heard atomic.Int64
 }
 
-// get returns a session to the address and counts an attempt on it.
-func (p *pool) get(ctx context.Context, address string) (*pooled, error) {
+// Get returns a session to the address and counts an attempt on it.
+func (p *Pool) Get(ctx context.Context, address string) (*Session, error) {
 	s, created := p.reserve(address)
 	if s == nil {
 		return nil, &Error{Op: "connect", Kind: KindClosed}
@@ -58,18 +79,24 @@
 	select {
 	case <-s.ready:
 	case <-ctx.Done():
-		p.put(s)
+		p.Put(s)
 		return nil, &Error{Op: "connect", Kind: KindDial, Err: ctx.Err()}
 	}
 	if s.err != nil {
-		p.retire(s)
-		p.put(s)
+		p.Retire(s)
+		p.Put(s)
 		return nil, s.err
 	}
 	return s, nil
 }
 
-func (p *pool) reserve(address string) (s *pooled, created bool) {
+// Open starts a stream on a session.
+func (s *Session) Open(method string) (*wire.Stream, error) { return s.session.Open(method) }
+
+// Done is closed when the session has ended.
+func (s *Session) Done() <-chan struct{} { return s.session.Done() }
+
+func (p *Pool) reserve(address string) (s *Session, created bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.closed {
@@ -78,9 +105,9 @@
 	s = p.sessions[address]
 	if s == nil || s.ended() {
 		if p.sessions == nil {
-			p.sessions = map[string]*pooled{}
+			p.sessions = map[string]*Session{}
 		}
-		s = &pooled{address: address, ready: make(chan struct{})}
+		s = &Session{address: address, ready: make(chan struct{})}
 		p.sessions[address] = s
 		created = true
 	}
@@ -92,7 +119,7 @@
 	return s, created
 }
 
-func (s *pooled) ended() bool {
+func (s *Session) ended() bool {
 	select {
 	case <-s.ready:
 	default:
@@ -110,22 +137,22 @@
 }
 
 // connect dials without the caller's context: others may wait for the session.
-func (p *pool) connect(s *pooled) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialLimit)
+func (p *Pool) connect(s *Session) {
+	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(p.DialLimit, dialLimit))
 	defer cancel()
-	session, err := link.Dial(ctx, p.dial, s.address)
+	session, err := link.Dial(ctx, p.Dial, s.address)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	s.session = session
-	p.note(s)
+	p.Note(s)
 	if err != nil {
 		s.err = &Error{Op: "connect", Kind: KindDial, Err: err}
 	}
 	close(s.ready)
 }
 
-// put ends an attempt's count and starts the idle time after the last one.
-func (p *pool) put(s *pooled) {
+// Put ends an attempt's count and starts the idle time after the last one.
+func (p *Pool) Put(s *Session) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	s.active--
@@ -139,7 +166,7 @@
 	s.timer = time.AfterFunc(idleLimit, func() { p.expire(s) })
 }
 
-func (p *pool) expire(s *pooled) {
+func (p *Pool) expire(s *Session) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if s.active > 0 {
@@ -149,14 +176,14 @@
 	s.close()
 }
 
-func (p *pool) forget(s *pooled) {
+func (p *Pool) forget(s *Session) {
 	s.retired = true
 	if p.sessions[s.address] == s {
 		delete(p.sessions, s.address)
 	}
 }
 
-func (s *pooled) close() {
+func (s *Session) close() {
 	select {
 	case <-s.ready:
 	default:
@@ -167,22 +194,22 @@
 	}
 }
 
-// retire gives new attempts another connection; those under way go on.
-func (p *pool) retire(s *pooled) {
+// Retire gives new attempts another connection; those under way go on.
+func (p *Pool) Retire(s *Session) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.forget(s)
 }
 
-// note remembers that the other end was heard.
-func (p *pool) note(s *pooled) { s.heard.Store(time.Now().UnixNano()) }
+// Note remembers that the other end was heard.
+func (p *Pool) Note(s *Session) { s.heard.Store(time.Now().UnixNano()) }
 
-func (p *pool) fresh(s *pooled) bool {
+func (p *Pool) Fresh(s *Session) bool {
 	return time.Now().UnixNano()-s.heard.Load() < int64(freshFor)
 }
 
-// prove pings the other end and ends the session when no pong comes in time.
-func (p *pool) prove(s *pooled) bool {
+// Prove pings the other end and ends the session when no pong comes in time.
+func (p *Pool) Prove(s *Session) bool {
 	pong := make(chan error, 1)
 	go func() {
 		_, err := s.session.Ping()
@@ -193,18 +220,18 @@
 	select {
 	case err := <-pong:
 		if err == nil {
-			p.note(s)
+			p.Note(s)
 			return true
 		}
 	case <-timer.C:
 	}
-	p.retire(s)
+	p.Retire(s)
 	_ = s.session.Close()
 	return false
 }
 
-// close ends all sessions.
-func (p *pool) close() {
+// Close ends all sessions.
+func (p *Pool) Close() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.closed = true
--- a/entry/relay/attempt.go
+++ b/entry/relay/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/entry/picker"
+	"github.com/tanagerspindle/tanagerspindle/entry/pool"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
@@ -33,7 +34,7 @@
 	if err != nil {
 		return verdictElsewhere, err
 	}
-	defer j.relay.pool.put(s)
+	defer j.relay.pool.Put(s)
 	a := j.newAttempt(choice)
 	if !j.request.Once {
 		return j.exchange(ctx, s, a, choice)
@@ -43,24 +44,24 @@
 
 // connect returns a session. One that a request which must not repeat would
 // use has just answered a ping.
-func (j *job) connect(ctx context.Context, choice *picker.Choice) (*pooled, error) {
+func (j *job) connect(ctx context.Context, choice *picker.Choice) (*pool.Session, error) {
 	p := &j.relay.pool
-	s, err := p.get(ctx, choice.Address)
-	if err != nil || !j.request.Once || p.prove(s) {
+	s, err := p.Get(ctx, choice.Address)
+	if err != nil || !j.request.Once || p.Prove(s) {
 		return s, err
 	}
-	p.put(s)
-	s, err = p.get(ctx, choice.Address)
-	if err != nil || p.prove(s) {
+	p.Put(s)
+	s, err = p.Get(ctx, choice.Address)
+	if err != nil || p.Prove(s) {
 		return s, err
 	}
-	p.put(s)
+	p.Put(s)
 	return nil, &Error{Op: "ping " + choice.Agent, Kind: KindDial}
 }
 
 // once runs an attempt that must not repeat: claimed before it is sent, and
 // followed to its end or to the proof that it did not run.
-func (j *job) once(ctx context.Context, s *pooled, a *call.Attempt, choice *picker.Choice) (verdict, error) {
+func (j *job) once(ctx context.Context, s *pool.Session, a *call.Attempt, choice *picker.Choice) (verdict, error) {
 	if err := j.request.Claim(ctx, a, choice.Agent); err != nil {
 		return verdictFinal, err
 	}
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/entry/picker"
+	"github.com/tanagerspindle/tanagerspindle/entry/pool"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
@@ -39,7 +40,7 @@
 	job     *job
 	attempt *call.Attempt
 	choice  *picker.Choice
-	session *pooled
+	session *pool.Session
 	stream  *wire.Stream
 	// index is the next part's; tokens counts those of this attempt.
 	index  int64
@@ -56,10 +57,10 @@
 	asking bool
 }
 
-func (j *job) exchange(ctx context.Context, s *pooled, a *call.Attempt, choice *picker.Choice) (verdict, error) {
-	stream, err := s.session.Open(plane.MethodAttempt)
+func (j *job) exchange(ctx context.Context, s *pool.Session, a *call.Attempt, choice *picker.Choice) (verdict, error) {
+	stream, err := s.Open(plane.MethodAttempt)
 	if err != nil {
-		j.relay.pool.retire(s)
+		j.relay.pool.Retire(s)
 		return verdictElsewhere, err
 	}
 	defer func() { _ = stream.Close() }()
@@ -67,15 +68,15 @@
 	stop := context.AfterFunc(ctx, e.cancel)
 	defer stop()
 	if err := stream.Send(a); err != nil {
-		j.relay.pool.retire(s)
+		j.relay.pool.Retire(s)
 		return e.lost(ctx, err)
 	}
-	if !j.relay.pool.fresh(s) {
-		go j.relay.pool.prove(s)
+	if !j.relay.pool.Fresh(s) {
+		go j.relay.pool.Prove(s)
 	}
 	verdict, err := e.receive(ctx)
 	if verdict == verdictBroken {
-		j.relay.pool.retire(s)
+		j.relay.pool.Retire(s)
 	}
 	return verdict, err
 }
@@ -113,7 +114,7 @@
 		if err := e.stream.Receive(&frame); err != nil {
 			return e.lost(ctx, err)
 		}
-		e.job.relay.pool.note(e.session)
+		e.job.relay.pool.Note(e.session)
 		watchdog.Reset(stallLimit)
 		if !bytes.Equal(frame.ID, e.attempt.ID) {
 			e.job.relay.Host.Meter.Add("frames_foreign", 1)
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/entry/picker"
+	"github.com/tanagerspindle/tanagerspindle/entry/pool"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/digest"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
@@ -18,11 +19,8 @@
 // Kind classifies the failures of this package.
 type Kind string
 
-// The kinds of failure.
-const (
-	KindDial   Kind = "cannot connect"
-	KindClosed Kind = "closed"
-)
+// KindDial says that an agent could not be reached.
+const KindDial Kind = "cannot connect"
 
 // Error is this package's error type.
 type Error = fault.Error[Kind]
@@ -50,17 +48,17 @@
 	// Picker chooses endpoints.
 	Picker *picker.Picker
 
-	pool   pool
+	pool   pool.Pool
 	budget budget
 }
 
 // Start prepares the relay; it is called once before the first request.
 func (r *Relay) Start() {
-	r.pool.dial = r.Host.Dial
+	r.pool.Dial = r.Host.Dial
 }
 
 // Close ends all sessions to agents.
-func (r *Relay) Close() { r.pool.close() }
+func (r *Relay) Close() { r.pool.Close() }
 
 // Do runs the request; it ignores next.
 func (r *Relay) Do(ctx context.Context, q *chain.Request, _ chain.Next) error {
--- /dev/null
+++ b/entry/retry/retry.go
@@ -0,0 +1,93 @@
+// Package retry keeps the repeats of requests within a share of the traffic of
+// the whole fleet, without asking anybody.
+//
+// It answers endpoints that fail many requests at once: repeats on top of the
+// traffic would keep them down. The fleet's bound is a share of the requests of
+// a window plus a fixed number; each entry takes its part of the fixed number.
+package retry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+// parts is into how many parts a window is divided for counting. What is older
+// than the window by less than one part still counts.
+const parts = 20
+
+// Budget bounds the repeats of this entry. Its exported fields are set before
+// use; it is safe for concurrent use.
+type Budget struct {
+	// Ratio is how many repeats the fleet may send for each request, and Slack
+	// how many beyond that, in any span of Window.
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+	// Entries returns how many entries share Slack; at least 1.
+	Entries func() int
+
+	mutex    sync.Mutex
+	services map[string]*window
+}
+
+// window counts the requests and repeats of one service.
+type window struct {
+	requests, repeats [parts + 1]float64
+	// last is the number of the part counted last.
+	last int64
+}
+
+// Request counts a request for a service.
+func (b *Budget) Request(service string, now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	w := b.window(service, now)
+	w.requests[w.last%(parts+1)]++
+}
+
+// Spend takes one repeat out of the budget, if there is one.
+func (b *Budget) Spend(service string, now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	w := b.window(service, now)
+	if sum(w.repeats)+1 > b.Ratio*sum(w.requests)+b.Slack/float64(b.Entries()) {
+		return false
+	}
+	w.repeats[w.last%(parts+1)]++
+	return true
+}
+
+// window returns the service's counts, moved on to now.
+func (b *Budget) window(service string, now time.Time) *window {
+	if b.services == nil {
+		b.services = map[string]*window{}
+	}
+	at := now.UnixNano() / int64(b.Window/parts)
+	w := b.services[service]
+	if w == nil {
+		w = &window{last: at}
+		b.services[service] = w
+	}
+	for w.last < at {
+		w.last = max(w.last+1, at-parts-1)
+		w.requests[w.last%(parts+1)] = 0
+		w.repeats[w.last%(parts+1)] = 0
+	}
+	return w
+}
+
+func sum(counts [parts + 1]float64) float64 {
+	total := 0.0
+	for _, count := range counts {
+		total += count
+	}
+	return total
+}
--- /dev/null
+++ b/entry/spread/spread.go
@@ -0,0 +1,124 @@
+// Package spread chooses among endpoints.
+//
+// For plain services it answers a burst on few endpoints with few places: work
+// goes where least of it is under way. For engines it answers skewed demand for
+// many adapters on few places: each adapter has a home, so that it is loaded
+// once, and a popular one has several, so that no engine gets all its requests.
+package spread
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+const (
+	// farCost is what another data centre counts, as a share of an endpoint's
+	// places: it decides only between endpoints that are nearly alike.
+	farCost = 0.05
+	// slowCost is what an endpoint counts that takes twice the usual time.
+	slowCost = 0.5
+	// failCost is what an endpoint counts that fails every request.
+	failCost = 4.0
+	// homeShare is the part of an engine's fair share of all requests that one
+	// adapter may take there.
+	homeShare = 0.5
+	// loadStep is the difference in load, as a share of what an engine can
+	// do, below which the order of the homes decides.
+	loadStep = 0.25
+)
+
+// Candidate is an endpoint to choose from.
+type Candidate struct {
+	Name string
+	// Load is the work there as a share of what it can do.
+	Load float64
+	// Far says that it stands in another data centre.
+	Far bool
+	// Slow is its recent time for an answer over that of its kind, less 1;
+	// Failing the recent share of failed requests beyond that of its kind.
+	Slow, Failing float64
+	// Down says that it was found unreachable lately.
+	Down bool
+}
+
+// Plain returns the index of the endpoint of a plain service to use, -1 when
+// there is none. One that is down is used when there is no other. random is
+// between 0 and 1 and decides between equals.
+func Plain(candidates []Candidate, random float64) int {
+	chosen, least := -1, math.Inf(1)
+	for i := range candidates {
+		at := (i + int(random*float64(len(candidates)))) % len(candidates)
+		if cost := candidates[at].cost(); cost < least {
+			chosen, least = at, cost
+		}
+	}
+	return chosen
+}
+
+func (c *Candidate) cost() float64 {
+	cost := c.Load + slowCost*max(c.Slow, 0) + failCost*max(c.Failing, 0)
+	if c.Far {
+		cost += farCost
+	}
+	if c.Down {
+		cost += 1000
+	}
+	return cost
+}
+
+// Homes returns how many of a number of engines an adapter should be spread
+// over that gets a share of all requests.
+func Homes(share float64, engines int) int {
+	homes := int(math.Ceil(share * float64(engines) / homeShare))
+	return max(1, min(homes, engines))
+}
+
+// Engines returns the indices of the engines in the order in which a request
+// for a key should be offered to them: its homes by their load, then the others
+// by theirs. Engines that are down come last.
+func Engines(key string, homes int, candidates []Candidate) []int {
+	type ranked struct {
+		index int
+		place uint64
+	}
+	order := make([]ranked, len(candidates))
+	for i := range candidates {
+		order[i] = ranked{index: i, place: xxhash.Sum64String(key + "\x00" + candidates[i].Name)}
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		return cmp.Or(compareDown(&candidates[a.index], &candidates[b.index]), cmp.Compare(a.place, b.place))
+	})
+	homes = min(homes, len(order))
+	byLoad := func(a, b ranked) int {
+		x, y := &candidates[a.index], &candidates[b.index]
+		return cmp.Or(compareDown(x, y), cmp.Compare(math.Floor(x.Load/loadStep), math.Floor(y.Load/loadStep)), cmp.Compare(a.place, b.place))
+	}
+	slices.SortFunc(order[:homes], byLoad)
+	slices.SortFunc(order[homes:], byLoad)
+	indices := make([]int, len(order))
+	for i, r := range order {
+		indices[i] = r.index
+	}
+	return indices
+}
+
+func compareDown(a, b *Candidate) int {
+	switch {
+	case a.Down == b.Down:
+		return 0
+	case a.Down:
+		return 1
+	}
+	return -1
+}
--- /dev/null
+++ b/entry/spread/spread_test.go
@@ -0,0 +1,91 @@
+package spread_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/spread"
+)
+
+func TestPlainChoice(t *testing.T) {
+	for name, test := range map[string]struct {
+		candidates []spread.Candidate
+		want       int
+	}{
+		"none":                       {nil, -1},
+		"least loaded":               {[]spread.Candidate{{Load: 0.5}, {Load: 0.2}, {Load: 0.9}}, 1},
+		"near among equals":          {[]spread.Candidate{{Far: true}, {}, {Far: true}}, 1},
+		"far when near is busier":    {[]spread.Candidate{{Load: 0.3}, {Far: true}}, 1},
+		"slow one is left out":       {[]spread.Candidate{{Slow: 6}, {Load: 0.9}}, 1},
+		"failing one is left out":    {[]spread.Candidate{{Failing: 0.4}, {Load: 0.9}}, 1},
+		"down one is left out":       {[]spread.Candidate{{Down: true}, {Load: 2, Failing: 1}}, 1},
+		"down one if there is no up": {[]spread.Candidate{{Down: true}}, 0},
+	} {
+		require.Equal(t, test.want, spread.Plain(test.candidates, 0.7), name)
+	}
+}
+
+func engines(count int) []spread.Candidate {
+	candidates := make([]spread.Candidate, count)
+	for i := range candidates {
+		candidates[i].Name = fmt.Sprint("e", i)
+	}
+	return candidates
+}
+
+// An adapter keeps its home while engines come and go.
+func TestHomesAreStable(t *testing.T) {
+	all := engines(9)
+	moved := 0
+	for i := range 1000 {
+		key := fmt.Sprint("a", i)
+		before := all[spread.Engines(key, 1, all)[0]].Name
+		fewer := all[:8]
+		after := fewer[spread.Engines(key, 1, fewer)[0]].Name
+		if before != all[8].Name {
+			require.Equal(t, before, after)
+		} else {
+			moved++
+		}
+	}
+	require.InDelta(t, 1000/9, moved, 40)
+}
+
+func TestPopularAdapterIsSpreadByLoad(t *testing.T) {
+	require.Equal(t, 1, spread.Homes(0.001, 9))
+	require.Equal(t, 4, spread.Homes(0.22, 9))
+	require.Equal(t, 9, spread.Homes(0.9, 9))
+	all := engines(9)
+	order := spread.Engines("a", 4, all)
+	all[order[0]].Load = 1
+	again := spread.Engines("a", 4, all)
+	require.Equal(t, order[1], again[0])
+	require.ElementsMatch(t, order[:4], again[:4], "the homes stay the homes")
+	all[order[1]].Down = true
+	require.Equal(t, order[1], spread.Engines("a", 4, all)[8])
+}
+
+// Skewed demand leaves no engine with more than twice its share.
+func TestSkewedDemandIsSpread(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	zipf := rand.NewZipf(random, 1.2, 1, 2999)
+	all := engines(9)
+	shares, work := map[uint64]float64{}, make([]float64, len(all))
+	const requests = 20_000
+	for range requests {
+		shares[zipf.Uint64()]++
+	}
+	for range requests {
+		adapter := zipf.Uint64()
+		homes := spread.Homes(shares[adapter]/requests, len(all))
+		chosen := spread.Engines(fmt.Sprint(adapter), homes, all)[0]
+		work[chosen]++
+		all[chosen].Load = work[chosen] / requests * float64(len(all))
+	}
+	for i := range work {
+		require.Less(t, work[i], 2.0*requests/float64(len(all)))
+	}
+}
--- /dev/null
+++ b/pkg/census/census.go
@@ -0,0 +1,217 @@
+// Package census keeps the endpoints that announce themselves, by rules that
+// give every holder of the same announcements the same table.
+//
+// Announcements come late, twice and out of order, from processes that have
+// ended meanwhile and under addresses that other processes have taken over.
+package census
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// KindField says that a record has an invalid field.
+const KindField Kind = "invalid field"
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+const (
+	// mostName is the longest name of an endpoint, in bytes.
+	mostName = 256
+	// mostGone bounds the records of endpoints that have left; the oldest make
+	// room. An announcement is at most seconds late, and a fleet replaces far
+	// fewer endpoints in that time.
+	mostGone = 4096
+)
+
+// Census is the table of endpoints. The zero value is empty; it is used by one
+// goroutine at a time.
+type Census struct {
+	records map[string]*Record
+	// holders are the names of the endpoints that hold each address.
+	holders map[string]string
+	gone    int
+}
+
+// Judge tells what an announcement would change: nothing when it is old, and
+// nothing when it only repeats what is known.
+func (c *Census) Judge(report *Record) bool {
+	known := c.records[report.Name]
+	if known != nil && !c.follows(report, known) {
+		return false
+	}
+	if known != nil && !known.Gone && known.same(report) {
+		return false
+	}
+	holder := c.records[c.holders[report.Address]]
+	return holder == nil || holder.Name == report.Name || report.Born >= holder.Born
+}
+
+// follows reports whether an announcement is later than what is known under
+// its name. A process that said that it has gone does not come back; one that
+// starts under its former name is born later.
+func (c *Census) follows(report, known *Record) bool {
+	if report.Born != known.Born {
+		return report.Born > known.Born
+	}
+	return !known.Gone && report.Seq > known.Seq
+}
+
+// Apply takes an announcement under the given revision and reports whether it
+// changed the table.
+func (c *Census) Apply(report Record, revision uint64) bool {
+	if !c.Judge(&report) {
+		return false
+	}
+	c.prepare()
+	if holder := c.records[c.holders[report.Address]]; holder != nil && holder.Name != report.Name {
+		c.bury(holder, revision)
+	}
+	if former := c.records[report.Name]; former != nil {
+		c.forget(former)
+	}
+	report.Gone, report.Revision = false, revision
+	c.records[report.Name] = &report
+	c.holders[report.Address] = report.Name
+	return true
+}
+
+// Leave takes the news that an endpoint has left and reports whether it
+// changed the table. Born is 0 when the news does not name the process.
+func (c *Census) Leave(name string, born int64, revision uint64) bool {
+	known := c.records[name]
+	if known == nil || known.Gone || (born != 0 && born < known.Born) {
+		return false
+	}
+	c.bury(known, revision)
+	return true
+}
+
+// bury marks a record gone. Others may hold a pointer to the record, so it is
+// replaced.
+func (c *Census) bury(known *Record, revision uint64) {
+	next := *known
+	next.Gone, next.Revision = true, revision
+	c.records[known.Name] = &next
+	if c.holders[known.Address] == known.Name {
+		delete(c.holders, known.Address)
+	}
+	c.gone++
+	if c.gone > mostGone {
+		c.trim()
+	}
+}
+
+// forget takes out a record that is about to be replaced.
+func (c *Census) forget(former *Record) {
+	if former.Gone {
+		c.gone--
+	}
+	if c.holders[former.Address] == former.Name {
+		delete(c.holders, former.Address)
+	}
+	delete(c.records, former.Name)
+}
+
+// trim drops the older half of the records that are gone.
+func (c *Census) trim() {
+	var gone []*Record
+	for _, record := range c.records {
+		if record.Gone {
+			gone = append(gone, record)
+		}
+	}
+	slices.SortFunc(gone, func(a, b *Record) int { return cmp.Compare(a.Revision, b.Revision) })
+	for _, record := range gone[:len(gone)/2] {
+		c.forget(record)
+	}
+}
+
+func (c *Census) prepare() {
+	if c.records == nil {
+		c.records, c.holders = map[string]*Record{}, map[string]string{}
+	}
+}
+
+// Since returns the records that changed after a revision, by revision. One
+// who has nothing needs none of those that are gone.
+func (c *Census) Since(revision uint64) []Record {
+	var changed []Record
+	for _, record := range c.records {
+		if record.Revision > revision && (revision > 0 || !record.Gone) {
+			changed = append(changed, *record)
+		}
+	}
+	slices.SortFunc(changed, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Name, b.Name))
+	})
+	return changed
+}
+
+// Get returns the record of an endpoint.
+func (c *Census) Get(name string) (Record, bool) {
+	record, ok := c.records[name]
+	if !ok {
+		return Record{}, false
+	}
+	return *record, true
+}
+
+// Usable returns the endpoints of each service that take new requests, sorted
+// by name.
+func (c *Census) Usable() map[string][]Record {
+	usable := map[string][]Record{}
+	for _, record := range c.records {
+		if record.usable() {
+			usable[record.Service] = append(usable[record.Service], *record)
+		}
+	}
+	for _, records := range usable {
+		slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	return usable
+}
+
+// Merge takes records from another census in place of one's own.
+func (c *Census) Merge(records []Record) {
+	c.prepare()
+	for _, record := range records {
+		if former := c.records[record.Name]; former != nil {
+			if former.Revision >= record.Revision {
+				continue
+			}
+			c.forget(former)
+		}
+		c.records[record.Name] = &record
+		if record.Gone {
+			c.gone++
+			continue
+		}
+		c.holders[record.Address] = record.Name
+	}
+	if c.gone > mostGone {
+		c.trim()
+	}
+}
+
+// Snapshot returns all records, those that are gone too, in a fixed order.
+func (c *Census) Snapshot() []Record {
+	all := make([]Record, 0, len(c.records))
+	for _, record := range c.records {
+		all = append(all, *record)
+	}
+	slices.SortFunc(all, func(a, b Record) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Restore replaces the table by a snapshot.
+func (c *Census) Restore(records []Record) {
+	*c = Census{}
+	c.Merge(records)
+}
--- /dev/null
+++ b/pkg/census/census_test.go
@@ -0,0 +1,134 @@
+package census_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/census"
+)
+
+func report(name, address string, born int64, seq uint64) census.Record {
+	return census.Record{Name: name, Service: "s", Address: address, DataCentre: "d", Slots: 4, Born: born, Seq: seq}
+}
+
+func leaving(name, address string, born int64, seq uint64) census.Record {
+	r := report(name, address, born, seq)
+	r.Leaving = true
+	return r
+}
+
+// step is one announcement, or a farewell when gone is set.
+type step struct {
+	report  census.Record
+	gone    string
+	born    int64
+	changes bool
+}
+
+func TestAnnouncements(t *testing.T) {
+	for name, scenario := range map[string]struct {
+		steps  []step
+		usable []string
+	}{
+		"repeated": {[]step{
+			{report: report("a", "1", 5, 1), changes: true},
+			{report: report("a", "1", 5, 2)},
+		}, []string{"a"}},
+		"late one does not undo leaving": {[]step{
+			{report: report("a", "1", 5, 1), changes: true},
+			{report: leaving("a", "1", 5, 3), changes: true},
+			{report: report("a", "1", 5, 2)},
+		}, nil},
+		"late one does not undo the end": {[]step{
+			{report: report("a", "1", 5, 1), changes: true},
+			{gone: "a", changes: true},
+			{report: report("a", "1", 5, 2)},
+			{gone: "a"},
+		}, nil},
+		"same name, born later": {[]step{
+			{report: leaving("a", "1", 5, 9), changes: true},
+			{report: report("a", "1", 8, 1), changes: true},
+			{report: leaving("a", "1", 5, 10)},
+		}, []string{"a"}},
+		"same name after its end": {[]step{
+			{report: report("a", "1", 5, 9), changes: true},
+			{gone: "a", changes: true},
+			{report: report("a", "1", 8, 1), changes: true},
+		}, []string{"a"}},
+		"farewell of a former process": {[]step{
+			{report: report("a", "1", 8, 1), changes: true},
+			{gone: "a", born: 5},
+		}, []string{"a"}},
+		"address taken over": {[]step{
+			{report: report("a", "1", 5, 1), changes: true},
+			{report: report("b", "1", 7, 1), changes: true},
+			{report: report("a", "1", 5, 2)},
+		}, []string{"b"}},
+		"late announcement from the former holder of an address": {[]step{
+			{report: report("b", "1", 7, 1), changes: true},
+			{report: report("a", "1", 5, 2)},
+		}, []string{"b"}},
+		"late announcement after the holder has moved on": {[]step{
+			{report: report("a", "1", 5, 1), changes: true},
+			{report: report("b", "1", 7, 1), changes: true},
+			{gone: "b", changes: true},
+			{report: report("a", "1", 5, 2)},
+		}, nil},
+		"farewell of a stranger": {[]step{{gone: "x"}}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := &census.Census{}
+			for i, s := range scenario.steps {
+				changed := false
+				if s.gone != "" {
+					changed = table.Leave(s.gone, s.born, uint64(i+1))
+				} else {
+					changed = table.Apply(s.report, uint64(i+1))
+				}
+				require.Equal(t, s.changes, changed, "step %d", i)
+			}
+			var names []string
+			for _, record := range table.Usable()["s"] {
+				names = append(names, record.Name)
+			}
+			require.Equal(t, scenario.usable, names)
+			copied := &census.Census{}
+			copied.Restore(table.Snapshot())
+			require.Equal(t, table.Snapshot(), copied.Snapshot())
+			require.Equal(t, table.Usable(), copied.Usable())
+		})
+	}
+}
+
+func TestFollowerHasTheSameTable(t *testing.T) {
+	table, follower := &census.Census{}, &census.Census{}
+	table.Apply(report("a", "1", 5, 1), 1)
+	table.Apply(report("b", "2", 5, 1), 2)
+	follower.Merge(table.Since(0))
+	table.Apply(leaving("a", "1", 5, 2), 3)
+	table.Apply(report("c", "2", 6, 1), 4)
+	changed := table.Since(2)
+	require.Len(t, changed, 3)
+	follower.Merge(changed)
+	follower.Merge(changed[:1])
+	require.Equal(t, table.Snapshot(), follower.Snapshot())
+	require.Len(t, table.Since(0), 2, "one who has nothing needs nobody who is gone")
+}
+
+func TestInvalidRecords(t *testing.T) {
+	good := report("a", "1", 5, 1)
+	require.NoError(t, good.Check())
+	for _, change := range []func(*census.Record){
+		func(r *census.Record) { r.Name = "" },
+		func(r *census.Record) { r.Service = "" },
+		func(r *census.Record) { r.Address = "" },
+		func(r *census.Record) { r.DataCentre = "" },
+		func(r *census.Record) { r.Slots = -1 },
+		func(r *census.Record) { r.Born = -1 },
+	} {
+		bad := good
+		change(&bad)
+		require.ErrorIs(t, bad.Check(), &census.Error{Kind: census.KindField})
+	}
+}
--- a/pkg/conf/check.go
+++ b/pkg/conf/check.go
@@ -15,6 +15,8 @@
 	// maxRate bounds rates, bursts and costs, in tokens, so that sums over
 	// time do not overflow.
 	maxRate = 1 << 40
+	// Unlimited is the rate of a workspace without a bound.
+	Unlimited = maxRate
 )
 
 var nameShape = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/@-]*$`)
@@ -40,8 +42,12 @@
 	for _, name := range sorted(c.Routes) {
 		k.checkRoute(name, c.Routes[name])
 	}
+	for _, name := range sorted(c.Services) {
+		k.checkRecord("services", name)
+	}
 	k.checkWeights(c.Weights)
 	k.checkPaths()
+	k.checkPlaces()
 	k.checkModelNames()
 	return k.faults
 }
--- a/pkg/conf/config.go
+++ b/pkg/conf/config.go
@@ -23,18 +23,32 @@
 	// Weights say which measures of service quality count most. They are
 	// checked and spread to the daemons; no decision uses them yet.
 	Weights Weights `protobuf:"bytes,6,opt" json:"weights"`
+	// Services by name: what endpoints of opaque routes announce themselves
+	// as. Routes of the other kinds need no record here.
+	Services map[string]Service `protobuf:"bytes,7,rep" json:"services"`
+	// Limits bound what a caller of an opaque route may send.
+	Limits Limits `protobuf:"bytes,8,opt" json:"limits"`
+	// Source is the configuration as its operator sent it, to be read back
+	// unchanged; empty when it came from a folder. It stays at control.
+	Source []byte `protobuf:"bytes,9,opt" json:"-"`
 }
 
 // Workspace is a tenant's allowance.
 type Workspace struct {
 	// Rate is the sustained allowance in tokens per second, prompt and answer
-	// together. It is positive.
+	// together. It is positive; Unlimited sets no bound.
 	Rate int64 `protobuf:"varint,1,opt" json:"rate"`
 	// Burst is the allowance that may be used at once, in tokens. It is
 	// positive.
 	Burst int64 `protobuf:"varint,2,opt" json:"burst"`
 	// Goal is the service level for the workspace's requests.
 	Goal Goal `protobuf:"bytes,3,opt" json:"goal"`
+	// Rank is the workspace's priority on opaque routes, 0 first. It goes
+	// before the route's.
+	Rank int32 `protobuf:"varint,4,opt" json:"rank"`
+	// Flat is what a request of an opaque route counts, in tokens, when its
+	// caller names no token counts.
+	Flat int64 `protobuf:"varint,5,opt" json:"flat"`
 }
 
 // Key ties a caller's key to a workspace.
@@ -64,15 +78,20 @@
 	KindModel = "model"
 	// KindService leads to a plain service.
 	KindService = "service"
+	// KindOpaque leads to endpoints that entries call themselves with the
+	// caller's request as it is.
+	KindOpaque = "opaque"
 )
 
 // Route ties callers to an adapter or to a plain service.
 type Route struct {
-	// Kind is "model" for a route to an adapter on the model engines, or
-	// "service" for one to a plain service.
+	// Kind is "model" for a route to an adapter on the model engines,
+	// "service" for one to a plain service, or "opaque" for one whose requests
+	// go to an endpoint unread.
 	Kind string `protobuf:"bytes,1,opt" json:"kind"`
 	// Path is the URL path of a service route, starting with "/". It matches
-	// itself and all paths below it; the longest match wins.
+	// itself and all paths below it; the longest match wins. That of an opaque
+	// route ends with "/" too and matches what begins with it.
 	Path string `protobuf:"bytes,2,opt" json:"path"`
 	// Methods restricts a service route; empty allows every method.
 	Methods []string `protobuf:"bytes,3,rep" json:"methods"`
@@ -107,6 +126,84 @@
 	KeyQuery []string `protobuf:"bytes,14,rep" json:"key_query"`
 	// KeyCookie names cookies that carry keys.
 	KeyCookie []string `protobuf:"bytes,15,rep" json:"key_cookie"`
+	// Host is the host name of an opaque route.
+	Host string `protobuf:"bytes,16,opt" json:"host"`
+	// Split divides an opaque route's requests over services by weight, in
+	// place of Service.
+	Split []Share `protobuf:"bytes,17,rep" json:"split"`
+	// Repeat says that a request of an opaque route is idempotent.
+	Repeat bool `protobuf:"varint,18,opt" json:"repeat"`
+	// Stream says that the answers of an opaque route are event streams.
+	Stream bool `protobuf:"varint,19,opt" json:"stream"`
+	// Resume says that a broken stream may be continued at another endpoint
+	// behind the last event received.
+	Resume bool `protobuf:"varint,20,opt" json:"resume"`
+	// Attempts is how many endpoints may run one request of an opaque route.
+	Attempts int32 `protobuf:"varint,21,opt" json:"attempts"`
+	// Timeout is the longest time that a caller of an opaque route is kept
+	// waiting.
+	Timeout span.Duration `protobuf:"varint,22,opt" json:"timeout"`
+	// Rank is the priority of an opaque route, 0 first.
+	Rank int32 `protobuf:"varint,23,opt" json:"rank"`
+}
+
+// Share is one service's part of a split route.
+type Share struct {
+	// Service is the name of a record in services.
+	Service string `protobuf:"bytes,1,opt" json:"service"`
+	// Weight is the part relative to the sum of all weights; 0 or more.
+	Weight int64 `protobuf:"varint,2,opt" json:"weight"`
+}
+
+// Service is what endpoints of opaque routes announce themselves as.
+type Service struct {
+	// Health is the path of the endpoints' health check.
+	Health string `protobuf:"bytes,1,opt" json:"health"`
+	// Conns is how many connections an endpoint accepts from all entries
+	// together; 0 knows no bound.
+	Conns int32 `protobuf:"varint,2,opt" json:"conns"`
+	// Engine describes model engines; nil for a plain service.
+	Engine *Engine `protobuf:"bytes,3,opt" json:"engine"`
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is how many requests an engine runs at once.
+	Slots int32 `protobuf:"varint,1,opt" json:"slots"`
+	// Tokens is how many tokens fit into an engine's memory.
+	Tokens int64 `protobuf:"varint,2,opt" json:"tokens"`
+	// Places is how many adapters an engine holds at once.
+	Places int32 `protobuf:"varint,3,opt" json:"places"`
+	// Loads is how many whole models the weight store serves a second.
+	Loads float64 `protobuf:"fixed64,4,opt" json:"loads"`
+	// Room is an engine's memory for weights, in megabytes.
+	Room float64 `protobuf:"fixed64,5,opt" json:"room"`
+	// Stride is how many tokens one event of a stream holds.
+	Stride int32 `protobuf:"varint,6,opt" json:"stride"`
+	// Models are the base models that the engines may hold.
+	Models []Model `protobuf:"bytes,7,rep" json:"models"`
+}
+
+// Model is one base model.
+type Model struct {
+	// Name is what orders and requests call the model.
+	Name string `protobuf:"bytes,1,opt" json:"name"`
+	// Weight is its size in megabytes, and Adapter that of one adapter.
+	Weight  float64 `protobuf:"fixed64,2,opt" json:"weight"`
+	Adapter float64 `protobuf:"fixed64,3,opt" json:"adapter"`
+	// Load is how long a load from the weight store takes at full speed.
+	Load span.Duration `protobuf:"varint,4,opt" json:"load"`
+}
+
+// Limits bound what callers of opaque routes may send. Zero sets no bound.
+type Limits struct {
+	// Header and Body are the most bytes of a request's header and body.
+	Header int64 `protobuf:"varint,1,opt" json:"header"`
+	Body   int64 `protobuf:"varint,2,opt" json:"body"`
+	// Read is the longest time that a header may take to arrive.
+	Read span.Duration `protobuf:"varint,3,opt" json:"read"`
+	// Idle is how long a connection may be without a request.
+	Idle span.Duration `protobuf:"varint,4,opt" json:"idle"`
 }
 
 // Goal is a service level.
--- a/pkg/conf/delta.go
+++ b/pkg/conf/delta.go
@@ -19,23 +19,35 @@
 	DropKeys       []string `protobuf:"bytes,5,rep" json:"drop_keys"`
 	DropAdapters   []string `protobuf:"bytes,6,rep" json:"drop_adapters"`
 	DropRoutes     []string `protobuf:"bytes,7,rep" json:"drop_routes"`
+	DropServices   []string `protobuf:"bytes,8,rep" json:"drop_services"`
 }
 
 // Diff returns the delta that leads from old to next. A nil old gives a delta
 // that carries the whole of next.
 func Diff(old, next *Config) *Delta {
 	if old == nil {
-		return &Delta{To: next.Number, Put: next}
+		return &Delta{To: next.Number, Put: next.spread()}
 	}
-	put := &Config{Number: next.Number, Weights: next.Weights}
+	put := &Config{Number: next.Number, Weights: next.Weights, Limits: next.Limits}
 	delta := &Delta{From: old.Number, To: next.Number, Put: put}
 	put.Workspaces, delta.DropWorkspaces = diffMap(old.Workspaces, next.Workspaces)
 	put.Keys, delta.DropKeys = diffMap(old.Keys, next.Keys)
 	put.Adapters, delta.DropAdapters = diffMap(old.Adapters, next.Adapters)
 	put.Routes, delta.DropRoutes = diffMap(old.Routes, next.Routes)
+	put.Services, delta.DropServices = diffMap(old.Services, next.Services)
 	return delta
 }
 
+// spread returns the configuration without what stays at control.
+func (c *Config) spread() *Config {
+	if len(c.Source) == 0 {
+		return c
+	}
+	other := *c
+	other.Source = nil
+	return &other
+}
+
 // Apply returns the configuration that delta leads to and leaves c as it is.
 // c may be nil for a delta that carries a whole configuration. The error is of
 // KindDelta when the delta starts from another number.
@@ -58,6 +70,8 @@
 		Adapters:   applyMap(c.Adapters, delta.Put.Adapters, delta.DropAdapters),
 		Routes:     applyMap(c.Routes, delta.Put.Routes, delta.DropRoutes),
 		Weights:    delta.Put.Weights,
+		Services:   applyMap(c.Services, delta.Put.Services, delta.DropServices),
+		Limits:     delta.Put.Limits,
 	}, nil
 }
 
--- a/pkg/conf/digest.go
+++ b/pkg/conf/digest.go
@@ -18,6 +18,11 @@
 		Adapters:   make(map[string]Adapter, len(c.Adapters)),
 		Routes:     make(map[string]Route, len(c.Routes)),
 		Weights:    c.Weights,
+		Services:   c.Services,
+		Limits:     c.Limits,
+	}
+	if len(content.Services) == 0 {
+		content.Services = nil
 	}
 	if len(content.Workspaces) == 0 {
 		content.Workspaces = nil
@@ -35,6 +40,9 @@
 		route.KeyHeader = filled(route.KeyHeader)
 		route.KeyQuery = filled(route.KeyQuery)
 		route.KeyCookie = filled(route.KeyCookie)
+		if len(route.Split) == 0 {
+			route.Split = nil
+		}
 		content.Routes[name] = route
 	}
 	text, err := json.Marshal(content)
--- /dev/null
+++ b/pkg/conf/opaque.go
@@ -0,0 +1,64 @@
+package conf
+
+import "strings"
+
+// checkOpaqueRoute checks a route whose requests go to endpoints unread.
+func (k *checker) checkOpaqueRoute(name string, r Route) {
+	if r.Host == "" {
+		k.fail([]string{"routes", name, "host"}, "is missing")
+	}
+	if !strings.HasPrefix(r.Path, "/") || !strings.HasSuffix(r.Path, "/") {
+		k.fail([]string{"routes", name, "path"}, "must begin and end with \"/\"")
+	}
+	if r.Timeout <= 0 {
+		k.fail([]string{"routes", name, "timeout"}, "must be positive")
+	}
+	if r.Attempts < 1 {
+		k.fail([]string{"routes", name, "attempts"}, "must be at least 1")
+	}
+	k.checkTargets(name, r)
+	k.checkAbsent(name, KindService, map[string]bool{"methods": len(r.Methods) > 0, "once": r.Once})
+	k.checkAbsent(name, KindModel, map[string]bool{"name": r.Name != "", "adapter": r.Adapter != ""})
+}
+
+// checkTargets checks the services of an opaque route.
+func (k *checker) checkTargets(name string, r Route) {
+	if len(r.Split) == 0 {
+		k.checkTarget(r.Service, "routes", name, "service")
+		return
+	}
+	sum := int64(0)
+	for _, share := range r.Split {
+		k.checkTarget(share.Service, "routes", name, "split")
+		if share.Weight < 0 || share.Weight > maxRate {
+			k.fail([]string{"routes", name, "split"}, "a weight must be from 0 to %d", int64(maxRate))
+			return
+		}
+		sum += share.Weight
+	}
+	if sum == 0 {
+		k.fail([]string{"routes", name, "split"}, "the weights add up to 0")
+	}
+}
+
+func (k *checker) checkTarget(service string, path ...string) {
+	if _, ok := k.config.Services[service]; !ok {
+		k.fail(path, "no such service")
+	}
+}
+
+// checkPlaces finds opaque routes that share host and path.
+func (k *checker) checkPlaces() {
+	taken := map[[2]string]string{}
+	for _, name := range sorted(k.config.Routes) {
+		route := k.config.Routes[name]
+		if route.Kind != KindOpaque {
+			continue
+		}
+		place := [2]string{strings.ToLower(route.Host), route.Path}
+		if other, ok := taken[place]; ok {
+			k.fail([]string{"routes", name, "path"}, "route %q has the same host and path", other)
+		}
+		taken[place] = name
+	}
+}
--- /dev/null
+++ b/pkg/conf/opaque_test.go
@@ -0,0 +1,68 @@
+package conf_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+)
+
+func opaque() conf.Route {
+	return conf.Route{
+		Kind: conf.KindOpaque, Host: "h", Path: "/p/", Service: "s", Attempts: 1, Timeout: span.Duration(time.Second),
+	}
+}
+
+func site(change func(r *conf.Route)) *conf.Config {
+	route := opaque()
+	change(&route)
+	return &conf.Config{
+		Services: map[string]conf.Service{"s": {}, "u": {}},
+		Routes:   map[string]conf.Route{"r": route},
+	}
+}
+
+func TestOpaqueRoutes(t *testing.T) {
+	require.NoError(t, site(func(*conf.Route) {}).Check())
+	require.NoError(t, site(func(r *conf.Route) {
+		r.Service, r.Split = "", []conf.Share{{Service: "s", Weight: 0}, {Service: "u", Weight: 1}}
+	}).Check())
+	for name, change := range map[string]func(r *conf.Route){
+		"no host":            func(r *conf.Route) { r.Host = "" },
+		"path without slash": func(r *conf.Route) { r.Path = "/p" },
+		"no timeout":         func(r *conf.Route) { r.Timeout = 0 },
+		"no attempts":        func(r *conf.Route) { r.Attempts = 0 },
+		"unknown service":    func(r *conf.Route) { r.Service = "x" },
+		"unknown in split":   func(r *conf.Route) { r.Split = []conf.Share{{Service: "x", Weight: 1}} },
+		"no weight":          func(r *conf.Route) { r.Split = []conf.Share{{Service: "s"}} },
+		"negative weight":    func(r *conf.Route) { r.Split = []conf.Share{{Service: "s", Weight: -1}, {Service: "u", Weight: 2}} },
+	} {
+		require.Error(t, site(change).Check(), name)
+	}
+	twice := site(func(*conf.Route) {})
+	twice.Routes["other"] = opaque()
+	require.Error(t, twice.Check(), "same host and path")
+}
+
+func TestDeltaCarriesServicesAndLeavesTheSource(t *testing.T) {
+	old := site(func(*conf.Route) {})
+	old.Number, old.Source = 3, []byte("old")
+	next := site(func(r *conf.Route) { r.Attempts = 2 })
+	next.Number, next.Source = 9, []byte("new")
+	delete(next.Services, "u")
+	next.Limits.Body = 7
+	changed, err := old.Apply(conf.Diff(old, next))
+	require.NoError(t, err)
+	require.Equal(t, next.Services, changed.Services)
+	require.Equal(t, next.Routes, changed.Routes)
+	require.Equal(t, next.Limits, changed.Limits)
+	require.Empty(t, changed.Source)
+	var none *conf.Config
+	whole, err := none.Apply(conf.Diff(nil, next))
+	require.NoError(t, err)
+	require.Empty(t, whole.Source)
+	require.Equal(t, []byte("new"), next.Source)
+}
--- a/pkg/conf/route.go
+++ b/pkg/conf/route.go
@@ -28,10 +28,14 @@
 		k.checkModelRoute(name, r)
 	case KindService:
 		k.checkServiceRoute(name, r)
+	case KindOpaque:
+		k.checkOpaqueRoute(name, r)
 	default:
-		k.fail([]string{"routes", name, "kind"}, "must be %q or %q", KindModel, KindService)
+		k.fail([]string{"routes", name, "kind"}, "must be %q, %q or %q", KindModel, KindService, KindOpaque)
+	}
+	if r.Kind != KindOpaque {
+		k.checkAllowed(name, r)
 	}
-	k.checkAllowed(name, r)
 	k.checkGoal(r.Goal, "routes", name, "goal")
 	if r.Window < 0 || r.Window.Std() > maxWindow {
 		k.fail([]string{"routes", name, "window"}, "must be from 0s to %s", maxWindow)
--- a/entry/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -1,12 +1,15 @@
-// Package feed keeps an entry's view of control: the configuration in force,
-// the endpoints, the quarantine, and the authority to act on them.
+// Package feed keeps a daemon's view of control: the configuration in force,
+// the endpoints, the releases, the quarantine, and the authority to act on
+// them.
 package feed
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/census"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
@@ -53,12 +56,14 @@
 	byeTimeout = time.Second
 )
 
-// Feed is the entry's side of MethodFeed. Its exported fields are set before
+// Feed is a daemon's side of MethodFeed. Its exported fields are set before
 // Run. Its methods may be called from several goroutines.
 type Feed struct {
 	// Host is the daemon's; Incarnation is new at each start of the process.
 	Host        host.Host
 	Incarnation uint64
+	// Role is how the daemon joins; empty means plane.RoleEntry.
+	Role string
 	// Uplink is the session to control. Feed.Run does not run it.
 	Uplink *uplink.Uplink
 	// OnConfig is called with each new configuration, before the lease is
@@ -67,12 +72,23 @@
 	OnConfig func(config *conf.Config)
 	OnRoster func(changed []roster.Record)
 	OnExpire func()
+	// OnCensus is called with the endpoints that take requests, by service,
+	// after they have changed.
+	OnCensus func(usable map[string][]census.Record)
+	// OnRelease is called with versions of adapters that are new.
+	OnRelease func(releases []plane.Release)
 
 	config atomic.Pointer[conf.Config]
 	bans   atomic.Pointer[bans]
 	lease  lease.Lease
 	roster roster.Roster
-	burn   burn
+	census census.Census
+	// changes is the revision of the census and the releases.
+	changes atomic.Uint64
+	entries atomic.Int32
+	// answered is when a replica last proved to be up to date.
+	answered atomic.Int64
+	burn     burn
 	nudge  wake.Signal
 }
 
@@ -90,9 +106,13 @@
 // Config returns the configuration in force, or nil before the first.
 func (f *Feed) Config() *conf.Config { return f.config.Load() }
 
-// Valid reports whether the entry has authority to serve keys.
+// Valid reports whether the daemon has authority to serve keys.
 func (f *Feed) Valid() bool { return f.config.Load() != nil && f.lease.Valid() }
 
+// Entries returns how many entries control hears of, as far as is known; at
+// least 1.
+func (f *Feed) Entries() int { return max(int(f.entries.Load()), 1) }
+
 // Banned returns the time for which a request is quarantined, and whether it
 // is suspected of having crashed an endpoint.
 func (f *Feed) Banned(digest []byte) (left time.Duration, suspect bool) {
@@ -165,12 +185,13 @@
 	}
 	defer func() { _ = stream.Close() }()
 	hello := &plane.Hello{
-		Role:        plane.RoleEntry,
+		Role:        cmp.Or(f.Role, plane.RoleEntry),
 		Name:        f.Host.VM,
 		Incarnation: f.Incarnation,
 		DataCentre:  f.Host.DataCentre,
 		Number:      f.number(),
 		Vector:      f.roster.Vector(),
+		Changes:     f.changes.Load(),
 	}
 	if err := stream.Send(hello); err != nil {
 		return err
--- a/entry/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/tanagerspindle/tanagerspindle/entry/feed"
+	"github.com/tanagerspindle/tanagerspindle/pkg/feed"
 	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
--- a/entry/feed/turn.go
+++ b/pkg/feed/turn.go
@@ -107,6 +107,7 @@
 			f.OnRoster(changed)
 		}
 	}
+	f.takeSite(update)
 	if update.BansRevision != 0 && update.BansRevision != f.bansRevision() {
 		f.ban(update)
 	}
@@ -124,6 +125,28 @@
 	return nil
 }
 
+// takeSite applies what an update says of endpoints, releases and control
+// itself.
+func (f *Feed) takeSite(update *plane.Update) {
+	if len(update.Replicas) > 0 {
+		f.Uplink.Learn(update.Replicas)
+	}
+	if update.Entries > 0 {
+		f.entries.Store(update.Entries)
+	}
+	if update.Changes == 0 {
+		return
+	}
+	f.census.Merge(update.Endpoints)
+	f.changes.Store(update.Changes)
+	if len(update.Endpoints) > 0 && f.OnCensus != nil {
+		f.OnCensus(f.census.Usable())
+	}
+	if len(update.Releases) > 0 && f.OnRelease != nil {
+		f.OnRelease(update.Releases)
+	}
+}
+
 func (t *turn) note(seq uint64) {
 	for {
 		select {
--- a/pkg/plane/feed.go
+++ b/pkg/plane/feed.go
@@ -2,6 +2,7 @@
 package plane
 
 import (
+	"github.com/tanagerspindle/tanagerspindle/pkg/census"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
@@ -55,7 +56,7 @@
 
 // Hello opens a daemon's feed.
 type Hello struct {
-	// Role is RoleEntry or RoleAgent.
+	// Role is RoleEntry, RoleAgent or RoleKeeper.
 	Role string `protobuf:"bytes,1,opt"`
 	// Name is the daemon's, one for each VM.
 	Name string `protobuf:"bytes,2,opt"`
@@ -69,17 +70,22 @@
 	// Fenced says that the agent's engine refuses orders with an old fencing
 	// number.
 	Fenced bool `protobuf:"varint,7,opt"`
+	// Changes is the revision of endpoints and releases that the daemon has.
+	Changes uint64 `protobuf:"varint,8,opt"`
 }
 
 // Daemon roles.
 const (
 	RoleEntry = "entry"
 	RoleAgent = "agent"
+	// RoleKeeper is an agent of an endpoint that announces itself to control.
+	// It follows the configuration and the releases.
+	RoleKeeper = "keeper"
 )
 
 // Check reports the first invalid field.
 func (h *Hello) Check() error {
-	if h.Role != RoleEntry && h.Role != RoleAgent {
+	if h.Role != RoleEntry && h.Role != RoleAgent && h.Role != RoleKeeper {
 		return &Error{Op: "check role", Kind: KindInvalid}
 	}
 	if h.Name == "" || h.Incarnation == 0 {
@@ -157,6 +163,33 @@
 	// Loads/Agents.
 	Loads  float64 `protobuf:"fixed64,10,opt"`
 	Agents int32   `protobuf:"varint,11,opt"`
+	// Endpoints and Releases are those that changed up to revision Changes;
+	// Changes is 0 when the daemon has them all.
+	Endpoints []census.Record `protobuf:"bytes,12,rep"`
+	Releases  []Release       `protobuf:"bytes,13,rep"`
+	Changes   uint64          `protobuf:"varint,14,opt"`
+	// Replicas are the addresses of control, when they have changed.
+	Replicas []string `protobuf:"bytes,15,rep"`
+	// Entries is the number of entries that control hears of.
+	Entries int32 `protobuf:"varint,16,opt"`
+}
+
+// Release names the version of an adapter that new requests run on.
+type Release struct {
+	Model   string `protobuf:"bytes,1,opt" json:"model"`
+	Adapter string `protobuf:"bytes,2,opt" json:"adapter"`
+	// Version grows with each release of one adapter.
+	Version int64 `protobuf:"varint,3,opt" json:"version"`
+	// Revision is the count of changes at which it was released.
+	Revision uint64 `protobuf:"varint,4,opt" json:"revision"`
+}
+
+// Check reports the first invalid field.
+func (r *Release) Check() error {
+	if r.Model == "" || r.Adapter == "" || r.Version < 1 {
+		return &Error{Op: "check release", Kind: KindInvalid}
+	}
+	return nil
 }
 
 // Ban is a quarantined or suspected request.
--- a/pkg/uplink/uplink.go
+++ b/pkg/uplink/uplink.go
@@ -2,11 +2,15 @@
 package uplink
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
@@ -36,10 +40,12 @@
 type Uplink struct {
 	// Host is the daemon's.
 	Host host.Host
-	// Replicas are the addresses of control, nearest first.
+	// Replicas are the addresses of control to begin with, nearest first.
 	Replicas []string
 
-	mutex   sync.Mutex
+	mutex sync.Mutex
+	// learned are the addresses that control named last.
+	learned []string
 	session *link.Session
 	changed chan struct{}
 }
@@ -47,15 +53,19 @@
 // Run connects and reconnects until ctx ends.
 func (u *Uplink) Run(ctx context.Context) {
 	delay := firstDelay
-	for next := 0; ctx.Err() == nil; next++ {
-		session, err := u.dial(ctx, u.Replicas[next%len(u.Replicas)])
+	last := ""
+	for ctx.Err() == nil {
+		address := after(u.addresses(), last)
+		last = address
+		session, err := u.dial(ctx, address)
 		if err != nil {
-			u.Host.Log.Write("control-unreachable", "address", u.Replicas[next%len(u.Replicas)], "err", err)
+			u.Host.Log.Write("control-unreachable", "address", address, "err", err)
 			pause.For(ctx, delay/2+rand.N(delay/2))
 			delay = min(2*delay, longestDelay)
 			continue
 		}
 		delay = firstDelay
+		u.Host.Log.Write("control-reached", "address", address)
 		u.set(session)
 		select {
 		case <-session.Done():
@@ -63,7 +73,39 @@
 		}
 		u.set(nil)
 		_ = session.Close()
+		u.Host.Log.Write("control-lost", "address", address)
+	}
+}
+
+// Learn takes the addresses that control has now. The ones to begin with are
+// tried behind them, since control may have moved on altogether meanwhile.
+func (u *Uplink) Learn(addresses []string) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.learned = slices.Clone(addresses)
+	// Daemons spread over the replicas, each in an order of its own.
+	slices.SortFunc(u.learned, func(a, b string) int { return cmp.Compare(u.rank(a), u.rank(b)) })
+}
+
+func (u *Uplink) rank(address string) uint64 { return xxhash.Sum64String(u.Host.VM + " " + address) }
+
+// addresses returns whom to try, in order.
+func (u *Uplink) addresses() []string {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	addresses := slices.Clone(u.learned)
+	for _, address := range u.Replicas {
+		if !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
 	}
+	return addresses
+}
+
+// after returns the address behind the last one tried, or the first.
+func after(addresses []string, last string) string {
+	at := slices.Index(addresses, last)
+	return addresses[(at+1)%len(addresses)]
 }
 
 func (u *Uplink) dial(ctx context.Context, address string) (*link.Session, error) {
