--- a/agent/keeper/task.go
+++ b/agent/keeper/task.go
@@ -11,6 +11,10 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
 )
 
+// queuedAfter is how long a decision may take before the entry is told that the
+// request waits; a fifth of what the entry allows.
+const queuedAfter = 50 * time.Millisecond
+
 // task is one request of one entry.
 type task struct {
 	want  *gate.Want
@@ -43,16 +47,13 @@
 		// The entry sends nothing more; this ends when the stream does.
 		_ = stream.Receive(&admit.Ask{})
 	}()
-	select {
-	case reply := <-t.reply:
-		k.log(t, reply)
-		if err := stream.Send(reply); err != nil || reply.Reason != admit.ReasonNone {
-			return err
-		}
-	case <-gone:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	reply, err := t.await(ctx, stream, gone)
+	if err != nil || reply == nil {
+		return err
+	}
+	k.log(t, reply)
+	if err := stream.Send(reply); err != nil || reply.Reason != admit.ReasonNone {
+		return err
 	}
 	select {
 	case <-gone:
@@ -61,6 +62,28 @@
 	return nil
 }
 
+// await returns the decision about a request, nil when its entry has gone. One
+// that takes longer is announced, so that the entry does not take the agent for
+// dead.
+func (t *task) await(ctx context.Context, stream *wire.Stream, gone <-chan struct{}) (*admit.Reply, error) {
+	timer := time.NewTimer(queuedAfter)
+	defer timer.Stop()
+	for {
+		select {
+		case reply := <-t.reply:
+			return reply, nil
+		case <-timer.C:
+			if err := stream.Send(&admit.Reply{Reason: admit.ReasonQueued}); err != nil {
+				return nil, err
+			}
+		case <-gone:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
 func (k *Keeper) log(t *task, reply *admit.Reply) {
 	k.Host.Meter.Add("admissions", 1)
 	waited := time.Since(t.want.Arrived)
--- a/entry/auth/auth.go
+++ b/entry/auth/auth.go
@@ -188,11 +188,17 @@
 
 // Watch ends a keyed request when its key is withdrawn or the entry's
 // authority is over. It comes after the match filter; open routes and requests
-// that must not repeat go on to their end.
+// that must not repeat go on to their end. So do those of opaque routes, whose
+// key is looked at before each attempt only.
 func (a *Auth) Watch(ctx context.Context, r *chain.Request, next chain.Next) error {
 	if r.Open {
 		return next(ctx, r)
 	}
+	if r.Route.Kind == conf.KindOpaque {
+		w := &watch{key: r.Key, workspace: r.Workspace}
+		r.Check = func() error { return a.check(w) }
+		return next(ctx, r)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w := &watch{key: r.Key, workspace: r.Workspace, cancel: cancel}
@@ -201,15 +207,17 @@
 	if refusal := a.judge(a.Config(), w); refusal != nil {
 		return refusal
 	}
-	r.Check = func() error {
-		if refusal := a.judge(a.Config(), w); refusal != nil {
-			return refusal
-		}
-		return nil
-	}
+	r.Check = func() error { return a.check(w) }
 	return next(ctx, r)
 }
 
+func (a *Auth) check(w *watch) error {
+	if refusal := a.judge(a.Config(), w); refusal != nil {
+		return refusal
+	}
+	return nil
+}
+
 // Recheck ends the requests whose key the configuration no longer has. It is
 // called at each new configuration.
 func (a *Auth) Recheck(config *conf.Config) {
--- a/entry/chain/chain.go
+++ b/entry/chain/chain.go
@@ -81,8 +81,20 @@
 	PromptTokens int64
 	MaxTokens    int64
 	Stream       bool
-
-	// ID is set by the trace filter; Start is when the request arrived.
+	// Host and the fields down to Hint belong to opaque routes. Host is the
+	// host name that the caller asked.
+	Host string
+	// Wait is how long the caller says that it waits; 0 when it does not.
+	Wait time.Duration
+	// Tokens is what the request counts towards its workspace's allowance; 0
+	// when the caller names no counts.
+	Tokens int64
+	// Hint is how many answer tokens the caller expects; 0 when it does not
+	// say.
+	Hint int64
+
+	// ID is set by the trace filter unless the caller's face has set it; Start
+	// is when the request arrived.
 	ID    string
 	Start time.Time
 
--- a/entry/class/class.go
+++ b/entry/class/class.go
@@ -8,6 +8,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 )
 
@@ -38,8 +39,13 @@
 	runs callers
 }
 
-// Do classes the request and learns from its end.
+// Do classes the request and learns from its end. Opaque routes state the
+// urgency of their requests.
 func (c *Class) Do(ctx context.Context, r *chain.Request, next chain.Next) error {
+	if r.Route.Kind == conf.KindOpaque {
+		r.Class = min(call.Class(max(r.Route.Rank, 0)), call.ClassLong)
+		return next(ctx, r)
+	}
 	caller, features := c.begin(r, time.Now())
 	r.Class = c.infer(features)
 	r.Patience = Patience(r.Class)
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/tanagerspindle/tanagerspindle/entry/auth"
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/entry/class"
+	"github.com/tanagerspindle/tanagerspindle/entry/direct"
 	"github.com/tanagerspindle/tanagerspindle/entry/drain"
 	"github.com/tanagerspindle/tanagerspindle/entry/front"
 	"github.com/tanagerspindle/tanagerspindle/entry/guard"
@@ -21,9 +22,13 @@
 	"github.com/tanagerspindle/tanagerspindle/entry/match"
 	"github.com/tanagerspindle/tanagerspindle/entry/once"
 	"github.com/tanagerspindle/tanagerspindle/entry/picker"
+	"github.com/tanagerspindle/tanagerspindle/entry/pool"
 	"github.com/tanagerspindle/tanagerspindle/entry/relay"
+	"github.com/tanagerspindle/tanagerspindle/entry/retry"
 	"github.com/tanagerspindle/tanagerspindle/entry/trace"
+	"github.com/tanagerspindle/tanagerspindle/entry/view"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/feed"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
@@ -50,6 +55,9 @@
 	// idleLimit the time between two requests of a connection.
 	headerLimit = 10 * time.Second
 	idleLimit   = 2 * time.Minute
+	// agentLimit bounds one attempt to connect to an agent that admits
+	// requests; another engine can be asked instead.
+	agentLimit = 250 * time.Millisecond
 	// defaultLinger is how long the balancer needs to notice a red health
 	// check, when Daemon.Linger is zero.
 	defaultLinger = 3 * time.Second
@@ -76,6 +84,28 @@
 	Infer  func(class.Features) call.Class
 	// Grant replaces the exchange of tokens with control; nil keeps it.
 	Grant func(ctx context.Context, ask *plane.GrantAsk, reply *plane.GrantReply) error
+	// Send sends requests of opaque routes to endpoints; nil serves no such
+	// routes. An entry with it serves them also while control is out of reach.
+	Send func(ctx context.Context, c *direct.Call) (*direct.Answer, error)
+	// Repeats bounds the repeats of requests of opaque routes.
+	Repeats retry.Budget
+	// Face replaces the handler of callers' requests; nil keeps it.
+	Face func(p *Parts) http.Handler
+}
+
+// Parts is what a caller's face builds on.
+type Parts struct {
+	// Host is the daemon's.
+	Host host.Host
+	// Chain runs the requests.
+	Chain *chain.Chain
+	// Ready reports whether the entry may get requests, Draining whether it
+	// stops; Enter counts a request until the returned function is called.
+	Ready    func() bool
+	Draining func() bool
+	Enter    func() func()
+	// Limits returns the configured bounds of requests.
+	Limits func() conf.Limits
 }
 
 // entry is the running parts of a daemon.
@@ -86,6 +116,8 @@
 	auth   *auth.Auth
 	limit  *limit.Limit
 	relay  *relay.Relay
+	direct *direct.Direct
+	view   *view.View
 	drain  *drain.Drain
 	server *http.Server
 }
@@ -121,6 +153,7 @@
 	<-linked
 	_ = e.server.Close()
 	e.relay.Close()
+	e.direct.Agents.Close()
 	d.Host.Log.Write("entry-stopped", "err", result)
 	return result
 }
@@ -165,6 +198,11 @@
 	e.relay = &relay.Relay{Host: d.Host, Picker: choice}
 	e.relay.Start()
 	e.auth = &auth.Auth{}
+	e.view = &view.View{Near: d.Host.DataCentre}
+	e.direct = &direct.Direct{
+		Host: d.Host, View: e.view, Send: d.Send, Budget: &d.Repeats,
+		Agents: &pool.Pool{Dial: d.Host.Dial, DialLimit: agentLimit},
+	}
 	e.feed = &feed.Feed{
 		Host:        d.Host,
 		Incarnation: incarnation,
@@ -172,21 +210,53 @@
 		OnConfig:    e.auth.Recheck,
 		OnRoster:    choice.Update,
 		OnExpire:    e.auth.Expire,
+		OnCensus:    e.view.Update,
+		OnRelease:   e.direct.Release,
 	}
+	e.direct.Config = e.feed.Config
+	d.Repeats.Entries = e.feed.Entries
 	e.limit = &limit.Limit{Host: d.Host, Incarnation: incarnation, Config: e.feed.Config, Grant: e.grant}
 	e.server = &http.Server{
-		Handler:           e.front(choice).Handler(),
+		Handler:           e.handler(choice),
 		ReadHeaderTimeout: headerLimit,
 		IdleTimeout:       idleLimit,
 	}
 	return e
 }
 
+// handler returns the face towards callers.
+func (e *entry) handler(choice *picker.Picker) http.Handler {
+	if e.daemon.Face == nil {
+		return e.front(choice).Handler()
+	}
+	return e.daemon.Face(&Parts{
+		Host: e.daemon.Host, Chain: e.chain(choice), Ready: e.ready,
+		Draining: e.drain.Draining, Enter: e.drain.Enter, Limits: e.limits,
+	})
+}
+
+// ready reports whether the entry may get requests. One that serves opaque
+// routes does so without authority too.
+func (e *entry) ready() bool {
+	if e.daemon.Send != nil {
+		return e.feed.Config() != nil
+	}
+	return e.feed.Valid()
+}
+
+func (e *entry) limits() conf.Limits {
+	config := e.feed.Config()
+	if config == nil {
+		return conf.Limits{}
+	}
+	return config.Limits
+}
+
 func (e *entry) front(choice *picker.Picker) *front.Front {
 	return &front.Front{
 		Host:     e.daemon.Host,
 		Chain:    e.chain(choice),
-		Ready:    e.feed.Valid,
+		Ready:    e.ready,
 		Draining: e.drain.Draining,
 		Enter:    e.drain.Enter,
 		MaxBody:  e.daemon.MaxBody,
@@ -207,6 +277,7 @@
 		(&class.Class{Infer: e.daemon.Infer}).Do,
 		claims.Do,
 		e.limit.Do,
+		e.direct.Do,
 		e.relay.Do,
 	}}
 }
--- /dev/null
+++ b/entry/direct/direct.go
@@ -0,0 +1,171 @@
+// Package direct sends the requests of opaque routes to endpoints itself and
+// gives callers the endpoints' answers unchanged.
+//
+// A request is sent to another endpoint only when it is proved not to have run,
+// or when the route says that it may run again; a stream that broke off is
+// continued behind its last whole event where the route allows that.
+package direct
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/entry/fame"
+	"github.com/tanagerspindle/tanagerspindle/entry/pool"
+	"github.com/tanagerspindle/tanagerspindle/entry/retry"
+	"github.com/tanagerspindle/tanagerspindle/entry/view"
+	"github.com/tanagerspindle/tanagerspindle/pkg/census"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// The kinds of failure.
+const (
+	// KindAnswer says that what an endpoint sent is not its answer.
+	KindAnswer Kind = "not the endpoint's answer"
+	// KindSize says that an answer is larger than may be held.
+	KindSize Kind = "answer too large"
+	// KindSilent says that an endpoint sent nothing for too long.
+	KindSilent Kind = "endpoint is silent"
+)
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+// Call is one attempt of a request at one endpoint.
+type Call struct {
+	// Request is the caller's. Its header and body go on unchanged.
+	Request *chain.Request
+	// Endpoint is the only one that may run it.
+	Endpoint census.Record
+	// Left is how long the caller waits from now.
+	Left time.Duration
+	// Version is the version of the adapter that the endpoint must hold; 0
+	// does not ask for one.
+	Version int64
+	// Rank is the request's priority, 0 first.
+	Rank int32
+	// After is the ID of the last event that the caller has of a stream that
+	// is continued; nil when the attempt starts where the caller asked.
+	After *int64
+	// Fresh asks for a new connection.
+	Fresh bool
+}
+
+// Answer is an endpoint's answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Own says that the endpoint vouches for the answer.
+	Own bool
+	// NotRun says that the endpoint vouches that it has not run the request
+	// and will not.
+	NotRun bool
+	// Body ends with an error when the answer is not whole. It is closed by
+	// the receiver.
+	Body io.ReadCloser
+}
+
+// Direct is the filter that serves opaque routes; it passes others on. Its
+// exported fields are set before the first request.
+type Direct struct {
+	// Host is the daemon's.
+	Host host.Host
+	// Config returns the configuration in force.
+	Config func() *conf.Config
+	// View holds the endpoints.
+	View *view.View
+	// Agents holds the sessions to agents.
+	Agents *pool.Pool
+	// Budget bounds the repeats.
+	Budget *retry.Budget
+	// Send sends a call and returns the answer's head. An error is a
+	// *kept.Error; one of kept.KindDial says that nothing was sent.
+	Send func(ctx context.Context, c *Call) (*Answer, error)
+	// Random returns a number between 0 and 1; nil uses the global generator.
+	Random func() float64
+
+	fame  fame.Fame
+	mutex sync.Mutex
+	// newest are the versions that new requests need, by model and adapter.
+	newest map[[2]string]int64
+}
+
+// Release takes versions of adapters that new requests need.
+func (d *Direct) Release(releases []plane.Release) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.newest == nil {
+		d.newest = map[[2]string]int64{}
+	}
+	for _, release := range releases {
+		key := [2]string{release.Model, release.Adapter}
+		d.newest[key] = max(d.newest[key], release.Version)
+	}
+}
+
+func (d *Direct) version(model, adapter string) int64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.newest[[2]string{model, adapter}]
+}
+
+func (d *Direct) random() float64 {
+	if d.Random != nil {
+		return d.Random()
+	}
+	return rand.Float64()
+}
+
+// Do serves a request of an opaque route.
+func (d *Direct) Do(ctx context.Context, r *chain.Request, next chain.Next) error {
+	if r.Route.Kind != conf.KindOpaque {
+		return next(ctx, r)
+	}
+	service := d.service(&r.Route)
+	d.Budget.Request(service, time.Now())
+	if d.finishes(r) {
+		// What must not repeat goes on to its end although its caller leaves.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline())
+	defer cancel()
+	j := &job{direct: d, request: r, service: service, excluded: map[string]bool{}, ran: chain.RanNo}
+	if configured, ok := d.Config().Services[service]; ok {
+		j.engine = configured.Engine
+	}
+	return j.run(ctx)
+}
+
+// finishes reports whether a request is not cancelled when its caller leaves.
+func (d *Direct) finishes(r *chain.Request) bool { return !r.Route.Repeat && !r.Route.Stream }
+
+// service returns the service that a request goes to, by the weights of a
+// split route.
+func (d *Direct) service(route *conf.Route) string {
+	if len(route.Split) == 0 {
+		return route.Service
+	}
+	sum := int64(0)
+	for _, share := range route.Split {
+		sum += share.Weight
+	}
+	at := int64(d.random() * float64(sum))
+	for _, share := range route.Split {
+		if at < share.Weight {
+			return share.Service
+		}
+		at -= share.Weight
+	}
+	return route.Split[0].Service
+}
--- /dev/null
+++ b/entry/direct/place.go
@@ -0,0 +1,187 @@
+package direct
+
+import (
+	"context"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
+	"github.com/tanagerspindle/tanagerspindle/pkg/census"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
+)
+
+const (
+	// promptLimit is how long an agent may take until it says anything; a
+	// healthy one answers within a few milliseconds.
+	promptLimit = 250 * time.Millisecond
+	// mostAsked is how many engines are asked for admission: the home, the
+	// next one, and one more for when an engine has just failed.
+	mostAsked = 3
+	// rankStep is how many routes' ranks one rank of a workspace counts.
+	rankStep = 10
+)
+
+// place is an endpoint that may be sent a request.
+type place struct {
+	endpoint census.Record
+	// version is the adapter's there; 0 when it is not known.
+	version int64
+	release func()
+}
+
+// place chooses an endpoint, and gets the request admitted at an engine. It
+// returns neither a place nor a refusal when ctx has ended.
+func (j *job) place(ctx context.Context) (*place, *chain.Refusal) {
+	if j.engine != nil {
+		return j.placeEngine(ctx)
+	}
+	d := j.direct
+	endpoint, ok := d.View.Plain(j.service, j.excluded, d.random(), time.Now())
+	if !ok {
+		return nil, j.refuse("no_endpoint", "no endpoint takes the request", noneLater)
+	}
+	return &place{endpoint: endpoint, release: d.View.Begin(endpoint.Name)}, nil
+}
+
+// key names the adapter for the choice of engines.
+func (j *job) key() string {
+	if j.request.Adapter == "" {
+		return ""
+	}
+	return j.request.Model + "/" + j.request.Adapter
+}
+
+// placeEngine asks engines for admission in the order of the request's homes.
+func (j *job) placeEngine(ctx context.Context) (*place, *chain.Refusal) {
+	d, now := j.direct, time.Now()
+	key, share := j.key(), 1.0
+	if key != "" {
+		share = d.fame.Touch(key, now)
+	}
+	engines := d.View.Engines(j.service, key, share, j.excluded, now)
+	if len(engines) == 0 {
+		return nil, j.refuse("no_endpoint", "no engine takes the request", noneLater)
+	}
+	engines = engines[:min(len(engines), mostAsked)]
+	for at, engine := range engines {
+		found, reply := j.ask(ctx, engine, at == len(engines)-1)
+		if found != nil {
+			return found, nil
+		}
+		if ctx.Err() != nil {
+			return nil, nil
+		}
+		if reply != nil && reply.Reason == admit.ReasonBusy {
+			j.wait = shorter(j.wait, reply.Wait.Std())
+		}
+	}
+	return nil, j.refuse("engines_busy", "no engine could begin the request in time", failedLater)
+}
+
+func shorter(known, other time.Duration) time.Duration {
+	if known == 0 {
+		return other
+	}
+	return min(known, other)
+}
+
+// ask gets a request admitted to an engine. Without an agent to ask it is sent
+// there all the same if the adapter is probably there.
+func (j *job) ask(ctx context.Context, engine census.Record, last bool) (*place, *admit.Reply) {
+	d := j.direct
+	reply, end, err := j.exchange(ctx, engine, last)
+	if err != nil {
+		d.Host.Meter.Add("agents_unreachable", 1)
+		d.Host.Log.Write("agent-unreachable", "request", j.request.ID, "endpoint", engine.Name, "agent", engine.Agent, "err", err)
+		if ctx.Err() != nil || j.key() != "" && !d.View.Holds(engine.Name, j.key(), time.Now()) {
+			return nil, nil
+		}
+		return &place{endpoint: engine, release: d.View.Begin(engine.Name)}, nil
+	}
+	d.View.Loaded(engine.Name, reply.Load, time.Now())
+	if reply.Reason != admit.ReasonNone {
+		if reply.Reason == admit.ReasonDown || reply.Reason == admit.ReasonLeaving {
+			d.View.Unreachable(engine.Name, time.Now())
+		}
+		return nil, reply
+	}
+	done := d.View.Begin(engine.Name)
+	return &place{endpoint: engine, version: reply.Version, release: func() { done(); end() }}, reply
+}
+
+// exchange sends an Ask and waits for the Reply. When it admits the request,
+// end tells the agent that the request has ended.
+func (j *job) exchange(ctx context.Context, engine census.Record, last bool) (reply *admit.Reply, end func(), err error) {
+	prompt, cancel := context.WithTimeout(ctx, promptLimit)
+	defer cancel()
+	agents := j.direct.Agents
+	session, err := agents.Get(prompt, engine.Agent)
+	if err != nil {
+		return nil, nil, err
+	}
+	stream, err := session.Open(admit.Method)
+	if err != nil {
+		agents.Retire(session)
+		agents.Put(session)
+		return nil, nil, err
+	}
+	end = func() {
+		_ = stream.Close()
+		agents.Put(session)
+	}
+	if err = stream.Send(j.newAsk(engine, last)); err == nil {
+		reply, err = receive(ctx, prompt, stream)
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			agents.Retire(session)
+		}
+		end()
+		return nil, nil, err
+	}
+	agents.Note(session)
+	if reply.Reason != admit.ReasonNone {
+		end()
+	}
+	return reply, end, nil
+}
+
+// receive waits for the final reply; the first word must come promptly.
+func receive(ctx, prompt context.Context, stream *wire.Stream) (*admit.Reply, error) {
+	reply := &admit.Reply{}
+	release := context.AfterFunc(prompt, stream.EndReceive)
+	err := stream.Receive(reply)
+	release()
+	if err != nil || reply.Reason != admit.ReasonQueued {
+		return reply, err
+	}
+	defer context.AfterFunc(ctx, stream.EndReceive)()
+	reply = &admit.Reply{}
+	return reply, stream.Receive(reply)
+}
+
+func (j *job) newAsk(engine census.Record, last bool) *admit.Ask {
+	r := j.request
+	now := time.Now()
+	return &admit.Ask{
+		ID: r.ID, Endpoint: engine.Name, Model: r.Model, Adapter: r.Adapter,
+		Version:   j.direct.version(r.Model, r.Adapter),
+		Workspace: r.Workspace, Rank: j.rank(),
+		Prompt: r.PromptTokens, Answer: j.left(r.MaxTokens), Hint: j.left(r.Hint),
+		Goal:    span.Duration(r.Start.Add(r.Goal.First.Std()).Sub(now)),
+		Left:    span.Duration(r.Deadline().Sub(now)),
+		Resumed: j.cutter.Events > 0, Last: last,
+	}
+}
+
+// left returns how many of an answer's tokens are still to come.
+func (j *job) left(tokens int64) int64 {
+	return max(tokens-int64(j.cutter.Events)*int64(max(j.engine.Stride, 1)), 0)
+}
+
+// rank is the request's priority: the workspace's goes before the route's.
+func (j *job) rank() int32 {
+	workspace := j.direct.Config().Workspaces[j.request.Workspace]
+	return workspace.Rank*rankStep + j.request.Route.Rank
+}
--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -86,7 +86,7 @@
 // Do pays for the request, runs it, and gives back what it did not use.
 func (l *Limit) Do(ctx context.Context, r *chain.Request, next chain.Next) error {
 	need, answer := cost(r)
-	if need == 0 {
+	if need == 0 || l.unlimited(r) {
 		return next(ctx, r)
 	}
 	paid, err := l.reserve(ctx, r, need)
@@ -101,6 +101,10 @@
 		if frame.Step == call.StepPart {
 			sent.Add(frame.Tokens)
 		}
+		if frame.Step == call.StepHead && r.Route.Kind == conf.KindOpaque {
+			// It runs now, and all of it is paid for.
+			l.spendAll(paid)
+		}
 		return write(frame)
 	}
 	r.Reserved = answer
@@ -111,9 +115,19 @@
 	return err
 }
 
+// spendAll notes that all tokens of a reservation are used up.
+func (l *Limit) spendAll(paid *reservation) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	paid.spend(time.Now(), paid.total)
+}
+
 // cost returns the tokens needed to start, and how many of them are for the
 // answer.
 func cost(r *chain.Request) (need, answer int64) {
+	if r.Route.Kind == conf.KindOpaque {
+		return r.Tokens, 0
+	}
 	if r.Service != "" {
 		return r.Route.Cost, 0
 	}
@@ -121,6 +135,25 @@
 	return r.PromptTokens + answer, answer
 }
 
+// unlimited reports whether the request's workspace has no bound, or there is
+// no workspace to pay.
+func (l *Limit) unlimited(r *chain.Request) bool {
+	if r.Route.Kind != conf.KindOpaque {
+		return false
+	}
+	config := l.Config()
+	return r.Workspace == "" || config == nil || config.Workspaces[r.Workspace].Rate >= conf.Unlimited
+}
+
+// until is the latest time at which a request may be paid for. One of an opaque
+// route must leave half of its goal for the answer.
+func until(r *chain.Request) time.Time {
+	if r.Route.Kind == conf.KindOpaque && r.Goal.First > 0 {
+		return r.Start.Add(min(r.Patience, r.Goal.First.Std()/2))
+	}
+	return r.Deadline()
+}
+
 // unused returns how many paid tokens were not needed.
 func unused(paid *reservation, sent int64, err error) int64 {
 	if err != nil && chain.RefusalOf(err).Ran == chain.RanNo {
@@ -133,7 +166,7 @@
 func (l *Limit) reserve(ctx context.Context, r *chain.Request, need int64) (*reservation, error) {
 	w := &waiter{
 		need: need, spare: l.spare(r, need), class: r.Class,
-		due: r.Deadline(), until: r.Deadline(), done: make(chan error, 1),
+		due: until(r), until: until(r), done: make(chan error, 1),
 	}
 	l.mutex.Lock()
 	s := l.share(r.Workspace)
--- a/entry/match/index.go
+++ b/entry/match/index.go
@@ -33,10 +33,12 @@
 	models map[string][]named
 	// owned holds the adapters of each workspace.
 	owned map[string][]string
+	// hosts holds the opaque routes by host name in lower case and path.
+	hosts map[string]map[string]named
 }
 
 func newIndex(config *conf.Config) *index {
-	x := &index{config: config, paths: map[string][]named{}, models: map[string][]named{}, owned: map[string][]string{}}
+	x := &index{config: config, paths: map[string][]named{}, models: map[string][]named{}, owned: map[string][]string{}, hosts: map[string]map[string]named{}}
 	for name, route := range config.Routes {
 		switch route.Kind {
 		case conf.KindService:
@@ -44,6 +46,12 @@
 			x.paths[path] = append(x.paths[path], named{name, route})
 		case conf.KindModel:
 			x.models[route.Name] = append(x.models[route.Name], named{name, route})
+		case conf.KindOpaque:
+			host := strings.ToLower(route.Host)
+			if x.hosts[host] == nil {
+				x.hosts[host] = map[string]named{}
+			}
+			x.hosts[host][route.Path] = named{name, route}
 		}
 	}
 	for _, routes := range []map[string][]named{x.paths, x.models} {
@@ -59,6 +67,24 @@
 	return x
 }
 
+// opaque returns the opaque route of a request, whose path is the longest that
+// begins the request's. hosted reports whether its host has any.
+func (x *index) opaque(r *chain.Request) (route named, hosted, found bool) {
+	if r.Face != chain.FaceService || r.Host == "" {
+		return named{}, false, false
+	}
+	paths := x.hosts[strings.ToLower(r.Host)]
+	if paths == nil {
+		return named{}, false, false
+	}
+	for at := strings.LastIndexByte(r.Path, '/'); at >= 0; at = strings.LastIndexByte(r.Path[:at], '/') {
+		if route, ok := paths[r.Path[:at+1]]; ok {
+			return route, true, true
+		}
+	}
+	return named{}, true, false
+}
+
 // candidates returns the routes with the longest matching path, or those with
 // the request's model name.
 func (x *index) candidates(r *chain.Request) []named {
--- a/entry/match/match.go
+++ b/entry/match/match.go
@@ -30,6 +30,12 @@
 	if x == nil {
 		return auth.Expired()
 	}
+	if route, hosted, found := x.opaque(r); hosted {
+		if err := m.opaque(r, route, found); err != nil {
+			return err
+		}
+		return next(ctx, r)
+	}
 	found := m.find(x, r)
 	if err := m.admit(r, found); err != nil {
 		return err
@@ -47,12 +53,41 @@
 	return next(ctx, r)
 }
 
+// opaque fixes the route of a request that goes to an endpoint unread. It is
+// served under the last configuration known, also without authority over keys:
+// its operators want service to go on while control is out of reach.
+func (m *Match) opaque(r *chain.Request, found named, ok bool) error {
+	if !ok {
+		return chain.Refuse(http.StatusNotFound, "unknown_path", "no route leads to this path")
+	}
+	if !found.route.Open && r.Key == "" {
+		return auth.Unknown()
+	}
+	r.RouteName, r.Route, r.Open, r.Goal = found.name, found.route, found.route.Open, found.route.Goal
+	if r.Open {
+		r.Key, r.Workspace = "", ""
+	}
+	r.Patience = found.route.Timeout.Std()
+	if r.Wait > 0 {
+		r.Patience = min(r.Patience, r.Wait)
+	}
+	config := m.Config()
+	if r.Tokens == 0 {
+		r.Tokens = config.Workspaces[r.Workspace].Flat
+	}
+	r.Digest = digest.Of([]byte(r.Workspace), []byte(r.RouteName), []byte(r.Method), []byte(r.Path), []byte(r.Query), r.Body)
+	return nil
+}
+
 // Places returns the routes that the path of a request may lead to.
 func (m *Match) Places(r *chain.Request) []conf.Route {
 	x := m.table()
 	if x == nil {
 		return nil
 	}
+	if route, hosted, _ := x.opaque(r); hosted {
+		return []conf.Route{route.route}
+	}
 	var routes []conf.Route
 	for _, named := range x.candidates(r) {
 		routes = append(routes, named.route)
--- a/entry/trace/trace.go
+++ b/entry/trace/trace.go
@@ -33,9 +33,11 @@
 
 // Do runs the request and records how it went.
 func (t *Trace) Do(ctx context.Context, r *chain.Request, next chain.Next) error {
-	id := make([]byte, idSize)
-	_, _ = rand.Read(id)
-	r.ID = hex.EncodeToString(id)
+	if r.ID == "" {
+		id := make([]byte, idSize)
+		_, _ = rand.Read(id)
+		r.ID = hex.EncodeToString(id)
+	}
 	write := r.Write
 	r.Write = func(frame *call.Frame) error {
 		note(r, frame)
--- /dev/null
+++ b/entry/view/view.go
@@ -0,0 +1,256 @@
+// Package view holds what an entry knows of the endpoints that it calls
+// itself: who they are, what is under way there, and how they have answered.
+package view
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/spread"
+	"github.com/tanagerspindle/tanagerspindle/pkg/census"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+const (
+	// firstPause is how long an endpoint that could not be reached is left
+	// alone; the pause doubles up to longestPause.
+	firstPause   = 400 * time.Millisecond
+	longestPause = 4 * time.Second
+	// weight is that of the newest answer in the means of time and failures.
+	weight = 0.15
+	// loadLife is the time in which a reported load loses half of its weight.
+	loadLife = time.Second
+	// residentLife is how long an adapter that was used at an engine is taken
+	// to be there when nobody can be asked.
+	residentLife = 5 * time.Second
+	// mostResident bounds the adapters remembered for each engine.
+	mostResident = 512
+)
+
+// View is safe for concurrent use. Its exported fields are set before use.
+type View struct {
+	// Near is the entry's data centre.
+	Near string
+
+	mutex    sync.Mutex
+	services map[string][]*endpoint
+	byName   map[string]*endpoint
+}
+
+// endpoint is one endpoint with what this entry has seen of it.
+type endpoint struct {
+	record census.Record
+	// out counts this entry's requests there.
+	out int
+	// load is what its agent reported last, in thousandths.
+	load     int64
+	loadedAt time.Time
+	// faults counts the failures to reach it in a row; it is left alone until
+	// a time.
+	faults int
+	until  time.Time
+	// failing and took are the means of failures and of times in seconds.
+	failing, took float64
+	// resident are the adapters used there lately.
+	resident map[string]time.Time
+}
+
+// Update takes the endpoints that take requests, by service.
+func (v *View) Update(usable map[string][]census.Record) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	former := v.byName
+	v.byName, v.services = map[string]*endpoint{}, map[string][]*endpoint{}
+	for service, records := range usable {
+		for _, record := range records {
+			known := former[record.Name]
+			if known == nil || known.record.Born != record.Born || known.record.Address != record.Address {
+				known = &endpoint{resident: map[string]time.Time{}}
+			}
+			known.record = record
+			v.byName[record.Name] = known
+			v.services[service] = append(v.services[service], known)
+		}
+	}
+}
+
+// Known reports whether an endpoint takes requests, as far as is known.
+func (v *View) Known(name string) bool {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.byName[name] != nil
+}
+
+// Count returns the number of endpoints of a service.
+func (v *View) Count(service string) int {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return len(v.services[service])
+}
+
+// Plain chooses an endpoint of a plain service that is not excluded.
+func (v *View) Plain(service string, excluded map[string]bool, random float64, now time.Time) (census.Record, bool) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	list, candidates := v.candidates(service, excluded, now)
+	at := spread.Plain(candidates, random)
+	if at < 0 {
+		return census.Record{}, false
+	}
+	return list[at].record, true
+}
+
+// Engines returns the engines of a service that are not excluded, in the order
+// in which a request for a key should be offered to them.
+func (v *View) Engines(service, key string, share float64, excluded map[string]bool, now time.Time) []census.Record {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	list, candidates := v.candidates(service, excluded, now)
+	homes := spread.Homes(share, len(v.services[service]))
+	records := make([]census.Record, 0, len(list))
+	for _, at := range spread.Engines(key, homes, candidates) {
+		records = append(records, list[at].record)
+	}
+	return records
+}
+
+func (v *View) candidates(service string, excluded map[string]bool, now time.Time) ([]*endpoint, []spread.Candidate) {
+	var list []*endpoint
+	took, failing, known := 0.0, 0.0, 0.0
+	for _, e := range v.services[service] {
+		if e.took > 0 {
+			took += e.took
+			failing += e.failing
+			known++
+		}
+		if !excluded[e.record.Name] {
+			list = append(list, e)
+		}
+	}
+	candidates := make([]spread.Candidate, 0, len(list))
+	for _, e := range list {
+		candidate := spread.Candidate{
+			Name: e.record.Name, Load: e.work(now), Far: e.record.DataCentre != v.Near, Down: now.Before(e.until),
+		}
+		if known > 0 && e.took > 0 {
+			// The others' mean, so that a bad endpoint is measured against good
+			// ones.
+			others := max(known-1, 1)
+			candidate.Slow = e.took/max((took-e.took)/others, math.SmallestNonzeroFloat64) - 2
+			candidate.Failing = e.failing - (failing-e.failing)/others - 0.1
+		}
+		candidates = append(candidates, candidate)
+	}
+	return list, candidates
+}
+
+// work returns the load of an endpoint as a share of what it can do.
+func (e *endpoint) work(now time.Time) float64 {
+	own := float64(e.out) / float64(max(e.record.Slots, 1))
+	age := float64(now.Sub(e.loadedAt)) / float64(loadLife)
+	return max(own, float64(e.load)/1000*math.Exp2(-age))
+}
+
+// Begin counts a request at an endpoint; the returned function ends it.
+func (v *View) Begin(name string) func() {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	e := v.byName[name]
+	if e == nil {
+		return func() {}
+	}
+	e.out++
+	return func() {
+		v.mutex.Lock()
+		defer v.mutex.Unlock()
+		e.out--
+	}
+}
+
+// Reached notes an answer: how long it took, and whether it was a failure.
+func (v *View) Reached(name string, took time.Duration, failed bool) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	e := v.byName[name]
+	if e == nil {
+		return
+	}
+	e.faults, e.until = 0, time.Time{}
+	one := 0.0
+	if failed {
+		one = 1
+	}
+	e.failing += weight * (one - e.failing)
+	if e.took == 0 {
+		e.took = took.Seconds()
+	}
+	e.took += weight * (took.Seconds() - e.took)
+}
+
+// Unreachable notes that an endpoint could not be reached, or that its
+// connection broke without an answer.
+func (v *View) Unreachable(name string, now time.Time) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	e := v.byName[name]
+	if e == nil || now.Before(e.until) {
+		return
+	}
+	pause := min(firstPause<<min(e.faults, 8), longestPause)
+	e.faults++
+	e.until = now.Add(pause)
+	clear(e.resident)
+}
+
+// Loaded notes the load that an engine's agent reported, in thousandths.
+func (v *View) Loaded(name string, load int64, now time.Time) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if e := v.byName[name]; e != nil {
+		e.load, e.loadedAt = load, now
+	}
+}
+
+// Used notes that an adapter was used at an engine, Missing that it is not
+// there.
+func (v *View) Used(name, key string, now time.Time) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	e := v.byName[name]
+	if e == nil {
+		return
+	}
+	if len(e.resident) >= mostResident {
+		clear(e.resident)
+	}
+	e.resident[key] = now
+}
+
+// Missing notes that an adapter is not at an engine.
+func (v *View) Missing(name, key string) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if e := v.byName[name]; e != nil {
+		delete(e.resident, key)
+	}
+}
+
+// Holds reports whether an adapter was used at an engine so lately that it is
+// probably there.
+func (v *View) Holds(name, key string, now time.Time) bool {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	e := v.byName[name]
+	if e == nil {
+		return false
+	}
+	at, ok := e.resident[key]
+	return ok && now.Sub(at) < residentLife
+}
--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -2,8 +2,9 @@
 // to an engine by the agent beside it, before it sends the request there
 // itself.
 //
-// One stream carries one request: an Ask from the entry, one Reply from the
-// agent when the request may be sent or will not be. The entry closes the
+// One stream carries one request: an Ask from the entry, a Reply from the agent
+// when the request may be sent or will not be, and before that one which says
+// that the request waits, when it does. The entry closes the
 // stream when the request has ended; so does the loss of the connection.
 package admit
 
@@ -78,6 +79,9 @@
 const (
 	// ReasonNone admits the request.
 	ReasonNone Reason = ""
+	// ReasonQueued says that the request waits at the agent; another Reply
+	// follows.
+	ReasonQueued Reason = "queued"
 	// ReasonBusy says that the request could not begin in time; Wait says when
 	// it could.
 	ReasonBusy Reason = "busy"
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -89,7 +89,7 @@
 	// answered is when a replica last proved to be up to date.
 	answered atomic.Int64
 	burn     burn
-	nudge  wake.Signal
+	nudge    wake.Signal
 }
 
 // bans is the quarantine by digest. It is not changed.
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/feed"
 	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/feed"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/lease"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
--- a/pkg/plane/feed.go
+++ b/pkg/plane/feed.go
@@ -186,7 +186,7 @@
 
 // Check reports the first invalid field.
 func (r *Release) Check() error {
-	if r.Model == "" || r.Adapter == "" || r.Version < 1 {
+	if r.Model == "" || r.Version < 1 {
 		return &Error{Op: "check release", Kind: KindInvalid}
 	}
 	return nil
