--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -61,7 +61,7 @@
 	if key != "" {
 		share = d.fame.Touch(key, now)
 	}
-	engines := d.View.Engines(j.service, key, share, j.excluded, now)
+	engines := d.View.Engines(j.service, key, share, d.random(), j.excluded, now)
 	if len(engines) == 0 {
 		return nil, j.refuse("no_endpoint", "no engine takes the request", noneLater)
 	}
--- a/entry/spread/spread.go
+++ b/entry/spread/spread.go
@@ -34,8 +34,9 @@
 	// adapter may take there.
 	homeShare = 0.5
 	// loadStep is the difference in load, as a share of what an engine can
-	// do, below which the order of the homes decides.
-	loadStep = 0.15
+	// do, below which chance decides between homes: the loads known are some
+	// time old, and all entries would go to the same one.
+	loadStep = 0.06
 )
 
 // Candidate is an endpoint to choose from.
@@ -86,15 +87,17 @@
 
 // Engines returns the indices of the engines in the order in which a request
 // for a key should be offered to them: its homes by their load, then the others
-// by theirs. Engines that are down come last.
-func Engines(key string, homes int, candidates []Candidate) []int {
+// by theirs. Engines that are down come last. random is between 0 and 1.
+func Engines(key string, homes int, candidates []Candidate, random float64) []int {
 	type ranked struct {
 		index int
 		place uint64
+		load  float64
 	}
 	order := make([]ranked, len(candidates))
 	for i := range candidates {
-		order[i] = ranked{index: i, place: xxhash.Sum64String(key + "\x00" + candidates[i].Name)}
+		place := xxhash.Sum64String(key + "\x00" + candidates[i].Name)
+		order[i] = ranked{index: i, place: place, load: candidates[i].Load + loadStep*chance(place, random)}
 	}
 	slices.SortFunc(order, func(a, b ranked) int {
 		return cmp.Or(compareDown(&candidates[a.index], &candidates[b.index]), cmp.Compare(a.place, b.place))
@@ -102,7 +105,7 @@
 	homes = min(homes, len(order))
 	byLoad := func(a, b ranked) int {
 		x, y := &candidates[a.index], &candidates[b.index]
-		return cmp.Or(compareDown(x, y), cmp.Compare(math.Floor(x.Load/loadStep), math.Floor(y.Load/loadStep)), cmp.Compare(a.place, b.place))
+		return cmp.Or(compareDown(x, y), cmp.Compare(a.load, b.load))
 	}
 	slices.SortFunc(order[:homes], byLoad)
 	slices.SortFunc(order[homes:], byLoad)
@@ -113,6 +116,14 @@
 	return indices
 }
 
+// chance returns a number between 0 and 1 for an engine and a draw.
+func chance(place uint64, random float64) float64 {
+	// The multiplier is that of splitmix64; it spreads the bits of the draw.
+	mixed := (place ^ math.Float64bits(random)) * 0xbf58476d1ce4e5b9
+	mixed ^= mixed >> 31
+	return float64(mixed>>11) / (1 << 53)
+}
+
 func compareDown(a, b *Candidate) int {
 	switch {
 	case a.Down == b.Down:
