--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -145,7 +145,7 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return chain.Gone(ctx, j.ran)
 	}
-	if refusal == nil {
+	if refusal == nil || ctx.Err() != nil {
 		refusal = chain.Refuse(http.StatusGatewayTimeout, "timeout", "no answer came in time")
 		if j.ran == chain.RanNo {
 			refusal.Status = http.StatusServiceUnavailable
