Go on at a part of the rates while control does not answer; give unanswered orders again

Entries now spend their part of each rate, a third of it after a second, and tell control; the agent repeats an order at once under the same count.

--- a/agent/keeper/orders.go
+++ b/agent/keeper/orders.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// orderTimeout bounds one order; a late one is refused by its count.
-	orderTimeout = 300 * time.Millisecond
+	// orderTimeout bounds one order. The engine is on the same VM and answers
+	// within a millisecond or two; one that is not answered is given again,
+	// and refused by its count if the first was taken.
+	orderTimeout = 80 * time.Millisecond
 	// modelLife is how long a load of a base model is believed to be under
 	// way. The users' models take 2.9 s, longer when several load at once.
 	modelLife = 12 * time.Second
@@ -152,10 +154,15 @@
 	k.Host.Log.Write("engine-ordered", "load", order.Load, "model", order.Model, "adapter", order.Adapter, "version", order.Version,
 		"expected", order.Expected, "outcome", outcome, "err", err)
 	switch {
+	case err != nil && next != nil:
+		k.shelf.Unanswered(*next)
 	case err != nil:
-		// It may be taken later, unless another order is taken first.
+		k.loading = time.Time{}
 	case outcome == OutcomeTaken:
 		k.expected, k.counted = order.Expected+1, true
+		if next != nil {
+			k.shelf.Taken(*next)
+		}
 	case outcome == OutcomeRefused && next != nil:
 		k.shelf.Refused(*next)
 	case outcome == OutcomeRefused:
--- a/agent/shelf/shelf.go
+++ b/agent/shelf/shelf.go
@@ -79,9 +79,13 @@
 	newest map[Key]release
 }
 
+// pending is an order whose effect has not been reported.
 type pending struct {
 	order Order
 	until time.Time
+	// doubtful says that the engine did not answer: it may carry the order out
+	// at any time until it takes another one.
+	doubtful bool
 }
 
 type release struct {
@@ -218,7 +222,7 @@
 	}
 	freeing := s.freeing()
 	for _, key := range wanted {
-		if _, under := s.ordered[key]; under {
+		if p, under := s.ordered[key]; under && !p.doubtful {
 			continue
 		}
 		load := Order{Key: key, Load: true, Version: s.newest[key].version}
@@ -228,7 +232,8 @@
 			}
 			continue
 		}
-		if s.taken() < s.Places {
+		if s.taken() < s.Places || s.ordered[key].doubtful && s.ordered[key].order.Load {
+			// A place is free, or counted for this very adapter.
 			return load, true
 		}
 		if freeing > 0 {
@@ -247,7 +252,7 @@
 func (s *Shelf) freeing() int {
 	count := 0
 	for _, p := range s.ordered {
-		if !p.order.Load {
+		if !p.order.Load && !p.doubtful {
 			count++
 		}
 	}
@@ -276,7 +281,8 @@
 	found := false
 	for key, wanted := range s.newest {
 		held := s.items[key]
-		_, under := s.ordered[key]
+		p, under := s.ordered[key]
+		under = under && !p.doubtful
 		if held == nil || held.coming || under || held.version >= wanted.version || now.Before(wanted.renew) {
 			continue
 		}
@@ -300,6 +306,25 @@
 	}
 }
 
+// Unanswered notes that the engine did not answer an order. It may be given
+// again: the engine takes only one of the two.
+func (s *Shelf) Unanswered(order Order) {
+	if p, ok := s.ordered[order.Key]; ok {
+		p.doubtful = true
+		s.ordered[order.Key] = p
+	}
+}
+
+// Taken notes that the engine took an order, and so will refuse those that it
+// had not answered before.
+func (s *Shelf) Taken(order Order) {
+	for key, p := range s.ordered {
+		if p.doubtful && key != order.Key {
+			s.Refused(p.order)
+		}
+	}
+}
+
 // Refused notes that the engine did not take an order.
 func (s *Shelf) Refused(order Order) {
 	delete(s.ordered, order.Key)
--- a/agent/shelf/shelf_test.go
+++ b/agent/shelf/shelf_test.go
@@ -132,6 +132,40 @@
 	require.True(t, ok, "the order has had no effect")
 }
 
+// An engine that leaves an order unanswered may carry it out later, until it
+// takes another one.
+func TestUnansweredOrderIsGivenAgain(t *testing.T) {
+	e := newEngine(t, 2)
+	e.order(key("a"))
+	e.arrive()
+	lost, ok := e.shelf.Next([]shelf.Key{key("b")}, e.now)
+	require.True(t, ok)
+	e.shelf.Sent(lost, e.now)
+	e.shelf.Unanswered(lost)
+	_, ok = e.shelf.Next([]shelf.Key{key("c")}, e.now)
+	require.True(t, ok)
+	again, ok := e.shelf.Next([]shelf.Key{key("b"), key("c")}, e.now)
+	require.True(t, ok)
+	require.Equal(t, lost, again, "the place is counted for it")
+	other, _ := e.shelf.Next([]shelf.Key{key("c")}, e.now)
+	require.Equal(t, shelf.Order{Key: key("a")}, other, "no place is free while the lost order may come through")
+	e.shelf.Sent(again, e.now)
+	e.shelf.Taken(again)
+	_, ok = e.shelf.Next([]shelf.Key{key("b")}, e.now)
+	require.False(t, ok)
+}
+
+func TestTakenOrderVoidsUnansweredOnes(t *testing.T) {
+	e := newEngine(t, 1)
+	lost, _ := e.shelf.Next([]shelf.Key{key("a")}, e.now)
+	e.shelf.Sent(lost, e.now)
+	e.shelf.Unanswered(lost)
+	e.shelf.Taken(shelf.Order{Key: key("x"), Load: true})
+	order, ok := e.shelf.Next([]shelf.Key{key("b")}, e.now)
+	require.True(t, ok)
+	require.Equal(t, shelf.Order{Key: key("b"), Load: true}, order)
+}
+
 func TestNewVersionReplacesTheOldOne(t *testing.T) {
 	e := newEngine(t, 2)
 	e.shelf.Jitter = func() float64 { return 0.5 }
--- a/ctrl/quota/grant.go
+++ b/ctrl/quota/grant.go
@@ -118,6 +118,10 @@
 	defer o.mutex.Unlock()
 	now := time.Now()
 	for i := range ask.Asks {
+		if owed := ask.Asks[i].Owed; owed > 0 {
+			o.charge(ask.Asks[i].Workspace, owed, now)
+			continue
+		}
 		s := o.spaces[ask.Asks[i].Workspace]
 		if s == nil || ask.Asks[i].Lease == 0 {
 			continue
@@ -127,6 +131,19 @@
 	}
 }
 
+// charge takes out of a bucket what an entry has spent without a grant. The
+// caller holds the mutex.
+func (o *Owner) charge(workspace string, owed int64, now time.Time) {
+	o.follow()
+	s := o.space(workspace)
+	if s == nil {
+		return
+	}
+	s.advance(now)
+	s.owed += owed
+	s.repay()
+}
+
 // pass answers the open asks and returns those for which a commit would bring
 // enough, with the end of the present record.
 func (o *Owner) pass(ask *plane.GrantAsk, reply *plane.GrantReply, open []int) (short []int, next *round, leading bool) {
--- a/ctrl/quota/space.go
+++ b/ctrl/quota/space.go
@@ -34,6 +34,9 @@
 	use     float64
 	// starved says that an ask waits for a record.
 	starved bool
+	// owed is what entries have spent without a grant and the bucket has not
+	// repaid.
+	owed int64
 }
 
 type lease struct {
@@ -91,6 +94,7 @@
 		s.bucket.Put(s.reserve)
 		s.reserve = 0
 	}
+	s.repay()
 	s.tickets = slices.DeleteFunc(s.tickets, func(t ticket) bool { return !t.until.After(now) })
 	for entry, wish := range s.wants {
 		if now.Sub(wish.at) > wantLife {
@@ -99,6 +103,9 @@
 	}
 }
 
+// repay takes what is owed out of the bucket, as far as it goes.
+func (s *space) repay() { s.owed -= s.bucket.Take(s.owed) }
+
 // life is how long a grant may be spent. Tokens that may still be spent keep
 // room in the bucket, so it is short when the burst is small.
 func (s *space) life() time.Duration {
@@ -263,5 +270,5 @@
 // idle reports whether nothing depends on the space any more: its state
 // follows from the committed horizon.
 func (s *space) idle() bool {
-	return s.held() == 0 && len(s.tickets) == 0 && len(s.wants) == 0 && s.use == 0 && s.bucket.Level() == s.bucket.Burst()
+	return s.held() == 0 && s.owed == 0 && len(s.tickets) == 0 && len(s.wants) == 0 && s.use == 0 && s.bucket.Level() == s.bucket.Burst()
 }
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -216,6 +216,9 @@
 	e.direct.Config = e.feed.Config
 	d.Repeats.Entries = e.feed.Entries
 	e.limit = &limit.Limit{Host: d.Host, Incarnation: incarnation, Config: e.feed.Config, Grant: e.grant}
+	if d.Send != nil {
+		e.limit.Entries = e.feed.KnownEntries
+	}
 	e.server = &http.Server{
 		Handler:           e.handler(choice),
 		ReadHeaderTimeout: headerLimit,
--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -57,11 +57,17 @@
 	Config func() *conf.Config
 	// Grant exchanges one GrantAsk with the control leader.
 	Grant func(ctx context.Context, ask *plane.GrantAsk, reply *plane.GrantReply) error
+	// Entries returns among how many entries the rates are divided while
+	// control does not answer, 0 while that is not known; nil lets requests
+	// wait for control.
+	Entries func() int
 
 	mutex  sync.Mutex
 	shares map[string]*share
 	wake   wake.Signal
 	seq    uint64
+	// asked is since when an ask is unanswered; zero when none is.
+	asked time.Time
 }
 
 // reservation is what one request has paid for.
@@ -309,6 +315,14 @@
 	return s
 }
 
+func (l *Limit) burst(workspace string) int64 {
+	config := l.Config()
+	if config == nil {
+		return 1
+	}
+	return max(config.Workspaces[workspace].Burst, 1)
+}
+
 // rate returns the workspace's tokens per second.
 func (l *Limit) rate(workspace string) float64 {
 	config := l.Config()
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -26,6 +26,9 @@
 	mutex sync.Mutex
 	asks  []*plane.GrantAsk
 	grant func(ask *plane.GrantAsk) (*plane.GrantReply, error)
+	// entries is among how many the rate is divided without control; 0 lets
+	// requests wait.
+	entries atomic.Int64
 }
 
 func (o *owner) exchange(ctx context.Context, ask *plane.GrantAsk, reply *plane.GrantReply) error {
@@ -51,6 +54,7 @@
 			Incarnation: 1,
 			Config:      func() *conf.Config { return config },
 			Grant:       o.exchange,
+			Entries:     func() int { return int(o.entries.Load()) },
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		go l.Run(ctx)
@@ -214,3 +218,43 @@
 		require.Less(t, time.Since(start), 20*time.Millisecond, "long ones leave a little")
 	})
 }
+
+// While control does not answer, an entry of four goes on at its part of the
+// rate, for a second at the whole and then at a third of it; control is told
+// what that came to.
+func TestEntryGoesOnWithoutControl(t *testing.T) {
+	var silent atomic.Bool
+	silent.Store(true)
+	answer := func(ask *plane.GrantAsk) (*plane.GrantReply, error) {
+		if silent.Load() {
+			return nil, context.DeadlineExceeded
+		}
+		return &plane.GrantReply{Grants: make([]plane.Grant, len(ask.Asks))}, nil
+	}
+	inLimit(t, answer, func(l *limit.Limit, o *owner) {
+		o.entries.Store(4)
+		payFor := func(length time.Duration) (paid int) {
+			for start := time.Now(); time.Since(start) < length; time.Sleep(2 * time.Millisecond) {
+				if pay(l, 1, 0, 10*time.Millisecond) == nil {
+					paid++
+				}
+			}
+			return paid
+		}
+		paid := payFor(1200 * time.Millisecond)
+		require.InDelta(t, 25, paid, 2)
+		later := payFor(4 * time.Second)
+		require.InDelta(t, 30, later, 3)
+		silent.Store(false)
+		time.Sleep(3 * time.Second)
+		owed := int64(0)
+		o.mutex.Lock()
+		defer o.mutex.Unlock()
+		for _, ask := range o.asks {
+			for _, one := range ask.Asks {
+				owed += one.Owed
+			}
+		}
+		require.InDelta(t, paid+later, owed, 6)
+	})
+}
--- a/entry/limit/loop.go
+++ b/entry/limit/loop.go
@@ -22,6 +22,7 @@
 // Run exchanges tokens with control until ctx ends, then gives back what is
 // left.
 func (l *Limit) Run(ctx context.Context) {
+	go l.watchCutOff(ctx)
 	l.wake.Set()
 	for ctx.Err() == nil {
 		timer := time.NewTimer(l.pause(time.Now()))
@@ -73,6 +74,9 @@
 // did the first. Grants count from the first sending.
 func (l *Limit) exchange(ctx context.Context, ask *plane.GrantAsk) {
 	sent := time.Now()
+	l.mutex.Lock()
+	l.asked = sent
+	l.mutex.Unlock()
 	for ctx.Err() == nil {
 		reply, err := l.once(ctx, ask)
 		if err == nil && reply.Refused == plane.KindNone {
@@ -100,6 +104,8 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := time.Now()
+	l.asked = time.Time{}
+	l.endOverdrafts()
 	for _, grant := range reply.Grants {
 		at := slices.IndexFunc(ask.Asks, func(a plane.Ask) bool { return a.Workspace == grant.Workspace && a.Want > 0 })
 		if at < 0 {
--- /dev/null
+++ b/entry/limit/overdraft.go
@@ -0,0 +1,113 @@
+package limit
+
+import (
+	"context"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+const (
+	// overdraftAfter is how long control may leave an ask unanswered before
+	// the entry goes on by itself. A healthy exchange takes a few milliseconds,
+	// an election half a second.
+	overdraftAfter = 200 * time.Millisecond
+	// overdraftFull is how long the entry goes on at its whole part of the
+	// rate, and overdraftRest the share of it after that. Together all entries
+	// then spend no more than the rate while nobody grants; and the few that
+	// are cut off while others get tokens spend a third of their part.
+	overdraftFull = time.Second
+	overdraftRest = 0.3
+	// overdraftTick is the time between two looks at who waits.
+	overdraftTick = 50 * time.Millisecond
+	// overdraftLife keeps the overdraft's lease valid from tick to tick.
+	overdraftLife = time.Second
+)
+
+// overdraft is what a workspace's requests spend while control does not answer.
+// Control is told of it later and takes it out of the bucket.
+type overdraft struct {
+	lease *held
+	// given is how many tokens the lease got in all, at is up to when.
+	given float64
+	at    time.Time
+}
+
+// watchCutOff pays waiters out of overdrafts while control does not answer.
+func (l *Limit) watchCutOff(ctx context.Context) {
+	if l.Entries == nil {
+		return
+	}
+	ticker := time.NewTicker(overdraftTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		l.mutex.Lock()
+		l.overdraw(time.Now())
+		l.mutex.Unlock()
+	}
+}
+
+// overdraw moves the overdrafts on if an ask has been unanswered for too long.
+// The caller holds the mutex.
+func (l *Limit) overdraw(now time.Time) {
+	entries := l.Entries()
+	if l.asked.IsZero() || now.Sub(l.asked) < overdraftAfter || entries < 1 {
+		return
+	}
+	for workspace, s := range l.shares {
+		part := l.rate(workspace) / float64(entries)
+		if now.Sub(l.asked) > overdraftAfter+overdraftFull {
+			part *= overdraftRest
+		}
+		s.overdraw(now, part, l.burst(workspace)/int64(entries))
+		l.serve(s, now)
+	}
+}
+
+// overdraw adds what accrues at a rate, up to a bound that the first waiter may
+// exceed.
+func (s *share) overdraw(now time.Time, rate float64, most int64) {
+	if s.over == nil {
+		s.over = &overdraft{lease: &held{}, at: now}
+		s.leases = append(s.leases, s.over.lease)
+	}
+	if len(s.waiters) > 0 {
+		most = max(most, s.waiters[0].need)
+	}
+	o := s.over
+	spent := int64(o.given) - o.lease.left
+	o.given = min(o.given+rate*now.Sub(o.at).Seconds(), float64(spent+most))
+	o.at = now
+	o.lease.left = max(int64(o.given)-spent, 0)
+	o.lease.until = now.Add(overdraftLife)
+}
+
+// endOverdrafts ends the overdrafts after control has answered; what they spent
+// is owed. The caller holds the mutex.
+func (l *Limit) endOverdrafts() {
+	for workspace, s := range l.shares {
+		if s.over == nil {
+			continue
+		}
+		spent := int64(s.over.given) - s.over.lease.left
+		s.owed += spent
+		s.over.lease.left, s.over.lease.until = 0, time.Time{}
+		s.over = nil
+		l.Host.Log.Write("overdraft-ended", "workspace", workspace, "tokens", spent)
+	}
+}
+
+// debt returns the ask that tells control of what is owed, if anything is.
+func (s *share) debt() []plane.Ask {
+	if s.owed == 0 {
+		return nil
+	}
+	owed := s.owed
+	s.owed = 0
+	return []plane.Ask{{Workspace: s.workspace, Owed: owed}}
+}
--- a/entry/limit/share.go
+++ b/entry/limit/share.go
@@ -45,6 +45,10 @@
 	// spent is the decayed spending of the last spendTime, as of usedAt.
 	spent  float64
 	usedAt time.Time
+	// over is the overdraft while control does not answer, owed what control
+	// has not been told of.
+	over *overdraft
+	owed int64
 }
 
 // held is a lease of tokens; none is spent after until.
@@ -220,7 +224,7 @@
 func (s *share) asks(now time.Time) []plane.Ask {
 	want, least := s.want(now)
 	asking := want > 0 && !now.Before(s.askAt)
-	asks := s.returns(now, asking)
+	asks := append(s.returns(now, asking), s.debt()...)
 	if asking {
 		asks = append(asks, plane.Ask{Workspace: s.workspace, Want: want, Least: least})
 	}
@@ -256,6 +260,9 @@
 			continue
 		}
 		kept = append(kept, lease)
+		if s.over != nil && lease == s.over.lease {
+			continue
+		}
 		ask := plane.Ask{Workspace: s.workspace, Lease: lease.id}
 		idle := now.Sub(lease.used) >= idleReturn && len(s.waiters) == 0
 		ending := lease.until.Sub(now) < endReturn
@@ -278,5 +285,5 @@
 
 // idle reports whether the share can be forgotten.
 func (s *share) idle(now time.Time) bool {
-	return len(s.leases) == 0 && len(s.waiters) == 0 && now.Sub(s.usedAt) > forget
+	return len(s.leases) == 0 && len(s.waiters) == 0 && s.owed == 0 && now.Sub(s.usedAt) > forget
 }
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -113,6 +113,9 @@
 // least 1.
 func (f *Feed) Entries() int { return max(int(f.entries.Load()), 1) }
 
+// KnownEntries returns the same, and 0 while nothing is known.
+func (f *Feed) KnownEntries() int { return int(f.entries.Load()) }
+
 // Banned returns the time for which a request is quarantined, and whether it
 // is suspected of having crashed an endpoint.
 func (f *Feed) Banned(digest []byte) (left time.Duration, suspect bool) {
--- a/pkg/plane/quota.go
+++ b/pkg/plane/quota.go
@@ -26,6 +26,9 @@
 	// that said so. Tokens not known to be spent keep room in the bucket until
 	// their Life has passed; nothing accrues in that room.
 	Spent int64 `protobuf:"varint,6,opt"`
+	// Owed is how many tokens the entry has spent without a grant while control
+	// did not answer.
+	Owed int64 `protobuf:"varint,7,opt"`
 }
 
 // Check reports the first invalid field.
@@ -34,7 +37,7 @@
 		return &Error{Op: "check grant", Kind: KindInvalid}
 	}
 	for _, ask := range g.Asks {
-		if ask.Want < 0 || ask.Least < 0 || ask.Unused < 0 || ask.Spent < 0 {
+		if ask.Want < 0 || ask.Least < 0 || ask.Unused < 0 || ask.Spent < 0 || ask.Owed < 0 {
 			return &Error{Op: "check ask", Kind: KindInvalid}
 		}
 	}
