Keep adapters at their homes, fit loads to the store's speed, keep what is waited for

Now only homes are asked, the loads on their way follow their measured time, and adapters that requests wait for stay.

--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -185,7 +185,7 @@
 }
 
 // admitAll goes through the waiting requests in their order, and returns the
-// adapters that some of them wait for.
+// adapters of those that go on waiting.
 func (k *Keeper) admitAll(now time.Time) []shelf.Key {
 	var wanted []shelf.Key
 	full := false
@@ -202,15 +202,14 @@
 		if w.Ask.Adapter != "" {
 			version, ready = k.shelf.Ready(t.key, w.Ask.Version, now)
 		}
-		if !ready {
-			wanted = append(wanted, t.key)
-		}
 		if ready && !full && k.gate.Fits(w, now) {
 			k.begin(t, version, now)
 			continue
 		}
 		full = full || ready
-		k.giveUp(t, ready, now)
+		if !k.giveUp(t, ready, now) && w.Ask.Adapter != "" {
+			wanted = append(wanted, t.key)
+		}
 	}
 	return wanted
 }
@@ -229,16 +228,19 @@
 	return true
 }
 
-// giveUp refuses a waiting request that could not be served in time.
-func (k *Keeper) giveUp(t *task, ready bool, now time.Time) {
+// giveUp refuses a waiting request that could not be served in time, and
+// reports whether it did.
+func (k *Keeper) giveUp(t *task, ready bool, now time.Time) bool {
 	load := time.Duration(0)
 	if !ready {
 		load = k.loadWait(t.key)
 	}
 	wait := k.gate.Wait(t.want, load, now)
-	if k.gate.Hopeless(t.want, wait, now) {
-		k.finish(t, &admit.Reply{Reason: admit.ReasonBusy, Wait: waitOf(wait), Load: k.gate.Load(now)})
+	if !k.gate.Hopeless(t.want, wait, now) {
+		return false
 	}
+	k.finish(t, &admit.Reply{Reason: admit.ReasonBusy, Wait: waitOf(wait), Load: k.gate.Load(now)})
+	return true
 }
 
 // loadWait estimates how long a missing adapter takes to come.
--- a/agent/shelf/shelf.go
+++ b/agent/shelf/shelf.go
@@ -24,7 +24,7 @@
 const (
 	// MostFlight is how many adapters may be on their way to one engine at
 	// once; a bound of the users' engines.
-	MostFlight = 4
+	MostFlight = mostWindow
 	// orderLife is how long an order without an effect is believed to be under
 	// way. A load takes 250 ms, longer when many run at once.
 	orderLife = 3 * time.Second
@@ -77,11 +77,13 @@
 	// newest are the versions that new requests need, with the time from which
 	// a held one is renewed although it is in use.
 	newest map[Key]release
+	window window
 }
 
 // pending is an order whose effect has not been reported.
 type pending struct {
 	order Order
+	sent  time.Time
 	until time.Time
 	// doubtful says that the engine did not answer: it may carry the order out
 	// at any time until it takes another one.
@@ -110,9 +112,13 @@
 		known.version = held.Version
 	}
 	s.items = items
+	s.arrived(now)
 	for key, p := range s.ordered {
 		if s.settled(p.order) || !now.Before(p.until) {
 			delete(s.ordered, key)
+			if p.order.Load && !p.doubtful {
+				s.loading(key, p.sent)
+			}
 			continue
 		}
 		if held := items[key]; held != nil {
@@ -214,10 +220,11 @@
 }
 
 // Next returns the order that the engine should get now. wanted are the
-// adapters that requests wait for, the most urgent first.
+// adapters that requests wait for, the most urgent first, those that are there
+// already included.
 func (s *Shelf) Next(wanted []Key, now time.Time) (Order, bool) {
 	s.prepare()
-	if s.Flight() >= MostFlight {
+	if s.Flight() >= s.window.most() {
 		return Order{}, false
 	}
 	freeing := s.freeing()
@@ -300,7 +307,7 @@
 // Sent notes that an order may have reached the engine.
 func (s *Shelf) Sent(order Order, now time.Time) {
 	s.prepare()
-	s.ordered[order.Key] = pending{order: order, until: now.Add(orderLife)}
+	s.ordered[order.Key] = pending{order: order, sent: now, until: now.Add(orderLife)}
 	if held := s.items[order.Key]; held != nil {
 		held.leaving = true
 	}
--- a/agent/shelf/shelf_test.go
+++ b/agent/shelf/shelf_test.go
@@ -102,6 +102,49 @@
 	require.Equal(t, shelf.Order{Key: c, Load: true}, order)
 }
 
+// An adapter that has come is not sent away before those who waited for it
+// were let through.
+func TestAdapterThatRequestsWaitForStays(t *testing.T) {
+	e := newEngine(t, 1)
+	e.order(key("a"))
+	e.arrive()
+	_, ok := e.order(key("a"), key("b"))
+	require.False(t, ok)
+}
+
+// Loads that take long leave fewer on their way, quick ones more.
+func TestOverloadedStoreGetsFewerLoads(t *testing.T) {
+	e := newEngine(t, 100)
+	flight := func(took time.Duration) int {
+		for round := range 20 {
+			var wanted []shelf.Key
+			for i := range 10 {
+				wanted = append(wanted, key(fmt.Sprint(took, round, i)))
+			}
+			for {
+				if _, ok := e.order(wanted...); !ok {
+					break
+				}
+			}
+			e.report()
+			e.now = e.now.Add(took)
+			e.arrive()
+			clear(e.held)
+			e.report()
+		}
+		for i := range 10 {
+			e.order(key(fmt.Sprint("last", took, i)))
+		}
+		count := len(e.coming)
+		e.arrive()
+		return count
+	}
+	require.Equal(t, 1, flight(time.Second))
+	require.Equal(t, shelf.MostFlight, flight(250*time.Millisecond))
+	require.Equal(t, 1, flight(500*time.Millisecond))
+	require.Equal(t, 1, flight(25*time.Millisecond), "what comes from the engine's own memory says nothing of the store")
+}
+
 func TestAdaptersInUseStay(t *testing.T) {
 	e := newEngine(t, 1)
 	e.order(key("a"))
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -15,9 +15,10 @@
 	// promptLimit is how long an agent may take until it says anything; a
 	// healthy one answers within a few milliseconds.
 	promptLimit = 250 * time.Millisecond
-	// mostAsked is how many engines are asked for admission: the home, the
-	// next one, and one more for when an engine has just failed.
-	mostAsked = 3
+	// mostBusy is how many engines that are too busy are asked, and mostAsked
+	// how many in all: some may have just failed.
+	mostBusy  = 3
+	mostAsked = 5
 	// rankStep is how many routes' ranks one rank of a workspace counts.
 	rankStep = 10
 )
@@ -55,19 +56,23 @@
 }
 
 // placeEngine asks engines for admission in the order of the request's homes.
+// Other engines are asked only in place of homes that cannot be reached: they
+// would have to fetch the adapter, which costs the store more than the wait at
+// a busy home costs the caller.
 func (j *job) placeEngine(ctx context.Context) (*place, *chain.Refusal) {
 	d, now := j.direct, time.Now()
 	key, share := j.key(), 1.0
 	if key != "" {
 		share = d.fame.Touch(key, now)
 	}
-	engines := d.View.Engines(j.service, key, share, d.random(), j.excluded, now)
+	engines, homes := d.View.Engines(j.service, key, share, d.random(), j.excluded, now)
 	if len(engines) == 0 {
 		return nil, j.refuse("no_endpoint", "no engine takes the request", noneLater)
 	}
 	engines = engines[:min(len(engines), mostAsked)]
+	busy := min(homes, mostBusy)
 	for at, engine := range engines {
-		found, reply := j.ask(ctx, engine, at == len(engines)-1)
+		found, reply := j.ask(ctx, engine, busy == 1 || at == len(engines)-1)
 		if found != nil {
 			return found, nil
 		}
@@ -76,6 +81,10 @@
 		}
 		if reply != nil && reply.Reason == admit.ReasonBusy {
 			j.wait = shorter(j.wait, reply.Wait.Std())
+			busy--
+		}
+		if busy == 0 {
+			break
 		}
 	}
 	return nil, j.refuse("engines_busy", "no engine could begin the request in time", failedLater)
--- a/entry/view/view.go
+++ b/entry/view/view.go
@@ -108,17 +108,18 @@
 }
 
 // Engines returns the engines of a service that are not excluded, in the order
-// in which a request for a key should be offered to them.
-func (v *View) Engines(service, key string, share, random float64, excluded map[string]bool, now time.Time) []census.Record {
+// in which a request for a key should be offered to them, and how many of the
+// first are the key's homes.
+func (v *View) Engines(service, key string, share, random float64, excluded map[string]bool, now time.Time) (engines []census.Record, homes int) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	list, candidates := v.candidates(service, excluded, now)
-	homes := spread.Homes(share, len(v.services[service]))
+	homes = spread.Homes(share, len(v.services[service]))
 	records := make([]census.Record, 0, len(list))
 	for _, at := range spread.Engines(key, homes, candidates, random) {
 		records = append(records, list[at].record)
 	}
-	return records
+	return records, homes
 }
 
 func (v *View) candidates(service string, excluded map[string]bool, now time.Time) ([]*endpoint, []spread.Candidate) {
