--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -76,6 +76,9 @@
 	// Linger is how long requests are accepted after the health check has
 	// turned red at a planned stop; zero means three seconds.
 	Linger time.Duration
+	// Grace is how long the process may run after a planned stop has begun;
+	// zero sets no bound.
+	Grace time.Duration
 	// MaxBody is the largest request body in bytes; zero means 4 MiB.
 	MaxBody int64
 	// Choose replaces the picker's rules, and Infer those of class; nil keeps
@@ -192,7 +195,7 @@
 
 func (d *Daemon) build() *entry {
 	incarnation := rand.Uint64() | 1
-	e := &entry{daemon: d, drain: &drain.Drain{}}
+	e := &entry{daemon: d, drain: &drain.Drain{Grace: d.Grace}}
 	e.uplink = &uplink.Uplink{Host: d.Host, Replicas: d.Control}
 	choice := &picker.Picker{Near: d.Host.DataCentre, Choose: d.Choose}
 	e.relay = &relay.Relay{Host: d.Host, Picker: choice}
@@ -200,7 +203,7 @@
 	e.auth = &auth.Auth{}
 	e.view = &view.View{Near: d.Host.DataCentre}
 	e.direct = &direct.Direct{
-		Host: d.Host, View: e.view, Send: d.Send, Budget: &d.Repeats,
+		Host: d.Host, View: e.view, Send: d.Send, Budget: &d.Repeats, Ends: e.drain.Ends,
 		Agents: &pool.Pool{Dial: d.Host.Dial, DialLimit: agentLimit},
 	}
 	e.feed = &feed.Feed{
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -42,6 +42,16 @@
 // Error is this package's error type.
 type Error = fault.Error[Kind]
 
+const (
+	// beginTime is how long a stream may take to begin, and answerTime how
+	// long each of its tokens takes at a busy engine; from the users' sheets,
+	// 8 ms and a half more.
+	beginTime  = 1500 * time.Millisecond
+	answerTime = 12 * time.Millisecond
+	// stoppingLater is when a caller may come back to another entry: at once.
+	stoppingLater = 10 * time.Millisecond
+)
+
 // Call is one attempt of a request at one endpoint.
 type Call struct {
 	// Request is the caller's. Its header and body go on unchanged.
@@ -92,6 +102,9 @@
 	// Send sends a call and returns the answer's head. An error is a
 	// *kept.Error; one of kept.KindDial says that nothing was sent.
 	Send func(ctx context.Context, c *Call) (*Answer, error)
+	// Ends returns when this process will be gone, zero while it goes on; nil
+	// never ends.
+	Ends func() time.Time
 	// Random returns a number between 0 and 1; nil uses the global generator.
 	Random func() float64
 
@@ -132,6 +145,9 @@
 	if r.Route.Kind != conf.KindOpaque {
 		return next(ctx, r)
 	}
+	if refusal := d.tooLong(r, time.Now()); refusal != nil {
+		return refusal
+	}
 	service := d.service(&r.Route)
 	d.Budget.Request(service, time.Now())
 	if d.finishes(r) {
@@ -147,6 +163,19 @@
 	return j.run(ctx)
 }
 
+// tooLong refuses a stream at an entry that stops when its answer would
+// probably be cut off by the process's end; another entry can serve it whole.
+func (d *Direct) tooLong(r *chain.Request, now time.Time) *chain.Refusal {
+	if d.Ends == nil || !r.Route.Stream {
+		return nil
+	}
+	ends := d.Ends()
+	if ends.IsZero() || now.Add(beginTime+time.Duration(r.MaxTokens)*answerTime).Before(ends) {
+		return nil
+	}
+	return chain.Refuse(http.StatusServiceUnavailable, "stopping", "this entry stops before the answer could be whole").After(stoppingLater)
+}
+
 // finishes reports whether a request is not cancelled when its caller leaves.
 func (d *Direct) finishes(r *chain.Request) bool { return !r.Route.Repeat && !r.Route.Stream }
 
--- a/entry/drain/drain.go
+++ b/entry/drain/drain.go
@@ -20,9 +20,14 @@
 
 // Drain counts the requests under way. The zero value is ready.
 type Drain struct {
+	// Grace is how long the process may go on after the end has begun; zero
+	// sets no bound. It is set before Begin.
+	Grace time.Duration
+
 	mutex    sync.Mutex
 	running  int
 	draining bool
+	ends     time.Time
 	empty    chan struct{}
 }
 
@@ -52,11 +57,21 @@
 	return d.draining
 }
 
+// Ends returns when the process will be gone; zero while that is not known.
+func (d *Drain) Ends() time.Time {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.ends
+}
+
 // Begin starts the end, and returns after the time in which the balancer
 // notices. Requests are accepted all the while.
 func (d *Drain) Begin(linger time.Duration) {
 	d.mutex.Lock()
 	d.draining = true
+	if d.Grace > 0 {
+		d.ends = time.Now().Add(d.Grace)
+	}
 	d.mutex.Unlock()
 	time.Sleep(linger)
 }
--- a/entry/view/view.go
+++ b/entry/view/view.go
@@ -25,6 +25,11 @@
 	longestPause = 4 * time.Second
 	// weight is that of the newest answer in the means of time and failures.
 	weight = 0.15
+	// tolerated is how many times the others' time an endpoint may take, and
+	// chanceFailing by how much it may fail more often, before that counts:
+	// the means of few answers differ by so much.
+	tolerated     = 2
+	chanceFailing = 0.1
 	// loadLife is the time in which a reported load loses half of its weight.
 	loadLife = time.Second
 	// residentLife is how long an adapter that was used at an engine is taken
@@ -140,12 +145,12 @@
 		candidate := spread.Candidate{
 			Name: e.record.Name, Load: e.work(now), Far: e.record.DataCentre != v.Near, Down: now.Before(e.until),
 		}
-		if known > 0 && e.took > 0 {
+		if known > 1 && e.took > 0 {
 			// The others' mean, so that a bad endpoint is measured against good
 			// ones.
-			others := max(known-1, 1)
-			candidate.Slow = e.took/max((took-e.took)/others, math.SmallestNonzeroFloat64) - 2
-			candidate.Failing = e.failing - (failing-e.failing)/others - 0.1
+			others := known - 1
+			candidate.Slow = e.took/((took-e.took)/others) - tolerated
+			candidate.Failing = e.failing - (failing-e.failing)/others - chanceFailing
 		}
 		candidates = append(candidates, candidate)
 	}
@@ -175,7 +180,8 @@
 	}
 }
 
-// Reached notes an answer: how long it took, and whether it was a failure.
+// Reached notes an answer: how long it took, 0 when that says nothing, and
+// whether it was a failure.
 func (v *View) Reached(name string, took time.Duration, failed bool) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
@@ -189,6 +195,9 @@
 		one = 1
 	}
 	e.failing += weight * (one - e.failing)
+	if took == 0 {
+		return
+	}
 	if e.took == 0 {
 		e.took = took.Seconds()
 	}
