--- a/pkg/kept/kept.go
+++ b/pkg/kept/kept.go
@@ -87,6 +87,16 @@
 	used  bool
 }
 
+// abort closes the connection and drops what is still on its way: a request
+// that a partition holds up must not arrive after it was given up.
+func (k *conn) abort() {
+	if tcp, ok := k.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		// Without it the bytes are sent all the same; the close goes on.
+		_ = tcp.SetLinger(0)
+	}
+	_ = k.Close()
+}
+
 // Answer is the other end's answer. Its Body must be read to the end or
 // closed.
 type Answer struct {
@@ -112,7 +122,7 @@
 	}
 	answer := &Answer{client: c, conn: kept, Reused: kept.used}
 	kept.used = true
-	answer.stop = context.AfterFunc(ctx, func() { _ = kept.Close() })
+	answer.stop = context.AfterFunc(ctx, kept.abort)
 	answer.sent, err = send(kept, request)
 	if err == nil {
 		answer.Response, err = receive(kept, request, mine)
@@ -205,7 +215,7 @@
 	}
 	a.ended = true
 	a.stop()
-	_ = a.conn.Close()
+	a.conn.abort()
 }
 
 // finish keeps the connection if nothing speaks against it.
--- /dev/null
+++ b/pkg/kept/kept_test.go
@@ -0,0 +1,236 @@
+package kept_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/kept"
+)
+
+// peer accepts connections and answers each request as a test says. answer
+// returns false to close the connection.
+func peer(t *testing.T, answer func(conn net.Conn, request *http.Request, index int) bool) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for index := 0; ; index++ {
+					request, err := http.ReadRequest(reader)
+					if err != nil || !answer(conn, request, index) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func client() *kept.Client { return &kept.Client{Dial: (&dialer{}).dial} }
+
+type dialer struct{ count int }
+
+func (d *dialer) dial(ctx context.Context, address string) (net.Conn, error) {
+	d.count++
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
+func request(address, id string) *http.Request {
+	return &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Opaque: "/p?q=%2f"}, Host: "site",
+		Header: http.Header{"Id": {id}, "User-Agent": {""}}, ContentLength: 4, Body: io.NopCloser(strings.NewReader("body")),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+}
+
+func mine(id string) func(*http.Response) bool {
+	return func(r *http.Response) bool { return r.Header.Get("Id") == id }
+}
+
+func reply(conn net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func exchange(c *kept.Client, address, id string) (string, bool, error) {
+	answer, err := c.Do(context.Background(), address, request(address, id), false, mine(id))
+	if err != nil {
+		return "", false, err
+	}
+	body, err := answer.ReadAll(100)
+	return string(body), answer.Reused, err
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	address := peer(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		require.Equal(t, "/p?q=%2f", r.RequestURI)
+		require.Empty(t, r.Header.Get("User-Agent"))
+		body, _ := io.ReadAll(r.Body)
+		reply(conn, r.Header.Get("Id"), string(body)+r.Header.Get("Id"))
+		return true
+	})
+	d := &dialer{}
+	c := &kept.Client{Dial: d.dial}
+	for i := range 5 {
+		body, reused, err := exchange(c, address, fmt.Sprint(i))
+		require.NoError(t, err)
+		require.Equal(t, fmt.Sprint("body", i), body)
+		require.Equal(t, i > 0, reused)
+	}
+	require.Equal(t, 1, d.count)
+	c.Forget(address)
+	_, reused, err := exchange(c, address, "x")
+	require.NoError(t, err)
+	require.False(t, reused)
+}
+
+// A late answer to an earlier request is not taken for the present one's.
+func TestStrayAnswersAreReadPast(t *testing.T) {
+	address := peer(t, func(conn net.Conn, r *http.Request, index int) bool {
+		if index == 1 {
+			reply(conn, "stray", "wrong")
+		}
+		reply(conn, r.Header.Get("Id"), "right")
+		return true
+	})
+	c := client()
+	for i := range 3 {
+		body, _, err := exchange(c, address, fmt.Sprint(i))
+		require.NoError(t, err)
+		require.Equal(t, "right", body)
+	}
+}
+
+// Bytes behind a whole answer, or the end of the connection, keep it from being
+// used again.
+func TestSpoiledConnectionsAreNotUsedAgain(t *testing.T) {
+	for name, spoil := range map[string]func(conn net.Conn) bool{
+		"extra bytes": func(conn net.Conn) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+			return true
+		},
+		"closed": func(net.Conn) bool { return false },
+	} {
+		address := peer(t, func(conn net.Conn, r *http.Request, _ int) bool {
+			reply(conn, r.Header.Get("Id"), "right")
+			return spoil(conn)
+		})
+		c := client()
+		for i := range 3 {
+			body, reused, err := exchange(c, address, fmt.Sprint(i))
+			require.NoError(t, err, name)
+			require.Equal(t, "right", body)
+			require.False(t, reused, name)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+func TestKindsOfFailure(t *testing.T) {
+	cut := "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 100\r\n\r\npart"
+	for name, test := range map[string]struct {
+		text string
+		kind kept.Kind
+	}{
+		"no answer":         {"", kept.KindBroken},
+		"not HTTP":          {"garbage\r\n\r\n", kept.KindBroken},
+		"body cut short":    {cut, kept.KindBroken},
+		"only stray answer": {"HTTP/1.1 200 OK\r\nId: b\r\nConnection: close\r\n\r\nx", kept.KindAnswer},
+	} {
+		address := peer(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+			_, _ = io.WriteString(conn, test.text)
+			return false
+		})
+		_, _, err := exchange(client(), address, "a")
+		require.ErrorIs(t, err, &kept.Error{Kind: test.kind}, name)
+	}
+	_, _, err := exchange(client(), "127.0.0.1:1", "a")
+	require.ErrorIs(t, err, &kept.Error{Kind: kept.KindDial}, "nothing listens there")
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	address := peer(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nwhole")
+		return false
+	})
+	body, _, err := exchange(client(), address, "a")
+	require.NoError(t, err)
+	require.Equal(t, "whole", body)
+}
+
+// An answer may come before the other end has read a long body. The connection
+// then serves nobody else, whose bytes would be read as the rest of the body.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	read := make(chan string, 1)
+	address := peer(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		reply(conn, r.Header.Get("Id"), "early")
+		time.Sleep(50 * time.Millisecond)
+		rest, _ := io.ReadAll(r.Body)
+		read <- string(rest)
+		return false
+	})
+	const size = 8 << 20
+	long := request(address, "a")
+	long.ContentLength, long.Body = size, io.NopCloser(strings.NewReader(strings.Repeat("x", size)))
+	c := client()
+	answer, err := c.Do(context.Background(), address, long, false, mine("a"))
+	require.NoError(t, err)
+	body, err := answer.ReadAll(100)
+	require.NoError(t, err)
+	require.Equal(t, "early", string(body))
+	require.Empty(t, strings.Trim(<-read, "x"))
+}
+
+// A request that is given up is reset, so that bytes on their way are dropped.
+func TestGivenUpRequestIsReset(t *testing.T) {
+	ended := make(chan error, 1)
+	address := peer(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, err := conn.Read(make([]byte, 1))
+		ended <- err
+		return false
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := client().Do(ctx, address, request(address, "a"), false, mine("a"))
+	require.ErrorIs(t, err, &kept.Error{Kind: kept.KindCancelled})
+	require.True(t, errors.Is(<-ended, syscall.ECONNRESET))
+}
+
+func TestIdleConnectionsEnd(t *testing.T) {
+	address := peer(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		body := "x"
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nKeep-Alive: timeout=%s\r\nContent-Length: 1\r\n\r\n%s", r.Header.Get("Id"), r.Header.Get("Id"), body)
+		return true
+	})
+	c := client()
+	_, _, err := exchange(c, address, "0")
+	require.NoError(t, err)
+	_, reused, err := exchange(c, address, "5")
+	require.NoError(t, err)
+	require.False(t, reused, "the other end keeps it for no time")
+	_, reused, err = exchange(c, address, "5")
+	require.NoError(t, err)
+	require.True(t, reused)
+	c.Sweep()
+	_, reused, _ = exchange(c, address, "5")
+	require.True(t, reused)
+}
