--- a/ctrl/state/site.go
+++ b/ctrl/state/site.go
@@ -99,7 +99,7 @@
 	return m.census.Since(revision), m.releasesSince(revision), m.changes
 }
 
-// Judge reports whether an announcement would change the table of endpoints.
+// JudgeReport reports whether an announcement would change the table of endpoints.
 func (m *Machine) JudgeReport(report *census.Record) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -86,8 +86,6 @@
 	// changes is the revision of the census and the releases.
 	changes atomic.Uint64
 	entries atomic.Int32
-	// answered is when a replica last proved to be up to date.
-	answered atomic.Int64
 	burn     burn
 	nudge    wake.Signal
 }
