Let the roster test's agents join again when a replica closes their feed

Cause of the known red TestControlRestartsEmptyNoRoster: a replica that knew no leader yet closed the feed of an agent (lease round timed out while the election ran); real agents connect again, the test's client did not, and was rightly found gone. The test now does as daemons do, and watches the roster all the while, also while they join.

--- a/ctrl/daemon/cluster_test.go
+++ b/ctrl/daemon/cluster_test.go
@@ -241,6 +241,43 @@
 	return nil
 }
 
+// rejoin opens a feed anew, as daemons do, until a replica admits it: one that
+// knows no leader yet closes it.
+func (d *client) rejoin(to string) {
+	<-d.ended
+	for !d.admitted(to) {
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// admitted joins and reports whether the replica has renewed the lease.
+func (d *client) admitted(to string) bool {
+	joined := time.Now()
+	if d.join(to) != nil {
+		return false
+	}
+	for {
+		select {
+		case <-d.ended:
+			return false
+		case <-time.After(10 * time.Millisecond):
+		}
+		if d.lease.Until().After(joined.Add(lease.Length)) {
+			return true
+		}
+	}
+}
+
+// rejoinAll lets clients rejoin at the same time; the returned function waits
+// until all have been admitted.
+func rejoinAll(clients map[string]*client, to string) (wait func()) {
+	var group sync.WaitGroup
+	for _, d := range clients {
+		group.Go(func() { d.rejoin(to) })
+	}
+	return group.Wait
+}
+
 func (d *client) number() uint64 {
 	if config := d.now().config; config != nil {
 		return config.Number
--- a/ctrl/daemon/roster_test.go
+++ b/ctrl/daemon/roster_test.go
@@ -76,11 +76,9 @@
 			}
 		}
 		c.crash(leader)
-		for _, agent := range agents {
-			<-agent.ended
-			require.NoError(c.t, agent.join(c.others(leader)[1]))
-		}
+		admitted := rejoinAll(agents, c.others(leader)[1])
 		watch(8 * time.Second)
+		admitted()
 		c.start(leader)
 		watch(20 * time.Second)
 		second := c.others(leader)[1]
@@ -88,11 +86,9 @@
 		watch(time.Second)
 		c.start(second)
 		watch(2500 * time.Millisecond)
-		for _, agent := range agents {
-			<-agent.ended
-			require.NoError(c.t, agent.join(second))
-		}
+		admitted = rejoinAll(agents, second)
 		watch(10 * time.Second)
+		admitted()
 		require.Zero(c.t, missing)
 		require.Zero(c.t, entry.now().whole)
 	})
