Turn waiting requests away when their engine leaves

The agent now refuses what waits, and the entry looks again before it sends. Tests of the keeper over a virtual network.

--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -169,6 +169,10 @@
 		}
 		return len(k.tasks) > 0
 	}
+	if k.last.Leaving {
+		k.refuseAll(admit.ReasonLeaving)
+		return false
+	}
 	wanted := k.admitAll(now)
 	k.nextOrder(wanted, now)
 	return len(k.tasks) > 0
--- /dev/null
+++ b/agent/keeper/keeper_test.go
@@ -0,0 +1,272 @@
+package keeper_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/agent/keeper"
+	"github.com/tanagerspindle/tanagerspindle/agent/shelf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+	"github.com/tanagerspindle/tanagerspindle/pkg/vnet"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
+)
+
+// engine is a stand-in that loads adapters in 250 ms.
+type engine struct {
+	t        *testing.T
+	mutex    sync.Mutex
+	held     map[string]int64
+	coming   map[string]time.Time
+	newest   int64
+	seq      uint64
+	model    bool
+	down     bool
+	leaving  bool
+	lose     bool
+	late     []keeper.Order
+	orders   int
+	expected []uint64
+}
+
+const places = 3
+
+func (e *engine) settle() {
+	for name, at := range e.coming {
+		if !time.Now().Before(at) {
+			delete(e.coming, name)
+			e.held[name] = max(e.newest, 1)
+		}
+	}
+}
+
+func (e *engine) report(context.Context) (*keeper.Report, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.settle()
+	if e.down {
+		return nil, fmt.Errorf("refused")
+	}
+	report := &keeper.Report{Born: 1, Seq: e.seq, Leaving: e.leaving}
+	if e.model {
+		report.Models = []string{"m"}
+	}
+	for name, version := range e.held {
+		report.Adapters = append(report.Adapters, shelf.Held{Key: shelf.Key{Model: "m", Adapter: name}, Version: version})
+	}
+	for name := range e.coming {
+		report.Adapters = append(report.Adapters, shelf.Held{Key: shelf.Key{Model: "m", Adapter: name}, Coming: true})
+	}
+	return report, nil
+}
+
+func (e *engine) order(ctx context.Context, o *keeper.Order) (keeper.Outcome, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.settle()
+	e.orders++
+	if e.lose {
+		e.lose = false
+		e.late = append(e.late, *o)
+		return "", context.DeadlineExceeded
+	}
+	return e.carryOut(o), nil
+}
+
+func (e *engine) carryOut(o *keeper.Order) keeper.Outcome {
+	if o.Expected != e.seq {
+		return keeper.OutcomeRefused
+	}
+	e.seq++
+	switch {
+	case o.Adapter == "":
+		e.model = true
+	case o.Load:
+		e.coming[o.Adapter] = time.Now().Add(250 * time.Millisecond)
+	default:
+		delete(e.held, o.Adapter)
+		return keeper.OutcomeHolds
+	}
+	require.LessOrEqual(e.t, len(e.held)+len(e.coming), places+1, "a renewal counts twice here")
+	return keeper.OutcomeTaken
+}
+
+// site is a keeper with its engine and a way to ask it.
+type site struct {
+	t       *testing.T
+	engine  *engine
+	keeper  *keeper.Keeper
+	session *link.Session
+}
+
+func inSite(t *testing.T, test func(s *site)) {
+	bubble.Test(t, func(t *testing.T) {
+		network := vnet.New()
+		e := &engine{t: t, held: map[string]int64{}, coming: map[string]time.Time{}, model: true}
+		configured := &conf.Engine{Slots: 8, Tokens: 20_000, Places: places, Models: []conf.Model{{Name: "m", Load: span.Duration(time.Second)}}}
+		k := &keeper.Keeper{
+			Host: host.Host{VM: "agent", Meter: meter.New(), Listen: network.Listen}, Listen: "agent:1",
+			Report: e.report, Order: e.order,
+			Engine: func() *conf.Engine { return configured }, Endpoint: func() string { return "e" },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- k.Run(ctx) }()
+		time.Sleep(500 * time.Millisecond)
+		session, err := link.Dial(ctx, func(ctx context.Context, address string) (net.Conn, error) {
+			return network.Dialer("entry")(ctx, address)
+		}, "agent:1")
+		require.NoError(t, err)
+		test(&site{t: t, engine: e, keeper: k, session: session})
+		_ = session.Close()
+		cancel()
+		require.NoError(t, <-ended)
+		time.Sleep(5 * time.Minute)
+	})
+}
+
+// ask asks for admission and returns the final reply with the stream.
+func (s *site) ask(adapter string, change func(*admit.Ask)) (*admit.Reply, *wire.Stream) {
+	stream, err := s.session.Open(admit.Method)
+	require.NoError(s.t, err)
+	ask := &admit.Ask{
+		ID: "r", Endpoint: "e", Model: "m", Adapter: adapter, Prompt: 100, Answer: 50,
+		Goal: span.Duration(time.Second), Left: span.Duration(8 * time.Second),
+	}
+	if change != nil {
+		change(ask)
+	}
+	require.NoError(s.t, stream.Send(ask))
+	for {
+		reply := &admit.Reply{}
+		require.NoError(s.t, stream.Receive(reply))
+		if reply.Reason != admit.ReasonQueued {
+			return reply, stream
+		}
+	}
+}
+
+func TestAdapterIsFetchedAndRequestsAdmitted(t *testing.T) {
+	inSite(t, func(s *site) {
+		reply, _ := s.ask("a", nil)
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+		require.EqualValues(t, 1, reply.Version)
+		require.Equal(t, 1, s.engine.orders)
+		reply, _ = s.ask("a", nil)
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+		require.Equal(t, 1, s.engine.orders)
+		reply, _ = s.ask("", nil)
+		require.Equal(t, admit.ReasonNone, reply.Reason, "the base model needs no adapter")
+	})
+}
+
+func TestAdapterInUseIsNotSentAway(t *testing.T) {
+	inSite(t, func(s *site) {
+		var streams []*wire.Stream
+		for i := range places {
+			reply, stream := s.ask(fmt.Sprint("a", i), nil)
+			require.Equal(t, admit.ReasonNone, reply.Reason)
+			streams = append(streams, stream)
+		}
+		reply, _ := s.ask("b", func(a *admit.Ask) { a.Left = span.Duration(time.Second) })
+		require.Equal(t, admit.ReasonBusy, reply.Reason, "all places are in use")
+		require.Len(t, s.engine.held, places)
+		require.NoError(t, streams[1].Close())
+		time.Sleep(100 * time.Millisecond)
+		reply, _ = s.ask("b", nil)
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+		require.NotContains(t, s.engine.held, "a1")
+	})
+}
+
+// An order that the engine leaves unanswered and carries out later never makes
+// it hold more than it may.
+func TestLostOrder(t *testing.T) {
+	inSite(t, func(s *site) {
+		s.engine.mutex.Lock()
+		s.engine.lose = true
+		s.engine.mutex.Unlock()
+		reply, _ := s.ask("a", nil)
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+		require.Less(t, reply.Wait.Std(), time.Second)
+		s.engine.mutex.Lock()
+		require.Equal(t, keeper.OutcomeRefused, s.engine.carryOut(&s.engine.late[0]))
+		s.engine.mutex.Unlock()
+	})
+}
+
+// A request that waits at an engine which begins to leave is turned away at
+// once, and so are later ones.
+func TestLeavingEngine(t *testing.T) {
+	inSite(t, func(s *site) {
+		began := time.Now()
+		time.AfterFunc(100*time.Millisecond, func() {
+			s.engine.mutex.Lock()
+			defer s.engine.mutex.Unlock()
+			s.engine.leaving = true
+		})
+		reply, _ := s.ask("a", nil)
+		require.Equal(t, admit.ReasonLeaving, reply.Reason)
+		require.Less(t, time.Since(began), 400*time.Millisecond)
+		reply, _ = s.ask("", nil)
+		require.Equal(t, admit.ReasonLeaving, reply.Reason)
+	})
+}
+
+func TestEngineDownAndBack(t *testing.T) {
+	inSite(t, func(s *site) {
+		s.engine.mutex.Lock()
+		s.engine.down = true
+		s.engine.mutex.Unlock()
+		time.Sleep(time.Second)
+		reply, _ := s.ask("a", nil)
+		require.Equal(t, admit.ReasonDown, reply.Reason)
+		s.engine.mutex.Lock()
+		s.engine.down, s.engine.model, s.engine.seq = false, false, 0
+		s.engine.mutex.Unlock()
+		time.Sleep(time.Second)
+		reply, _ = s.ask("a", nil)
+		require.Equal(t, admit.ReasonNone, reply.Reason, "the base model was loaded")
+	})
+}
+
+func TestNewVersionIsServed(t *testing.T) {
+	inSite(t, func(s *site) {
+		reply, stream := s.ask("a", nil)
+		require.EqualValues(t, 1, reply.Version)
+		require.NoError(t, stream.Close())
+		s.engine.mutex.Lock()
+		s.engine.newest = 2
+		s.engine.mutex.Unlock()
+		s.keeper.Release([]plane.Release{{Model: "m", Adapter: "a", Version: 2}})
+		reply, _ = s.ask("a", func(a *admit.Ask) { a.Version = 2 })
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+		require.EqualValues(t, 2, reply.Version)
+	})
+}
+
+// An entry that goes away frees what its request held.
+func TestEntryThatGoesAwayFreesItsPlace(t *testing.T) {
+	inSite(t, func(s *site) {
+		for i := range places {
+			s.ask(fmt.Sprint("a", i), nil)
+		}
+		require.NoError(t, s.session.Close())
+		time.Sleep(time.Second)
+		s.engine.mutex.Lock()
+		defer s.engine.mutex.Unlock()
+		require.Len(t, s.engine.held, places)
+	})
+}
--- a/agent/keeper/orders.go
+++ b/agent/keeper/orders.go
@@ -82,7 +82,7 @@
 
 // nextOrder gives the engine its next order, one at a time. The mutex is held.
 func (k *Keeper) nextOrder(wanted []shelf.Key, now time.Time) {
-	if k.ordering || !k.counted || k.last.Leaving {
+	if k.ordering || !k.counted {
 		return
 	}
 	if order, ok := k.modelOrder(now); ok {
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -117,6 +117,11 @@
 		}
 		return nil, reply
 	}
+	if !d.View.Known(engine.Name) {
+		// It has said that it leaves while the request waited there.
+		end()
+		return nil, &admit.Reply{Reason: admit.ReasonLeaving}
+	}
 	done := d.View.Begin(engine.Name)
 	release := func() {
 		done()
