--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -84,6 +84,8 @@
 	// most loads in progress at once.
 	Loads  float64
 	Flight int
+	// Boot is that of clock.Watch; nil counts in Go's own time.
+	Boot func() time.Time
 	// Watch runs beside the replica and submits the operators' folder, by
 	// Fetch and Submit; nil does nothing. It must return when ctx ends.
 	Watch func(ctx context.Context) error
@@ -114,6 +116,7 @@
 		d.machine.Changed = d.feeds.Changed
 		d.quota = &quota.Owner{
 			Host: d.Host, Config: d.config, Horizon: d.machine.Horizon, Propose: d.reserve,
+			Boot: d.Boot,
 		}
 	})
 }
--- a/ctrl/quota/quota.go
+++ b/ctrl/quota/quota.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
+	"github.com/tanagerspindle/tanagerspindle/pkg/clock"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
@@ -61,6 +62,8 @@
 	Horizon func(workspace string) (state.Horizon, time.Time, bool)
 	// Propose commits one record.
 	Propose func(ctx context.Context, horizons []state.Horizon) error
+	// Boot is that of clock.Watch: reserves end while the VM is suspended.
+	Boot func() time.Time
 
 	mutex   sync.Mutex
 	term    uint64
@@ -71,6 +74,7 @@
 	next    uint64
 	kick    wake.Signal
 	round   *round
+	watch   clock.Watch
 }
 
 // round is one record. It is closed when the record is committed or not.
@@ -164,8 +168,20 @@
 	}
 }
 
+// wakeUp forgets reserves and leases if the VM was suspended, as a successor
+// would: what is committed as reserved counts as granted. The caller holds the
+// mutex.
+func (o *Owner) wakeUp() {
+	o.watch.Boot = o.Boot
+	if slept := o.watch.Slept(time.Now()); slept > 0 {
+		o.Host.Log.Write("suspended", "time", slept)
+		o.spaces = map[string]*space{}
+	}
+}
+
 // follow brings the buckets to the committed configuration.
 func (o *Owner) follow() {
+	o.wakeUp()
 	config := o.Config()
 	if config == nil || config == o.config {
 		return
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -73,6 +73,8 @@
 	Accept func(address string) (net.Listener, error)
 	// Control holds the addresses of the replicas, nearest first.
 	Control []string
+	// Refresh is that of uplink.Uplink.
+	Refresh func() []string
 	// Linger is how long requests are accepted after the health check has
 	// turned red at a planned stop; zero means three seconds.
 	Linger time.Duration
@@ -92,6 +94,8 @@
 	Send func(ctx context.Context, c *direct.Call) (*direct.Answer, error)
 	// Repeats bounds the repeats of requests of opaque routes.
 	Repeats retry.Budget
+	// Boot is that of clock.Watch; nil counts in Go's own time.
+	Boot func() time.Time
 	// Face replaces the handler of callers' requests; nil keeps it.
 	Face func(p *Parts) http.Handler
 }
@@ -196,7 +200,7 @@
 func (d *Daemon) build() *entry {
 	incarnation := rand.Uint64() | 1
 	e := &entry{daemon: d, drain: &drain.Drain{Grace: d.Grace}}
-	e.uplink = &uplink.Uplink{Host: d.Host, Replicas: d.Control}
+	e.uplink = &uplink.Uplink{Host: d.Host, Replicas: d.Control, Refresh: d.Refresh}
 	choice := &picker.Picker{Near: d.Host.DataCentre, Choose: d.Choose}
 	e.relay = &relay.Relay{Host: d.Host, Picker: choice}
 	e.relay.Start()
@@ -215,10 +219,11 @@
 		OnExpire:    e.auth.Expire,
 		OnCensus:    e.view.Update,
 		OnRelease:   e.direct.Release,
+		Boot:        d.Boot,
 	}
 	e.direct.Config = e.feed.Config
 	d.Repeats.Entries = e.feed.Entries
-	e.limit = &limit.Limit{Host: d.Host, Incarnation: incarnation, Config: e.feed.Config, Grant: e.grant}
+	e.limit = &limit.Limit{Host: d.Host, Incarnation: incarnation, Config: e.feed.Config, Grant: e.grant, Boot: d.Boot}
 	if d.Send != nil {
 		e.limit.Entries = e.feed.KnownEntries
 	}
--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -12,6 +12,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/clock"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
@@ -61,8 +62,11 @@
 	// control does not answer, 0 while that is not known; nil lets requests
 	// wait for control.
 	Entries func() int
+	// Boot is that of clock.Watch: leases end while the VM is suspended.
+	Boot func() time.Time
 
 	mutex  sync.Mutex
+	watch  clock.Watch
 	shares map[string]*share
 	wake   wake.Signal
 	seq    uint64
@@ -208,10 +212,25 @@
 	return spareTokens
 }
 
+// wakeUp ends all leases if the VM was suspended. The caller holds the mutex.
+func (l *Limit) wakeUp(now time.Time) {
+	l.watch.Boot = l.Boot
+	slept := l.watch.Slept(now)
+	if slept == 0 {
+		return
+	}
+	l.Host.Log.Write("suspended", "time", slept)
+	for _, s := range l.shares {
+		s.leases, s.over = nil, nil
+	}
+	l.wake.Set()
+}
+
 // join pays at once, puts the waiter in the queue, or refuses. The caller
 // holds the mutex.
 func (l *Limit) join(s *share, w *waiter) error {
 	now := time.Now()
+	l.wakeUp(now)
 	if s.isFirst(w) && s.take(now, w) {
 		w.done <- nil
 		return nil
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -258,3 +258,20 @@
 		require.InDelta(t, paid+later, owed, 6)
 	})
 }
+
+// Tokens leased before the VM was suspended are not spent after it.
+func TestSuspensionEndsLeases(t *testing.T) {
+	inLimit(t, func(ask *plane.GrantAsk) (*plane.GrantReply, error) {
+		return granted(500, time.Minute, 0), nil
+	}, func(l *limit.Limit, o *owner) {
+		slept := time.Duration(0)
+		l.Boot = func() time.Time { return time.Now().Add(slept) }
+		require.NoError(t, pay(l, 100, 1, time.Second))
+		asks := len(o.asks)
+		require.NoError(t, pay(l, 100, 1, time.Second))
+		require.Equal(t, asks, len(o.asks), "paid from the lease")
+		slept = 5 * time.Second
+		require.NoError(t, pay(l, 100, 1, time.Second))
+		require.Greater(t, len(o.asks), asks, "the lease is void")
+	})
+}
--- a/entry/limit/loop.go
+++ b/entry/limit/loop.go
@@ -142,6 +142,7 @@
 
 // serve pays waiters in order from what is here. The caller holds the mutex.
 func (l *Limit) serve(s *share, now time.Time) {
+	l.wakeUp(now)
 	for len(s.waiters) > 0 {
 		w := s.waiters[0]
 		if !s.take(now, w) {
--- /dev/null
+++ b/pkg/clock/clock.go
@@ -0,0 +1,62 @@
+// Package clock tells time that goes on while the VM is suspended.
+//
+// Go's own monotonic time stands still then, so that a lease that has long run
+// out would look valid. Whatever must not be used after its time compares times
+// of this clock.
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+// Now returns the time since the VM was started, suspensions included, as a
+// time. Only differences between two such times mean anything.
+func Now() time.Time {
+	var read unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &read); err != nil {
+		// Every Linux kernel since 2.6.39 has this clock.
+		return time.Now().Round(0)
+	}
+	return time.Unix(read.Sec, read.Nsec)
+}
+
+// Watch tells how long the VM was suspended, for parts that count in Go's own
+// time. Its fields are set before use; it is used by one goroutine at a time.
+type Watch struct {
+	// Boot returns the time that goes on while the VM is suspended; nil never
+	// finds a suspension, as in tests on virtual time.
+	Boot func() time.Time
+
+	boot, own time.Time
+}
+
+// jitter is what reading two clocks one after the other may make them differ.
+const jitter = 50 * time.Millisecond
+
+// Slept returns how long the VM was suspended since the last call. now is the
+// present time of Go's own clock.
+func (w *Watch) Slept(now time.Time) time.Duration {
+	if w.Boot == nil {
+		return 0
+	}
+	boot, formerBoot, formerOwn := w.Boot(), w.boot, w.own
+	w.boot, w.own = boot, now
+	if formerBoot.IsZero() {
+		return 0
+	}
+	slept := boot.Sub(formerBoot) - now.Sub(formerOwn)
+	if slept < jitter {
+		return 0
+	}
+	return slept
+}
--- /dev/null
+++ b/pkg/clock/clock_test.go
@@ -0,0 +1,33 @@
+package clock_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/clock"
+)
+
+func TestNowGoesOn(t *testing.T) {
+	before, start := clock.Now(), time.Now()
+	time.Sleep(20 * time.Millisecond)
+	passed := clock.Now().Sub(before)
+	require.GreaterOrEqual(t, passed, 20*time.Millisecond)
+	require.Less(t, passed, time.Since(start)+time.Second)
+}
+
+func TestSuspensionIsSeen(t *testing.T) {
+	boot, own := time.Unix(1000, 0), time.Unix(5000, 0)
+	w := &clock.Watch{Boot: func() time.Time { return boot }}
+	require.Zero(t, w.Slept(own))
+	pass := func(both, suspended time.Duration) time.Duration {
+		boot, own = boot.Add(both+suspended), own.Add(both)
+		return w.Slept(own)
+	}
+	require.Zero(t, pass(time.Hour, 0))
+	require.Zero(t, pass(time.Second, 20*time.Millisecond))
+	require.Equal(t, 4*time.Second, pass(time.Millisecond, 4*time.Second))
+	require.Zero(t, pass(time.Second, 0), "it counts once")
+	require.Zero(t, (&clock.Watch{}).Slept(own))
+}
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -66,6 +66,8 @@
 	Role string
 	// Uplink is the session to control. Feed.Run does not run it.
 	Uplink *uplink.Uplink
+	// Boot is that of clock.Watch.
+	Boot func() time.Time
 	// OnConfig is called with each new configuration, before the lease is
 	// renewed for it. OnRoster gets changed records of endpoints. OnExpire is
 	// called repeatedly while the lease is out for longer than a grace.
@@ -86,8 +88,8 @@
 	// changes is the revision of the census and the releases.
 	changes atomic.Uint64
 	entries atomic.Int32
-	burn     burn
-	nudge    wake.Signal
+	burn    burn
+	nudge   wake.Signal
 }
 
 // bans is the quarantine by digest. It is not changed.
@@ -141,6 +143,7 @@
 // Run keeps the feed up until ctx ends, then says farewell. The error is of
 // KindSuperseded when the process must stop.
 func (f *Feed) Run(ctx context.Context) error {
+	f.lease.Boot = f.Boot
 	watched, stop := context.WithCancel(ctx)
 	defer stop()
 	go f.watch(watched)
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -4,6 +4,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/clock"
 )
 
 // Length is how long a lease lasts, counted by the holder from when it sent
@@ -14,9 +16,14 @@
 // one although clocks run at different speeds.
 const Drift = 200 * time.Millisecond
 
-// Lease is one holder's authority. It uses the monotonic clock only.
+// Lease is one holder's authority. It uses the monotonic clock, and the time
+// for which the VM was suspended.
 type Lease struct {
+	// Boot is that of clock.Watch.
+	Boot func() time.Time
+
 	mutex  sync.Mutex
+	watch  clock.Watch
 	sent   map[uint64]time.Time
 	until  time.Time
 	closed bool
@@ -26,17 +33,32 @@
 func (l *Lease) Sent(seq uint64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.wakeUp()
 	if l.sent == nil {
 		l.sent = map[uint64]time.Time{}
 	}
 	l.sent[seq] = time.Now()
 }
 
+// wakeUp counts the time for which the VM was suspended.
+func (l *Lease) wakeUp() {
+	l.watch.Boot = l.Boot
+	slept := l.watch.Slept(time.Now())
+	if slept == 0 {
+		return
+	}
+	l.until = l.until.Add(-slept)
+	for seq, sent := range l.sent {
+		l.sent[seq] = sent.Add(-slept)
+	}
+}
+
 // Renew extends the lease by length from when renewal seq was sent. Answers to
 // renewals that were never sent are ignored.
 func (l *Lease) Renew(seq uint64, length time.Duration) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.wakeUp()
 	sent, ok := l.sent[seq]
 	if !ok || l.closed {
 		return
@@ -63,6 +85,7 @@
 func (l *Lease) Valid() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.wakeUp()
 	return !l.closed && time.Now().Before(l.until)
 }
 
@@ -70,6 +93,7 @@
 func (l *Lease) Until() time.Time {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.wakeUp()
 	return l.until
 }
 
--- a/pkg/uplink/uplink.go
+++ b/pkg/uplink/uplink.go
@@ -42,6 +42,9 @@
 	Host host.Host
 	// Replicas are the addresses of control to begin with, nearest first.
 	Replicas []string
+	// Refresh returns the addresses that the settings name now, after none of
+	// those known could be reached; nil knows no others.
+	Refresh func() []string
 
 	mutex sync.Mutex
 	// learned are the addresses that control named last.
@@ -60,6 +63,7 @@
 		session, err := u.dial(ctx, address)
 		if err != nil {
 			u.Host.Log.Write("control-unreachable", "address", address, "err", err)
+			u.refresh(address)
 			pause.For(ctx, delay/2+rand.N(delay/2))
 			delay = min(2*delay, longestDelay)
 			continue
@@ -77,6 +81,19 @@
 	}
 }
 
+// refresh asks for other addresses when the last of those known has failed.
+func (u *Uplink) refresh(failed string) {
+	addresses := u.addresses()
+	if u.Refresh == nil || failed != addresses[len(addresses)-1] {
+		return
+	}
+	if fresh := u.Refresh(); len(fresh) > 0 {
+		u.mutex.Lock()
+		u.Replicas = fresh
+		u.mutex.Unlock()
+	}
+}
+
 // Learn takes the addresses that control has now. The ones to begin with are
 // tried behind them, since control may have moved on altogether meanwhile.
 func (u *Uplink) Learn(addresses []string) {
--- a/pkg/uplink/uplink_test.go
+++ b/pkg/uplink/uplink_test.go
@@ -55,3 +55,44 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Replicas that control names are used, and when all known ones are gone the
+// settings are read again.
+func TestUplinkFollowsItsReplicas(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		network := vnet.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		serve := func(address string, number uint64) context.CancelFunc {
+			serving, stop := context.WithCancel(ctx)
+			listener, err := network.Listen(address)
+			require.NoError(t, err)
+			go func() { _ = link.Serve(serving, listener, named(number)) }()
+			return stop
+		}
+		first, second := serve("c1:1", 1), serve("c2:1", 2)
+		up := &uplink.Uplink{
+			Host: host.Host{Dial: network.Dialer("e")}, Replicas: []string{"c1:1"},
+			Refresh: func() []string { return []string{"c3:1"} },
+		}
+		go up.Run(ctx)
+		who := func() uint64 {
+			asked, cancel := context.WithTimeout(ctx, 10*time.Second)
+			defer cancel()
+			reply := &call.Verdict{}
+			require.NoError(t, up.Call(asked, "who", &call.Probe{ID: make([]byte, call.IDSize)}, reply))
+			return reply.Incarnation
+		}
+		require.EqualValues(t, 1, who())
+		up.Learn([]string{"c2:1"})
+		first()
+		time.Sleep(2 * time.Second)
+		require.EqualValues(t, 2, who())
+		serve("c3:1", 3)
+		second()
+		time.Sleep(5 * time.Second)
+		require.EqualValues(t, 3, who())
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
