--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -69,6 +69,9 @@
 	Engine func() *conf.Engine
 	// Endpoint returns the engine's name, empty while unknown.
 	Endpoint func() string
+	// Permit asks control for leave to load a base model, and returns when to
+	// ask again; zero allows the load. Nil needs no leave.
+	Permit func(ctx context.Context) (wait time.Duration, err error)
 
 	once  sync.Once
 	mutex sync.Mutex
@@ -86,8 +89,14 @@
 	expected uint64
 	counted  bool
 	answered time.Time
-	// loading is since when a base model is on its way.
+	// loading is since when a base model is on its way. asking says that leave
+	// for it is being asked for, allowed that it was given; refused is since
+	// when control has not answered, and askAt when it is asked again.
 	loading time.Time
+	asking  bool
+	allowed bool
+	refused time.Time
+	askAt   time.Time
 	kick    wake.Signal
 	polled  wake.Signal
 	context context.Context
--- a/agent/keeper/keeper_test.go
+++ b/agent/keeper/keeper_test.go
@@ -242,6 +242,42 @@
 	})
 }
 
+// An empty engine loads its base model when control gives leave, or when
+// control has not answered for seconds.
+func TestBaseModelNeedsLeave(t *testing.T) {
+	for name, test := range map[string]struct {
+		permit       func(asked int) (time.Duration, error)
+		before, then time.Duration
+	}{
+		"given later": {func(asked int) (time.Duration, error) {
+			return time.Duration(2-min(asked, 2)) * time.Second, nil
+		}, 500 * time.Millisecond, 2 * time.Second},
+		"no answer": {func(int) (time.Duration, error) { return 0, fmt.Errorf("no control") }, 3 * time.Second, 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inSite(t, func(s *site) {
+				asked := 0
+				s.keeper.Permit = func(context.Context) (time.Duration, error) {
+					asked++
+					return test.permit(asked)
+				}
+				s.engine.mutex.Lock()
+				s.engine.model, s.engine.seq = false, 0
+				s.engine.mutex.Unlock()
+				holds := func() bool {
+					s.engine.mutex.Lock()
+					defer s.engine.mutex.Unlock()
+					return s.engine.model
+				}
+				time.Sleep(test.before)
+				require.False(t, holds())
+				time.Sleep(test.then)
+				require.True(t, holds())
+			})
+		})
+	}
+}
+
 func TestNewVersionIsServed(t *testing.T) {
 	inSite(t, func(s *site) {
 		reply, stream := s.ask("a", nil)
--- a/agent/keeper/orders.go
+++ b/agent/keeper/orders.go
@@ -14,6 +14,14 @@
 	// within a millisecond or two; one that is not answered is given again,
 	// and refused by its count if the first was taken.
 	orderTimeout = 80 * time.Millisecond
+	// permitTimeout bounds one question for leave to load a base model,
+	// permitPause is the time between two that were not answered, and
+	// permitPatience how long control may not answer before the load begins
+	// without leave; an election takes half a second, a partition of control
+	// seconds.
+	permitTimeout  = time.Second
+	permitPause    = 200 * time.Millisecond
+	permitPatience = 4 * time.Second
 	// modelLife is how long a load of a base model is believed to be under
 	// way. The users' models take 2.9 s, longer when several load at once.
 	modelLife = 12 * time.Second
@@ -110,9 +118,53 @@
 	if engine == nil || len(engine.Models) == 0 || len(k.last.Models) > 0 || k.last.Busy || !k.loading.IsZero() {
 		return nil, false
 	}
+	if !k.mayLoad(now) {
+		return nil, false
+	}
+	k.allowed = false
 	return &Order{Load: true, Model: k.modelToLoad(engine)}, true
 }
 
+// mayLoad reports whether a base model may be loaded, and asks for leave if
+// that is not known. An agent that control does not answer loads all the same
+// after a while: an engine without a model serves nobody.
+func (k *Keeper) mayLoad(now time.Time) bool {
+	if k.Permit == nil || k.allowed {
+		return true
+	}
+	if !k.refused.IsZero() && now.Sub(k.refused) > permitPatience {
+		return true
+	}
+	if !k.asking && !now.Before(k.askAt) {
+		k.asking = true
+		go k.askLeave()
+	}
+	return false
+}
+
+func (k *Keeper) askLeave() {
+	k.mutex.Lock()
+	ctx, cancel := context.WithTimeout(k.context, permitTimeout)
+	k.mutex.Unlock()
+	defer cancel()
+	wait, err := k.Permit(ctx)
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	now := time.Now()
+	k.asking = false
+	if err != nil {
+		if k.refused.IsZero() {
+			k.refused = now
+		}
+		k.askAt = now.Add(permitPause)
+		k.Host.Log.Write("leave-not-known", "since", k.refused, "err", err)
+		return
+	}
+	k.refused, k.allowed = time.Time{}, wait == 0
+	k.askAt = now.Add(wait)
+	k.kick.Set()
+}
+
 // modelToLoad returns the model that most requests wait for, or the first.
 func (k *Keeper) modelToLoad(engine *conf.Engine) string {
 	waiting := map[string]int{}
--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -95,6 +95,7 @@
 	once    sync.Once
 	node    *node.Node
 	permits *permit.Coordinator
+	store   permit.Store
 	machine state.Machine
 	roster  roster.Roster
 	feeds   *feeds.Feeds
@@ -187,6 +188,7 @@
 func (d *Daemon) lead(term uint64, leading bool) {
 	d.quota.Lead(term, leading)
 	d.permits.Reset(term)
+	d.store.Reset()
 }
 
 // Run serves until ctx ends. Then it closes the daemons' feeds, hands the
--- a/ctrl/daemon/leader.go
+++ b/ctrl/daemon/leader.go
@@ -49,6 +49,7 @@
 		plane.MethodSubmit: d.serveSubmit,
 		plane.MethodAdmin:  d.serveAdmin,
 		plane.MethodPermit: d.permits.Handle,
+		plane.MethodLoad:   d.serveLoad,
 		methodPropose:      d.servePropose,
 	}
 	for method, serve := range leader {
--- a/ctrl/daemon/serve.go
+++ b/ctrl/daemon/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"errors"
+	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/ledger"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/node"
@@ -11,6 +12,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
 )
 
@@ -53,6 +55,23 @@
 	return stream.Send(d.quota.Grant(ctx, ask))
 }
 
+// serveLoad lets an engine load a base model when the weight store has room.
+func (d *Daemon) serveLoad(_ context.Context, stream *wire.Stream) error {
+	ask := &plane.LoadAsk{}
+	if err := stream.Receive(ask); err != nil {
+		return err
+	}
+	rate := 0.0
+	if config := d.config(); config != nil {
+		if engine := config.Services[ask.Service].Engine; engine != nil {
+			rate = engine.Loads
+		}
+	}
+	wait := d.store.Load(ask.Service, rate, time.Now())
+	d.Host.Log.Write("model-load", "agent", ask.Agent, "service", ask.Service, "rate", rate, "wait", wait)
+	return stream.Send(&plane.LoadReply{Wait: span.Duration(wait)})
+}
+
 func (d *Daemon) serveClaim(ctx context.Context, stream *wire.Stream) error {
 	ask := &plane.ClaimAsk{}
 	if err := stream.Receive(ask); err != nil {
