Pass calls on from VMs without a disk; a group begins without them

Such a VM now serves the calls through the replicas, and tells a replica that asks that there is none.

--- a/ctrl/daemon/site.go
+++ b/ctrl/daemon/site.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
 	"github.com/tanagerspindle/tanagerspindle/pkg/census"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
 )
 
 // Replace commits a configuration that takes the place of any with a lower
@@ -67,3 +69,36 @@
 	d.Host.Log.Write("adapter-released", "model", named.Model, "adapter", named.Adapter, "version", named.Version, "err", err)
 	return err
 }
+
+// serveSite carries out a call that came in on a VM without a replica.
+func (d *Daemon) serveSite(ctx context.Context, stream *wire.Stream) error {
+	ask := &plane.SiteAsk{}
+	if err := stream.Receive(ask); err != nil {
+		return err
+	}
+	reply, err := d.site(ctx, ask)
+	if err != nil {
+		reply.Refused, reply.Detail = plane.KindTimeout, err.Error()
+		if errors.Is(err, &Error{Kind: KindInvalid}) {
+			reply.Refused = plane.KindInvalid
+		}
+	}
+	return stream.Send(reply)
+}
+
+func (d *Daemon) site(ctx context.Context, ask *plane.SiteAsk) (reply *plane.SiteReply, err error) {
+	reply = &plane.SiteReply{}
+	switch {
+	case ask.Config != nil:
+		reply.Number, err = d.Replace(ctx, ask.Config)
+	case ask.Report != nil:
+		err = d.Announce(ctx, ask.Report)
+	case ask.Left != "":
+		err = d.Depart(ctx, ask.Left, ask.Born)
+	case ask.Release != nil:
+		err = d.Release(ctx, ask.Release)
+	default:
+		reply.Config, _, err = d.Fetch(ctx)
+	}
+	return reply, err
+}
--- a/ctrl/member/join.go
+++ b/ctrl/member/join.go
@@ -37,6 +37,9 @@
 	// Removed says that the peer leads and that a living replica of the same
 	// name took the place of the one that asked.
 	Removed bool `protobuf:"varint,6,opt"`
+	// Absent says that there is no replica at the peer's address, and never will
+	// be one.
+	Absent bool `protobuf:"varint,8,opt"`
 	// Leader is the address of the leader that the peer follows; empty when it
 	// knows none.
 	Leader string `protobuf:"bytes,7,opt"`
@@ -52,6 +55,9 @@
 	}
 	members := []raft.Member{voter(self)}
 	for _, answer := range answers {
+		if answer.Absent {
+			continue
+		}
 		if !answer.Empty || answer.Name <= self.Name || answer.Peers != self.Peers {
 			return nil, false
 		}
--- a/ctrl/node/handlers.go
+++ b/ctrl/node/handlers.go
@@ -12,8 +12,9 @@
 // The methods of the streams between replicas.
 const (
 	methodRaft    = "raft"
-	methodJoin    = "join"
 	methodBarrier = "barrier"
+	// MethodJoin exchanges one member.Ask for one member.Answer.
+	MethodJoin = "join"
 )
 
 // barrierAsk asks the leader for a read round.
@@ -34,7 +35,7 @@
 	n.setUp()
 	return map[string]link.Handler{
 		methodRaft:    n.serveRaft,
-		methodJoin:    n.serveJoin,
+		MethodJoin:    n.serveJoin,
 		methodBarrier: n.serveBarrier,
 	}
 }
--- a/ctrl/node/join.go
+++ b/ctrl/node/join.go
@@ -77,7 +77,7 @@
 				return nil
 			}
 			var answer member.Answer
-			if err := call(ctx, session, methodJoin, &ask, &answer); err != nil {
+			if err := call(ctx, session, MethodJoin, &ask, &answer); err != nil {
 				n.Host.Log.Write("peer-silent", "address", address, "err", err)
 				return nil
 			}
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -204,7 +204,12 @@
 	t := &turn{feed: f, stream: stream, renewed: make(chan uint64, 1), failed: make(chan error, 1)}
 	go t.receive()
 	defer f.burn.restore()
-	return t.beat(ctx)
+	err = t.beat(ctx)
+	if err != nil && !t.answered.Load() {
+		// No replica is there, or one that cannot admit anybody now.
+		f.Uplink.Move()
+	}
+	return err
 }
 
 func (f *Feed) number() uint64 {
@@ -234,4 +239,6 @@
 	seq     uint64
 	renewed chan uint64
 	failed  chan error
+	// answered says that the replica has sent anything.
+	answered atomic.Bool
 }
--- a/pkg/feed/turn.go
+++ b/pkg/feed/turn.go
@@ -82,6 +82,7 @@
 			t.failed <- err
 			return
 		}
+		t.answered.Store(true)
 		if err := t.take(&update); err != nil {
 			t.failed <- err
 			return
