--- a/agent/keeper/task.go
+++ b/agent/keeper/task.go
@@ -90,6 +90,8 @@
 	k.Host.Meter.Observe("admission", waited)
 	if reply.Reason == admit.ReasonNone {
 		reply.Wait = span.Duration(waited)
+		k.Host.Log.Write("admitted", "request", t.want.Ask.ID, "adapter", t.want.Ask.Adapter, "version", reply.Version,
+			"waited", waited, "load", reply.Load)
 		return
 	}
 	k.Host.Meter.Add("refused_"+string(reply.Reason), 1)
--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -176,7 +176,7 @@
 func (l *Limit) reserve(ctx context.Context, r *chain.Request, need int64) (*reservation, error) {
 	w := &waiter{
 		need: need, spare: l.spare(r, need), class: r.Class,
-		due: until(r), until: until(r), done: make(chan error, 1),
+		due: until(r), until: until(r), done: make(chan error, 1), opaque: r.Route.Kind == conf.KindOpaque,
 	}
 	l.mutex.Lock()
 	s := l.share(r.Workspace)
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -275,3 +275,19 @@
 		require.Greater(t, len(o.asks), asks, "the lease is void")
 	})
 }
+
+// The size of an opaque request is its caller's bound; one over the burst is
+// told when to come back, not that it is wrong.
+func TestOpaqueRequestOverTheBurst(t *testing.T) {
+	inLimit(t, func(ask *plane.GrantAsk) (*plane.GrantReply, error) {
+		return &plane.GrantReply{Grants: []plane.Grant{{Workspace: "w", Over: true}}}, nil
+	}, func(l *limit.Limit, _ *owner) {
+		r := &chain.Request{
+			Workspace: "w", Tokens: 5000, Start: time.Now(), Patience: time.Second, Route: conf.Route{Kind: conf.KindOpaque},
+			Write: func(*call.Frame) error { return nil },
+		}
+		err := l.Do(context.Background(), r, func(context.Context, *chain.Request) error { return nil })
+		require.Equal(t, 429, chain.RefusalOf(err).Status)
+		require.Positive(t, chain.RefusalOf(err).Retry)
+	})
+}
--- a/entry/limit/loop.go
+++ b/entry/limit/loop.go
@@ -17,6 +17,9 @@
 	// after a failed one.
 	askTimeout = time.Second
 	askDelay   = 50 * time.Millisecond
+	// overBurst is when a caller may come back whose request counts more
+	// tokens than its workspace may use at once.
+	overBurst = time.Second
 )
 
 // Run exchanges tokens with control until ctx ends, then gives back what is
@@ -128,6 +131,9 @@
 	case grant.Missing:
 		s.refuse(chain.Refuse(http.StatusForbidden, "no_allowance", "the workspace has no allowance"))
 		return
+	case grant.Over && len(s.waiters) > 0 && s.waiters[0].opaque:
+		s.refuseFirst(late(overBurst))
+		return
 	case grant.Over && len(s.waiters) > 0 && !s.waiters[0].extends:
 		s.refuseFirst(chain.Refuse(http.StatusRequestEntityTooLarge, "over_burst", "the request needs more tokens than the workspace's burst"))
 		return
--- a/entry/limit/overdraft.go
+++ b/entry/limit/overdraft.go
@@ -98,7 +98,9 @@
 		s.owed += spent
 		s.over.lease.left, s.over.lease.until = 0, time.Time{}
 		s.over = nil
-		l.Host.Log.Write("overdraft-ended", "workspace", workspace, "tokens", spent)
+		if spent > 0 {
+			l.Host.Log.Write("overdraft-ended", "workspace", workspace, "tokens", spent)
+		}
 	}
 }
 
--- a/entry/limit/share.go
+++ b/entry/limit/share.go
@@ -75,6 +75,9 @@
 	// begun.
 	until   time.Time
 	extends bool
+	// opaque says that the caller's size of the request is only a bound: one
+	// over the burst is refused like any other that comes too early.
+	opaque bool
 	paid    *reservation
 	done    chan error
 }
--- a/entry/trace/trace.go
+++ b/entry/trace/trace.go
@@ -68,10 +68,10 @@
 	if !r.First.IsZero() {
 		t.Host.Meter.Observe("first_"+r.Class.String(), r.First.Sub(r.Start))
 	}
-	status, code := http.StatusOK, ""
+	status, code, retry := http.StatusOK, "", time.Duration(0)
 	if err != nil {
 		refusal := chain.RefusalOf(err)
-		status, code = refusal.Status, refusal.Code
+		status, code, retry = refusal.Status, refusal.Code, refusal.Retry
 		t.Host.Meter.Add("refused_"+code, 1)
 	}
 	t.count(r, status)
@@ -81,7 +81,7 @@
 	}
 	t.Host.Log.Write(
 		"request", "id", r.ID, "workspace", r.Workspace, "route", r.RouteName, "adapter", r.Adapter, "version", r.Version,
-		"class", r.Class, "status", status, "code", code, "tokens", r.Sent, "cost", r.Tokens, "endpoint", r.Endpoint, "tries", r.Tries,
+		"class", r.Class, "status", status, "code", code, "retry", retry, "tokens", r.Sent, "cost", r.Tokens, "endpoint", r.Endpoint, "tries", r.Tries,
 		"waited", r.Waited, "first", first, "pause", r.Pause, "time", time.Since(r.Start),
 	)
 }
--- a/spindle/cmds/program.go
+++ b/spindle/cmds/program.go
@@ -119,7 +119,8 @@
 			&cli.DurationFlag{Name: flagTimeout, Usage: "how long to try to reach control", Value: 10 * time.Second},
 		},
 		Commands: append([]*cli.Command{
-			p.check(), p.apply(), p.key(), p.status(), p.report(), p.replace(), p.move(), p.ban(),
+			p.check(),
+			p.trace(), p.apply(), p.key(), p.status(), p.report(), p.replace(), p.move(), p.ban(),
 		}, p.Further...),
 	}
 }
--- /dev/null
+++ b/spindle/story/cause.go
@@ -0,0 +1,95 @@
+package story
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// eventRequest is the last line of each request, from the entry that took it.
+const eventRequest = "request"
+
+// aboutEndpoint are the events that concern an endpoint, aboutDaemon those that
+// concern the entry itself.
+var (
+	aboutEndpoint = map[string]bool{"endpoint-announced": true, "endpoint-departed": true}
+	aboutDaemon   = map[string]bool{
+		"control-lost": true, "control-reached": true, "control-unreachable": true, "feed-lost": true, "grant-failed": true,
+		"overdraft-ended": true, "suspended": true, "configuration": true, "entry-draining": true, "stopped": true, "started": true,
+	}
+)
+
+// causes tells what each code of a refusal means. docs/OPERATIONS.md has the
+// same table.
+var causes = map[string]string{
+	"rate_limited":    "its workspace's tokens would not have been there in time; grant-failed and overdraft-ended lines tell that control did not answer",
+	"engines_busy":    "the engines that keep its adapter could not have begun it in time; admission-refused lines tell their wait and load",
+	"no_endpoint":     "no endpoint of its service was known, or all had been tried",
+	"endpoint_failed": "its endpoint failed it and it could not, or might not, run elsewhere; attempt-failed lines tell how",
+	"retry_budget":    "it failed at an endpoint, and the fleet's share of repeats was used up",
+	"timeout":         "its caller's time, or its route's, was over",
+	"caller_gone":     "its caller left before the answer was whole",
+	"stopping":        "its entry was stopping and could not have finished it",
+	"starting":        "its entry had no configuration yet",
+	"no_authority":    "its entry had no configuration yet",
+	"invalid_key":     "its key was missing, unknown or withdrawn in the configuration in force",
+	"unknown_path":    "no route of the configuration in force leads to its host and path",
+	"quarantined":     "endpoints had failed while they ran it",
+	"internal":        "the entry failed; see the lines before",
+}
+
+// Causes returns what each code of a refusal means.
+func Causes() map[string]string { return maps.Clone(causes) }
+
+// lateFirst and lateGap are the first times and pauses that are told as late
+// when a request was answered: the users' objectives of today.
+const (
+	lateFirst = time.Second
+	lateGap   = 250 * time.Millisecond
+)
+
+// causeOf tells the cause from a request's last line.
+func causeOf(line *Line) string {
+	status, err := strconv.Atoi(line.Get("status"))
+	if err != nil {
+		return "the request's last line has no status"
+	}
+	if code := line.Get("code"); code != "" {
+		told, known := causes[code]
+		if !known {
+			told = "see the code in the operators' pages"
+		}
+		return fmt.Sprintf("%d %s: %s", status, code, told)
+	}
+	if status >= http.StatusBadRequest {
+		return fmt.Sprintf("%d from endpoint %s itself", status, line.Get("endpoint"))
+	}
+	return slowness(line)
+}
+
+// slowness tells where the time of an answered request went.
+func slowness(line *Line) string {
+	waited, first, pause := lengthOf(line, "waited"), lengthOf(line, "first"), lengthOf(line, "pause")
+	switch {
+	case first > lateFirst && waited > first/2:
+		return fmt.Sprintf("answered late: it waited %s of %s for admission at %s", waited, first, line.Get("endpoint"))
+	case first > lateFirst && line.Get("tries") != "0":
+		return fmt.Sprintf("answered late, after %s failed attempts", line.Get("tries"))
+	case first > lateFirst:
+		return fmt.Sprintf("answered late: %s took %s to its first event", line.Get("endpoint"), first-waited)
+	case pause > lateGap:
+		return fmt.Sprintf("answered with a pause of %s at %s", pause, line.Get("endpoint"))
+	}
+	return "answered in time"
+}
+
+// lengthOf returns a duration of a line; one that is missing counts as none.
+func lengthOf(line *Line, key string) time.Duration {
+	length, err := time.ParseDuration(line.Get(key))
+	if err != nil {
+		return 0
+	}
+	return length
+}
