quota: a leader that stops gives its reserves back; records are bound to their term

Every entry is told to wait 1.9 s; some 250 requests within their rate are refused at each restart of the leader. A crash is milder: there the entries' overdrafts cover the election.

Change: when its process stops, the leader ends all granting and commits one last record with only the unspent leases in it, then hands over. Each record says how long what it holds can still be spent.

A record drawn up under one term could land in the log of the next, where it hid the successor's grants.

--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -127,7 +127,7 @@
 	n := &node.Node{
 		Host: d.Host, Name: d.Name, Address: d.Address, Folder: d.Folder, Disk: d.Disk, Seed: d.Seed,
 		Voters: d.Voters, Late: d.Late, Dead: d.Dead,
-		Apply:    func(entry node.Entry) []byte { return d.machine.Apply(entry.Time, entry.Data) },
+		Apply:    func(entry node.Entry) []byte { return d.machine.Apply(entry.Time, entry.Term, entry.Data) },
 		Snapshot: d.machine.Snapshot,
 		Restore:  d.machine.Restore,
 		Leading:  d.lead,
@@ -191,8 +191,8 @@
 	d.store.Reset()
 }
 
-// Run serves until ctx ends. Then it closes the daemons' feeds, hands the
-// leadership over and stops.
+// Run serves until ctx ends. Then it closes the daemons' feeds, gives the
+// reserved tokens back, hands the leadership over and stops.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.prepare()
 	listener, err := d.Host.Listen(d.Address)
@@ -203,14 +203,19 @@
 	defer stopServing()
 	working, stopWorking := context.WithCancel(ctx)
 	defer stopWorking()
+	leading, handOver := context.WithCancel(context.WithoutCancel(ctx))
+	defer handOver()
 	var servers, workers conc.WaitGroup
 	servers.Go(func() { _ = link.Serve(serving, listener, d.handlers()) })
 	workers.Go(func() { d.feeds.Run(working) })
-	workers.Go(func() { d.quota.Run(working) })
+	workers.Go(func() {
+		defer handOver()
+		d.quota.Run(working)
+	})
 	workers.Go(func() { d.permits.Run(working) })
 	workers.Go(func() { d.expire(working) })
 	workers.Go(func() { d.watch(working) })
-	err = d.node.Run(ctx)
+	err = d.node.Run(leading)
 	stopWorking()
 	workers.Wait()
 	stopServing()
--- a/ctrl/quota/grant.go
+++ b/ctrl/quota/grant.go
@@ -39,7 +39,7 @@
 func (o *Owner) enter(ask *plane.GrantAsk) (own *answer, fresh bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if !o.leading {
+	if !o.leading || o.closing {
 		return nil, false
 	}
 	who := caller{entry: ask.Entry, incarnation: ask.Incarnation}
@@ -149,7 +149,7 @@
 func (o *Owner) pass(ask *plane.GrantAsk, reply *plane.GrantReply, open []int) (short []int, next *round, leading bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if !o.leading {
+	if !o.leading || o.closing {
 		return nil, nil, false
 	}
 	o.follow()
--- a/ctrl/quota/quota.go
+++ b/ctrl/quota/quota.go
@@ -5,7 +5,8 @@
 // granted; a record moves the reserves of all active workspaces. A successor
 // starts from the last record as if its whole reserve had been granted, and
 // accrues from the local time at which it applied the record, so that neither
-// a change of leader nor a wrong clock gives tokens away twice.
+// a change of leader nor a wrong clock gives tokens away twice. A leader that
+// stops gives its reserves back in a last record.
 package quota
 
 import (
@@ -45,6 +46,9 @@
 	grantTimeout = time.Second
 	// commitTimeout bounds one record.
 	commitTimeout = 2 * time.Second
+	// closeTimeout bounds the record of a leader that stops, which delays the
+	// hand-over of the leadership. A record takes a few milliseconds.
+	closeTimeout = 250 * time.Millisecond
 	// mostReplies is how many replies are kept for each entry, for resends.
 	mostReplies = 16
 	// entryLife is how long a silent entry's replies are kept.
@@ -60,14 +64,16 @@
 	// Horizon returns the committed reservation of a workspace and the local
 	// time at which it was applied.
 	Horizon func(workspace string) (state.Horizon, time.Time, bool)
-	// Propose commits one record.
-	Propose func(ctx context.Context, horizons []state.Horizon) error
+	// Propose commits one record if the replica still leads in the term.
+	Propose func(ctx context.Context, term uint64, horizons []state.Horizon) error
 	// Boot is that of clock.Watch: reserves end while the VM is suspended.
 	Boot func() time.Time
 
 	mutex   sync.Mutex
 	term    uint64
 	leading bool
+	// closing says that nothing is granted any more.
+	closing bool
 	spaces  map[string]*space
 	entries map[caller]*replies
 	config  *conf.Config
@@ -129,11 +135,14 @@
 	o.round = &round{done: make(chan struct{})}
 }
 
-// Run moves the reserves until ctx ends.
+// Run moves the reserves until ctx ends. Then it grants nothing any more and
+// gives the reserves back.
 func (o *Owner) Run(ctx context.Context) {
 	o.mutex.Lock()
 	o.prepare()
+	o.closing = false
 	o.mutex.Unlock()
+	defer o.close(context.WithoutCancel(ctx))
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
@@ -209,7 +218,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	err := o.Propose(ctx, horizons)
+	err := o.Propose(ctx, term, horizons)
 	o.Host.Meter.Add("quota_records", 1)
 	o.Host.Meter.Add("quota_horizons", int64(len(horizons)))
 	if err != nil {
@@ -222,7 +231,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	now := time.Now()
-	if !o.leading {
+	if !o.leading || o.closing {
 		return o.term, now, nil
 	}
 	for _, name := range slices.Sorted(maps.Keys(o.spaces)) {
@@ -234,6 +243,35 @@
 	return o.term, now, horizons
 }
 
+// close records what a successor may grant at once: all but the leases.
+func (o *Owner) close(ctx context.Context) {
+	term, horizons := o.yield()
+	if len(horizons) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	if err := o.Propose(ctx, term, horizons); err != nil {
+		o.Host.Log.Write("quota-not-closed", "workspaces", len(horizons), "err", err)
+	}
+}
+
+// yield ends all granting and empties the reserves.
+func (o *Owner) yield() (term uint64, horizons []state.Horizon) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.closing = true
+	o.endRound(true)
+	if !o.leading {
+		return o.term, nil
+	}
+	now := time.Now()
+	for _, name := range slices.Sorted(maps.Keys(o.spaces)) {
+		horizons = append(horizons, o.spaces[name].yield(now))
+	}
+	return o.term, horizons
+}
+
 // settle ends a record, unless the leadership changed meanwhile.
 func (o *Owner) settle(term uint64, proposed time.Time, horizons []state.Horizon, committed bool) {
 	o.mutex.Lock()
--- a/ctrl/quota/quota_test.go
+++ b/ctrl/quota/quota_test.go
@@ -25,8 +25,9 @@
 // appends, and the others apply whenever the test lets them.
 type world struct {
 	t        *testing.T
+	ctx      context.Context
 	mutex    sync.Mutex
-	log      [][]byte
+	log      []entry
 	replicas [3]*replica
 	leader   int
 	term     uint64
@@ -34,10 +35,32 @@
 	spent    []spending
 }
 
+// entry is a record with the term in which it was appended.
+type entry struct {
+	term uint64
+	data []byte
+}
+
 type replica struct {
 	quota.Owner
 	machine state.Machine
 	applied int
+	// stop ends Run and waits for its end.
+	stop func()
+}
+
+// start runs the replica's owner, as a process does that starts anew.
+func (r *replica) start(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	r.stop = func() {
+		cancel()
+		<-done
+	}
 }
 
 type spending struct {
@@ -48,7 +71,7 @@
 func inWorld(t *testing.T, limits conf.Workspace, workspaces int, run func(w *world)) {
 	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		w := &world{t: t, config: &conf.Config{Number: 1, Workspaces: map[string]conf.Workspace{}}}
+		w := &world{t: t, ctx: ctx, config: &conf.Config{Number: 1, Workspaces: map[string]conf.Workspace{}}}
 		for i := range workspaces {
 			w.config.Workspaces[fmt.Sprintf("w%d", i)] = limits
 		}
@@ -56,9 +79,9 @@
 			r := &replica{Owner: quota.Owner{Host: host.Host{Meter: meter.New()}}}
 			r.Config = func() *conf.Config { return w.config }
 			r.Horizon = r.machine.Horizon
-			r.Propose = func(ctx context.Context, horizons []state.Horizon) error { return w.propose(ctx, i, horizons) }
+			r.Propose = func(ctx context.Context, term uint64, horizons []state.Horizon) error { return w.propose(ctx, i, term, horizons) }
 			w.replicas[i] = r
-			go r.Run(ctx)
+			r.start(ctx)
 		}
 		w.lead(0)
 		run(w)
@@ -67,9 +90,10 @@
 	})
 }
 
-// propose commits a record if the replica leads when it reaches the others.
-func (w *world) propose(ctx context.Context, from int, horizons []state.Horizon) error {
-	data, err := codec.Encode(&state.Command{Horizons: horizons})
+// propose commits a record if the replica leads when it reaches the others,
+// perhaps in a later term.
+func (w *world) propose(ctx context.Context, from int, term uint64, horizons []state.Horizon) error {
+	data, err := codec.Encode(&state.Command{Horizons: horizons, HorizonTerm: term})
 	require.NoError(w.t, err)
 	time.Sleep(2 * time.Millisecond)
 	w.mutex.Lock()
@@ -77,15 +101,18 @@
 	if w.leader != from || ctx.Err() != nil {
 		return fmt.Errorf("not the leader")
 	}
-	w.log = append(w.log, data)
+	w.log = append(w.log, entry{term: w.term, data: data})
 	w.catchUp(from)
+	if w.term != term {
+		return fmt.Errorf("term %d is over", term)
+	}
 	return nil
 }
 
 func (w *world) catchUp(to int) {
 	r := w.replicas[to]
 	for ; r.applied < len(w.log); r.applied++ {
-		r.machine.Apply(0, w.log[r.applied])
+		r.machine.Apply(0, w.log[r.applied].term, w.log[r.applied].data)
 	}
 }
 
@@ -99,6 +126,17 @@
 	w.replicas[next].Lead(w.term, true)
 }
 
+// handOver stops the leader's process as a planned restart does.
+func (w *world) handOver(next int) {
+	former := w.replicas[w.leader]
+	former.stop()
+	if w.leader != next {
+		former.Lead(w.term, false)
+	}
+	w.lead(next)
+	former.start(w.ctx)
+}
+
 // random lets entries ask replicas that lead or believe so, spend late, give
 // back, and lets the leadership move.
 func (w *world) random(source *rand.Rand, steps int, seq *uint64) {
@@ -107,9 +145,11 @@
 		if source.IntN(10) == 0 {
 			time.Sleep(time.Duration(source.Int64N(int64(4 * time.Second))))
 		}
-		switch source.IntN(12) {
+		switch source.IntN(13) {
 		case 0:
 			w.lead(source.IntN(3))
+		case 12:
+			w.handOver(source.IntN(3))
 		case 1:
 			w.mutex.Lock()
 			w.catchUp(source.IntN(3))
@@ -161,7 +201,7 @@
 // Whatever entries, crashes of leaders and leaders that do not know of their
 // successor do, no window sees more than rate times time plus burst.
 func TestFleetNeverExceedsRateAndBurst(t *testing.T) {
-	for seed := range uint64(100) {
+	for seed := range uint64(300) {
 		limits := conf.Workspace{Rate: 100, Burst: 200 + 50*int64(seed%4)}
 		inWorld(t, limits, 1, func(w *world) {
 			seq := uint64(0)
@@ -204,6 +244,33 @@
 	})
 }
 
+// A planned restart of the leader costs entries no more of the rate than what
+// they hold unspent. The load is a little under the rate, as one second's
+// burst allows, spent as soon as it is granted.
+func TestHandOverKeepsTheRate(t *testing.T) {
+	limits := conf.Workspace{Rate: 1000, Burst: 1000}
+	inWorld(t, limits, 1, func(w *world) {
+		last, seq := plane.Grant{}, uint64(0)
+		spend := func(span time.Duration) (got int64) {
+			for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				seq++
+				wish := plane.Ask{Workspace: "w0", Want: 20, Least: 20, Lease: last.Lease, Spent: last.Tokens}
+				reply := w.replicas[w.leader].Grant(w.t.Context(), &plane.GrantAsk{Entry: "e", Incarnation: 1, Seq: seq, Asks: []plane.Ask{wish}})
+				require.Empty(w.t, reply.Refused)
+				last = reply.Grants[0]
+				got += last.Tokens
+			}
+			return got
+		}
+		spend(3 * time.Second)
+		for next := range 3 {
+			w.handOver((next + 1) % 3)
+			require.GreaterOrEqual(w.t, spend(time.Second), limits.Rate*3/4, "the second after the hand-over")
+			spend(2 * time.Second)
+		}
+	})
+}
+
 func TestGrantHints(t *testing.T) {
 	limits := conf.Workspace{Rate: 100, Burst: 300}
 	inWorld(t, limits, 1, func(w *world) {
--- a/ctrl/quota/space.go
+++ b/ctrl/quota/space.go
@@ -22,6 +22,9 @@
 	// reserve is committed as granted and may be granted until valid.
 	reserve int64
 	valid   time.Time
+	// life is how long a grant may be spent by the last committed record, and
+	// proposed by the one under way. Grants go by the shorter.
+	life, proposed time.Duration
 	// leases are the grants that may still be spent, by their end.
 	leases []lease
 	out    int64
@@ -59,14 +62,18 @@
 
 func newSpace(name string, limits conf.Workspace, horizon state.Horizon, seen time.Time, known bool) *space {
 	now := time.Now()
-	s := &space{name: name, wants: map[string]want{}}
+	s := &space{name: name, wants: map[string]want{}, life: longestLife, proposed: longestLife}
 	if !known {
 		s.bucket = bucket.New(limits.Rate, limits.Burst, limits.Burst, now)
 		return s
 	}
 	s.bucket = bucket.New(limits.Rate, limits.Burst, horizon.Level, seen)
 	if horizon.Held > 0 {
-		s.lease(lease{tokens: horizon.Held, until: seen.Add(reserveLife + longestLife + clockDrift)})
+		ends := horizon.Ends.Std()
+		if ends == 0 {
+			ends = reserveLife + longestLife
+		}
+		s.lease(lease{tokens: horizon.Held, until: seen.Add(ends + clockDrift)})
 	}
 	return s
 }
@@ -106,9 +113,9 @@
 // repay takes what is owed out of the bucket, as far as it goes.
 func (s *space) repay() { s.owed -= s.bucket.Take(s.owed) }
 
-// life is how long a grant may be spent. Tokens that may still be spent keep
+// wish is how long a grant should be valid. Tokens that may still be spent keep
 // room in the bucket, so it is short when the burst is small.
-func (s *space) life() time.Duration {
+func (s *space) wish() time.Duration {
 	half := time.Duration(float64(s.bucket.Burst()) / float64(s.bucket.Rate()) / 2 * float64(time.Second))
 	return min(max(half, shortestLife), longestLife)
 }
@@ -145,7 +152,8 @@
 // grant answers one ask. short says that a commit would bring enough tokens;
 // nothing is granted then.
 func (s *space) grant(id uint64, entry string, ask *plane.Ask, now time.Time) (given plane.Grant, short bool) {
-	given = plane.Grant{Workspace: s.name, Life: span.Duration(s.life())}
+	life := min(s.life, s.proposed)
+	given = plane.Grant{Workspace: s.name, Life: span.Duration(life)}
 	if ask.Want <= 0 && ask.Least <= 0 {
 		given.Demand = s.demand()
 		return given, false
@@ -170,7 +178,7 @@
 	given.Lease = id
 	s.reserve -= given.Tokens
 	s.granted += given.Tokens
-	s.lease(lease{id: id, entry: entry, tokens: given.Tokens, until: now.Add(s.life())})
+	s.lease(lease{id: id, entry: entry, tokens: given.Tokens, until: now.Add(life)})
 	s.tickets = slices.DeleteFunc(s.tickets, func(t ticket) bool { return t.entry == entry })
 	return given, false
 }
@@ -241,16 +249,36 @@
 	if s.pending == 0 && !ending {
 		return state.Horizon{}, false
 	}
-	return state.Horizon{Workspace: s.name, Level: s.bucket.Level(), Held: s.held()}, true
+	s.proposed = s.wish()
+	ends := max(reserveLife+s.proposed, s.lastEnd(now))
+	return state.Horizon{Workspace: s.name, Level: s.bucket.Level(), Held: s.held(), Ends: span.Duration(ends)}, true
+}
+
+// lastEnd is how long the last lease may still be spent.
+func (s *space) lastEnd(now time.Time) time.Duration {
+	if len(s.leases) == 0 {
+		return 0
+	}
+	return s.leases[len(s.leases)-1].until.Sub(now)
+}
+
+// yield empties the reserve and returns what a successor starts from.
+func (s *space) yield(now time.Time) state.Horizon {
+	s.advance(now)
+	s.bucket.Put(s.reserve + s.pending)
+	s.reserve, s.pending = 0, 0
+	return state.Horizon{Workspace: s.name, Level: s.bucket.Level(), Held: s.out, Ends: span.Duration(max(s.lastEnd(now), 1))}
 }
 
 // settle ends a record that was proposed at a time.
 func (s *space) settle(committed bool, proposed time.Time) {
 	if !committed {
+		s.life = min(s.life, s.proposed)
 		s.bucket.Put(s.pending)
 		s.pending = 0
 		return
 	}
+	s.life = s.proposed
 	s.reserve += s.pending
 	s.pending = 0
 	s.valid = proposed.Add(reserveLife)
--- a/ctrl/state/command.go
+++ b/ctrl/state/command.go
@@ -6,6 +6,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/census"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
 )
 
 // Command is one entry of the replicated log. Each field that is set is
@@ -15,8 +16,11 @@
 	Config *Proposal `protobuf:"bytes,1,opt"`
 	// Claim is one step of a request that runs at most once.
 	Claim *plane.ClaimAsk `protobuf:"bytes,2,opt"`
-	// Horizons move the token reservations of active workspaces.
-	Horizons []Horizon `protobuf:"bytes,3,rep"`
+	// Horizons move the token reservations of active workspaces. They take
+	// effect only if they are appended in HorizonTerm: what a former leader
+	// drew up knows nothing of its successor's grants. Zero is any term.
+	Horizons    []Horizon `protobuf:"bytes,3,rep"`
+	HorizonTerm uint64    `protobuf:"varint,13,opt"`
 	// Enrols gives fencing numbers to agent incarnations.
 	Enrols []Enrol `protobuf:"bytes,4,rep"`
 	// Ends names agent incarnations that said goodbye.
@@ -63,6 +67,9 @@
 	// Held is the number of tokens reserved or granted that may not be spent
 	// yet.
 	Held int64 `protobuf:"varint,3,opt"`
+	// Ends is how long after the proposal all that is held has been spent or
+	// has ended.
+	Ends span.Duration `protobuf:"varint,4,opt"`
 }
 
 // Enrol names one incarnation of an agent.
--- a/ctrl/state/horizon.go
+++ b/ctrl/state/horizon.go
@@ -2,6 +2,18 @@
 
 import "time"
 
+// reserveAll applies the horizons of a command, unless they were drawn up in
+// another term.
+func (m *Machine) reserveAll(term uint64, command *Command) bool {
+	if command.HorizonTerm != 0 && command.HorizonTerm != term {
+		return false
+	}
+	for _, horizon := range command.Horizons {
+		m.reserve(horizon)
+	}
+	return true
+}
+
 func (m *Machine) reserve(horizon Horizon) {
 	if m.horizons == nil {
 		m.horizons = map[string]reservation{}
--- a/ctrl/state/machine.go
+++ b/ctrl/state/machine.go
@@ -71,13 +71,13 @@
 }
 
 // Apply applies one committed entry at its committed time, in nanoseconds, and
-// returns the encoded Result.
-func (m *Machine) Apply(at int64, data []byte) []byte {
+// returns the encoded Result. Term is the one in which it was appended.
+func (m *Machine) Apply(at int64, term uint64, data []byte) []byte {
 	command := &Command{}
 	if err := codec.Decode(data, command); err != nil {
 		return encodeResult(&Result{Refused: plane.KindInvalid})
 	}
-	result, news := m.apply(at, command)
+	result, news := m.apply(at, term, command)
 	if news && m.Changed != nil {
 		m.Changed()
 	}
@@ -93,7 +93,7 @@
 }
 
 // apply reports with the result whether feeds have news to carry.
-func (m *Machine) apply(at int64, command *Command) (*Result, bool) {
+func (m *Machine) apply(at int64, term uint64, command *Command) (*Result, bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.time = max(m.time, at)
@@ -105,8 +105,8 @@
 	if command.Claim != nil {
 		result.Claim = m.ledger.Apply(command.Claim, m.time)
 	}
-	for _, horizon := range command.Horizons {
-		m.reserve(horizon)
+	if !m.reserveAll(term, command) {
+		result.Refused = plane.KindLeader
 	}
 	for _, enrol := range command.Enrols {
 		result.Fences = append(result.Fences, m.enrol(enrol))
--- a/ctrl/state/machine_test.go
+++ b/ctrl/state/machine_test.go
@@ -25,7 +25,7 @@
 	data, err := codec.Encode(command)
 	require.NoError(t, err)
 	result := &state.Result{}
-	require.NoError(t, codec.Decode(m.Apply(at, data), result))
+	require.NoError(t, codec.Decode(m.Apply(at, 0, data), result))
 	return result
 }
 
@@ -96,7 +96,7 @@
 		list, _ = machine.Bans()
 		require.Empty(t, list, "an empty command moves committed time on")
 	}
-	require.Equal(t, plane.KindInvalid, decode(t, m.Apply(0, []byte{0xff})).Refused)
+	require.Equal(t, plane.KindInvalid, decode(t, m.Apply(0, 0, []byte{0xff})).Refused)
 }
 
 func decode(t *testing.T, data []byte) *state.Result {
@@ -104,3 +104,20 @@
 	require.NoError(t, codec.Decode(data, result))
 	return result
 }
+
+// A record of token reservations that a former leader drew up, and that lands
+// in the log only under its successor, would hide the successor's grants.
+func TestHorizonsOfAnotherTermAreRefused(t *testing.T) {
+	var machine state.Machine
+	record := func(drawnUp, appended uint64, level int64) plane.Kind {
+		data, err := codec.Encode(&state.Command{HorizonTerm: drawnUp, Horizons: []state.Horizon{{Workspace: "w", Level: level}}})
+		require.NoError(t, err)
+		return decode(t, machine.Apply(0, appended, data)).Refused
+	}
+	require.Empty(t, record(2, 2, 10))
+	require.Equal(t, plane.KindLeader, record(1, 2, 500))
+	horizon, _, known := machine.Horizon("w")
+	require.True(t, known)
+	require.Equal(t, int64(10), horizon.Level)
+	require.Empty(t, record(0, 3, 20), "records of older programs carry no term")
+}
