--- a/ctrl/quota/quota_test.go
+++ b/ctrl/quota/quota_test.go
@@ -79,7 +79,9 @@
 			r := &replica{Owner: quota.Owner{Host: host.Host{Meter: meter.New()}}}
 			r.Config = func() *conf.Config { return w.config }
 			r.Horizon = r.machine.Horizon
-			r.Propose = func(ctx context.Context, term uint64, horizons []state.Horizon) error { return w.propose(ctx, i, term, horizons) }
+			r.Propose = func(ctx context.Context, term uint64, horizons []state.Horizon) error {
+				return w.propose(ctx, i, term, horizons)
+			}
 			w.replicas[i] = r
 			r.start(ctx)
 		}
--- a/entry/limit/share.go
+++ b/entry/limit/share.go
@@ -78,8 +78,8 @@
 	// opaque says that the caller's size of the request is only a bound: one
 	// over the burst is refused like any other that comes too early.
 	opaque bool
-	paid    *reservation
-	done    chan error
+	paid   *reservation
+	done   chan error
 }
 
 // take pays a waiter in full, or not at all if there are too few tokens.
