keeper: an engine that loads its base model turns requests away at once

As the home said 'busy', no other engine was asked.

Change: a load that is overdue is estimated by what it has taken so far; a request that the model does not reach in time is refused as 'model-missing', also by the last engine asked, and the entry goes on to the next engine.

Test first: TestSlowLoadOfTheBaseModelTurnsRequestsAway.

--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -215,16 +215,18 @@
 	if wait+leastService > left {
 		return true
 	}
-	if w.Ask.Resumed {
-		return false
-	}
-	timely := w.goal().Sub(now) - readTime(w)
-	if wait <= timely {
+	if w.Ask.Resumed || g.Timely(w, wait, now) {
 		return false
 	}
 	return !w.Ask.Last || wait > left/lateShare
 }
 
+// Timely reports whether a request that could begin after wait would be in
+// time.
+func (g *Gate) Timely(w *Want, wait time.Duration, now time.Time) bool {
+	return wait <= w.goal().Sub(now)-readTime(w)
+}
+
 // lateShare is the part of the time that a caller has left, as a divisor, that
 // it may wait at its last engine for a late answer.
 const lateShare = 4
--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -227,17 +227,18 @@
 	return wanted
 }
 
-// refuseModel refuses a request whose base model is neither there nor coming.
+// refuseModel refuses a request whose base model is not there, unless it comes
+// in time. Another engine has it sooner, and takes the request in place of
+// this one.
 func (k *Keeper) refuseModel(t *task, now time.Time) bool {
+	wait := leastLoad
 	if k.last.Busy || !k.loading.IsZero() {
-		wait := k.modelWait(now)
-		if !k.gate.Hopeless(t.want, wait, now) {
+		wait = k.modelWait(now)
+		if k.gate.Timely(t.want, wait, now) {
 			return false
 		}
-		k.finish(t, &admit.Reply{Reason: admit.ReasonBusy, Wait: waitOf(wait), Load: k.gate.Load(now)})
-		return true
 	}
-	k.finish(t, &admit.Reply{Reason: admit.ReasonEmpty, Wait: waitOf(leastLoad)})
+	k.finish(t, &admit.Reply{Reason: admit.ReasonEmpty, Wait: waitOf(wait)})
 	return true
 }
 
--- a/agent/keeper/keeper_test.go
+++ b/agent/keeper/keeper_test.go
@@ -26,13 +26,16 @@
 
 // engine is a stand-in that loads adapters in 250 ms.
 type engine struct {
-	t        *testing.T
-	mutex    sync.Mutex
-	held     map[string]int64
-	coming   map[string]time.Time
-	newest   int64
-	seq      uint64
-	model    bool
+	t      *testing.T
+	mutex  sync.Mutex
+	held   map[string]int64
+	coming map[string]time.Time
+	newest int64
+	seq    uint64
+	model  bool
+	// slow is how long a base model takes to load, which ends at modelAt.
+	slow     time.Duration
+	modelAt  time.Time
 	down     bool
 	leaving  bool
 	lose     bool
@@ -44,6 +47,9 @@
 const places = 3
 
 func (e *engine) settle() {
+	if !e.modelAt.IsZero() && !time.Now().Before(e.modelAt) {
+		e.model, e.modelAt = true, time.Time{}
+	}
 	for name, at := range e.coming {
 		if !time.Now().Before(at) {
 			delete(e.coming, name)
@@ -59,7 +65,7 @@
 	if e.down {
 		return nil, fmt.Errorf("refused")
 	}
-	report := &keeper.Report{Born: 1, Seq: e.seq, Leaving: e.leaving}
+	report := &keeper.Report{Born: 1, Seq: e.seq, Leaving: e.leaving, Busy: !e.modelAt.IsZero()}
 	if e.model {
 		report.Models = []string{"m"}
 	}
@@ -92,7 +98,8 @@
 	e.seq++
 	switch {
 	case o.Adapter == "":
-		e.model = true
+		e.modelAt = time.Now().Add(e.slow)
+		e.settle()
 	case o.Load:
 		e.coming[o.Adapter] = time.Now().Add(250 * time.Millisecond)
 	default:
@@ -278,6 +285,38 @@
 	}
 }
 
+// A new engine that loads its base model for longer than usual, because others
+// load at the same time, turns requests away at once that it cannot begin in
+// time, so that other engines get them. What it tells of the wait grows with
+// the delay; at 14 s, five times the usual, it once still said 725 ms, and held
+// requests until their callers left.
+func TestSlowLoadOfTheBaseModelTurnsRequestsAway(t *testing.T) {
+	inSite(t, func(s *site) {
+		s.engine.mutex.Lock()
+		s.engine.down = true
+		s.engine.mutex.Unlock()
+		time.Sleep(time.Second)
+		s.engine.mutex.Lock()
+		s.engine.down, s.engine.model, s.engine.seq, s.engine.slow = false, false, 0, 8*time.Second
+		s.engine.mutex.Unlock()
+		time.Sleep(400 * time.Millisecond)
+		last := func(a *admit.Ask) { a.Last, a.Left = true, span.Duration(20*time.Second) }
+		former := time.Duration(0)
+		for range 3 {
+			time.Sleep(1500 * time.Millisecond)
+			asked := time.Now()
+			reply, _ := s.ask("a", last)
+			require.Equal(t, admit.ReasonEmpty, reply.Reason)
+			require.Less(t, time.Since(asked), 50*time.Millisecond, "refused at once, also by its last engine")
+			require.Greater(t, reply.Wait.Std(), former)
+			former = reply.Wait.Std()
+		}
+		time.Sleep(4 * time.Second)
+		reply, _ := s.ask("a", last)
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+	})
+}
+
 func TestNewVersionIsServed(t *testing.T) {
 	inSite(t, func(s *site) {
 		reply, stream := s.ask("a", nil)
--- a/agent/keeper/orders.go
+++ b/agent/keeper/orders.go
@@ -180,14 +180,23 @@
 	return chosen
 }
 
-// modelWait estimates how long a base model on its way takes.
+// modelWait estimates how long a base model on its way still takes. One that
+// takes longer than usual shares the store with others: what it has taken
+// tells more than the usual time, and half of that is what remains when two
+// more load beside it.
 func (k *Keeper) modelWait(now time.Time) time.Duration {
 	engine := k.Engine()
 	if engine == nil || len(engine.Models) == 0 {
 		return modelLife
 	}
-	usual := engine.Models[0].Load.Std()
-	return max(usual-now.Sub(k.loading), usual/4)
+	usual, taken := engine.Models[0].Load.Std(), now.Sub(k.loading)
+	if k.loading.IsZero() {
+		return usual
+	}
+	if taken < usual {
+		return max(usual-taken, usual/4)
+	}
+	return taken / 2
 }
 
 // give sends one order and notes what became of it.
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -79,8 +79,10 @@
 		if ctx.Err() != nil {
 			return nil, nil
 		}
-		if reply != nil && reply.Reason == admit.ReasonBusy {
+		if reply != nil && (reply.Reason == admit.ReasonBusy || reply.Reason == admit.ReasonEmpty) {
 			j.wait = shorter(j.wait, reply.Wait.Std())
+		}
+		if reply != nil && reply.Reason == admit.ReasonBusy {
 			busy--
 		}
 		if busy == 0 {
