Tell agents when the caller of a stream leaves

Cause: the platform's callers leave a stream after a silence of four times its goal (at least 2 s, eight times the longest pause), but agents were told the end of the route, 13 to 23 s away.

--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -168,6 +168,7 @@
 	for {
 		n, err := answer.Body.Read(buffer)
 		watchdog.next()
+		j.heard = time.Now()
 		whole, wrong := j.cutter.Push(buffer[:n])
 		if wrong != nil {
 			return verdictBroken, wrong
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -42,6 +42,8 @@
 	// begun says that the caller has the answer's head.
 	begun  bool
 	cutter stream.Cutter
+	// heard is when the last event came.
+	heard time.Time
 	// failure is an endpoint's own failed answer, kept until it is known that
 	// no other comes.
 	failure *held
--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -192,11 +192,28 @@
 		Workspace: r.Workspace, Rank: j.rank(),
 		Prompt: r.PromptTokens, Answer: j.left(r.MaxTokens), Hint: j.left(r.Hint),
 		Goal:    span.Duration(r.Start.Add(r.Goal.First.Std()).Sub(now)),
-		Left:    span.Duration(r.Deadline().Sub(now)),
+		Left:    span.Duration(j.leaves().Sub(now)),
 		Resumed: j.cutter.Events > 0, Last: last,
 	}
 }
 
+// leaves is when the caller leaves if nothing more comes.
+func (j *job) leaves() time.Time {
+	r := j.request
+	deadline, silence := r.Deadline(), r.Route.Silence.Std()
+	if !r.Route.Stream || silence <= 0 {
+		return deadline
+	}
+	heard := r.Start
+	if j.heard.After(heard) {
+		heard = j.heard
+	}
+	if quiet := heard.Add(silence); quiet.Before(deadline) {
+		return quiet
+	}
+	return deadline
+}
+
 // left returns how many of an answer's tokens are still to come.
 func (j *job) left(tokens int64) int64 {
 	return max(tokens-int64(j.cutter.Events)*int64(max(j.engine.Stride, 1)), 0)
--- a/pkg/conf/config.go
+++ b/pkg/conf/config.go
@@ -145,6 +145,9 @@
 	Timeout span.Duration `protobuf:"varint,22,opt" json:"timeout"`
 	// Rank is the priority of an opaque route, 0 first.
 	Rank int32 `protobuf:"varint,23,opt" json:"rank"`
+	// Silence is how long callers of an opaque route wait for the first or the
+	// next event of a stream before they leave; 0 is as long as Timeout.
+	Silence span.Duration `protobuf:"varint,24,opt" json:"silence"`
 }
 
 // Share is one service's part of a split route.
