shelf: a load without an answer holds up no other

Change: a load without an answer does not count as on its way; where it keeps the last place, it is given again itself.

Test first: TestUnansweredLoadHoldsUpNoOther.

--- a/agent/shelf/shelf.go
+++ b/agent/shelf/shelf.go
@@ -192,7 +192,9 @@
 // Has reports whether the engine holds or awaits an adapter in any version.
 func (s *Shelf) Has(key Key) bool { return s.items[key] != nil || s.ordered[key].order.Load }
 
-// Flight returns how many adapters are on their way.
+// Flight returns how many adapters are on their way. A load without an answer
+// is none of them: either a report shows it, or the next order that the engine
+// takes voids it.
 func (s *Shelf) Flight() int {
 	count := 0
 	for key, held := range s.items {
@@ -201,7 +203,7 @@
 		}
 	}
 	for _, p := range s.ordered {
-		if p.order.Load {
+		if p.order.Load && !p.doubtful {
 			count++
 		}
 	}
@@ -251,10 +253,24 @@
 		if victim, ok := s.victim(wanted, now); ok {
 			return Order{Key: victim}, true
 		}
+		if again, ok := s.doubt(); ok {
+			return again, true
+		}
 	}
 	return s.renewal(now)
 }
 
+// doubt returns a load that got no answer and that keeps a place from others
+// until it is known what became of it.
+func (s *Shelf) doubt() (Order, bool) {
+	for _, p := range s.ordered {
+		if p.doubtful && p.order.Load {
+			return p.order, true
+		}
+	}
+	return Order{}, false
+}
+
 // freeing returns how many places are being freed.
 func (s *Shelf) freeing() int {
 	count := 0
--- a/agent/shelf/shelf_test.go
+++ b/agent/shelf/shelf_test.go
@@ -198,6 +198,33 @@
 	require.False(t, ok)
 }
 
+// A slow store leaves one load on its way at a time. A load that the engine
+// left unanswered, and whose request has gone meanwhile, then held up all
+// others for three seconds; with a single place nothing else can be ordered,
+// and the lost order itself is given again.
+func TestUnansweredLoadHoldsUpNoOther(t *testing.T) {
+	for places, next := range map[int]string{100: "c", 1: "b"} {
+		e := newEngine(t, places)
+		for i := range 4 {
+			e.order(key(fmt.Sprint("slow", i)))
+			e.report()
+			e.now = e.now.Add(time.Second)
+			e.arrive()
+			clear(e.held)
+			e.report()
+		}
+		lost, ok := e.shelf.Next([]shelf.Key{key("b")}, e.now)
+		require.True(t, ok)
+		e.shelf.Sent(lost, e.now)
+		e.shelf.Unanswered(lost)
+		order, ok := e.shelf.Next([]shelf.Key{key("c")}, e.now)
+		require.True(t, ok)
+		require.Equal(t, shelf.Order{Key: key(next), Load: true}, order)
+		_, ok = e.shelf.Next(nil, e.now)
+		require.False(t, ok, "nobody waits")
+	}
+}
+
 func TestTakenOrderVoidsUnansweredOnes(t *testing.T) {
 	e := newEngine(t, 1)
 	lost, _ := e.shelf.Next([]shelf.Key{key("a")}, e.now)
