shelf: the wait for an adapter counts the loads before it

The agent took any missing adapter to come within one or two loads, however many others were to be fetched first and however slow the store was.

Change: the estimate places the loads on their way and those wanted before in as many lanes as the window allows, at the mean time of the last loads.

Test first: TestBurstOfRareAdapters (refusals came after 0.75 s to 1 s).

--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -220,7 +220,11 @@
 			continue
 		}
 		full = full || ready
-		if !k.giveUp(t, ready, now) && w.Ask.Adapter != "" {
+		load := time.Duration(0)
+		if !ready {
+			load = k.shelf.Wait(t.key, wanted, now)
+		}
+		if !k.giveUp(t, load, now) && w.Ask.Adapter != "" {
 			wanted = append(wanted, t.key)
 		}
 	}
@@ -242,13 +246,9 @@
 	return true
 }
 
-// giveUp refuses a waiting request that could not be served in time, and
-// reports whether it did.
-func (k *Keeper) giveUp(t *task, ready bool, now time.Time) bool {
-	load := time.Duration(0)
-	if !ready {
-		load = k.loadWait(t.key)
-	}
+// giveUp refuses a waiting request that could not be served in time after a
+// load of its adapter, and reports whether it did.
+func (k *Keeper) giveUp(t *task, load time.Duration, now time.Time) bool {
 	wait := k.gate.Wait(t.want, load, now)
 	if !k.gate.Hopeless(t.want, wait, now) {
 		return false
@@ -257,15 +257,6 @@
 	return true
 }
 
-// loadWait estimates how long a missing adapter takes to come.
-func (k *Keeper) loadWait(key shelf.Key) time.Duration {
-	if k.shelf.Has(key) {
-		return leastLoad / 2
-	}
-	turns := k.shelf.Flight()/shelf.MostFlight + 1
-	return time.Duration(turns) * leastLoad
-}
-
 func (k *Keeper) refuseAll(reason admit.Reason) {
 	for _, t := range k.tasks {
 		if !t.begun {
--- a/agent/keeper/keeper_test.go
+++ b/agent/keeper/keeper_test.go
@@ -179,6 +179,44 @@
 	})
 }
 
+// A burst of requests for adapters that the engine does not hold, as after a
+// shift of the demand: those whose adapter cannot come in time are refused at
+// once with the time to come back, and the others are served in time. Without
+// the queue in the estimate all were held for their whole goal, and most of
+// them refused after it.
+func TestBurstOfRareAdapters(t *testing.T) {
+	inSite(t, func(s *site) {
+		const burst = 16
+		type outcome struct {
+			reply *admit.Reply
+			after time.Duration
+		}
+		outcomes := make([]outcome, burst)
+		var group sync.WaitGroup
+		for i := range burst {
+			group.Go(func() {
+				asked := time.Now()
+				reply, stream := s.ask(fmt.Sprint("rare", i), func(a *admit.Ask) { a.Left = span.Duration(4 * time.Second) })
+				outcomes[i] = outcome{reply, time.Since(asked)}
+				require.NoError(t, stream.Close())
+			})
+		}
+		group.Wait()
+		served := 0
+		for _, o := range outcomes {
+			if o.reply.Reason == admit.ReasonNone {
+				served++
+				require.Less(t, o.after, time.Second)
+				continue
+			}
+			require.Equal(t, admit.ReasonBusy, o.reply.Reason)
+			require.Less(t, o.after, 125*time.Millisecond, "an eighth of the goal")
+			require.Greater(t, o.reply.Wait.Std(), 500*time.Millisecond)
+		}
+		require.GreaterOrEqual(t, served, 4, "two at a time in 250 ms")
+	})
+}
+
 func TestAdapterInUseIsNotSentAway(t *testing.T) {
 	inSite(t, func(s *site) {
 		var streams []*wire.Stream
--- a/agent/shelf/shelf.go
+++ b/agent/shelf/shelf.go
@@ -195,19 +195,23 @@
 // Flight returns how many adapters are on their way. A load without an answer
 // is none of them: either a report shows it, or the next order that the engine
 // takes voids it.
-func (s *Shelf) Flight() int {
-	count := 0
+func (s *Shelf) Flight() int { return len(s.flying()) }
+
+// flying returns the adapters on their way, in the order of their names.
+func (s *Shelf) flying() []Key {
+	var keys []Key
 	for key, held := range s.items {
 		if held.coming && !s.ordered[key].order.Load {
-			count++
+			keys = append(keys, key)
 		}
 	}
-	for _, p := range s.ordered {
+	for key, p := range s.ordered {
 		if p.order.Load && !p.doubtful {
-			count++
+			keys = append(keys, key)
 		}
 	}
-	return count
+	slices.SortFunc(keys, Key.compare)
+	return keys
 }
 
 // taken returns how many places are taken at most.
--- a/agent/shelf/window.go
+++ b/agent/shelf/window.go
@@ -13,6 +13,14 @@
 	// slowLoad is the time above which the weight store is taken to be
 	// overloaded: one and a half times a load at full speed, 250 ms.
 	slowLoad = 375 * time.Millisecond
+	// usualLoad is a load at full speed, from the users' sheets.
+	usualLoad = 250 * time.Millisecond
+	// tookWeight is the part, as a divisor, that the last load has in the mean:
+	// the last four loads of a full window count for most of it.
+	tookWeight = 4
+	// leastRest is the part of a load, as a divisor, that is always taken to be
+	// left: reports come once in a tenth of a load, and some loads take longer.
+	leastRest = 4
 	// windowCut is what the window shrinks to after a slow load, and
 	// windowStep what it grows by in as many loads as it allows.
 	windowCut  = 0.7
@@ -27,6 +35,8 @@
 	size float64
 	// began holds when the loads under way were ordered.
 	began map[Key]time.Time
+	// took is the mean time of the last loads from the weight store.
+	took time.Duration
 }
 
 func (w *window) most() int {
@@ -58,7 +68,52 @@
 	}
 }
 
+// Wait estimates how long an adapter takes to come that others are wanted
+// before: as many at a time as the window allows.
+func (s *Shelf) Wait(key Key, before []Key, now time.Time) time.Duration {
+	took := max(s.window.took, usualLoad)
+	if s.Has(key) {
+		return s.rest(key, took, now)
+	}
+	lanes := make([]time.Duration, max(s.window.most(), 1))
+	for _, flying := range s.flying() {
+		lanes[soonest(lanes)] += s.rest(flying, took, now)
+	}
+	seen := map[Key]bool{key: true}
+	for _, other := range before {
+		if seen[other] || s.Has(other) {
+			continue
+		}
+		seen[other] = true
+		lanes[soonest(lanes)] += took
+	}
+	return lanes[soonest(lanes)] + took
+}
+
+// rest estimates how long a load under way still takes.
+func (s *Shelf) rest(key Key, took time.Duration, now time.Time) time.Duration {
+	began, known := s.window.began[key]
+	if !known {
+		return took
+	}
+	return max(took-now.Sub(began), took/leastRest)
+}
+
+// soonest returns the lane that is free first.
+func soonest(lanes []time.Duration) int {
+	at := 0
+	for i, lane := range lanes {
+		if lane < lanes[at] {
+			at = i
+		}
+	}
+	return at
+}
+
 func (w *window) note(took time.Duration) {
+	if took >= quickLoad {
+		w.took += (took - w.took) / tookWeight
+	}
 	if w.size == 0 {
 		w.size = mostWindow / 2
 	}
