spare: a replica whose disk fails pauses in its process and passes calls on

Change: the replica is closed, the process acts as a bridge for 1 s, then 2, 4 and at most 8, and opens the replica again from what the disk holds. While it pauses it tells nobody that no replica is here.

Test: TestFullDisk.

--- a/ctrl/bridge/bridge.go
+++ b/ctrl/bridge/bridge.go
@@ -43,6 +43,9 @@
 	// Name and Address are this VM's, as replicas may be told of it: they ask
 	// whether there is a replica here.
 	Name, Address string
+	// Silent says that the VM has a disk, whose replica is closed at the
+	// moment: nobody is told that there is none.
+	Silent bool
 	// Uplink is the way to the replicas. Bridge.Run runs it.
 	Uplink *uplink.Uplink
 }
@@ -61,8 +64,12 @@
 			b.Host.Log.Write("feed-ended", "err", err)
 		}
 	})
+	served := map[string]link.Handler{node.MethodJoin: b.serveJoin}
+	if b.Silent {
+		served = nil
+	}
 	parts.Go(func() {
-		if err := link.Serve(ctx, listener, map[string]link.Handler{node.MethodJoin: b.serveJoin}); err != nil {
+		if err := link.Serve(ctx, listener, served); err != nil {
 			b.Host.Log.Write("listener-ended", "err", err)
 		}
 	})
--- /dev/null
+++ b/ctrl/spare/spare.go
@@ -0,0 +1,161 @@
+// Package spare keeps a VM of control useful while its disk fails: the replica
+// is closed, calls are passed on to the others, and after a pause the replica
+// is opened again from what the disk holds.
+//
+// It answers a full disk, which a write meets again and again until somebody
+// makes room: a process that ends at each of them is started anew each time,
+// and serves no call in between.
+package spare
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/ctrl/bridge"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/daemon"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/node"
+	"github.com/tanagerspindle/tanagerspindle/pkg/census"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// KindClosed says that neither a replica nor a bridge is open at the moment.
+const KindClosed Kind = "closed"
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+const (
+	// shortestPause is the time between the failure of a disk and the first
+	// try to use it again: a voter is replaced after 1.5 s of silence, so that
+	// one whose disk has room again is back before. Each further pause is
+	// twice as long, up to longestPause.
+	shortestPause = time.Second
+	longestPause  = 8 * time.Second
+	// goodAfter is how long a replica must run until the pause is the shortest
+	// again.
+	goodAfter = 30 * time.Second
+)
+
+// Spare has the calls of daemon.Daemon. Its fields are set before Run.
+type Spare struct {
+	// Host gives the log.
+	Host host.Host
+	// Replica makes a replica, and Bridge the way to the others.
+	Replica func() *daemon.Daemon
+	Bridge  func() *bridge.Bridge
+
+	mutex sync.Mutex
+	now   *calls
+}
+
+// calls are those of the replica or the bridge that is open.
+type calls struct {
+	replace  func(context.Context, *conf.Config) (uint64, error)
+	fetch    func(context.Context) (*conf.Config, string, error)
+	announce func(context.Context, *census.Record) error
+	depart   func(context.Context, string, int64) error
+	release  func(context.Context, *plane.Release) error
+}
+
+// Run serves until ctx ends or the replica fails otherwise than by its disk.
+func (s *Spare) Run(ctx context.Context) error {
+	pause := shortestPause
+	for {
+		began := time.Now()
+		err := s.runReplica(ctx)
+		if ctx.Err() != nil || !errors.Is(err, &node.Error{Kind: node.KindDisk}) {
+			return err
+		}
+		if time.Since(began) > goodAfter {
+			pause = shortestPause
+		}
+		s.Host.Log.Write("replica-paused", "pause", pause, "err", err)
+		if err := s.runBridge(ctx, pause); err != nil {
+			return err
+		}
+		pause = min(2*pause, longestPause)
+	}
+}
+
+func (s *Spare) runReplica(ctx context.Context) error {
+	replica := s.Replica()
+	s.use(&calls{replica.Replace, replica.Fetch, replica.Announce, replica.Depart, replica.Release})
+	return replica.Run(ctx)
+}
+
+// runBridge passes calls on for the length of a pause.
+func (s *Spare) runBridge(ctx context.Context, pause time.Duration) error {
+	way := s.Bridge()
+	s.use(&calls{way.Replace, way.Fetch, way.Announce, way.Depart, way.Release})
+	limited, cancel := context.WithTimeout(ctx, pause)
+	defer cancel()
+	return way.Run(limited)
+}
+
+func (s *Spare) use(next *calls) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.now = next
+}
+
+func (s *Spare) open() (*calls, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.now == nil {
+		return nil, &Error{Op: "call control", Kind: KindClosed}
+	}
+	return s.now, nil
+}
+
+// Replace is daemon.Daemon's.
+func (s *Spare) Replace(ctx context.Context, next *conf.Config) (newest uint64, err error) {
+	now, err := s.open()
+	if err != nil {
+		return 0, err
+	}
+	return now.replace(ctx, next)
+}
+
+// Fetch is daemon.Daemon's.
+func (s *Spare) Fetch(ctx context.Context) (config *conf.Config, author string, err error) {
+	now, err := s.open()
+	if err != nil {
+		return nil, "", err
+	}
+	return now.fetch(ctx)
+}
+
+// Announce is daemon.Daemon's.
+func (s *Spare) Announce(ctx context.Context, report *census.Record) error {
+	now, err := s.open()
+	if err != nil {
+		return err
+	}
+	return now.announce(ctx, report)
+}
+
+// Depart is daemon.Daemon's.
+func (s *Spare) Depart(ctx context.Context, name string, born int64) error {
+	now, err := s.open()
+	if err != nil {
+		return err
+	}
+	return now.depart(ctx, name, born)
+}
+
+// Release is daemon.Daemon's.
+func (s *Spare) Release(ctx context.Context, named *plane.Release) error {
+	now, err := s.open()
+	if err != nil {
+		return err
+	}
+	return now.release(ctx, named)
+}
--- /dev/null
+++ b/ctrl/spare/spare_test.go
@@ -0,0 +1,119 @@
+package spare_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/ctrl/bridge"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/daemon"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/disk"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/spare"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
+	"github.com/tanagerspindle/tanagerspindle/pkg/uplink"
+	"github.com/tanagerspindle/tanagerspindle/pkg/vnet"
+)
+
+// full makes a disk refuse all writes while it is set.
+func full(memory *disk.Memory, now *atomic.Bool) *disk.Disk {
+	d := memory.Disk()
+	guard := func(f *disk.File, err error) (*disk.File, error) {
+		if err != nil {
+			return nil, err
+		}
+		write := f.Write
+		f.Write = func(data []byte) error {
+			if now.Load() {
+				return fmt.Errorf("no space left")
+			}
+			return write(data)
+		}
+		return f, nil
+	}
+	create, open := d.Create, d.Open
+	d.Create = func(name string) (*disk.File, error) { return guard(create(name)) }
+	d.Open = func(name string) (*disk.File, error) { return guard(open(name)) }
+	return d
+}
+
+// A replica whose disk is full for five seconds never ends its process, passes
+// operators' calls on meanwhile, and takes part again once there is room.
+func TestFullDisk(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		network := vnet.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		var peers []daemon.Peer
+		var addresses []string
+		for _, name := range []string{"v1", "v2", "v3"} {
+			peers = append(peers, daemon.Peer{Name: name, Address: name + ":1"})
+			addresses = append(addresses, name+":1")
+		}
+		hostOf := func(name string) host.Host {
+			return host.Host{VM: name, Meter: meter.New(), Dial: network.Dialer(name), Listen: network.Listen}
+		}
+		var noRoom atomic.Bool
+		memory := &disk.Memory{}
+		started := 0
+		replica := func(name string, d *disk.Disk) *daemon.Daemon {
+			started++
+			return &daemon.Daemon{
+				Host: hostOf(name), Name: name, Address: name + ":1", Peers: peers, Disk: d, Seed: uint64(started),
+				Voters: 3, Dead: 10 * time.Second,
+			}
+		}
+		s := &spare.Spare{
+			Host:    hostOf("v1"),
+			Replica: func() *daemon.Daemon { return replica("v1", full(memory, &noRoom)) },
+			Bridge: func() *bridge.Bridge {
+				return &bridge.Bridge{
+					Host: hostOf("v1"), Name: "v1", Address: "v1:1", Silent: true,
+					Uplink: &uplink.Uplink{Host: hostOf("v1"), Replicas: addresses},
+				}
+			},
+		}
+		ended := make(chan error, 3)
+		go func() { ended <- s.Run(ctx) }()
+		for _, name := range []string{"v2", "v3"} {
+			d := replica(name, (&disk.Memory{}).Disk())
+			go func() { ended <- d.Run(ctx) }()
+		}
+		time.Sleep(5 * time.Second)
+		number := uint64(0)
+		submit := func() error {
+			number++
+			limited, cancel := context.WithTimeout(ctx, 4*time.Second)
+			defer cancel()
+			_, err := s.Replace(limited, &conf.Config{Number: number, Source: []byte("text")})
+			return err
+		}
+		require.NoError(t, submit())
+		noRoom.Store(true)
+		served := 0
+		for range 5 {
+			if submit() == nil {
+				served++
+			}
+			time.Sleep(time.Second)
+		}
+		require.GreaterOrEqual(t, served, 3, "calls are passed on while the disk is full")
+		noRoom.Store(false)
+		time.Sleep(20 * time.Second)
+		require.NoError(t, submit())
+		config, _, err := s.Fetch(ctx)
+		require.NoError(t, err)
+		require.Equal(t, number, config.Number)
+		require.Empty(t, ended, "no process has ended")
+		cancel()
+		for range 3 {
+			require.NoError(t, <-ended)
+		}
+		time.Sleep(5 * time.Minute)
+	})
+}
