--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -46,6 +46,9 @@
 	// hintSpread is how far an answer may exceed the caller's estimate, which
 	// is right at the median only, before its memory was not counted.
 	hintSpread = 2
+	// lateShare is the part of the time that a caller has left, as a divisor,
+	// that it may wait at its last engine for a late answer.
+	lateShare = 4
 	// leastService is the time that a request takes at least at an engine: the
 	// reading of a short prompt and the first events.
 	leastService = 100 * time.Millisecond
@@ -226,7 +229,3 @@
 func (g *Gate) Timely(w *Want, wait time.Duration, now time.Time) bool {
 	return wait <= w.goal().Sub(now)-readTime(w)
 }
-
-// lateShare is the part of the time that a caller has left, as a divisor, that
-// it may wait at its last engine for a late answer.
-const lateShare = 4
--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -50,9 +50,9 @@
 	// stepInterval is the longest time between two looks at what waits, for
 	// what only the passing of time changes.
 	stepInterval = 10 * time.Millisecond
-	// leastLoad is the time for which a missing adapter is waited for at
-	// least: a load from the weight store at full speed takes 250 ms.
-	leastLoad = 250 * time.Millisecond
+	// engineLater is when asking again may help at an engine that is down or
+	// leaving, or holds no model: the news of it take about as long.
+	engineLater = 250 * time.Millisecond
 )
 
 // Keeper is one agent. Its exported fields are set before Run.
@@ -235,7 +235,7 @@
 // in time. Another engine has it sooner, and takes the request in place of
 // this one.
 func (k *Keeper) refuseModel(t *task, now time.Time) bool {
-	wait := leastLoad
+	wait := engineLater
 	if k.last.Busy || !k.loading.IsZero() {
 		wait = k.modelWait(now)
 		if k.gate.Timely(t.want, wait, now) {
@@ -260,7 +260,7 @@
 func (k *Keeper) refuseAll(reason admit.Reason) {
 	for _, t := range k.tasks {
 		if !t.begun {
-			k.finish(t, &admit.Reply{Reason: reason, Wait: waitOf(leastLoad)})
+			k.finish(t, &admit.Reply{Reason: reason, Wait: waitOf(engineLater)})
 		}
 	}
 }
--- a/agent/shelf/window.go
+++ b/agent/shelf/window.go
@@ -8,7 +8,7 @@
 	mostWindow  = 4
 	leastWindow = 1
 	// quickLoad is the time below which an adapter came from the engine's own
-	// memory: a tenth of a load from the weight store.
+	// memory, in a tenth of a load from the weight store.
 	quickLoad = 120 * time.Millisecond
 	// slowLoad is the time above which the weight store is taken to be
 	// overloaded: one and a half times a load at full speed, 250 ms.
