--- a/agent/keeper/keeper_test.go
+++ b/agent/keeper/keeper_test.go
@@ -34,14 +34,13 @@
 	seq    uint64
 	model  bool
 	// slow is how long a base model takes to load, which ends at modelAt.
-	slow     time.Duration
-	modelAt  time.Time
-	down     bool
-	leaving  bool
-	lose     bool
-	late     []keeper.Order
-	orders   int
-	expected []uint64
+	slow    time.Duration
+	modelAt time.Time
+	down    bool
+	leaving bool
+	lose    bool
+	late    []keeper.Order
+	orders  int
 }
 
 const places = 3
