--- a/ctrl/spare/spare_test.go
+++ b/ctrl/spare/spare_test.go
@@ -60,11 +60,10 @@
 		}
 		var noRoom atomic.Bool
 		memory := &disk.Memory{}
-		started := 0
+		var started atomic.Uint64
 		replica := func(name string, d *disk.Disk) *daemon.Daemon {
-			started++
 			return &daemon.Daemon{
-				Host: hostOf(name), Name: name, Address: name + ":1", Peers: peers, Disk: d, Seed: uint64(started),
+				Host: hostOf(name), Name: name, Address: name + ":1", Peers: peers, Disk: d, Seed: started.Add(1),
 				Voters: 3, Dead: 10 * time.Second,
 			}
 		}
