gate: late requests may wait for half of what their caller has left

A late request might wait a quarter of what was left. That was a quarter of the route's 13 to 23 s; since agents know when the caller leaves, it is one second of four, and requests were refused that would have been served late.

Change: half of what is left.

--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -47,8 +47,9 @@
 	// is right at the median only, before its memory was not counted.
 	hintSpread = 2
 	// lateShare is the part of the time that a caller has left, as a divisor,
-	// that it may wait at its last engine for a late answer.
-	lateShare = 4
+	// that it may wait at its last engine for a late answer. The other half
+	// covers what the estimate leaves out: more urgent requests that come after.
+	lateShare = 2
 	// leastService is the time that a request takes at least at an engine: the
 	// reading of a short prompt and the first events.
 	leastService = 100 * time.Millisecond
