keeper: load the base model that the engine's VM keeps at once, without leave

Cause: after all VMs lost power, every engine starts empty with its base model on its disk. Agents asked control for leave and got it at the weight store's rate (2.2 a second), although a load from disk does not use the store: the last of nine engines began 4.9 s after it was back, and most requests of those seconds were refused. Change: reports name the models that the VM keeps; an agent loads such a model without leave, also before it has a configuration.

--- a/agent/keeper/engine.go
+++ b/agent/keeper/engine.go
@@ -1,6 +1,10 @@
 package keeper
 
-import "github.com/tanagerspindle/tanagerspindle/agent/shelf"
+import (
+	"slices"
+
+	"github.com/tanagerspindle/tanagerspindle/agent/shelf"
+)
 
 // Report is what an engine says of itself.
 type Report struct {
@@ -9,6 +13,9 @@
 	Born int64
 	// Models are the base models that it holds.
 	Models []string
+	// Cached are the base models of which its VM keeps a copy in memory or on
+	// its disk, so that loading one does not use the weight store.
+	Cached []string
 	// Adapters are those that it holds or awaits.
 	Adapters []shelf.Held
 	// Busy says that it is loading or unloading a base model.
@@ -23,14 +30,7 @@
 }
 
 // holds reports whether a base model is there.
-func (r *Report) holds(model string) bool {
-	for _, name := range r.Models {
-		if name == model {
-			return true
-		}
-	}
-	return false
-}
+func (r *Report) holds(model string) bool { return slices.Contains(r.Models, model) }
 
 // Order is what the agent wants its engine to do.
 type Order struct {
--- a/agent/keeper/keeper_test.go
+++ b/agent/keeper/keeper_test.go
@@ -36,6 +36,10 @@
 	// slow is how long a base model takes to load, which ends at modelAt.
 	slow    time.Duration
 	modelAt time.Time
+	// cached says that the base model is on the VM's disk.
+	cached bool
+	// unknown says that the agent has no configuration yet.
+	unknown bool
 	down    bool
 	leaving bool
 	lose    bool
@@ -68,6 +72,9 @@
 	if e.model {
 		report.Models = []string{"m"}
 	}
+	if e.cached {
+		report.Cached = []string{"m"}
+	}
 	for name, version := range e.held {
 		report.Adapters = append(report.Adapters, shelf.Held{Key: shelf.Key{Model: "m", Adapter: name}, Version: version})
 	}
@@ -125,7 +132,15 @@
 		k := &keeper.Keeper{
 			Host: host.Host{VM: "agent", Meter: meter.New(), Listen: network.Listen}, Listen: "agent:1",
 			Report: e.report, Order: e.order,
-			Engine: func() *conf.Engine { return configured }, Endpoint: func() string { return "e" },
+			Engine: func() *conf.Engine {
+				e.mutex.Lock()
+				defer e.mutex.Unlock()
+				if e.unknown {
+					return nil
+				}
+				return configured
+			},
+			Endpoint: func() string { return "e" },
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
@@ -322,6 +337,29 @@
 	}
 }
 
+// All engines restart empty after a loss of power, with their base model on
+// their disks: each loads it at once, without control's leave and before it
+// knows a configuration.
+func TestBaseModelOnDiskIsLoadedAtOnce(t *testing.T) {
+	for name, configured := range map[string]bool{"configured": true, "configuration not known yet": false} {
+		t.Run(name, func(t *testing.T) {
+			inSite(t, func(s *site) {
+				s.keeper.Permit = func(context.Context) (time.Duration, error) { return 0, fmt.Errorf("no control") }
+				s.engine.mutex.Lock()
+				s.engine.model, s.engine.seq, s.engine.cached, s.engine.unknown = false, 0, true, !configured
+				s.engine.mutex.Unlock()
+				time.Sleep(500 * time.Millisecond)
+				s.engine.mutex.Lock()
+				require.True(t, s.engine.model)
+				s.engine.unknown = false
+				s.engine.mutex.Unlock()
+				reply, _ := s.ask("a", nil)
+				require.Equal(t, admit.ReasonNone, reply.Reason)
+			})
+		})
+	}
+}
+
 // A new engine that loads its base model for longer than usual, because others
 // load at the same time, turns requests away at once that it cannot begin in
 // time, so that other engines get them. What it tells of the wait grows with
--- a/agent/keeper/orders.go
+++ b/agent/keeper/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/agent/shelf"
@@ -112,17 +113,26 @@
 	go k.give(order, &next)
 }
 
-// modelOrder returns the order that loads a base model into an empty engine.
+// modelOrder returns the order that loads a base model into an empty engine. A
+// copy that the engine's VM keeps is loaded at once, even before the
+// configuration is known: after a loss of power all engines start empty, and
+// one after the other at the store's rate took seconds in which most requests
+// were refused.
 func (k *Keeper) modelOrder(now time.Time) (*Order, bool) {
-	engine := k.Engine()
-	if engine == nil || len(engine.Models) == 0 || len(k.last.Models) > 0 || k.last.Busy || !k.loading.IsZero() {
+	if len(k.last.Models) > 0 || k.last.Busy || !k.loading.IsZero() {
 		return nil, false
 	}
-	if !k.mayLoad(now) {
+	model := k.modelToLoad(k.Engine())
+	if model == "" {
 		return nil, false
 	}
-	k.allowed = false
-	return &Order{Load: true, Model: k.modelToLoad(engine)}, true
+	if !slices.Contains(k.last.Cached, model) {
+		if !k.mayLoad(now) {
+			return nil, false
+		}
+		k.allowed = false
+	}
+	return &Order{Load: true, Model: model}, true
 }
 
 // mayLoad reports whether a base model may be loaded, and asks for leave if
@@ -165,8 +175,15 @@
 	k.kick.Set()
 }
 
-// modelToLoad returns the model that most requests wait for, or the first.
+// modelToLoad returns the model that most requests wait for, or the first; of
+// an engine that is not configured yet, the first of which there is a copy.
 func (k *Keeper) modelToLoad(engine *conf.Engine) string {
+	if engine == nil || len(engine.Models) == 0 {
+		if len(k.last.Cached) == 0 {
+			return ""
+		}
+		return k.last.Cached[0]
+	}
 	waiting := map[string]int{}
 	for w := range k.tasks {
 		waiting[w.Ask.Model]++
