uplink: try the next replica of control beside one that does not answer

Cause: after all VMs lost power, daemons whose first replica was still without power waited for a whole second before the next one, and had no configuration for that time. Change: replicas are tried 250 ms apart, the first to answer is used (RFC 8305's delay).

--- a/pkg/uplink/uplink.go
+++ b/pkg/uplink/uplink.go
@@ -21,7 +21,10 @@
 const (
 	// dialTimeout bounds one attempt to connect.
 	dialTimeout = time.Second
-	// firstDelay and longestDelay bound the pause after a failed attempt.
+	// attemptDelay is how long an attempt may be unanswered before the next
+	// replica is tried beside it: the default of RFC 8305.
+	attemptDelay = 250 * time.Millisecond
+	// firstDelay and longestDelay bound the pause after all replicas failed.
 	firstDelay   = 50 * time.Millisecond
 	longestDelay = time.Second
 )
@@ -58,17 +61,15 @@
 	delay := firstDelay
 	last := ""
 	for ctx.Err() == nil {
-		address := after(u.addresses(), last)
-		last = address
-		session, err := u.dial(ctx, address)
-		if err != nil {
-			u.Host.Log.Write("control-unreachable", "address", address, "err", err)
-			u.refresh(address)
+		session, address := u.connect(ctx, behind(u.addresses(), last))
+		if session == nil {
+			u.refresh()
 			pause.For(ctx, delay/2+rand.N(delay/2))
 			delay = min(2*delay, longestDelay)
 			continue
 		}
 		delay = firstDelay
+		last = address
 		u.Host.Log.Write("control-reached", "address", address)
 		u.set(session)
 		select {
@@ -81,10 +82,9 @@
 	}
 }
 
-// refresh asks for other addresses when the last of those known has failed.
-func (u *Uplink) refresh(failed string) {
-	addresses := u.addresses()
-	if u.Refresh == nil || failed != addresses[len(addresses)-1] {
+// refresh asks for other addresses after all those known have failed.
+func (u *Uplink) refresh() {
+	if u.Refresh == nil {
 		return
 	}
 	if fresh := u.Refresh(); len(fresh) > 0 {
@@ -119,16 +119,66 @@
 	return addresses
 }
 
-// after returns the address behind the last one tried, or the first.
-func after(addresses []string, last string) string {
-	at := slices.Index(addresses, last)
-	return addresses[(at+1)%len(addresses)]
+// behind returns the addresses in their order, beginning behind the last one
+// used.
+func behind(addresses []string, last string) []string {
+	at := slices.Index(addresses, last) + 1
+	return slices.Concat(addresses[at:], addresses[:at])
+}
+
+// dialed is the outcome of one attempt.
+type dialed struct {
+	address string
+	session *link.Session
+	err     error
 }
 
-func (u *Uplink) dial(ctx context.Context, address string) (*link.Session, error) {
+// connect returns a session to the first replica that answers, nil when none
+// does. It answers a control VM without power: waiting for one attempt after
+// the other kept all daemons that had the same first replica without a
+// configuration for a second.
+func (u *Uplink) connect(ctx context.Context, addresses []string) (session *link.Session, address string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	outcomes := make(chan dialed, len(addresses))
+	next := time.NewTimer(0)
+	defer next.Stop()
+	started, ended := 0, 0
+	for ended < len(addresses) {
+		select {
+		case <-next.C:
+			if started < len(addresses) {
+				go u.dial(ctx, addresses[started], outcomes)
+				started++
+				next.Reset(attemptDelay)
+			}
+		case outcome := <-outcomes:
+			ended++
+			if outcome.err == nil {
+				go closeLate(outcomes, started-ended)
+				return outcome.session, outcome.address
+			}
+			u.Host.Log.Write("control-unreachable", "address", outcome.address, "err", outcome.err)
+			next.Reset(0)
+		}
+	}
+	return nil, ""
+}
+
+func (u *Uplink) dial(ctx context.Context, address string, outcomes chan<- dialed) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	return link.Dial(ctx, u.Host.Dial, address)
+	session, err := link.Dial(ctx, u.Host.Dial, address)
+	outcomes <- dialed{address: address, session: session, err: err}
+}
+
+// closeLate closes the sessions of attempts that were not the first to succeed.
+func closeLate(outcomes <-chan dialed, count int) {
+	for range count {
+		if outcome := <-outcomes; outcome.session != nil {
+			_ = outcome.session.Close()
+		}
+	}
 }
 
 func (u *Uplink) set(session *link.Session) {
--- a/pkg/uplink/uplink_test.go
+++ b/pkg/uplink/uplink_test.go
@@ -96,3 +96,28 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// A replica whose VM has no power does not answer at all: the next one is tried
+// beside it, long before the attempt times out.
+func TestUplinkDoesNotWaitForAVMWithoutPower(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		network := vnet.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		for number, address := range []string{"c0:1", "c1:1", "c2:1"} {
+			listener, err := network.Listen(address)
+			require.NoError(t, err)
+			go func() { _ = link.Serve(ctx, listener, named(uint64(number))) }()
+		}
+		network.Isolate("e", "c0")
+		network.Isolate("e", "c1")
+		up := &uplink.Uplink{Host: host.Host{Dial: network.Dialer("e")}, Replicas: []string{"c0:1", "c1:1", "c2:1"}}
+		began := time.Now()
+		go up.Run(ctx)
+		var verdict call.Verdict
+		require.NoError(t, up.Call(ctx, "who", &call.Probe{}, &verdict))
+		require.EqualValues(t, 2, verdict.Incarnation)
+		require.Less(t, time.Since(began), 600*time.Millisecond)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
