quota: reserves of 0.4 s and leases of 0.3 s, counted from the opening of the log

Cause: after a crash of the leader or a loss of power its successor counted all of the last reserve and of the leases as granted for up to 1.55 s, from when it knew the record to be committed: half a second after the log was opened.

--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -128,7 +128,7 @@
 	n := &node.Node{
 		Host: d.Host, Name: d.Name, Address: d.Address, Folder: d.Folder, Disk: d.Disk, Seed: d.Seed,
 		Voters: d.Voters, Late: d.Late, Dead: d.Dead,
-		Apply:    func(entry node.Entry) []byte { return d.machine.Apply(entry.Time, entry.Term, entry.Data) },
+		Apply:    func(entry node.Entry) []byte { return d.machine.Apply(entry.Time, entry.Term, entry.Seen, entry.Data) },
 		Snapshot: d.machine.Snapshot,
 		Restore:  d.machine.Restore,
 		Leading:  d.lead,
--- a/ctrl/node/apply.go
+++ b/ctrl/node/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/snap"
@@ -36,6 +37,9 @@
 	at    raft.Snapshot
 	saved uint64
 	bytes int
+	// last is the last entry that the log held when it was opened.
+	last   raft.Entry
+	opened time.Time
 	// gained is the term whose first entry is awaited, leads the one that
 	// Leading was told of.
 	gained, leads uint64
@@ -45,10 +49,14 @@
 	return &applier{node: n, wake: make(chan struct{}, 1), changed: make(chan struct{})}
 }
 
-func (a *applier) begin(snapshot raft.Snapshot, store *snap.Store) {
+func (a *applier) begin(snapshot raft.Snapshot, store *snap.Store, entries []raft.Entry) {
 	a.store = store
 	a.at = snapshot
 	a.saved = snapshot.Index
+	a.opened = time.Now()
+	if len(entries) > 0 {
+		a.last = entries[len(entries)-1]
+	}
 	a.note()
 }
 
@@ -108,7 +116,7 @@
 	var value []byte
 	switch entry.Kind {
 	case raft.EntryCommand:
-		value = a.node.Apply(Entry{Index: entry.Index, Term: entry.Term, Time: entry.Time, Data: entry.Data})
+		value = a.node.Apply(Entry{Index: entry.Index, Term: entry.Term, Time: entry.Time, Seen: a.seen(entry), Data: entry.Data})
 	case raft.EntryMembers:
 		var members raft.Members
 		if err := codec.Decode(entry.Data, &members); err != nil {
@@ -128,6 +136,16 @@
 	return value
 }
 
+// seen returns a time at which a committed entry had been appended. One that
+// is neither behind the last entry of the opened log nor of a later term was
+// appended before that one, also where the log held another in its place.
+func (a *applier) seen(entry raft.Entry) time.Time {
+	if entry.Index <= a.last.Index && entry.Term <= a.last.Term {
+		return a.opened
+	}
+	return time.Now()
+}
+
 func (a *applier) lose(term uint64) {
 	a.gained = 0
 	if a.leads != term {
--- a/ctrl/node/failure_test.go
+++ b/ctrl/node/failure_test.go
@@ -256,6 +256,40 @@
 	})
 }
 
+// What the log held when a replica opened it had been appended by then, however
+// much later it is known to be committed; what comes after it is new.
+func TestEntriesOfTheOpenedLogAreOlder(t *testing.T) {
+	inBubble(t, 21, 3, func(g *group) {
+		g.fill(0, 20)
+		for _, peer := range g.peers {
+			g.crash(peer.Name)
+		}
+		opened := time.Now()
+		for _, peer := range g.peers {
+			g.start(peer.Name)
+		}
+		g.check(20)
+		elected := time.Now()
+		require.Greater(t, elected.Sub(opened), 300*time.Millisecond, "an election takes that long")
+		g.put("late", "1")
+		leader := g.leader()
+		leader.mutex.Lock()
+		defer leader.mutex.Unlock()
+		old, fresh := 0, 0
+		for _, seen := range leader.seen {
+			if seen.Equal(opened) {
+				old++
+			}
+			if !seen.Before(elected) {
+				fresh++
+			}
+		}
+		require.GreaterOrEqual(t, old, 20)
+		require.Equal(t, 1, fresh)
+		require.Len(t, leader.seen, old+fresh)
+	})
+}
+
 func TestLateFollowerGetsASnapshot(t *testing.T) {
 	inBubble(t, 10, 3, func(g *group) {
 		g.every = 100
--- a/ctrl/node/node.go
+++ b/ctrl/node/node.go
@@ -80,6 +80,9 @@
 	Index, Term uint64
 	// Time is in nanoseconds since 1970 and never decreases.
 	Time int64
+	// Seen is a local time at which the entry had been appended: when the
+	// replica opened the log that held it, or when it is applied.
+	Seen time.Time
 	Data []byte
 }
 
@@ -208,7 +211,7 @@
 	if err != nil {
 		return nil, &Error{Op: "open log", Kind: KindDisk, Err: err}
 	}
-	n.applier.begin(snapshot, store)
+	n.applier.begin(snapshot, store, content.Entries)
 	n.Host.Log.Write("replica-opened", "replica", identity.ID, "snapshot", snapshot.Index,
 		"entries", len(content.Entries), "cut_bytes", content.Cut)
 	return newLoop(n, identity, core, log, store), nil
--- a/ctrl/quota/quota.go
+++ b/ctrl/quota/quota.go
@@ -4,7 +4,7 @@
 // Tokens are granted only out of a reserve that the log already counts as
 // granted; a record moves the reserves of all active workspaces. A successor
 // starts from the last record as if its whole reserve had been granted, and
-// accrues from the local time at which it applied the record, so that neither
+// accrues from a local time at which the record was in the log, so that neither
 // a change of leader nor a wrong clock gives tokens away twice. A leader that
 // stops gives its reserves back in a last record.
 package quota
@@ -26,12 +26,16 @@
 
 const (
 	// tick is the time between two looks at the reserves.
-	tick = 250 * time.Millisecond
-	// reserveLife is how long a committed reserve may be granted.
-	reserveLife = time.Second
-	// shortestLife and longestLife bound how long a grant may be spent.
+	tick = 100 * time.Millisecond
+	// reserveLife is how long a committed reserve may be granted. A successor
+	// of a leader that crashed grants only what a reserve and the leases leave
+	// of the burst, often a second's rate, until they have ended. A record
+	// takes a few milliseconds.
+	reserveLife = 400 * time.Millisecond
+	// shortestLife and longestLife bound how long a grant may be spent; entries
+	// ask each 50 ms.
 	shortestLife = 100 * time.Millisecond
-	longestLife  = time.Second
+	longestLife  = 300 * time.Millisecond
 	// clockDrift is added where a successor waits for what a former leader
 	// granted.
 	clockDrift = 50 * time.Millisecond
@@ -61,8 +65,8 @@
 	Host host.Host
 	// Config returns the committed configuration; nil before the first.
 	Config func() *conf.Config
-	// Horizon returns the committed reservation of a workspace and the local
-	// time at which it was applied.
+	// Horizon returns the committed reservation of a workspace and a local
+	// time at which it had been appended to the log.
 	Horizon func(workspace string) (state.Horizon, time.Time, bool)
 	// Propose commits one record if the replica still leads in the term.
 	Propose func(ctx context.Context, term uint64, horizons []state.Horizon) error
--- a/ctrl/quota/space.go
+++ b/ctrl/quota/space.go
@@ -286,7 +286,8 @@
 
 // smooth follows the use of the workspace, once each tick.
 func (s *space) smooth() {
-	const weight = 0.3
+	// The use is averaged over about 0.8 s.
+	const weight = 0.12
 	perSecond := float64(s.granted) * float64(time.Second/tick)
 	s.use += weight * (perSecond - s.use)
 	if s.use < 1 {
--- a/ctrl/state/horizon.go
+++ b/ctrl/state/horizon.go
@@ -4,21 +4,21 @@
 
 // reserveAll applies the horizons of a command, unless they were drawn up in
 // another term.
-func (m *Machine) reserveAll(term uint64, command *Command) bool {
+func (m *Machine) reserveAll(term uint64, seen time.Time, command *Command) bool {
 	if command.HorizonTerm != 0 && command.HorizonTerm != term {
 		return false
 	}
 	for _, horizon := range command.Horizons {
-		m.reserve(horizon)
+		m.reserve(horizon, seen)
 	}
 	return true
 }
 
-func (m *Machine) reserve(horizon Horizon) {
+func (m *Machine) reserve(horizon Horizon, seen time.Time) {
 	if m.horizons == nil {
 		m.horizons = map[string]reservation{}
 	}
-	m.horizons[horizon.Workspace] = reservation{Horizon: horizon, seen: time.Now()}
+	m.horizons[horizon.Workspace] = reservation{Horizon: horizon, seen: seen}
 }
 
 // dropHorizons forgets the workspaces that the configuration no longer has.
@@ -30,8 +30,9 @@
 	}
 }
 
-// Horizon returns the committed reservation of a workspace and the local time
-// at which it was applied here, which is never before it was committed.
+// Horizon returns the committed reservation of a workspace and a local time at
+// which it had been appended to the log: its tokens were granted for a while
+// from then on at the latest.
 func (m *Machine) Horizon(workspace string) (horizon Horizon, seen time.Time, ok bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/ctrl/state/machine.go
+++ b/ctrl/state/machine.go
@@ -57,7 +57,7 @@
 	releases map[releaseKey]plane.Release
 }
 
-// reservation is a horizon with the local time at which it was applied.
+// reservation is a horizon with a local time at which it had been appended.
 type reservation struct {
 	Horizon
 	seen time.Time
@@ -71,13 +71,14 @@
 }
 
 // Apply applies one committed entry at its committed time, in nanoseconds, and
-// returns the encoded Result. Term is the one in which it was appended.
-func (m *Machine) Apply(at int64, term uint64, data []byte) []byte {
+// returns the encoded Result. Term is the one in which it was appended, seen a
+// local time at which it had been.
+func (m *Machine) Apply(at int64, term uint64, seen time.Time, data []byte) []byte {
 	command := &Command{}
 	if err := codec.Decode(data, command); err != nil {
 		return encodeResult(&Result{Refused: plane.KindInvalid})
 	}
-	result, news := m.apply(at, term, command)
+	result, news := m.apply(at, term, seen, command)
 	if news && m.Changed != nil {
 		m.Changed()
 	}
@@ -93,7 +94,7 @@
 }
 
 // apply reports with the result whether feeds have news to carry.
-func (m *Machine) apply(at int64, term uint64, command *Command) (*Result, bool) {
+func (m *Machine) apply(at int64, term uint64, seen time.Time, command *Command) (*Result, bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.time = max(m.time, at)
@@ -105,7 +106,7 @@
 	if command.Claim != nil {
 		result.Claim = m.ledger.Apply(command.Claim, m.time)
 	}
-	if !m.reserveAll(term, command) {
+	if !m.reserveAll(term, seen, command) {
 		result.Refused = plane.KindLeader
 	}
 	for _, enrol := range command.Enrols {
--- a/entry/limit/share.go
+++ b/entry/limit/share.go
@@ -12,7 +12,7 @@
 	// idleReturn is how long a lease is unused before its tokens go back.
 	idleReturn = 200 * time.Millisecond
 	// endReturn is how long before its end a lease's tokens go back.
-	endReturn = 400 * time.Millisecond
+	endReturn = 100 * time.Millisecond
 	// tellSpent is how long spent tokens are gathered before control is told
 	// of them. Until it knows, they keep room in the bucket.
 	tellSpent = 200 * time.Millisecond
