shelf: replace an adapter whose version is old only after its last run

Cause: an engine takes no other order while a replacement waits for the runs of the old version. Change: the order is given when no admitted request uses the adapter any more; requests for the new version are told how long the runs still take.

--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -196,7 +196,7 @@
 func (g *Gate) freeing(tokens int64) time.Duration {
 	mean, life := g.meanTokens(), time.Duration(0)
 	for w := range g.running {
-		life += time.Duration(w.tokens()-w.Ask.Prompt) * tokenTime
+		life += w.Life()
 	}
 	life /= time.Duration(len(g.running))
 	// Requests end evenly over their life: one after another frees its tokens.
--- a/agent/gate/want.go
+++ b/agent/gate/want.go
@@ -29,6 +29,9 @@
 	return w.Ask.Prompt + answer
 }
 
+// Life estimates how long the request runs at a full engine.
+func (w *Want) Life() time.Duration { return time.Duration(w.tokens()-w.Ask.Prompt) * tokenTime }
+
 // tier orders wants: those of callers who have a part of the answer first,
 // then those that can still be in time, then the late ones.
 func (w *Want) tier(now time.Time) int {
--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -223,6 +223,9 @@
 		load := time.Duration(0)
 		if !ready {
 			load = k.shelf.Wait(t.key, wanted, now)
+			if k.shelf.Retiring(t.key, now) {
+				load += k.runsLeft(t.key, now)
+			}
 		}
 		if !k.giveUp(t, load, now) && w.Ask.Adapter != "" {
 			wanted = append(wanted, t.key)
@@ -231,6 +234,18 @@
 	return wanted
 }
 
+// runsLeft estimates how long the requests at the engine that use an adapter
+// still take.
+func (k *Keeper) runsLeft(key shelf.Key, now time.Time) time.Duration {
+	left := time.Duration(0)
+	for _, t := range k.tasks {
+		if t.key == key && !t.begun.IsZero() {
+			left = max(left, t.begun.Add(t.want.Life()).Sub(now))
+		}
+	}
+	return left
+}
+
 // refuseModel refuses a request whose base model is not there, unless it comes
 // in time. Another engine has it sooner, and takes the request in place of
 // this one.
@@ -259,7 +274,7 @@
 
 func (k *Keeper) refuseAll(reason admit.Reason) {
 	for _, t := range k.tasks {
-		if !t.begun {
+		if t.begun.IsZero() {
 			k.finish(t, &admit.Reply{Reason: reason, Wait: waitOf(engineLater)})
 		}
 	}
--- a/agent/keeper/keeper_test.go
+++ b/agent/keeper/keeper_test.go
@@ -40,6 +40,10 @@
 	cached bool
 	// unknown says that the agent has no configuration yet.
 	unknown bool
+	// used are the adapters of running requests, replaced the one whose
+	// replacement waits for them; no other order is taken meanwhile.
+	used     map[string]bool
+	replaced string
 	down    bool
 	leaving bool
 	lose    bool
@@ -98,7 +102,10 @@
 }
 
 func (e *engine) carryOut(o *keeper.Order) keeper.Outcome {
-	if o.Expected != e.seq {
+	if e.replaced != "" && !e.used[e.replaced] {
+		e.coming[e.replaced], e.replaced = time.Now().Add(250*time.Millisecond), ""
+	}
+	if o.Expected != e.seq || e.replaced != "" {
 		return keeper.OutcomeRefused
 	}
 	e.seq++
@@ -106,6 +113,8 @@
 	case o.Adapter == "":
 		e.modelAt = time.Now().Add(e.slow)
 		e.settle()
+	case o.Load && e.used[o.Adapter]:
+		e.replaced = o.Adapter
 	case o.Load:
 		e.coming[o.Adapter] = time.Now().Add(250 * time.Millisecond)
 	default:
@@ -407,6 +416,37 @@
 	})
 }
 
+// While an adapter whose version is old is in use, others are fetched, and
+// requests for the new version are told how long the runs take.
+func TestNewVersionOfAnAdapterInUse(t *testing.T) {
+	inSite(t, func(s *site) {
+		_, stream := s.ask("a", nil)
+		s.engine.mutex.Lock()
+		s.engine.newest, s.engine.used = 2, map[string]bool{"a": true}
+		s.engine.mutex.Unlock()
+		s.keeper.Release([]plane.Release{{Model: "m", Adapter: "a", Version: 2}})
+		time.Sleep(100 * time.Millisecond)
+		for _, other := range []string{"b", "c"} {
+			asked := time.Now()
+			reply, _ := s.ask(other, nil)
+			require.Equal(t, admit.ReasonNone, reply.Reason)
+			require.Less(t, time.Since(asked), 500*time.Millisecond)
+		}
+		newer := func(a *admit.Ask) { a.Version, a.Goal = 2, span.Duration(300*time.Millisecond) }
+		reply, _ := s.ask("a", newer)
+		require.Equal(t, admit.ReasonBusy, reply.Reason)
+		require.InDelta(t, 600*time.Millisecond, reply.Wait.Std(), float64(400*time.Millisecond), "50 tokens and a load, less what has passed")
+		s.engine.mutex.Lock()
+		s.engine.used = nil
+		s.engine.mutex.Unlock()
+		require.NoError(t, stream.Close())
+		time.Sleep(400 * time.Millisecond)
+		reply, _ = s.ask("a", newer)
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+		require.EqualValues(t, 2, reply.Version)
+	})
+}
+
 // An entry that goes away frees what its request held.
 func TestEntryThatGoesAwayFreesItsPlace(t *testing.T) {
 	inSite(t, func(s *site) {
--- a/agent/keeper/task.go
+++ b/agent/keeper/task.go
@@ -20,8 +20,9 @@
 	want  *gate.Want
 	key   shelf.Key
 	reply chan *admit.Reply
-	// begun says that the request may be at the engine.
-	begun bool
+	// begun is since when the request may be at the engine; zero while it
+	// waits.
+	begun time.Time
 }
 
 // Admit serves one stream: an Ask, the Reply, and the end of the request.
@@ -121,7 +122,7 @@
 // begin lets a request go to the engine.
 func (k *Keeper) begin(t *task, version int64, now time.Time) {
 	k.gate.Begin(t.want, now)
-	t.begun = true
+	t.begun = now
 	if t.key.Adapter != "" {
 		k.shelf.Pin(t.key)
 	}
@@ -143,7 +144,7 @@
 		return
 	}
 	delete(k.tasks, t.want)
-	if !t.begun {
+	if t.begun.IsZero() {
 		k.gate.Drop(t.want)
 		return
 	}
--- a/agent/shelf/shelf.go
+++ b/agent/shelf/shelf.go
@@ -239,7 +239,7 @@
 		}
 		load := Order{Key: key, Load: true, Version: s.newest[key].version}
 		if held := s.items[key]; held != nil {
-			if !held.coming && held.version < load.Version && !now.Before(s.newest[key].renew) {
+			if s.renewable(key, held, now) {
 				return load, true
 			}
 			continue
@@ -301,15 +301,29 @@
 	return chosen, found
 }
 
+// renewable reports whether an adapter's version is old and may be replaced
+// now. An engine takes no other order while a replacement waits for runs to
+// end; so it is given only after the last one has.
+func (s *Shelf) renewable(key Key, held *item, now time.Time) bool {
+	wanted := s.newest[key]
+	return !held.coming && held.version < wanted.version && !now.Before(wanted.renew) && s.pins[key] == 0
+}
+
+// Retiring reports whether an adapter waits for its last run to end before its
+// version is replaced.
+func (s *Shelf) Retiring(key Key, now time.Time) bool {
+	held := s.items[key]
+	return held != nil && s.pins[key] > 0 && held.version < s.newest[key].version && !now.Before(s.newest[key].renew)
+}
+
 // renewal returns the order that replaces an adapter whose version is old.
 func (s *Shelf) renewal(now time.Time) (Order, bool) {
 	var chosen Key
 	found := false
-	for key, wanted := range s.newest {
+	for key := range s.newest {
 		held := s.items[key]
 		p, under := s.ordered[key]
-		under = under && !p.doubtful
-		if held == nil || held.coming || under || held.version >= wanted.version || now.Before(wanted.renew) {
+		if held == nil || under && !p.doubtful || !s.renewable(key, held, now) {
 			continue
 		}
 		if !found || key.compare(chosen) < 0 {
--- a/agent/shelf/shelf_test.go
+++ b/agent/shelf/shelf_test.go
@@ -260,6 +260,31 @@
 	require.False(t, ok)
 }
 
+// A new version of an adapter in use comes while others are asked for, as at a
+// quiet day's release: they are loaded meanwhile, and the adapter is replaced
+// when its last run has ended. The engine would take no order until then.
+func TestRenewalWaitsForTheLastRun(t *testing.T) {
+	e := newEngine(t, 2)
+	e.order(key("a"))
+	e.arrive()
+	e.shelf.Pin(key("a"))
+	e.shelf.Release(key("a"), 2, e.now)
+	_, ok := e.shelf.Ready(key("a"), 0, e.now)
+	require.False(t, ok, "no further request begins on the old version")
+	require.True(t, e.shelf.Retiring(key("a"), e.now))
+	order, ok := e.order(key("a"), key("b"))
+	require.True(t, ok)
+	require.Equal(t, shelf.Order{Key: key("b"), Load: true}, order)
+	e.arrive()
+	_, ok = e.order(key("a"))
+	require.False(t, ok)
+	e.shelf.Unpin(key("a"))
+	require.False(t, e.shelf.Retiring(key("a"), e.now))
+	order, ok = e.order(key("a"))
+	require.True(t, ok)
+	require.Equal(t, shelf.Order{Key: key("a"), Load: true, Version: 2}, order)
+}
+
 func TestRestartedEngineIsEmpty(t *testing.T) {
 	e := newEngine(t, 2)
 	e.order(key("a"))
--- a/ctrl/node/group_test.go
+++ b/ctrl/node/group_test.go
@@ -57,9 +57,9 @@
 // replica is one run of a node with a map of strings as its state.
 type replica struct {
 	*node.Node
-	name   string
-	mutex  sync.Mutex
-	state  map[string]string
+	name  string
+	mutex sync.Mutex
+	state map[string]string
 	// seen are the times at which entries had been appended, by index.
 	seen   map[uint64]time.Time
 	cancel context.CancelFunc
