keeper: refuse requests while the engine's size is not known; parts: a panic in a part ends the process at once

Cause: since an agent loads the base model before it has a configuration, requests reach it while its engine's size is not known; the estimate of their wait divided by the number of running requests, none. The panic ended the goroutine that decides, and conc.WaitGroup kept it until a Wait that comes only when the process stops: the agent held every request until its caller left. Change: requests are refused until the size is known (another engine takes them); pkg/parts ends the process when a part panics, and all long-lived parts run in it.

--- a/agent/daemon/daemon.go
+++ b/agent/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"net"
 	"time"
 
-	"github.com/sourcegraph/conc"
 
 	"github.com/tanagerspindle/tanagerspindle/agent/dedup"
 	"github.com/tanagerspindle/tanagerspindle/agent/demand"
@@ -20,6 +19,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/lease"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/parts"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/uplink"
 )
@@ -64,8 +64,8 @@
 	Tune func(*runner.Runner)
 }
 
-// parts are the running pieces of one daemon.
-type parts struct {
+// pieces are what one daemon runs.
+type pieces struct {
 	daemon *Daemon
 	uplink *uplink.Uplink
 	lease  *lease.Lease
@@ -111,8 +111,8 @@
 	return uint64(time.Now().UnixNano())>>incarnationBits<<incarnationBits | rand.Uint64N(1<<incarnationBits)
 }
 
-func (d *Daemon) build() *parts {
-	p := &parts{daemon: d, lease: &lease.Lease{}}
+func (d *Daemon) build() *pieces {
+	p := &pieces{daemon: d, lease: &lease.Lease{}}
 	p.uplink = &uplink.Uplink{Host: d.Host, Replicas: d.Control}
 	p.runner = d.buildRunner(p)
 	p.notice = &notice.Listener{Host: d.Host, Announced: p.runner.Announced, Lost: p.runner.Lost}
@@ -127,7 +127,7 @@
 	return p
 }
 
-func (d *Daemon) buildRunner(p *parts) *runner.Runner {
+func (d *Daemon) buildRunner(p *pieces) *runner.Runner {
 	incarnation := newIncarnation()
 	held := &slots.Slots{Host: d.Host, Allowed: p.lease.Valid}
 	r := &runner.Runner{
@@ -146,7 +146,7 @@
 	return r
 }
 
-func (p *parts) hello() plane.Hello {
+func (p *pieces) hello() plane.Hello {
 	return plane.Hello{
 		Role: plane.RoleAgent, Name: p.daemon.Name, Incarnation: p.runner.Incarnation,
 		DataCentre: p.daemon.Host.DataCentre, Fenced: p.runner.Fenced(),
@@ -155,12 +155,12 @@
 
 // run serves until ctx ends or control knows a later incarnation, then drains.
 // What serves running attempts outlives ctx until the drain is over.
-func (p *parts) run(ctx context.Context, entries, endpoints net.Listener) error {
+func (p *pieces) run(ctx context.Context, entries, endpoints net.Listener) error {
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	reporting, stopReporting := context.WithCancel(serving)
 	defer stopReporting()
-	var group, reports conc.WaitGroup
+	var group, reports parts.Parts
 	group.Go(func() { _ = p.notice.Serve(serving, endpoints) })
 	group.Go(func() { _ = link.Serve(serving, entries, p.handlers()) })
 	group.Go(func() { p.uplink.Run(serving) })
@@ -183,7 +183,7 @@
 	return err
 }
 
-func (p *parts) handlers() map[string]link.Handler {
+func (p *pieces) handlers() map[string]link.Handler {
 	return map[string]link.Handler{
 		plane.MethodAttempt: p.runner.Handle,
 		plane.MethodProbe:   p.runner.Probe,
@@ -192,7 +192,7 @@
 
 // report keeps the heartbeat once the endpoint has announced itself: control
 // needs to know whether it checks fencing numbers.
-func (p *parts) report(ctx context.Context) error {
+func (p *pieces) report(ctx context.Context) error {
 	for !p.runner.Known() {
 		select {
 		case <-ctx.Done():
@@ -203,7 +203,7 @@
 	return p.feed.Run(ctx)
 }
 
-func (p *parts) drain(ctx context.Context) {
+func (p *pieces) drain(ctx context.Context) {
 	if p.daemon.Grace > 0 {
 		limited, cancel := context.WithTimeout(ctx, p.daemon.Grace)
 		defer cancel()
--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -185,7 +185,7 @@
 	if over := tokens - g.room(); over > 0 && len(g.running) > 0 {
 		wait = max(wait, g.freeing(over))
 	}
-	if over := len(g.running) + ahead + 1 - g.Slots; over > 0 {
+	if over := len(g.running) + ahead + 1 - g.Slots; over > 0 && len(g.running) > 0 {
 		wait = max(wait, g.freeing(int64(over)*g.meanTokens()))
 	}
 	return max(wait, load)
--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -12,7 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
 
 	"github.com/tanagerspindle/tanagerspindle/agent/gate"
 	"github.com/tanagerspindle/tanagerspindle/agent/shelf"
@@ -21,6 +20,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/parts"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wake"
 )
@@ -121,13 +121,13 @@
 	k.mutex.Lock()
 	k.context = serving
 	k.mutex.Unlock()
-	var parts conc.WaitGroup
-	parts.Go(func() { k.poll(serving) })
-	parts.Go(func() { k.look(serving) })
+	var group parts.Parts
+	group.Go(func() { k.poll(serving) })
+	group.Go(func() { k.look(serving) })
 	k.Host.Log.Write("keeper-started", "listen", k.Listen)
 	err = link.Serve(serving, listener, map[string]link.Handler{admit.Method: k.Admit})
 	stop()
-	parts.Wait()
+	group.Wait()
 	k.Host.Log.Write("keeper-stopped", "err", err)
 	if err != nil && ctx.Err() == nil {
 		return &Error{Op: "serve", Kind: KindServe, Err: err}
@@ -171,7 +171,7 @@
 func (k *Keeper) step(now time.Time) (waits bool) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.configure()
+	configured := k.configure()
 	if k.last == nil {
 		if k.failed >= downAfter {
 			k.refuseAll(admit.ReasonDown)
@@ -182,19 +182,25 @@
 		k.refuseAll(admit.ReasonLeaving)
 		return false
 	}
-	wanted := k.admitAll(now)
+	var wanted []shelf.Key
+	if configured {
+		wanted = k.admitAll(now)
+	} else {
+		k.refuseAll(admit.ReasonEmpty)
+	}
 	k.nextOrder(wanted, now)
 	return len(k.tasks) > 0
 }
 
-// configure takes the engine's size from the configuration.
-func (k *Keeper) configure() {
+// configure takes the engine's size from the configuration, and reports whether
+// it is known.
+func (k *Keeper) configure() bool {
 	engine := k.Engine()
-	if engine == nil {
-		return
+	if engine != nil {
+		k.gate.Slots, k.gate.Tokens = int(engine.Slots), engine.Tokens
+		k.shelf.Places = int(engine.Places)
 	}
-	k.gate.Slots, k.gate.Tokens = int(engine.Slots), engine.Tokens
-	k.shelf.Places = int(engine.Places)
+	return k.gate.Slots > 0
 }
 
 // admitAll goes through the waiting requests in their order, and returns the
--- a/agent/keeper/keeper_test.go
+++ b/agent/keeper/keeper_test.go
@@ -38,17 +38,18 @@
 	modelAt time.Time
 	// cached says that the base model is on the VM's disk.
 	cached bool
-	// unknown says that the agent has no configuration yet.
-	unknown bool
+	// unknown says that the agent has no configuration yet, cutOff that control
+	// does not answer; it does not change.
+	unknown, cutOff bool
 	// used are the adapters of running requests, replaced the one whose
 	// replacement waits for them; no other order is taken meanwhile.
 	used     map[string]bool
 	replaced string
-	down    bool
-	leaving bool
-	lose    bool
-	late    []keeper.Order
-	orders  int
+	down     bool
+	leaving  bool
+	lose     bool
+	late     []keeper.Order
+	orders   int
 }
 
 const places = 3
@@ -133,10 +134,14 @@
 	session *link.Session
 }
 
-func inSite(t *testing.T, test func(s *site)) {
+func inSite(t *testing.T, test func(s *site)) { inSiteOf(t, func(*engine) {}, test) }
+
+// inSiteOf prepares the engine before the agent starts.
+func inSiteOf(t *testing.T, prepare func(e *engine), test func(s *site)) {
 	bubble.Test(t, func(t *testing.T) {
 		network := vnet.New()
 		e := &engine{t: t, held: map[string]int64{}, coming: map[string]time.Time{}, model: true}
+		prepare(e)
 		configured := &conf.Engine{Slots: 8, Tokens: 20_000, Places: places, Models: []conf.Model{{Name: "m", Load: span.Duration(time.Second)}}}
 		k := &keeper.Keeper{
 			Host: host.Host{VM: "agent", Meter: meter.New(), Listen: network.Listen}, Listen: "agent:1",
@@ -150,6 +155,12 @@
 				return configured
 			},
 			Endpoint: func() string { return "e" },
+			Permit: func(context.Context) (time.Duration, error) {
+				if e.cutOff {
+					return 0, fmt.Errorf("no control")
+				}
+				return 0, nil
+			},
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
@@ -352,14 +363,16 @@
 func TestBaseModelOnDiskIsLoadedAtOnce(t *testing.T) {
 	for name, configured := range map[string]bool{"configured": true, "configuration not known yet": false} {
 		t.Run(name, func(t *testing.T) {
-			inSite(t, func(s *site) {
-				s.keeper.Permit = func(context.Context) (time.Duration, error) { return 0, fmt.Errorf("no control") }
+			restarted := func(e *engine) { e.model, e.cached, e.unknown, e.cutOff = false, true, !configured, true }
+			inSiteOf(t, restarted, func(s *site) {
 				s.engine.mutex.Lock()
-				s.engine.model, s.engine.seq, s.engine.cached, s.engine.unknown = false, 0, true, !configured
+				require.True(t, s.engine.model)
 				s.engine.mutex.Unlock()
-				time.Sleep(500 * time.Millisecond)
+				if !configured {
+					reply, _ := s.ask("a", nil)
+					require.Equal(t, admit.ReasonEmpty, reply.Reason, "its size is not known")
+				}
 				s.engine.mutex.Lock()
-				require.True(t, s.engine.model)
 				s.engine.unknown = false
 				s.engine.mutex.Unlock()
 				reply, _ := s.ask("a", nil)
--- a/ctrl/bridge/bridge.go
+++ b/ctrl/bridge/bridge.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math/rand/v2"
 
-	"github.com/sourcegraph/conc"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/daemon"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/member"
@@ -18,6 +17,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/feed"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/parts"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/uplink"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
@@ -57,9 +57,9 @@
 		return &Error{Op: "listen on " + b.Address, Kind: KindListen, Err: err}
 	}
 	follower := &feed.Feed{Host: b.Host, Role: plane.RoleKeeper, Incarnation: rand.Uint64() | 1, Uplink: b.Uplink}
-	var parts conc.WaitGroup
-	parts.Go(func() { b.Uplink.Run(ctx) })
-	parts.Go(func() {
+	var group parts.Parts
+	group.Go(func() { b.Uplink.Run(ctx) })
+	group.Go(func() {
 		if err := follower.Run(ctx); err != nil {
 			b.Host.Log.Write("feed-ended", "err", err)
 		}
@@ -68,12 +68,12 @@
 	if b.Silent {
 		served = nil
 	}
-	parts.Go(func() {
+	group.Go(func() {
 		if err := link.Serve(ctx, listener, served); err != nil {
 			b.Host.Log.Write("listener-ended", "err", err)
 		}
 	})
-	parts.Wait()
+	group.Wait()
 	return nil
 }
 
--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/disk"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/feeds"
@@ -18,6 +17,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/parts"
 	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
@@ -206,7 +206,7 @@
 	defer stopWorking()
 	leading, handOver := context.WithCancel(context.WithoutCancel(ctx))
 	defer handOver()
-	var servers, workers conc.WaitGroup
+	var servers, workers parts.Parts
 	servers.Go(func() { _ = link.Serve(serving, listener, d.handlers()) })
 	workers.Go(func() { d.feeds.Run(working) })
 	workers.Go(func() {
--- a/ctrl/feeds/feeds.go
+++ b/ctrl/feeds/feeds.go
@@ -10,11 +10,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/parts"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
@@ -130,7 +130,7 @@
 // to another replica.
 func (f *Feeds) Run(ctx context.Context) {
 	f.prepare()
-	var group conc.WaitGroup
+	var group parts.Parts
 	group.Go(func() { f.sweepAll(ctx) })
 	f.listenAll(ctx, &group)
 	f.mutex.Lock()
--- a/ctrl/feeds/peers.go
+++ b/ctrl/feeds/peers.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/sourcegraph/conc"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/parts"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
@@ -60,7 +60,7 @@
 
 // listenAll keeps an exchange with each of the other replicas open until ctx
 // ends, and follows changes of who they are.
-func (f *Feeds) listenAll(ctx context.Context, group *conc.WaitGroup) {
+func (f *Feeds) listenAll(ctx context.Context, group *parts.Parts) {
 	if f.Peers == nil {
 		<-ctx.Done()
 		return
--- a/ctrl/node/loop.go
+++ b/ctrl/node/loop.go
@@ -6,12 +6,12 @@
 	"strings"
 	"time"
 
-	"github.com/sourcegraph/conc"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/member"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/snap"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/wlog"
+	"github.com/tanagerspindle/tanagerspindle/pkg/parts"
 )
 
 // loop owns the core and the log. Only its goroutine touches them.
@@ -68,7 +68,7 @@
 // the disk fails.
 func (l *loop) run(ctx context.Context) error {
 	inner, cancel := context.WithCancel(context.Background())
-	var tasks conc.WaitGroup
+	var tasks parts.Parts
 	tasks.Go(func() { l.node.applier.run(inner) })
 	tasks.Go(func() { l.node.rounds.run(inner) })
 	tasks.Go(func() { l.node.join(inner) })
--- a/ctrl/node/outlet.go
+++ b/ctrl/node/outlet.go
@@ -5,11 +5,11 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/parts"
 	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 )
 
@@ -51,7 +51,7 @@
 
 // run keeps a session to every known replica until ctx ends.
 func (o *outlets) run(ctx context.Context) {
-	var tasks conc.WaitGroup
+	var tasks parts.Parts
 	defer tasks.Wait()
 	o.mutex.Lock()
 	o.started = func(out *outlet) { tasks.Go(func() { out.run(ctx) }) }
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"time"
 
-	"github.com/sourcegraph/conc"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/auth"
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
@@ -32,6 +31,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/feed"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/parts"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/uplink"
 )
@@ -142,20 +142,20 @@
 	go func() { served <- e.server.Serve(listener) }()
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	var parts conc.WaitGroup
+	var group parts.Parts
 	failed := make(chan error, 1)
 	uplinked, stopUplink := context.WithCancel(context.WithoutCancel(ctx))
 	linked := make(chan struct{})
 	go func() { defer close(linked); e.uplink.Run(uplinked) }()
-	parts.Go(func() { e.limit.Run(running) })
-	parts.Go(func() { failed <- e.feed.Run(running) })
+	group.Go(func() { e.limit.Run(running) })
+	group.Go(func() { failed <- e.feed.Run(running) })
 	d.Host.Log.Write("entry-started", "listen", d.Listen)
 	result := e.wait(ctx, served, failed)
 	if result == nil {
 		e.stop()
 	}
 	stop()
-	parts.Wait()
+	group.Wait()
 	stopUplink()
 	<-linked
 	_ = e.server.Close()
