raft: the first election after a start begins after a short timeout

Cause: after a loss of power or a kill of all processes nobody leads, and each replica waited for a whole election timeout, 300 to 600 ms, for a leader that could not be there. Change: the first four timeouts after a start are a quarter as long, until a leader is heard. Pre-votes keep a replica that starts beside a leader from deposing it.

--- a/ctrl/raft/core.go
+++ b/ctrl/raft/core.go
@@ -4,6 +4,14 @@
 	"math/rand/v2"
 )
 
+const (
+	// earlyTimeouts is how many election timeouts after a start are short, and
+	// earlyPart the divisor that makes them so. Together they last as long as
+	// one timeout of the usual length, in which connections come up.
+	earlyTimeouts = 4
+	earlyPart     = 4
+)
+
 // The roles of a replica.
 const (
 	roleFollower = iota
@@ -47,6 +55,8 @@
 	applied  uint64
 	// elapsed counts ticks since the leader was heard or the election began.
 	elapsed, timeout int
+	// early is how many election timeouts are still short.
+	early int
 	votes            map[uint64]bool
 	peers            map[uint64]*progress
 	// transfer is the replica that shall lead, while elapsed since then is
@@ -84,6 +94,7 @@
 			return nil, err
 		}
 	}
+	c.early = earlyTimeouts
 	c.restartTimer()
 	if members := c.members(); len(members) == 1 && members[0].Voter {
 		// Nobody else can lead, so there is nobody to wait for.
@@ -157,9 +168,17 @@
 	c.out.Early = append(c.out.Early, m)
 }
 
+// restartTimer draws the next election timeout. The first ones after a start
+// are short, until a leader is heard: after a loss of power nobody leads, and a
+// replica that starts beside a leader disturbs nobody by asking for pre-votes.
 func (c *Core) restartTimer() {
 	c.elapsed = 0
-	c.timeout = c.config.ElectionTicks + c.random.IntN(c.config.ElectionTicks)
+	least := c.config.ElectionTicks
+	if c.early > 0 {
+		c.early--
+		least = max(least/earlyPart, 1)
+	}
+	c.timeout = least + c.random.IntN(least)
 }
 
 func (c *Core) tick() {
@@ -255,6 +274,9 @@
 	}
 	c.role = roleFollower
 	c.leader = leader
+	if leader != 0 {
+		c.early = 0
+	}
 	c.peers = nil
 	c.votes = nil
 	c.transfer = 0
