link: close the connection before the multiplexer

Cause: between the multiplexer's shutdown and the end of its streams, its readers spin. Change: Close closes the connection; the multiplexer then ends by itself and its streams without a pause in between.

blame: entries report the requests of opaque routes that endpoints died of

Change: entries note requests that broke off before anything of their answer came, report them when another process has taken the endpoint's place, and clear suspects that end well; the quarantine at two deaths is the one of model routes. On opaque routes a quarantined request gets 503, since another one of the same content may have nothing to do with it.

--- a/ctrl/daemon/roster_test.go
+++ b/ctrl/daemon/roster_test.go
@@ -223,6 +223,32 @@
 	})
 }
 
+// Entries report the requests of opaque routes, each under its own name, which
+// endpoints beside no agent died of.
+func TestEntriesReportWhatEndpointsDiedOf(t *testing.T) {
+	inCluster(t, 18, func(c *cluster) {
+		entry := c.connect(c.leader(), entryHello("entry"))
+		other := c.connect(c.follower(), entryHello("other"))
+		time.Sleep(time.Second)
+		report := func(d *client, name, endpoint string, digest string) {
+			crash := plane.Crash{Agent: plane.CrashOf(name, endpoint), Incarnation: 7, Count: 1, Digests: [][]byte{[]byte(digest)}}
+			require.NoError(c.t, d.stream.Send(&plane.Beat{Seq: 1000, Crash: []plane.Crash{crash}}))
+		}
+		report(entry, "other", "e1", "forged")
+		report(entry, "entry", "e1", "poison")
+		report(other, "other", "e1", "bystander")
+		c.until(time.Second, func() bool { return len(entry.now().bans) == 2 }, "suspects of one death")
+		require.True(c.t, entry.now().bans[1].Suspect)
+		report(other, "other", "e2", "poison")
+		c.until(time.Second, func() bool {
+			bans := entry.now().bans
+			return string(bans[1].Digest) == "poison" && !bans[1].Suspect
+		}, "quarantined at the second death")
+		require.NoError(c.t, other.stream.Send(&plane.Beat{Seq: 1001, Cleared: [][]byte{[]byte("bystander"), []byte("poison")}}))
+		c.until(time.Second, func() bool { return len(entry.now().bans) == 1 }, "a quarantine stays")
+	})
+}
+
 // A request crashes one endpoint after another; a partition silences many
 // together, within the time between two beats, and makes no suspects.
 func TestPartitionMakesNoSuspects(t *testing.T) {
--- a/ctrl/feeds/crash.go
+++ b/ctrl/feeds/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"strings"
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
@@ -27,12 +28,13 @@
 	crashTimeout = 10 * time.Second
 )
 
-// checkCrashes returns the crashes that an agent may report: its own, of a
-// bounded size.
+// checkCrashes returns the crashes that a daemon may report: an agent its own
+// ones, an entry those of endpoints under its own name, of a bounded size.
 func (f *Feeds) checkCrashes(m *member, crashes []plane.Crash) []plane.Crash {
 	var valid []plane.Crash
 	for _, crash := range crashes {
-		own := m.hello.Role == plane.RoleAgent && crash.Agent == m.hello.Name
+		own := m.hello.Role == plane.RoleAgent && crash.Agent == m.hello.Name ||
+			m.hello.Role == plane.RoleEntry && strings.HasPrefix(crash.Agent, plane.CrashOf(m.hello.Name, ""))
 		if !own || len(crash.Digests) > mostDigests {
 			f.Host.Log.Write("crash-refused", "daemon", m.hello.Name)
 			continue
--- a/ctrl/raft/core.go
+++ b/ctrl/raft/core.go
@@ -57,8 +57,8 @@
 	elapsed, timeout int
 	// early is how many election timeouts are still short.
 	early int
-	votes            map[uint64]bool
-	peers            map[uint64]*progress
+	votes map[uint64]bool
+	peers map[uint64]*progress
 	// transfer is the replica that shall lead, while elapsed since then is
 	// below the election timeout.
 	transfer      uint64
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/auth"
+	"github.com/tanagerspindle/tanagerspindle/entry/blame"
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/entry/class"
 	"github.com/tanagerspindle/tanagerspindle/entry/direct"
@@ -26,6 +27,7 @@
 	"github.com/tanagerspindle/tanagerspindle/entry/trace"
 	"github.com/tanagerspindle/tanagerspindle/entry/view"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/census"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/feed"
@@ -124,6 +126,7 @@
 	relay  *relay.Relay
 	direct *direct.Direct
 	view   *view.View
+	blame  *blame.Blame
 	drain  *drain.Drain
 	server *http.Server
 }
@@ -216,11 +219,15 @@
 		OnConfig:    e.auth.Recheck,
 		OnRoster:    choice.Update,
 		OnExpire:    e.auth.Expire,
-		OnCensus:    e.view.Update,
-		OnRelease:   e.direct.Release,
-		Boot:        d.Boot,
+		OnCensus: func(usable map[string][]census.Record) {
+			e.view.Update(usable)
+			e.blame.Update(usable)
+		},
+		OnRelease: e.direct.Release,
+		Boot:      d.Boot,
 	}
-	e.direct.Config = e.feed.Config
+	e.blame = &blame.Blame{Entry: d.Host.VM, Report: e.feed.Crashed}
+	e.direct.Config, e.direct.Broke, e.direct.Cleared = e.feed.Config, e.blame.Broke, e.feed.Clear
 	d.Repeats.Entries = e.feed.Entries
 	e.limit = &limit.Limit{Host: d.Host, Incarnation: incarnation, Config: e.feed.Config, Grant: e.grant, Boot: d.Boot}
 	if d.Send != nil {
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -61,6 +61,9 @@
 		return j.broken(ctx, attempt, p, err)
 	case verdictWhole, verdictFailed:
 		j.direct.View.Reached(p.endpoint.Name, time.Since(sent), verdict == verdictFailed)
+		if verdict == verdictWhole && j.request.Suspect && j.direct.Cleared != nil {
+			j.direct.Cleared(j.request.Digest)
+		}
 		if verdict == verdictWhole && j.key() != "" {
 			j.direct.View.Used(p.endpoint.Name, j.key(), time.Now())
 		}
@@ -102,9 +105,13 @@
 		j.ran = chain.RanUnknown
 		return verdictGone, err
 	}
-	if cause := context.Cause(attempt); cause != nil && ctx.Err() == nil {
+	cause := context.Cause(attempt)
+	if cause != nil && ctx.Err() == nil {
 		err = cause
 	}
+	if cause == nil && j.direct.Broke != nil && j.cutter.Events == 0 && errors.Is(err, &kept.Error{Kind: kept.KindBroken}) {
+		j.direct.Broke(p.endpoint, j.request.Digest, time.Now())
+	}
 	if ctx.Err() == nil {
 		j.direct.View.Unreachable(p.endpoint.Name, time.Now())
 		j.direct.View.Reached(p.endpoint.Name, 0, true)
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -105,6 +105,11 @@
 	// Ends returns when this process will be gone, zero while it goes on; nil
 	// never ends.
 	Ends func() time.Time
+	// Broke is called with a request that broke off at an endpoint before
+	// anything of its answer came, Cleared with a suspected one that ended well.
+	// Nil calls nobody.
+	Broke   func(endpoint census.Record, digest []byte, now time.Time)
+	Cleared func(digest []byte)
 	// Random returns a number between 0 and 1; nil uses the global generator.
 	Random func() float64
 
--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -219,6 +219,49 @@
 	}
 }
 
+// Only a request that broke off before anything of its answer came may have
+// crashed its endpoint; one that was suspected and ends well is cleared.
+func TestSuspects(t *testing.T) {
+	for name, test := range map[string]struct {
+		change  func(*chain.Request)
+		replies []reply
+		broke   int
+	}{
+		"reset":                   {nil, []reply{reset}, 1},
+		"reset twice":             {repeats, []reply{reset}, 2},
+		"turned away":             {nil, []reply{full}, 0},
+		"unreached":               {nil, []reply{unreached}, 0},
+		"failed":                  {nil, []reply{failed}, 0},
+		"silent":                  {nil, []reply{silent}, 0},
+		"broken after two events": {streams, []reply{{status: 200, own: true, body: whole[:33], broken: true}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				d, broke := newDirect(&service{replies: test.replies}, 3), 0
+				d.Broke = func(endpoint census.Record, digest []byte, _ time.Time) {
+					require.NotEmpty(t, endpoint.Address)
+					require.Equal(t, []byte("x"), digest)
+					broke++
+				}
+				_, _ = run(context.Background(), d, func(r *chain.Request) {
+					r.Digest = []byte("x")
+					if test.change != nil {
+						test.change(r)
+					}
+				})
+				require.Equal(t, test.broke, broke)
+			})
+		})
+	}
+	for _, suspect := range []bool{true, false} {
+		d, cleared := newDirect(&service{replies: []reply{good}}, 3), 0
+		d.Cleared = func([]byte) { cleared++ }
+		_, err := run(context.Background(), d, func(r *chain.Request) { r.Suspect = suspect })
+		require.NoError(t, err)
+		require.Equal(t, suspect, cleared == 1)
+	}
+}
+
 func TestContinuedStreamNamesTheLastEvent(t *testing.T) {
 	s := &service{replies: []reply{{status: 200, own: true, body: whole[:33], broken: true}, {status: 200, own: true, body: whole[30:]}}}
 	_, err := run(context.Background(), newDirect(s, 3), resumes)
--- a/entry/guard/guard.go
+++ b/entry/guard/guard.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 )
 
@@ -49,6 +50,11 @@
 	if left <= 0 {
 		return nil
 	}
-	refusal := chain.Refuse(http.StatusUnprocessableEntity, "quarantined", "endpoints failed while they ran this request")
+	status := http.StatusUnprocessableEntity
+	if r.Route.Kind == conf.KindOpaque {
+		// It may be another request of the same content; it has not run.
+		status = http.StatusServiceUnavailable
+	}
+	refusal := chain.Refuse(status, "quarantined", "endpoints failed while they ran this request")
 	return refusal.After(left)
 }
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -89,6 +89,7 @@
 	changes atomic.Uint64
 	entries atomic.Int32
 	burn    burn
+	suspect suspects
 	nudge   wake.Signal
 }
 
@@ -140,6 +141,19 @@
 // Count adds one request to the burn counts.
 func (f *Feed) Count(workspace, route string, good bool) { f.burn.add(workspace, route, good) }
 
+// Crashed reports the requests that were at an endpoint when it died, until
+// control has acknowledged it.
+func (f *Feed) Crashed(crash plane.Crash) {
+	f.suspect.crash(crash)
+	f.soon()
+}
+
+// Clear reports that a suspected request ended well.
+func (f *Feed) Clear(digest []byte) {
+	f.suspect.clear(digest)
+	f.soon()
+}
+
 // Run keeps the feed up until ctx ends, then says farewell. The error is of
 // KindSuperseded when the process must stop.
 func (f *Feed) Run(ctx context.Context) error {
@@ -197,6 +211,7 @@
 	t := &turn{feed: f, stream: stream, renewed: make(chan uint64, 1), failed: make(chan error, 1)}
 	go t.receive()
 	defer f.burn.restore()
+	defer f.suspect.restore()
 	err = t.beat(ctx)
 	if err != nil && !t.answered.Load() {
 		// No replica is there, or one that cannot admit anybody now.
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -190,3 +190,39 @@
 		require.Equal(t, confirmed, carried())
 	})
 }
+
+// Reports of requests that may crash endpoints outlive beats without an answer
+// and streams that end.
+func TestSuspectsAreSentUntilConfirmed(t *testing.T) {
+	silent := true
+	r := &replica{}
+	r.answer = func(*plane.Beat) *plane.Update {
+		if silent {
+			return nil
+		}
+		return renewed(0, nil)
+	}
+	inFeed(t, r, func(f *feed.Feed, _ <-chan error) {
+		f.Crashed(plane.Crash{Agent: "entry/e1", Incarnation: 1, Count: 1, Digests: [][]byte{{1}}})
+		time.Sleep(3 * time.Second)
+		f.Clear([]byte{2})
+		time.Sleep(time.Second)
+		r.mutex.Lock()
+		silent = false
+		r.mutex.Unlock()
+		time.Sleep(5 * time.Second)
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		require.Greater(t, len(r.hellos), 1, "the replica that did not answer was left")
+		carried := 0
+		for _, beat := range r.beats {
+			if len(beat.Crash) == 1 && len(beat.Cleared) == 1 {
+				carried++
+			}
+		}
+		require.Greater(t, carried, 0)
+		last := r.beats[len(r.beats)-1]
+		require.Empty(t, last.Crash)
+		require.Empty(t, last.Cleared)
+	})
+}
--- /dev/null
+++ b/pkg/feed/suspects.go
@@ -0,0 +1,59 @@
+package feed
+
+import (
+	"sync"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+// mostSuspects bounds the reports that wait for control; the oldest go first.
+const mostSuspects = 256
+
+// suspects keeps what control must know of requests that may crash endpoints
+// until a beat that carried it is confirmed. Control counts what it gets twice
+// once.
+type suspects struct {
+	mutex   sync.Mutex
+	crashes []plane.Crash
+	cleared [][]byte
+	// seq is the last beat that carried all of it.
+	seq uint64
+}
+
+func (s *suspects) crash(crash plane.Crash) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.crashes, s.seq = append(s.crashes[max(len(s.crashes)+1-mostSuspects, 0):], crash), 0
+}
+
+func (s *suspects) clear(digest []byte) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.cleared, s.seq = append(s.cleared[max(len(s.cleared)+1-mostSuspects, 0):], digest), 0
+}
+
+// add puts all of it into a beat.
+func (s *suspects) add(beat *plane.Beat) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	beat.Crash, beat.Cleared = s.crashes, s.cleared
+	if s.seq == 0 {
+		s.seq = beat.Seq
+	}
+}
+
+// confirm drops what a confirmed beat carried.
+func (s *suspects) confirm(seq uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.seq != 0 && s.seq <= seq {
+		s.crashes, s.cleared, s.seq = nil, nil, 0
+	}
+}
+
+// restore makes the next stream carry all of it again.
+func (s *suspects) restore() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.seq = 0
+}
--- a/pkg/feed/turn.go
+++ b/pkg/feed/turn.go
@@ -50,6 +50,7 @@
 		Burn:   f.burn.take(t.seq),
 		Bye:    bye,
 	}
+	f.suspect.add(beat)
 	f.lease.Sent(t.seq)
 	return t.stream.Send(beat)
 }
@@ -116,6 +117,7 @@
 		return nil
 	}
 	f.burn.confirm(update.Seq)
+	f.suspect.confirm(update.Seq)
 	if update.Lease > 0 && f.number() >= update.Number {
 		f.lease.Renew(update.Seq, update.Lease.Std())
 		t.note(update.Seq)
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -17,6 +17,9 @@
 const (
 	// PingInterval is the time between two pings of one end.
 	PingInterval = time.Second
+	// closeLimit is how long the multiplexer may take to notice that its
+	// connection is closed; it is about to read from it.
+	closeLimit = 250 * time.Millisecond
 	// PingTimeout is how long a pong may take before the connection is
 	// given up.
 	PingTimeout = 3 * time.Second
@@ -45,6 +48,7 @@
 // Session is one multiplexed connection. Both ends may open streams.
 type Session struct {
 	mux      *yamux.Session
+	conn     net.Conn
 	handlers map[string]Handler
 	context  context.Context
 	cancel   context.CancelFunc
@@ -59,13 +63,13 @@
 // that the other end opens, by method name; nil serves none.
 func Client(conn net.Conn, handlers map[string]Handler) (*Session, error) {
 	mux, err := yamux.Client(conn, config())
-	return start(mux, handlers, err)
+	return start(mux, conn, handlers, err)
 }
 
 // Server starts the session on the accepting end.
 func Server(conn net.Conn, handlers map[string]Handler) (*Session, error) {
 	mux, err := yamux.Server(conn, config())
-	return start(mux, handlers, err)
+	return start(mux, conn, handlers, err)
 }
 
 // Dial connects and starts a session on the dialling end.
@@ -77,12 +81,12 @@
 	return Client(conn, nil)
 }
 
-func start(mux *yamux.Session, handlers map[string]Handler, err error) (*Session, error) {
+func start(mux *yamux.Session, conn net.Conn, handlers map[string]Handler, err error) (*Session, error) {
 	if err != nil {
 		return nil, &Error{Op: "start session", Kind: KindSession, Err: err}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Session{mux: mux, handlers: handlers, context: ctx, cancel: cancel}
+	s := &Session{mux: mux, conn: conn, handlers: handlers, context: ctx, cancel: cancel}
 	go s.accept()
 	return s, nil
 }
@@ -170,8 +174,19 @@
 // Remote returns the address of the other end.
 func (s *Session) Remote() net.Addr { return s.mux.RemoteAddr() }
 
-// Close ends the session and every stream in it.
+// Close ends the session and every stream in it. The connection is closed
+// first: the multiplexer then ends by itself, its streams with it. When it is
+// closed itself, its readers spin until it has closed the connection, and on
+// one core they may keep it from that.
 func (s *Session) Close() error {
 	s.cancel()
-	return s.mux.Close()
+	err := s.conn.Close()
+	timer := time.NewTimer(closeLimit)
+	defer timer.Stop()
+	select {
+	case <-s.mux.CloseChan():
+		return err
+	case <-timer.C:
+		return s.mux.Close()
+	}
 }
--- a/pkg/plane/feed.go
+++ b/pkg/plane/feed.go
@@ -126,6 +126,9 @@
 	Bad  int64 `protobuf:"varint,4,opt" json:"bad"`
 }
 
+// CrashOf names the endpoint of a crash that an entry reports.
+func CrashOf(entry, endpoint string) string { return entry + "/" + endpoint }
+
 // Crash names the requests that an endpoint ran when it died.
 type Crash struct {
 	// Agent and Incarnation say which endpoint and Count which of its deaths,
