--- a/ctrl/node/schedule_test.go
+++ b/ctrl/node/schedule_test.go
@@ -93,7 +93,7 @@
 	name := g.peers[random.IntN(len(g.peers))].Name
 	other := g.others(name)[random.IntN(len(g.peers)-1)]
 	running := g.replicas[name] != nil
-	switch random.IntN(10) {
+	switch random.IntN(12) {
 	case 0:
 		g.network.Isolate(name, g.others(name)...)
 	case 1:
@@ -115,6 +115,10 @@
 		if running {
 			g.crash(name)
 		}
+	case 10:
+		g.killAll()
+	case 11:
+		g.split()
 	default:
 		if !running {
 			g.start(name)
@@ -122,8 +126,30 @@
 	}
 }
 
-// whole reports whether some leader has three synced voters and no learner,
-// so that one disk may be lost.
+// killAll kills all replicas at the same moment and starts them again.
+func (g *group) killAll() {
+	for _, peer := range g.peers {
+		if g.replicas[peer.Name] != nil {
+			g.crash(peer.Name)
+		}
+	}
+	for _, peer := range g.peers {
+		g.start(peer.Name)
+	}
+}
+
+// split cuts the group into two halves.
+func (g *group) split() {
+	half := len(g.peers) / 2
+	for _, one := range g.peers[:half] {
+		for _, other := range g.peers[half:] {
+			g.network.Isolate(one.Name, other.Name)
+		}
+	}
+}
+
+// whole reports whether some leader has synced voters only and no learner, so
+// that one disk may be lost.
 func (g *group) whole(name string) bool {
 	for _, r := range g.replicas {
 		status := r.Status()
@@ -139,10 +165,15 @@
 	return false
 }
 
+// sizes are the numbers of replicas, in turn: those of one, two and three
+// tolerated losses.
+var sizes = [...]int{3, 5, 7}
+
 func TestScheduleOverWholeReplicas(t *testing.T) {
 	var total, reads, wiped int
 	for seed := range uint64(*schedules) {
-		inBubble(t, 5000+100*seed, 3, func(g *group) {
+		size := sizes[seed%uint64(len(sizes))]
+		inBubble(t, 5000+100*seed, size, func(g *group) {
 			g.every = 60
 			random := rand.New(rand.NewPCG(seed, 1))
 			for _, peer := range g.peers {
@@ -176,7 +207,7 @@
 			}
 			wiped += g.wiped
 			names, learners := voters(g.leader())
-			require.Len(t, names, 3, "seed %d", seed)
+			require.Len(t, names, size, "seed %d", seed)
 			require.Empty(t, learners, "seed %d", seed)
 			total += h.last(0) + h.last(1) + h.last(2)
 			reads += h.reads
