--- a/pkg/spool/spool.go
+++ b/pkg/spool/spool.go
@@ -24,6 +24,9 @@
 type Spool struct {
 	// Out takes the lines.
 	Out io.Writer
+	// Share returns the part of the space, above 0 and up to 1, that a line may
+	// fill: lines with smaller parts are dropped first. Nil gives all to all.
+	Share func(line []byte) float64
 
 	once    sync.Once
 	mutex   sync.Mutex
@@ -42,7 +45,7 @@
 	s.prepare()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if len(s.waiting)+len(line) > mostBytes {
+	if len(s.waiting)+len(line) > s.space(line) {
 		s.dropped++
 		return len(line), nil
 	}
@@ -51,6 +54,13 @@
 	return len(line), nil
 }
 
+func (s *Spool) space(line []byte) int {
+	if s.Share == nil {
+		return mostBytes
+	}
+	return int(s.Share(line) * mostBytes)
+}
+
 // Run writes what waits until Close has been called and nothing is left.
 func (s *Spool) Run() {
 	s.prepare()
