spread: an adapter whose homes are all overloaded gets one more

Change: while all homes of an adapter are loaded to 1.25 or more, the next engine in its order is a home too, the same for all entries.

--- a/entry/spread/spread.go
+++ b/entry/spread/spread.go
@@ -37,6 +37,10 @@
 	// do, below which chance decides between homes: the loads known are some
 	// time old, and all entries would go to the same one.
 	loadStep = 0.06
+	// fullLoad is the load, as a share of what an engine can do, from which an
+	// adapter's homes count as overloaded; a little more than all of it, since
+	// the loads known are those of the last moments.
+	fullLoad = 1.25
 )
 
 // Candidate is an endpoint to choose from.
@@ -85,23 +89,56 @@
 	return max(1, min(homes, engines))
 }
 
-// Engines returns the indices of the engines in the order in which a request
-// for a key should be offered to them: its homes by their load, then the others
-// by theirs. Engines that are down come last. random is between 0 and 1.
-func Engines(key string, homes int, candidates []Candidate, random float64) []int {
-	type ranked struct {
-		index int
-		place uint64
-		load  float64
+// Widen returns how many homes an adapter has while all of the given number are
+// overloaded: one more after the other until one of them is not. It answers a
+// sudden demand for an adapter, which its share of all requests shows only
+// seconds later, and a home that others' adapters overload. The further homes
+// are the same for all entries, so that each fetches the adapter once.
+func Widen(key string, homes int, candidates []Candidate) int {
+	order := byPlace(key, candidates)
+	for homes < len(order) && allFull(order[:homes], candidates) {
+		homes++
+	}
+	return homes
+}
+
+func allFull(order []ranked, candidates []Candidate) bool {
+	for _, r := range order {
+		if candidates[r.index].Load < fullLoad {
+			return false
+		}
 	}
+	return true
+}
+
+// ranked is an engine with its place for a key.
+type ranked struct {
+	index int
+	place uint64
+	load  float64
+}
+
+// byPlace returns the engines in the order in which they become homes of a key,
+// those that are down last.
+func byPlace(key string, candidates []Candidate) []ranked {
 	order := make([]ranked, len(candidates))
 	for i := range candidates {
-		place := xxhash.Sum64String(key + "\x00" + candidates[i].Name)
-		order[i] = ranked{index: i, place: place, load: candidates[i].Load + loadStep*chance(place, random)}
+		order[i] = ranked{index: i, place: xxhash.Sum64String(key + "\x00" + candidates[i].Name)}
 	}
 	slices.SortFunc(order, func(a, b ranked) int {
 		return cmp.Or(compareDown(&candidates[a.index], &candidates[b.index]), cmp.Compare(a.place, b.place))
 	})
+	return order
+}
+
+// Engines returns the indices of the engines in the order in which a request
+// for a key should be offered to them: its homes by their load, then the others
+// by theirs. Engines that are down come last. random is between 0 and 1.
+func Engines(key string, homes int, candidates []Candidate, random float64) []int {
+	order := byPlace(key, candidates)
+	for i := range order {
+		order[i].load = candidates[order[i].index].Load + loadStep*chance(order[i].place, random)
+	}
 	homes = min(homes, len(order))
 	byLoad := func(a, b ranked) int {
 		x, y := &candidates[a.index], &candidates[b.index]
--- a/entry/spread/spread_test.go
+++ b/entry/spread/spread_test.go
@@ -69,6 +69,27 @@
 	require.Equal(t, order[1], spread.Engines("a", 4, all, 0.3)[8])
 }
 
+// An adapter whose homes are all overloaded gets one more, the same for every
+// entry, and no more than it needs.
+func TestOverloadedHomesAreWidened(t *testing.T) {
+	all := engines(9)
+	order := spread.Engines("a", 9, all, 0.3)
+	require.Equal(t, 2, spread.Widen("a", 2, all))
+	first := spread.Engines("a", 1, all, 0.3)[0]
+	all[first].Load = 2
+	require.Equal(t, 2, spread.Widen("a", 1, all))
+	require.Equal(t, 2, spread.Widen("a", 2, all), "one of the two has room")
+	second := spread.Engines("a", 2, all, 0.9)[0]
+	require.NotEqual(t, first, second)
+	for range 3 {
+		require.Equal(t, second, spread.Engines("a", spread.Widen("a", 1, all), all, 0.1)[0])
+	}
+	for _, at := range order {
+		all[at].Load = 2
+	}
+	require.Equal(t, 9, spread.Widen("a", 1, all))
+}
+
 // Requests that any engine can serve are spread although all report no load.
 func TestIdleEnginesShareTheWork(t *testing.T) {
 	random := rand.New(rand.NewPCG(3, 4))
--- a/entry/view/view.go
+++ b/entry/view/view.go
@@ -119,7 +119,7 @@
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	list, candidates := v.candidates(service, excluded, now)
-	homes = spread.Homes(share, len(v.services[service]))
+	homes = spread.Widen(key, spread.Homes(share, len(v.services[service])), candidates)
 	records := make([]census.Record, 0, len(list))
 	for _, at := range spread.Engines(key, homes, candidates, random) {
 		records = append(records, list[at].record)
