shelf: drop the unused delay of renewals

No program ever set Jitter, so that every held adapter of an old version was renewed at once; entries ask for the new version from then on anyway, and a delay would only make those requests wait. The test asked for the delay that it set itself; it now asks that no request begins on the old version. No behaviour of a program changes.

--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -139,9 +139,8 @@
 	k.prepare()
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	now := time.Now()
 	for _, release := range releases {
-		k.shelf.Release(shelf.Key{Model: release.Model, Adapter: release.Adapter}, release.Version, now)
+		k.shelf.Release(shelf.Key{Model: release.Model, Adapter: release.Adapter}, release.Version)
 	}
 	k.kick.Set()
 }
@@ -218,7 +217,7 @@
 		}
 		version, ready := int64(0), true
 		if w.Ask.Adapter != "" {
-			version, ready = k.shelf.Ready(t.key, w.Ask.Version, now)
+			version, ready = k.shelf.Ready(t.key, w.Ask.Version)
 		}
 		if ready && !full && k.gate.Fits(w, now) {
 			k.begin(t, version, now)
@@ -228,7 +227,7 @@
 		load := time.Duration(0)
 		if !ready {
 			load = k.shelf.Wait(t.key, wanted, now)
-			if k.shelf.Retiring(t.key, now) {
+			if k.shelf.Retiring(t.key) {
 				load += k.runsLeft(t.key, now)
 			}
 		}
--- a/agent/keeper/task.go
+++ b/agent/keeper/task.go
@@ -112,7 +112,7 @@
 	if t.key.Adapter != "" {
 		k.shelf.Touch(t.key, now)
 		if t.want.Ask.Version > 0 {
-			k.shelf.Release(t.key, t.want.Ask.Version, now)
+			k.shelf.Release(t.key, t.want.Ask.Version)
 		}
 	}
 	k.kick.Set()
--- a/agent/shelf/shelf.go
+++ b/agent/shelf/shelf.go
@@ -28,9 +28,6 @@
 	// orderLife is how long an order without an effect is believed to be under
 	// way. A load takes 250 ms, longer when many run at once.
 	orderLife = 3 * time.Second
-	// renewSpread is the time over which engines renew an adapter that is in
-	// use, so that not all who hold it stop at once. The users allow 5 s.
-	renewSpread = 2 * time.Second
 )
 
 // Key names an adapter of a base model.
@@ -66,17 +63,13 @@
 type Shelf struct {
 	// Places is how many adapters the engine holds at once.
 	Places int
-	// Jitter returns a share between 0 and 1 for a renewal; nil means 0.
-	Jitter func() float64
-
 	items map[Key]*item
 	// ordered are the orders whose effect has not been reported.
 	ordered map[Key]pending
 	pins    map[Key]int
 	uses    map[Key]*use
-	// newest are the versions that new requests need, with the time from which
-	// a held one is renewed although it is in use.
-	newest map[Key]release
+	// newest are the versions that new requests need.
+	newest map[Key]int64
 	window window
 }
 
@@ -90,11 +83,6 @@
 	doubtful bool
 }
 
-type release struct {
-	version int64
-	renew   time.Time
-}
-
 // Sync takes what the engine reports to hold.
 func (s *Shelf) Sync(report []Held, now time.Time) {
 	s.prepare()
@@ -139,7 +127,7 @@
 func (s *Shelf) prepare() {
 	if s.pins == nil {
 		s.items, s.ordered = map[Key]*item{}, map[Key]pending{}
-		s.pins, s.uses, s.newest = map[Key]int{}, map[Key]*use{}, map[Key]release{}
+		s.pins, s.uses, s.newest = map[Key]int{}, map[Key]*use{}, map[Key]int64{}
 	}
 }
 
@@ -150,26 +138,16 @@
 }
 
 // Release notes that new requests need a version of an adapter.
-func (s *Shelf) Release(key Key, version int64, now time.Time) {
+func (s *Shelf) Release(key Key, version int64) {
 	s.prepare()
-	if s.newest[key].version >= version {
-		return
-	}
-	share := 0.0
-	if s.Jitter != nil {
-		share = s.Jitter()
-	}
-	s.newest[key] = release{version: version, renew: now.Add(time.Duration(share * float64(renewSpread)))}
+	s.newest[key] = max(s.newest[key], version)
 }
 
 // Ready returns the version that the engine holds of an adapter, if a request
 // that needs at least the given one may use it now.
-func (s *Shelf) Ready(key Key, version int64, now time.Time) (held int64, ok bool) {
+func (s *Shelf) Ready(key Key, version int64) (held int64, ok bool) {
 	known := s.items[key]
-	if known == nil || known.leaving || known.version == 0 || known.version < version {
-		return 0, false
-	}
-	if wanted := s.newest[key]; known.version < wanted.version && !now.Before(wanted.renew) {
+	if known == nil || known.leaving || known.version == 0 || known.version < max(version, s.newest[key]) {
 		return 0, false
 	}
 	return known.version, true
@@ -237,9 +215,9 @@
 		if p, under := s.ordered[key]; under && !p.doubtful {
 			continue
 		}
-		load := Order{Key: key, Load: true, Version: s.newest[key].version}
+		load := Order{Key: key, Load: true, Version: s.newest[key]}
 		if held := s.items[key]; held != nil {
-			if s.renewable(key, held, now) {
+			if s.renewable(key, held) {
 				return load, true
 			}
 			continue
@@ -260,7 +238,7 @@
 			return again, true
 		}
 	}
-	return s.renewal(now)
+	return s.renewal()
 }
 
 // doubt returns a load that got no answer and that keeps a place from others
@@ -304,33 +282,32 @@
 // renewable reports whether an adapter's version is old and may be replaced
 // now. An engine takes no other order while a replacement waits for runs to
 // end; so it is given only after the last one has.
-func (s *Shelf) renewable(key Key, held *item, now time.Time) bool {
-	wanted := s.newest[key]
-	return !held.coming && held.version < wanted.version && !now.Before(wanted.renew) && s.pins[key] == 0
+func (s *Shelf) renewable(key Key, held *item) bool {
+	return !held.coming && held.version < s.newest[key] && s.pins[key] == 0
 }
 
 // Retiring reports whether an adapter waits for its last run to end before its
 // version is replaced.
-func (s *Shelf) Retiring(key Key, now time.Time) bool {
+func (s *Shelf) Retiring(key Key) bool {
 	held := s.items[key]
-	return held != nil && s.pins[key] > 0 && held.version < s.newest[key].version && !now.Before(s.newest[key].renew)
+	return held != nil && s.pins[key] > 0 && held.version < s.newest[key]
 }
 
 // renewal returns the order that replaces an adapter whose version is old.
-func (s *Shelf) renewal(now time.Time) (Order, bool) {
+func (s *Shelf) renewal() (Order, bool) {
 	var chosen Key
 	found := false
 	for key := range s.newest {
 		held := s.items[key]
 		p, under := s.ordered[key]
-		if held == nil || under && !p.doubtful || !s.renewable(key, held, now) {
+		if held == nil || under && !p.doubtful || !s.renewable(key, held) {
 			continue
 		}
 		if !found || key.compare(chosen) < 0 {
 			chosen, found = key, true
 		}
 	}
-	return Order{Key: chosen, Load: true, Version: s.newest[chosen].version}, found
+	return Order{Key: chosen, Load: true, Version: s.newest[chosen]}, found
 }
 
 func (k Key) compare(other Key) int {
--- a/agent/shelf/shelf_test.go
+++ b/agent/shelf/shelf_test.go
@@ -155,7 +155,7 @@
 	e.shelf.Unpin(key("a"))
 	order, _ := e.order(key("b"))
 	require.Equal(t, shelf.Order{Key: key("a")}, order)
-	_, ok = e.shelf.Ready(key("a"), 0, e.now)
+	_, ok = e.shelf.Ready(key("a"), 0)
 	require.False(t, ok, "it is leaving")
 }
 
@@ -238,22 +238,18 @@
 
 func TestNewVersionReplacesTheOldOne(t *testing.T) {
 	e := newEngine(t, 2)
-	e.shelf.Jitter = func() float64 { return 0.5 }
 	e.order(key("a"))
 	e.arrive()
-	e.shelf.Release(key("a"), 2, e.now)
-	_, ok := e.shelf.Ready(key("a"), 0, e.now)
-	require.True(t, ok, "it is renewed a little later")
-	_, ok = e.shelf.Ready(key("a"), 2, e.now)
-	require.False(t, ok, "a request that needs the new one")
-	e.now = e.now.Add(time.Second)
-	_, ok = e.shelf.Ready(key("a"), 0, e.now)
-	require.False(t, ok)
+	e.shelf.Release(key("a"), 2)
+	for _, needed := range []int64{0, 2} {
+		_, ok := e.shelf.Ready(key("a"), needed)
+		require.False(t, ok, "no request begins on the old one any more")
+	}
 	order, ok := e.order()
 	require.True(t, ok)
 	require.Equal(t, shelf.Order{Key: key("a"), Load: true, Version: 2}, order)
 	e.arrive()
-	version, ok := e.shelf.Ready(key("a"), 2, e.now)
+	version, ok := e.shelf.Ready(key("a"), 2)
 	require.True(t, ok)
 	require.EqualValues(t, 2, version)
 	_, ok = e.order()
@@ -268,10 +264,10 @@
 	e.order(key("a"))
 	e.arrive()
 	e.shelf.Pin(key("a"))
-	e.shelf.Release(key("a"), 2, e.now)
-	_, ok := e.shelf.Ready(key("a"), 0, e.now)
+	e.shelf.Release(key("a"), 2)
+	_, ok := e.shelf.Ready(key("a"), 0)
 	require.False(t, ok, "no further request begins on the old version")
-	require.True(t, e.shelf.Retiring(key("a"), e.now))
+	require.True(t, e.shelf.Retiring(key("a")))
 	order, ok := e.order(key("a"), key("b"))
 	require.True(t, ok)
 	require.Equal(t, shelf.Order{Key: key("b"), Load: true}, order)
@@ -279,7 +275,7 @@
 	_, ok = e.order(key("a"))
 	require.False(t, ok)
 	e.shelf.Unpin(key("a"))
-	require.False(t, e.shelf.Retiring(key("a"), e.now))
+	require.False(t, e.shelf.Retiring(key("a")))
 	order, ok = e.order(key("a"))
 	require.True(t, ok)
 	require.Equal(t, shelf.Order{Key: key("a"), Load: true, Version: 2}, order)
@@ -290,7 +286,7 @@
 	e.order(key("a"))
 	e.arrive()
 	e.shelf.Clear()
-	_, ok := e.shelf.Ready(key("a"), 0, e.now)
+	_, ok := e.shelf.Ready(key("a"), 0)
 	require.False(t, ok)
 	order, _ := e.shelf.Next([]shelf.Key{key("a")}, e.now)
 	require.True(t, order.Load)
@@ -308,7 +304,7 @@
 			e.shelf.Touch(name, e.now)
 			e.order(name)
 		case 2:
-			if _, ok := e.shelf.Ready(name, 0, e.now); ok {
+			if _, ok := e.shelf.Ready(name, 0); ok {
 				require.Contains(t, e.held, name)
 				e.shelf.Pin(name)
 				e.users[name]++
@@ -321,7 +317,7 @@
 		case 4:
 			e.arrive()
 			if random.IntN(50) == 0 {
-				e.shelf.Release(name, int64(random.IntN(9)+1), e.now)
+				e.shelf.Release(name, int64(random.IntN(9)+1))
 			}
 		}
 	}
