--- a/agent/shelf/shelf.go
+++ b/agent/shelf/shelf.go
@@ -63,7 +63,7 @@
 type Shelf struct {
 	// Places is how many adapters the engine holds at once.
 	Places int
-	items map[Key]*item
+	items  map[Key]*item
 	// ordered are the orders whose effect has not been reported.
 	ordered map[Key]pending
 	pins    map[Key]int
