--- /dev/null
+++ b/pkg/bubble/race.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package bubble
+
+// raceEnabled says that the race detector is built in.
+const raceEnabled = true
