spread: order an adapter's engines once a request

Widen and Engines each hashed and sorted all engines for the same request. Engines widens the homes in the order that it has and returns how many they are. No behaviour changes; the tests keep their assertions.

--- a/entry/spread/spread.go
+++ b/entry/spread/spread.go
@@ -89,13 +89,12 @@
 	return max(1, min(homes, engines))
 }
 
-// Widen returns how many homes an adapter has while all of the given number are
+// widen returns how many homes an adapter has while all of the given number are
 // overloaded: one more after the other until one of them is not. It answers a
 // sudden demand for an adapter, which its share of all requests shows only
 // seconds later, and a home that others' adapters overload. The further homes
 // are the same for all entries, so that each fetches the adapter once.
-func Widen(key string, homes int, candidates []Candidate) int {
-	order := byPlace(key, candidates)
+func widen(order []ranked, homes int, candidates []Candidate) int {
 	for homes < len(order) && allFull(order[:homes], candidates) {
 		homes++
 	}
@@ -133,24 +132,27 @@
 
 // Engines returns the indices of the engines in the order in which a request
 // for a key should be offered to them: its homes by their load, then the others
-// by theirs. Engines that are down come last. random is between 0 and 1.
-func Engines(key string, homes int, candidates []Candidate, random float64) []int {
+// by theirs. Engines that are down come last. random is between 0 and 1. It
+// returns how many of the first are homes: homes, or more while all of those are
+// overloaded.
+func Engines(key string, homes int, candidates []Candidate, random float64) (indices []int, wide int) {
 	order := byPlace(key, candidates)
+	wide = widen(order, homes, candidates)
 	for i := range order {
 		order[i].load = candidates[order[i].index].Load + loadStep*chance(order[i].place, random)
 	}
-	homes = min(homes, len(order))
+	homes = min(wide, len(order))
 	byLoad := func(a, b ranked) int {
 		x, y := &candidates[a.index], &candidates[b.index]
 		return cmp.Or(compareDown(x, y), cmp.Compare(a.load, b.load))
 	}
 	slices.SortFunc(order[:homes], byLoad)
 	slices.SortFunc(order[homes:], byLoad)
-	indices := make([]int, len(order))
+	indices = make([]int, len(order))
 	for i, r := range order {
 		indices[i] = r.index
 	}
-	return indices
+	return indices, wide
 }
 
 // chance returns a number between 0 and 1 for an engine and a draw.
--- a/entry/spread/spread_test.go
+++ b/entry/spread/spread_test.go
@@ -36,15 +36,25 @@
 	return candidates
 }
 
+func engineOrder(key string, homes int, all []spread.Candidate, random float64) []int {
+	order, _ := spread.Engines(key, homes, all, random)
+	return order
+}
+
+func wideHomes(homes int, all []spread.Candidate) int {
+	_, wide := spread.Engines("a", homes, all, 0.5)
+	return wide
+}
+
 // An adapter keeps its home while engines come and go.
 func TestHomesAreStable(t *testing.T) {
 	all := engines(9)
 	moved := 0
 	for i := range 1000 {
 		key := fmt.Sprint("a", i)
-		before := all[spread.Engines(key, 1, all, 0.3)[0]].Name
+		before := all[engineOrder(key, 1, all, 0.3)[0]].Name
 		fewer := all[:8]
-		after := fewer[spread.Engines(key, 1, fewer, 0.8)[0]].Name
+		after := fewer[engineOrder(key, 1, fewer, 0.8)[0]].Name
 		if before != all[8].Name {
 			require.Equal(t, before, after)
 		} else {
@@ -59,35 +69,35 @@
 	require.Equal(t, 4, spread.Homes(0.22, 9))
 	require.Equal(t, 9, spread.Homes(0.9, 9))
 	all := engines(9)
-	order := spread.Engines("a", 4, all, 0.3)
+	order := engineOrder("a", 4, all, 0.3)
 	all[order[0]].Load = 1
-	again := spread.Engines("a", 4, all, 0.3)
+	again := engineOrder("a", 4, all, 0.3)
 	require.Equal(t, order[1], again[0])
 	require.Equal(t, order[0], again[3])
 	require.ElementsMatch(t, order[:4], again[:4], "the homes stay the homes")
 	all[order[1]].Down = true
-	require.Equal(t, order[1], spread.Engines("a", 4, all, 0.3)[8])
+	require.Equal(t, order[1], engineOrder("a", 4, all, 0.3)[8])
 }
 
 // An adapter whose homes are all overloaded gets one more, the same for every
 // entry, and no more than it needs.
 func TestOverloadedHomesAreWidened(t *testing.T) {
 	all := engines(9)
-	order := spread.Engines("a", 9, all, 0.3)
-	require.Equal(t, 2, spread.Widen("a", 2, all))
-	first := spread.Engines("a", 1, all, 0.3)[0]
+	order := engineOrder("a", 9, all, 0.3)
+	require.Equal(t, 2, wideHomes(2, all))
+	first := engineOrder("a", 1, all, 0.3)[0]
 	all[first].Load = 2
-	require.Equal(t, 2, spread.Widen("a", 1, all))
-	require.Equal(t, 2, spread.Widen("a", 2, all), "one of the two has room")
-	second := spread.Engines("a", 2, all, 0.9)[0]
+	require.Equal(t, 2, wideHomes(1, all))
+	require.Equal(t, 2, wideHomes(2, all), "one of the two has room")
+	second := engineOrder("a", 2, all, 0.9)[0]
 	require.NotEqual(t, first, second)
 	for range 3 {
-		require.Equal(t, second, spread.Engines("a", spread.Widen("a", 1, all), all, 0.1)[0])
+		require.Equal(t, second, engineOrder("a", wideHomes(1, all), all, 0.1)[0])
 	}
 	for _, at := range order {
 		all[at].Load = 2
 	}
-	require.Equal(t, 9, spread.Widen("a", 1, all))
+	require.Equal(t, 9, wideHomes(1, all))
 }
 
 // Requests that any engine can serve are spread although all report no load.
@@ -95,7 +105,7 @@
 	random := rand.New(rand.NewPCG(3, 4))
 	all, work := engines(9), make([]int, 9)
 	for range 9000 {
-		work[spread.Engines("", 9, all, random.Float64())[0]]++
+		work[engineOrder("", 9, all, random.Float64())[0]]++
 	}
 	for _, count := range work {
 		require.InDelta(t, 1000, count, 900)
@@ -115,7 +125,7 @@
 	for range requests {
 		adapter := zipf.Uint64()
 		homes := spread.Homes(shares[adapter]/requests, len(all))
-		chosen := spread.Engines(fmt.Sprint(adapter), homes, all, random.Float64())[0]
+		chosen := engineOrder(fmt.Sprint(adapter), homes, all, random.Float64())[0]
 		work[chosen]++
 		all[chosen].Load = work[chosen] / requests * float64(len(all))
 	}
--- a/entry/view/view.go
+++ b/entry/view/view.go
@@ -119,9 +119,9 @@
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	list, candidates := v.candidates(service, excluded, now)
-	homes = spread.Widen(key, spread.Homes(share, len(v.services[service])), candidates)
+	order, homes := spread.Engines(key, spread.Homes(share, len(v.services[service])), candidates, random)
 	records := make([]census.Record, 0, len(list))
-	for _, at := range spread.Engines(key, homes, candidates, random) {
+	for _, at := range order {
 		records = append(records, list[at].record)
 	}
 	return records, homes
