entry: log and count each decision on a repeat with its inputs

Each wish to repeat now writes one line (event repeat) with the service, the outcome, the requests and repeats of the window and among how many entries the fixed part is divided, and adds to a counter by service; entries-known tells when that number changes. Lines of repeats may be dropped like those of refusals.

Test: entry/direct TestRepeatsAreLogged. No decision changes.

--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -22,6 +22,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/census"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/event"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/kept"
 	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
@@ -314,6 +315,22 @@
 	require.Len(t, s.calls, 13)
 }
 
+// Each decision on a repeat can be explained from its line.
+func TestRepeatsAreLogged(t *testing.T) {
+	var lines strings.Builder
+	d := newDirect(&service{replies: []reply{reset}}, 3)
+	d.Host.Log = event.New(&lines, "entry")
+	d.Budget.Slack, d.Budget.Ratio = 1, 0
+	for range 2 {
+		_, err := run(context.Background(), d, repeats)
+		require.Error(t, err)
+	}
+	require.Contains(t, lines.String(), "event=repeat request=r service=s outcome=sent arrived=1 requests=1 repeats=0 entries=1\n")
+	require.Contains(t, lines.String(), "event=repeat request=r service=s outcome=refused arrived=1 requests=2 repeats=1 entries=1\n")
+	require.EqualValues(t, 1, d.Host.Meter.Value("repeats_sent_s"))
+	require.EqualValues(t, 1, d.Host.Meter.Value("repeats_refused_s"))
+}
+
 func TestWithdrawnKeyIsNotTriedAgain(t *testing.T) {
 	s := &service{replies: []reply{full, good}}
 	withdrawn := false
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -77,7 +77,7 @@
 		if place == nil {
 			return j.end(ctx, refusal)
 		}
-		if j.arrived > 0 && !j.direct.Budget.Spend(j.service, time.Now()) {
+		if j.arrived > 0 && !j.repeat() {
 			place.release()
 			return j.end(ctx, j.refuse("retry_budget", "too many requests are being repeated", failedLater))
 		}
@@ -96,6 +96,20 @@
 	}
 }
 
+// repeat takes one repeat out of the fleet's budget and reports whether there
+// was one.
+func (j *job) repeat() bool {
+	d := j.direct.Budget.Spend(j.service, time.Now())
+	outcome := "sent"
+	if !d.Allowed {
+		outcome = "refused"
+	}
+	j.direct.Host.Meter.Add("repeats_"+outcome+"_"+j.service, 1)
+	j.direct.Host.Log.Write("repeat", "request", j.request.ID, "service", j.service, "outcome", outcome,
+		"arrived", j.arrived, "requests", d.Requests, "repeats", d.Repeats, "entries", d.Entries)
+	return d.Allowed
+}
+
 // stop returns why no further attempt may be made.
 func (j *job) stop(ctx context.Context) error {
 	if ctx.Err() != nil {
--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -53,16 +53,27 @@
 	w.requests[w.last%(parts+1)]++
 }
 
+// Decision is the outcome of one wish to repeat, with what decided it.
+type Decision struct {
+	// Allowed says that the repeat may be sent and has been counted.
+	Allowed bool
+	// Requests and Repeats are this entry's in the window before the wish.
+	Requests, Repeats float64
+	// Entries is among how many entries Slack was divided.
+	Entries int
+}
+
 // Spend takes one repeat out of the budget, if there is one.
-func (b *Budget) Spend(service string, now time.Time) bool {
+func (b *Budget) Spend(service string, now time.Time) Decision {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	w := b.window(service, now)
-	if sum(w.repeats)+1 > b.Ratio*sum(w.requests)+b.Slack/float64(b.Entries()) {
-		return false
+	d := Decision{Requests: sum(w.requests), Repeats: sum(w.repeats), Entries: b.Entries()}
+	d.Allowed = d.Repeats+1 <= b.Ratio*d.Requests+b.Slack/float64(d.Entries)
+	if d.Allowed {
+		w.repeats[w.last%(parts+1)]++
 	}
-	w.repeats[w.last%(parts+1)]++
-	return true
+	return d
 }
 
 // window returns the service's counts, moved on to now.
--- a/entry/retry/retry_test.go
+++ b/entry/retry/retry_test.go
@@ -30,7 +30,7 @@
 			budget.Request("s", now)
 			events = append(events, event{at: now})
 		}
-		if budget.Spend("s", now) {
+		if budget.Spend("s", now).Allowed {
 			events = append(events, event{at: now, repeat: true})
 		}
 	}
@@ -53,14 +53,14 @@
 func TestUnusedBudgetIsThere(t *testing.T) {
 	budget := &retry.Budget{Ratio: 0.2, Slack: 8, Window: 10 * time.Second, Entries: func() int { return 4 }}
 	now := time.Unix(1000, 0)
-	require.True(t, budget.Spend("s", now))
-	require.True(t, budget.Spend("s", now))
-	require.False(t, budget.Spend("s", now))
-	require.True(t, budget.Spend("other", now))
+	require.True(t, budget.Spend("s", now).Allowed)
+	require.True(t, budget.Spend("s", now).Allowed)
+	require.False(t, budget.Spend("s", now).Allowed)
+	require.True(t, budget.Spend("other", now).Allowed)
 	for range 5 {
 		budget.Request("s", now)
 	}
-	require.True(t, budget.Spend("s", now))
-	require.False(t, budget.Spend("s", now))
-	require.True(t, budget.Spend("s", now.Add(11*time.Second)))
+	require.True(t, budget.Spend("s", now).Allowed)
+	require.False(t, budget.Spend("s", now).Allowed)
+	require.True(t, budget.Spend("s", now.Add(11*time.Second)).Allowed)
 }
--- a/pkg/event/share.go
+++ b/pkg/event/share.go
@@ -20,7 +20,7 @@
 		return refusalShare
 	case has(line, "admitted"), has(line, "engine-ordered"):
 		return successShare
-	case has(line, "admission-refused"), has(line, "attempt-failed"), has(line, "agent-unreachable"):
+	case has(line, "admission-refused"), has(line, "attempt-failed"), has(line, "agent-unreachable"), has(line, "repeat"):
 		return refusalShare
 	}
 	return 1
--- a/pkg/feed/turn.go
+++ b/pkg/feed/turn.go
@@ -134,8 +134,8 @@
 	if len(update.Replicas) > 0 {
 		f.Uplink.Learn(update.Replicas)
 	}
-	if update.Entries > 0 {
-		f.entries.Store(update.Entries)
+	if update.Entries > 0 && f.entries.Swap(update.Entries) != update.Entries {
+		f.Host.Log.Write("entries-known", "entries", update.Entries)
 	}
 	if update.Changes == 0 {
 		return
--- a/spindle/story/cause.go
+++ b/spindle/story/cause.go
@@ -17,7 +17,7 @@
 	aboutEndpoint = map[string]bool{"endpoint-announced": true, "endpoint-departed": true}
 	aboutDaemon   = map[string]bool{
 		"control-lost": true, "control-reached": true, "control-unreachable": true, "feed-lost": true, "grant-failed": true,
-		"overdraft-ended": true, "suspended": true, "configuration": true, "entry-draining": true, "stopped": true, "started": true,
+		"overdraft-ended": true, "suspended": true, "entries-known": true, "configuration": true, "entry-draining": true, "stopped": true, "started": true,
 	}
 )
 
@@ -28,7 +28,7 @@
 	"engines_busy":    "the engines that keep its adapter could not have begun it in time; admission-refused lines tell their wait and load",
 	"no_endpoint":     "no endpoint of its service was known, or all had been tried",
 	"endpoint_failed": "its endpoint failed it and it could not, or might not, run elsewhere; attempt-failed lines tell how",
-	"retry_budget":    "it failed at an endpoint, and the fleet's share of repeats was used up",
+	"retry_budget":    "it failed at an endpoint, and the fleet's share of repeats was used up; repeat lines tell the counts that decided it",
 	"timeout":         "its caller's time, or its route's, was over",
 	"caller_gone":     "its caller left before the answer was whole",
 	"stopping":        "its entry was stopping and could not have finished it",
