--- a/entry/retry/retry_test.go
+++ b/entry/retry/retry_test.go
@@ -64,3 +64,53 @@
 	require.False(t, budget.Spend("s", now).Allowed)
 	require.True(t, budget.Spend("s", now.Add(11*time.Second)).Allowed)
 }
+
+// A window of the bound that ends with a repeat holds none of the requests from
+// before it.
+func TestRequestsOlderThanTheWindowAllowNoRepeats(t *testing.T) {
+	budget := &retry.Budget{Ratio: 0.2, Window: 10 * time.Second, Entries: func() int { return 4 }}
+	now := time.Unix(1000, 0)
+	for range 100 {
+		budget.Request("s", now)
+	}
+	require.True(t, budget.Spend("s", now.Add(9*time.Second)).Allowed)
+	require.False(t, budget.Spend("s", now.Add(10*time.Second+time.Millisecond)).Allowed)
+}
+
+// A process that starts anew knows neither what the one before it has repeated
+// nor how many others there are.
+func TestProcessesThatStartAnewStayWithinTheBound(t *testing.T) {
+	const entries, slack = 4, 20.0
+	start := time.Unix(1000, 0)
+	sent := 0
+	for life := range 3 {
+		for range entries {
+			known := 1
+			budget := &retry.Budget{Slack: slack, Window: 10 * time.Second, Entries: func() int { return known }}
+			for step := range 100 {
+				if budget.Spend("s", start.Add(time.Duration(100*life+step)*30*time.Millisecond)).Allowed {
+					sent++
+				}
+				known = entries
+			}
+		}
+	}
+	require.LessOrEqual(t, sent, int(slack), "in 9 s")
+}
+
+// The time of day steps while requests and repeats go on.
+func TestClockStepsGiveNoRepeats(t *testing.T) {
+	for _, step := range []time.Duration{20 * time.Second, -20 * time.Second} {
+		budget := &retry.Budget{Slack: 20, Window: 10 * time.Second, Entries: func() int { return 1 }}
+		now, sent := time.Unix(1000, 0), 0
+		for range 3 {
+			for range 100 {
+				if budget.Spend("s", now).Allowed {
+					sent++
+				}
+			}
+			now = now.Add(step)
+		}
+		require.LessOrEqual(t, sent, 20, "a step of %s", step)
+	}
+}
