retry: count repeats by a clock that does not step

Cause: the window of the counts was placed by the time of day. A step ahead empties it, a step back keeps requests in it for longer, or stops it.

Why it works: differences of the monotonic clock, or of the boot-time clock where suspensions count, are not set.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/tanagerspindle/tanagerspindle/entry/view"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/census"
+	"github.com/tanagerspindle/tanagerspindle/pkg/clock"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/feed"
@@ -228,7 +229,7 @@
 	}
 	e.blame = &blame.Blame{Entry: d.Host.VM, Report: e.feed.Crashed}
 	e.direct.Config, e.direct.Broke, e.direct.Cleared = e.feed.Config, e.blame.Broke, e.feed.Clear
-	d.Repeats.Entries = e.feed.Entries
+	d.Repeats.Entries, d.Repeats.Clock = e.feed.Entries, clock.Elapsed(d.Boot)
 	e.limit = &limit.Limit{Host: d.Host, Incarnation: incarnation, Config: e.feed.Config, Grant: e.grant, Boot: d.Boot}
 	if d.Send != nil {
 		e.limit.Entries = e.feed.KnownEntries
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -154,7 +154,7 @@
 		return refusal
 	}
 	service := d.service(&r.Route)
-	d.Budget.Request(service, time.Now())
+	d.Budget.Request(service)
 	if d.finishes(r) {
 		// What must not repeat goes on to its end although its caller leaves.
 		ctx = context.WithoutCancel(ctx)
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -99,7 +99,7 @@
 // repeat takes one repeat out of the fleet's budget and reports whether there
 // was one.
 func (j *job) repeat() bool {
-	d := j.direct.Budget.Spend(j.service, time.Now())
+	d := j.direct.Budget.Spend(j.service)
 	outcome := "sent"
 	if !d.Allowed {
 		outcome = "refused"
--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -34,6 +34,9 @@
 	Window time.Duration
 	// Entries returns how many entries share Slack; at least 1.
 	Entries func() int
+	// Clock is that of clock.Elapsed: a time of day that steps would empty or
+	// keep the counts.
+	Clock func() time.Duration
 
 	mutex    sync.Mutex
 	services map[string]*window
@@ -47,10 +50,10 @@
 }
 
 // Request counts a request for a service.
-func (b *Budget) Request(service string, now time.Time) {
+func (b *Budget) Request(service string) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	w := b.window(service, now)
+	w := b.window(service)
 	w.requests[w.last%(parts+1)]++
 }
 
@@ -65,10 +68,10 @@
 }
 
 // Spend takes one repeat out of the budget, if there is one.
-func (b *Budget) Spend(service string, now time.Time) Decision {
+func (b *Budget) Spend(service string) Decision {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	w := b.window(service, now)
+	w := b.window(service)
 	d := Decision{Requests: sum(w.requests) - w.requests[w.oldest()], Repeats: sum(w.repeats), Entries: b.Entries()}
 	d.Allowed = d.Repeats+1 <= b.Ratio*d.Requests+b.Slack/float64(d.Entries)
 	if d.Allowed {
@@ -77,12 +80,12 @@
 	return d
 }
 
-// window returns the service's counts, moved on to now.
-func (b *Budget) window(service string, now time.Time) *window {
+// window returns the service's counts, moved on to the present.
+func (b *Budget) window(service string) *window {
 	if b.services == nil {
 		b.services = map[string]*window{}
 	}
-	at := now.UnixNano() / int64(b.Window/parts)
+	at := int64(b.Clock() / (b.Window / parts))
 	w := b.services[service]
 	if w == nil {
 		w = &window{last: at}
