quota: wait for the tokens of a record under way

Callers saw: a request refused, or a repeat not sent, though its tokens were there: the entry was told to come back for them when they would have accrued once more.

Cause: the decision whether a commit would bring enough tokens left out those that a record under way had taken from the bucket.

Why it works: tokens of a record are in the reserve when it is committed, and the ask is looked at again then; a failed record postpones it as before.

--- a/ctrl/quota/quota_test.go
+++ b/ctrl/quota/quota_test.go
@@ -328,6 +328,25 @@
 	})
 }
 
+// Tokens that a record under way will bring are waited for: who was told to come
+// back for them instead had them seconds later.
+func TestTokensOfARecordUnderWayAreWaitedFor(t *testing.T) {
+	inWorld(t, conf.Workspace{Rate: 100, Burst: 300}, 1, func(w *world) {
+		ask := func(entry string, want, least int64) int64 {
+			wish := plane.Ask{Workspace: "w0", Want: want, Least: least}
+			return w.replicas[0].Grant(w.t.Context(), &plane.GrantAsk{Entry: entry, Incarnation: 1, Seq: 1, Asks: []plane.Ask{wish}}).Grants[0].Tokens
+		}
+		var group sync.WaitGroup
+		first := int64(0)
+		group.Go(func() { first = ask("a", 300, 100) })
+		time.Sleep(time.Millisecond)
+		second := ask("b", 100, 100)
+		group.Wait()
+		require.Positive(w.t, first)
+		require.Positive(w.t, second)
+	})
+}
+
 // Nothing accrues in the room of tokens that may still be spent; a report that
 // they are spent, or the end of the lease, frees the room from then on.
 func TestRoomOfUnspentTokens(t *testing.T) {
--- a/ctrl/quota/space.go
+++ b/ctrl/quota/space.go
@@ -35,7 +35,7 @@
 	// smoothed number per second.
 	granted int64
 	use     float64
-	// starved says that an ask waits for a record.
+	// starved says that an ask waits for a further record.
 	starved bool
 	// owed is what entries have spent without a grant and the bucket has not
 	// repaid.
@@ -167,8 +167,8 @@
 	}
 	ahead := s.ahead(entry)
 	if s.reserve-ahead < least {
-		if s.reserve+s.bucket.Level()-ahead >= least {
-			s.starved = true
+		if s.reserve+s.pending+s.bucket.Level()-ahead >= least {
+			s.starved = s.reserve+s.pending-ahead < least
 			return given, true
 		}
 		given.Wait = span.Duration(s.line(entry, least, ahead, now))
