entry, ctrl: lease all repeats from one pool at control

Cause: a bound of the whole fleet rested on what one process remembers and how many others it knows. The fixed part was divided by the number of entries: a process that starts anew had its part again, and one that hears 1, 2 or 3 of 8 entries while feeds reconnect had a multiple of it. The share of an entry's own requests is no better: the requests that allowed a killed process's repeats lie before the window that its successor's are in.

Why it works: the pool of a service is a bucket at the leader with committed reserves, which grows by the requests that entries report and never holds more than its part of the fixed number. Nothing that restarts, forgets or counts wrongly adds to it: a report is sent once, a pool that nobody remembers begins empty. Without control an entry repeats its share of the requests that then come to it, one gathered at most, and only if all entries' ones fit into the bound.

--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/parts"
 	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/repeat"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 )
 
@@ -86,6 +87,9 @@
 	Flight int
 	// Boot is that of clock.Watch; nil counts in Go's own time.
 	Boot func() time.Time
+	// Repeats bounds the repeats to each service over all entries, which have
+	// the same bound.
+	Repeats repeat.Bound
 	// Watch runs beside the replica and submits the operators' folder, by
 	// Fetch and Submit; nil does nothing. It must return when ctx ends.
 	Watch func(ctx context.Context) error
@@ -117,7 +121,7 @@
 		d.machine.Changed = d.feeds.Changed
 		d.quota = &quota.Owner{
 			Host: d.Host, Config: d.config, Horizon: d.machine.Horizon, Propose: d.reserve,
-			Boot: d.Boot,
+			Boot: d.Boot, Repeats: d.Repeats,
 		}
 	})
 }
--- a/ctrl/quota/grant.go
+++ b/ctrl/quota/grant.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/repeat"
 	"github.com/tanagerspindle/tanagerspindle/pkg/span"
 )
 
@@ -122,6 +124,10 @@
 			o.charge(ask.Asks[i].Workspace, owed, now)
 			continue
 		}
+		if requests := ask.Asks[i].Requests; requests > 0 {
+			o.credit(ask.Asks[i].Workspace, requests, now)
+			continue
+		}
 		s := o.spaces[ask.Asks[i].Workspace]
 		if s == nil || ask.Asks[i].Lease == 0 {
 			continue
@@ -144,6 +150,17 @@
 	s.repay()
 }
 
+// credit adds to a pool what requests allow. The caller holds the mutex.
+func (o *Owner) credit(account string, requests int64, now time.Time) {
+	o.follow()
+	s := o.space(account)
+	if _, pool := repeat.Service(account); s == nil || !pool {
+		return
+	}
+	s.advance(now)
+	s.bucket.Put(min(o.Repeats.Credit(requests), s.bucket.Burst()-s.held()-s.bucket.Level()))
+}
+
 // pass answers the open asks and returns those for which a commit would bring
 // enough, with the end of the present record.
 func (o *Owner) pass(ask *plane.GrantAsk, reply *plane.GrantReply, open []int) (short []int, next *round, leading bool) {
@@ -172,19 +189,20 @@
 	return short, o.round, true
 }
 
-// space returns the bucket of a workspace; nil when there is none.
+// space returns the bucket of an account; nil when there is none.
 func (o *Owner) space(name string) *space {
 	if s := o.spaces[name]; s != nil {
 		return s
 	}
-	if o.config == nil {
-		return nil
-	}
-	limits, ok := o.config.Workspaces[name]
+	limits, ok := o.limits(name)
 	if !ok {
 		return nil
 	}
 	horizon, seen, known := o.Horizon(name)
+	if _, pool := repeat.Service(name); pool && !known {
+		// A pool that nobody remembers may just have been used up.
+		horizon, seen, known = state.Horizon{}, time.Now(), true
+	}
 	s := newSpace(name, limits, horizon, seen, known)
 	o.spaces[name] = s
 	return s
--- a/ctrl/quota/quota.go
+++ b/ctrl/quota/quota.go
@@ -1,5 +1,5 @@
-// Package quota owns the token buckets of all workspaces at the leader and
-// leases tokens to entries.
+// Package quota owns the token buckets of all workspaces, and of the repeats to
+// all services, at the leader and leases tokens to entries.
 //
 // Tokens are granted only out of a reserve that the log already counts as
 // granted; a record moves the reserves of all active workspaces. A successor
@@ -21,6 +21,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/repeat"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wake"
 )
 
@@ -72,6 +73,9 @@
 	Propose func(ctx context.Context, term uint64, horizons []state.Horizon) error
 	// Boot is that of clock.Watch: reserves end while the VM is suspended.
 	Boot func() time.Time
+	// Repeats bounds the repeats to each service; the pools of services are
+	// granted like tokens of workspaces.
+	Repeats repeat.Bound
 
 	mutex   sync.Mutex
 	term    uint64
@@ -166,11 +170,12 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	o.follow()
+	o.openPools()
 	now := time.Now()
 	for name, s := range o.spaces {
 		s.advance(now)
 		s.smooth()
-		if s.idle() {
+		if _, pool := repeat.Service(name); !pool && s.idle() {
 			delete(o.spaces, name)
 		}
 	}
@@ -202,7 +207,7 @@
 	o.config = config
 	now := time.Now()
 	for name, s := range o.spaces {
-		limits, ok := config.Workspaces[name]
+		limits, ok := o.limits(name)
 		if !ok {
 			delete(o.spaces, name)
 			continue
@@ -212,6 +217,31 @@
 	}
 }
 
+// openPools lets the pools of repeats accrue before they are asked for: without
+// a committed horizon a pool begins empty. The caller holds the mutex.
+func (o *Owner) openPools() {
+	if o.config == nil || !o.leading {
+		return
+	}
+	for service := range o.config.Services {
+		o.space(repeat.Account(service))
+	}
+}
+
+// limits returns rate and burst of an account, if there is such a workspace or
+// service.
+func (o *Owner) limits(account string) (conf.Workspace, bool) {
+	if o.config == nil {
+		return conf.Workspace{}, false
+	}
+	if service, pool := repeat.Service(account); pool {
+		_, ok := o.config.Services[service]
+		return o.Repeats.Pool(), ok && o.Repeats.Window > 0
+	}
+	limits, ok := o.config.Workspaces[account]
+	return limits, ok
+}
+
 // record commits the reserves of the workspaces that need one, in one entry of
 // the log.
 func (o *Owner) record(ctx context.Context) {
--- a/ctrl/quota/quota_test.go
+++ b/ctrl/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -19,8 +20,12 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/repeat"
 )
 
+// testRepeats lets each service's pool accrue 0.6 repeats a second and hold six.
+var testRepeats = repeat.Bound{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
+
 // world is a log shared by three replicas, without consensus: only the leader
 // appends, and the others apply whenever the test lets them.
 type world struct {
@@ -33,6 +38,10 @@
 	term     uint64
 	config   *conf.Config
 	spent    []spending
+	// account is what random asks for; empty means w0.
+	account string
+	// reported are the tokens that requests have added to a pool.
+	reported []spending
 }
 
 // entry is a record with the term in which it was appended.
@@ -71,12 +80,14 @@
 func inWorld(t *testing.T, limits conf.Workspace, workspaces int, run func(w *world)) {
 	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		w := &world{t: t, ctx: ctx, config: &conf.Config{Number: 1, Workspaces: map[string]conf.Workspace{}}}
+		w := &world{t: t, ctx: ctx, config: &conf.Config{
+			Number: 1, Workspaces: map[string]conf.Workspace{}, Services: map[string]conf.Service{"desk": {}},
+		}}
 		for i := range workspaces {
 			w.config.Workspaces[fmt.Sprintf("w%d", i)] = limits
 		}
 		for i := range w.replicas {
-			r := &replica{Owner: quota.Owner{Host: host.Host{Meter: meter.New()}}}
+			r := &replica{Owner: quota.Owner{Host: host.Host{Meter: meter.New()}, Repeats: testRepeats}}
 			r.Config = func() *conf.Config { return w.config }
 			r.Horizon = r.machine.Horizon
 			r.Propose = func(ctx context.Context, term uint64, horizons []state.Horizon) error {
@@ -165,7 +176,12 @@
 func (w *world) ask(source *rand.Rand, r *replica, seq *uint64) {
 	*seq++
 	want := int64(source.IntN(150))
-	ask := &plane.GrantAsk{Entry: fmt.Sprint("e", source.IntN(3)), Incarnation: 1, Seq: *seq, Asks: []plane.Ask{{Workspace: "w0", Want: want, Least: want / 3}}}
+	ask := &plane.GrantAsk{Entry: fmt.Sprint("e", source.IntN(3)), Incarnation: 1, Seq: *seq, Asks: []plane.Ask{{Workspace: cmp.Or(w.account, "w0"), Want: want, Least: want / 3}}}
+	if w.account != "" && source.IntN(2) == 0 {
+		told := int64(source.IntN(3))
+		ask.Asks = append(ask.Asks, plane.Ask{Workspace: w.account, Requests: told})
+		w.reported = append(w.reported, spending{at: time.Now(), tokens: testRepeats.Credit(told)})
+	}
 	sent := time.Now()
 	reply := r.Grant(w.t.Context(), ask)
 	if len(reply.Grants) == 0 || reply.Grants[0].Tokens == 0 {
@@ -186,14 +202,20 @@
 	w.spent = append(w.spent, spending{at: at, tokens: given.Tokens})
 }
 
-// overrun returns the largest excess over rate * time + burst in any window.
+// overrun returns the largest excess over rate * time + burst, and what requests
+// have added, in any window.
 func (w *world) overrun(limits conf.Workspace) float64 {
 	slices.SortFunc(w.spent, func(a, b spending) int { return a.at.Compare(b.at) })
 	worst := -float64(limits.Burst)
 	for i, first := range w.spent {
-		sum := 0.0
+		sum, added := 0.0, 0
 		for _, last := range w.spent[i:] {
 			sum += float64(last.tokens)
+			for ; added < len(w.reported) && !w.reported[added].at.After(last.at); added++ {
+				if !w.reported[added].at.Before(first.at) {
+					sum -= float64(w.reported[added].tokens)
+				}
+			}
 			worst = max(worst, sum-float64(limits.Burst)-float64(limits.Rate)*last.at.Sub(first.at).Seconds())
 		}
 	}
@@ -214,6 +236,60 @@
 	}
 }
 
+// The same holds for the repeats to a service, also when its pool is asked for
+// first after a change of the leader, of which no record tells.
+func TestFleetNeverExceedsThePoolOfRepeats(t *testing.T) {
+	pool := testRepeats.Pool()
+	for seed := range uint64(100) {
+		inWorld(t, conf.Workspace{Rate: 100, Burst: 200}, 1, func(w *world) {
+			w.account = repeat.Account("desk")
+			seq := uint64(0)
+			w.random(rand.New(rand.NewPCG(seed, 2)), 150, &seq)
+			require.LessOrEqual(w.t, w.overrun(pool), 0.0, "seed %d", seed)
+			require.NotEmpty(w.t, w.spent)
+		})
+	}
+}
+
+// A pool accrues before it is asked for, begins empty where nothing tells that
+// it was not used, and ends with its service.
+func TestPoolsOfRepeats(t *testing.T) {
+	inWorld(t, conf.Workspace{Rate: 100, Burst: 200}, 1, func(w *world) {
+		seq := uint64(0)
+		ask := func(service string, tokens int64) plane.Grant {
+			seq++
+			wish := plane.Ask{Workspace: repeat.Account(service), Want: tokens, Least: tokens}
+			return w.replicas[w.leader].Grant(w.t.Context(), &plane.GrantAsk{Entry: "e", Incarnation: 1, Seq: seq, Asks: []plane.Ask{wish}}).Grants[0]
+		}
+		report := func(requests int64) {
+			seq++
+			told := plane.Ask{Workspace: repeat.Account("desk"), Requests: requests}
+			ask := &plane.GrantAsk{Entry: "e", Incarnation: 1, Seq: seq, Asks: []plane.Ask{told}}
+			w.replicas[w.leader].Grant(w.t.Context(), ask)
+			w.replicas[w.leader].Grant(w.t.Context(), ask)
+		}
+		require.Zero(w.t, ask("desk", 1000).Tokens)
+		time.Sleep(10 * time.Second)
+		require.EqualValues(w.t, 5500, ask("desk", 5500).Tokens, "accrued without requests")
+		require.Zero(w.t, ask("desk", 1000).Tokens)
+		time.Sleep(500 * time.Millisecond)
+		report(10)
+		require.EqualValues(w.t, 2000, ask("desk", 2000).Tokens, "a resend counts once")
+		require.Zero(w.t, ask("desk", 1000).Tokens)
+		time.Sleep(time.Second)
+		report(1000)
+		require.True(w.t, ask("desk", 6001).Over, "a pool holds no more than its burst")
+		require.EqualValues(w.t, 6000, ask("desk", 6000).Tokens)
+		w.lead(1)
+		require.Zero(w.t, ask("desk", 1000).Tokens, "the successor knows what was granted")
+		require.True(w.t, ask("nobody", 1000).Missing)
+		config := *w.config
+		config.Services = nil
+		w.config = &config
+		require.True(w.t, ask("desk", 1).Missing)
+	})
+}
+
 // Entries that always want more, and report what they spent, get all of rate
 // times time plus burst but for what the first in line still waits for; and
 // nobody is passed over because others ask for less.
--- a/ctrl/state/horizon.go
+++ b/ctrl/state/horizon.go
@@ -1,6 +1,10 @@
 package state
 
-import "time"
+import (
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/repeat"
+)
 
 // reserveAll applies the horizons of a command, unless they were drawn up in
 // another term.
@@ -21,11 +25,17 @@
 	m.horizons[horizon.Workspace] = reservation{Horizon: horizon, seen: seen}
 }
 
-// dropHorizons forgets the workspaces that the configuration no longer has.
+// dropHorizons forgets the workspaces and services that the configuration no
+// longer has.
 func (m *Machine) dropHorizons() {
-	for workspace := range m.horizons {
-		if _, ok := m.config.Workspaces[workspace]; !ok {
-			delete(m.horizons, workspace)
+	for account := range m.horizons {
+		if service, pool := repeat.Service(account); pool {
+			if _, ok := m.config.Services[service]; ok {
+				continue
+			}
+		}
+		if _, ok := m.config.Workspaces[account]; !ok {
+			delete(m.horizons, account)
 		}
 	}
 }
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -28,13 +28,13 @@
 	"github.com/tanagerspindle/tanagerspindle/entry/view"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/census"
-	"github.com/tanagerspindle/tanagerspindle/pkg/clock"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/feed"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/parts"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/repeat"
 	"github.com/tanagerspindle/tanagerspindle/pkg/uplink"
 )
 
@@ -94,8 +94,9 @@
 	// Send sends requests of opaque routes to endpoints; nil serves no such
 	// routes. An entry with it serves them also while control is out of reach.
 	Send func(ctx context.Context, c *direct.Call) (*direct.Answer, error)
-	// Repeats bounds the repeats of requests of opaque routes.
-	Repeats retry.Budget
+	// Repeats bounds the repeats of requests of opaque routes. Control has the
+	// same bound.
+	Repeats repeat.Bound
 	// Boot is that of clock.Watch; nil counts in Go's own time.
 	Boot func() time.Time
 	// Face replaces the handler of callers' requests; nil keeps it.
@@ -209,8 +210,9 @@
 	e.relay.Start()
 	e.auth = &auth.Auth{}
 	e.view = &view.View{Near: d.Host.DataCentre}
+	budget := &retry.Budget{Bound: d.Repeats, Entries: e.entries}
 	e.direct = &direct.Direct{
-		Host: d.Host, View: e.view, Send: d.Send, Budget: &d.Repeats, Ends: e.drain.Ends,
+		Host: d.Host, View: e.view, Send: d.Send, Budget: budget, Ends: e.drain.Ends,
 		Agents: &pool.Pool{Dial: d.Host.Dial, DialLimit: agentLimit},
 	}
 	e.feed = &feed.Feed{
@@ -229,8 +231,10 @@
 	}
 	e.blame = &blame.Blame{Entry: d.Host.VM, Report: e.feed.Crashed}
 	e.direct.Config, e.direct.Broke, e.direct.Cleared = e.feed.Config, e.blame.Broke, e.feed.Clear
-	d.Repeats.Entries, d.Repeats.Clock = e.feed.Entries, clock.Elapsed(d.Boot)
-	e.limit = &limit.Limit{Host: d.Host, Incarnation: incarnation, Config: e.feed.Config, Grant: e.grant, Boot: d.Boot}
+	e.limit = &limit.Limit{
+		Host: d.Host, Incarnation: incarnation, Config: e.feed.Config, Grant: e.grant, Boot: d.Boot, Repeats: d.Repeats,
+	}
+	budget.Report, budget.Lease = e.limit.Report, e.limit.Repeat
 	if d.Send != nil {
 		e.limit.Entries = e.feed.KnownEntries
 	}
@@ -253,6 +257,9 @@
 	})
 }
 
+// entries returns how many entries control hears of, 0 while that is not known.
+func (e *entry) entries() int { return e.feed.KnownEntries() }
+
 // ready reports whether the entry may get requests. One that serves opaque
 // routes does so without authority too.
 func (e *entry) ready() bool {
--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -21,7 +21,6 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/census"
-	"github.com/tanagerspindle/tanagerspindle/pkg/clock"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/event"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
@@ -111,7 +110,17 @@
 	return &direct.Direct{
 		Host: host.Host{Meter: meter.New()}, View: v, Send: s.send, Agents: &pool.Pool{},
 		Config: func() *conf.Config { return config },
-		Budget: &retry.Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second, Entries: func() int { return 1 }, Clock: clock.Elapsed(nil)},
+		Budget: &retry.Budget{
+			Report: func(string) bool { return true }, Lease: leased(100), Entries: func() int { return 0 },
+		},
+	}
+}
+
+// leased gives a number of repeats.
+func leased(left int) func(context.Context, string) bool {
+	return func(context.Context, string) bool {
+		left--
+		return left >= 0
 	}
 }
 
@@ -308,7 +317,7 @@
 func TestRepeatsStayWithinTheBudget(t *testing.T) {
 	s := &service{replies: []reply{reset}}
 	d := newDirect(s, 3)
-	d.Budget.Slack, d.Budget.Ratio = 3, 0
+	d.Budget.Lease = leased(3)
 	for range 10 {
 		_, err := run(context.Background(), d, repeats)
 		require.Error(t, err)
@@ -321,15 +330,15 @@
 	var lines strings.Builder
 	d := newDirect(&service{replies: []reply{reset}}, 3)
 	d.Host.Log = event.New(&lines, "entry")
-	d.Budget.Slack, d.Budget.Ratio = 1, 0
+	d.Budget.Lease = leased(1)
 	for range 2 {
 		_, err := run(context.Background(), d, repeats)
 		require.Error(t, err)
 	}
-	require.Contains(t, lines.String(), "event=repeat request=r service=s outcome=sent arrived=1 requests=1 repeats=0 entries=1\n")
-	require.Contains(t, lines.String(), "event=repeat request=r service=s outcome=refused arrived=1 requests=2 repeats=1 entries=1\n")
-	require.EqualValues(t, 1, d.Host.Meter.Value("repeats_sent_s"))
-	require.EqualValues(t, 1, d.Host.Meter.Value("repeats_refused_s"))
+	require.Contains(t, lines.String(), "event=repeat request=r service=s source=pool arrived=1 waited=")
+	require.Contains(t, lines.String(), "event=repeat request=r service=s source=none arrived=1 waited=")
+	require.EqualValues(t, 1, d.Host.Meter.Value("repeats_pool_s"))
+	require.EqualValues(t, 1, d.Host.Meter.Value("repeats_none_s"))
 }
 
 func TestWithdrawnKeyIsNotTriedAgain(t *testing.T) {
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/entry/retry"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/census"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
@@ -77,7 +78,7 @@
 		if place == nil {
 			return j.end(ctx, refusal)
 		}
-		if j.arrived > 0 && !j.repeat() {
+		if j.arrived > 0 && !j.repeat(ctx) {
 			place.release()
 			return j.end(ctx, j.refuse("retry_budget", "too many requests are being repeated", failedLater))
 		}
@@ -98,16 +99,13 @@
 
 // repeat takes one repeat out of the fleet's budget and reports whether there
 // was one.
-func (j *job) repeat() bool {
-	d := j.direct.Budget.Spend(j.service)
-	outcome := "sent"
-	if !d.Allowed {
-		outcome = "refused"
-	}
-	j.direct.Host.Meter.Add("repeats_"+outcome+"_"+j.service, 1)
-	j.direct.Host.Log.Write("repeat", "request", j.request.ID, "service", j.service, "outcome", outcome,
-		"arrived", j.arrived, "requests", d.Requests, "repeats", d.Repeats, "entries", d.Entries)
-	return d.Allowed
+func (j *job) repeat(ctx context.Context) bool {
+	asked := time.Now()
+	source := j.direct.Budget.Spend(ctx, j.service)
+	j.direct.Host.Meter.Add("repeats_"+string(source)+"_"+j.service, 1)
+	j.direct.Host.Log.Write("repeat", "request", j.request.ID, "service", j.service, "source", source,
+		"arrived", j.arrived, "waited", time.Since(asked))
+	return source != retry.SourceNone
 }
 
 // stop returns why no further attempt may be made.
--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -17,6 +17,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/repeat"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wake"
 )
 
@@ -64,6 +65,8 @@
 	Entries func() int
 	// Boot is that of clock.Watch: leases end while the VM is suspended.
 	Boot func() time.Time
+	// Repeats bounds the repeats that Limit.Repeat leases.
+	Repeats repeat.Bound
 
 	mutex  sync.Mutex
 	watch  clock.Watch
@@ -178,8 +181,13 @@
 		need: need, spare: l.spare(r, need), class: r.Class,
 		due: until(r), until: until(r), done: make(chan error, 1), opaque: r.Route.Kind == conf.KindOpaque,
 	}
+	return l.wait(ctx, r.Workspace, w)
+}
+
+// wait gets a waiter paid, or refused when its time is over or too short.
+func (l *Limit) wait(ctx context.Context, account string, w *waiter) (*reservation, error) {
 	l.mutex.Lock()
-	s := l.share(r.Workspace)
+	s := l.share(account)
 	w.paid = &reservation{share: s}
 	if err := l.join(s, w); err != nil {
 		l.mutex.Unlock()
@@ -334,19 +342,20 @@
 	return s
 }
 
-func (l *Limit) burst(workspace string) int64 {
-	config := l.Config()
-	if config == nil {
-		return 1
+// allowance returns rate and burst of an account: a workspace's or those of a
+// service's repeats.
+func (l *Limit) allowance(account string) conf.Workspace {
+	if _, ok := repeat.Service(account); ok {
+		return l.Repeats.Pool()
 	}
-	return max(config.Workspaces[workspace].Burst, 1)
-}
-
-// rate returns the workspace's tokens per second.
-func (l *Limit) rate(workspace string) float64 {
 	config := l.Config()
 	if config == nil {
-		return 1
+		return conf.Workspace{}
 	}
-	return math.Max(float64(config.Workspaces[workspace].Rate), 1)
+	return config.Workspaces[account]
 }
+
+func (l *Limit) burst(account string) int64 { return max(l.allowance(account).Burst, 1) }
+
+// rate returns the account's tokens per second.
+func (l *Limit) rate(account string) float64 { return math.Max(float64(l.allowance(account).Rate), 1) }
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -18,6 +18,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/repeat"
 	"github.com/tanagerspindle/tanagerspindle/pkg/span"
 )
 
@@ -291,3 +292,51 @@
 		require.Positive(t, chain.RefusalOf(err).Retry)
 	})
 }
+
+// Repeats are leased one at a time, and there are none while control does not
+// answer, whatever other entries there are.
+func TestRepeatsAreLeased(t *testing.T) {
+	left := int64(2)
+	silent := false
+	grant := func(ask *plane.GrantAsk) (*plane.GrantReply, error) {
+		if silent {
+			return nil, context.DeadlineExceeded
+		}
+		reply := &plane.GrantReply{}
+		for _, wish := range ask.Asks {
+			given := plane.Grant{Workspace: wish.Workspace, Lease: 1, Life: span.Duration(300 * time.Millisecond)}
+			switch {
+			case wish.Want == 0:
+			case left > 0:
+				given.Tokens = repeat.Unit
+				left--
+			default:
+				given.Wait = span.Duration(time.Second)
+			}
+			reply.Grants = append(reply.Grants, given)
+		}
+		return reply, nil
+	}
+	inLimit(t, grant, func(l *limit.Limit, o *owner) {
+		l.Repeats = repeat.Bound{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+		o.entries.Store(1)
+		require.True(t, l.Repeat(context.Background(), "desk"))
+		require.True(t, l.Repeat(context.Background(), "desk"))
+		began := time.Now()
+		require.False(t, l.Repeat(context.Background(), "desk"))
+		require.LessOrEqual(t, time.Since(began), 50*time.Millisecond)
+		o.mutex.Lock()
+		for _, ask := range o.asks {
+			for _, wish := range ask.Asks {
+				require.Equal(t, repeat.Account("desk"), wish.Workspace)
+			}
+		}
+		o.mutex.Unlock()
+		silent = true
+		for range 20 {
+			require.False(t, l.Repeat(context.Background(), "desk"))
+		}
+		time.Sleep(10 * time.Second)
+		require.False(t, l.Repeat(context.Background(), "desk"), "no overdraft")
+	})
+}
--- a/entry/limit/loop.go
+++ b/entry/limit/loop.go
@@ -86,6 +86,7 @@
 			l.receive(sent, ask, reply)
 			return
 		}
+		ask = withoutRequests(ask)
 		l.Host.Log.Write("grant-failed", "kind", reply.Refused, "err", err)
 		l.Host.Meter.Add("grants_failed", 1)
 		select {
@@ -95,6 +96,17 @@
 	}
 }
 
+// withoutRequests returns an ask without what may count only once: another
+// leader may get it.
+func withoutRequests(ask *plane.GrantAsk) *plane.GrantAsk {
+	again := *ask
+	again.Asks = slices.Clone(ask.Asks)
+	for i := range again.Asks {
+		again.Asks[i].Requests = 0
+	}
+	return &again
+}
+
 func (l *Limit) once(ctx context.Context, ask *plane.GrantAsk) (*plane.GrantReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
--- a/entry/limit/overdraft.go
+++ b/entry/limit/overdraft.go
@@ -6,6 +6,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/repeat"
 )
 
 const (
@@ -52,10 +53,13 @@
 // The caller holds the mutex.
 func (l *Limit) overdraw(now time.Time) {
 	entries := l.Entries()
-	if l.asked.IsZero() || now.Sub(l.asked) < overdraftAfter || entries < 1 {
+	if !l.cutOff(now) || entries < 1 {
 		return
 	}
 	for workspace, s := range l.shares {
+		if _, ok := repeat.Service(workspace); ok {
+			continue
+		}
 		part := l.rate(workspace) / float64(entries)
 		if now.Sub(l.asked) > overdraftAfter+overdraftFull {
 			part *= overdraftRest
--- /dev/null
+++ b/entry/limit/repeat.go
@@ -0,0 +1,58 @@
+package limit
+
+import (
+	"context"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/repeat"
+)
+
+// repeatWait bounds how long a repeat waits for control. A healthy exchange takes
+// a few milliseconds.
+const repeatWait = 50 * time.Millisecond
+
+// Report tells control of a request to a service, whose pool of repeats grows by
+// it. It returns false, and control is not told, while control does not answer.
+func (l *Limit) Report(service string) bool {
+	now := time.Now()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.cutOff(now) {
+		return false
+	}
+	s := l.share(repeat.Account(service))
+	if s.requests == 0 {
+		s.requested = now
+	}
+	s.requests++
+	return true
+}
+
+// Repeat takes one repeat to a service out of the fleet's pool and reports
+// whether there was one. There is none while control does not answer.
+func (l *Limit) Repeat(ctx context.Context, service string) bool {
+	now := time.Now()
+	l.mutex.Lock()
+	cutOff := l.cutOff(now)
+	l.mutex.Unlock()
+	if cutOff {
+		return false
+	}
+	until := now.Add(repeatWait)
+	w := &waiter{
+		need: repeat.Unit, class: call.ClassPerson, due: until, until: until, opaque: true, done: make(chan error, 1),
+	}
+	paid, err := l.wait(ctx, repeat.Account(service), w)
+	if err != nil {
+		return false
+	}
+	l.spendAll(paid)
+	return true
+}
+
+// cutOff reports whether control has left an ask unanswered for too long. The
+// caller holds the mutex.
+func (l *Limit) cutOff(now time.Time) bool {
+	return !l.asked.IsZero() && now.Sub(l.asked) >= overdraftAfter
+}
--- a/entry/limit/share.go
+++ b/entry/limit/share.go
@@ -14,7 +14,9 @@
 	// endReturn is how long before its end a lease's tokens go back.
 	endReturn = 100 * time.Millisecond
 	// tellSpent is how long spent tokens are gathered before control is told
-	// of them. Until it knows, they keep room in the bucket.
+	// of them. Until it knows, they keep room in the bucket. Requests are
+	// gathered as long, and add so much later to the pool of repeats: the bound
+	// has room for a fifth of a second of them.
 	tellSpent = 200 * time.Millisecond
 	// aheadTime is how much of the recent spending is leased ahead.
 	aheadTime = 250 * time.Millisecond
@@ -49,6 +51,10 @@
 	// has not been told of.
 	over *overdraft
 	owed int64
+	// requests have come since control was last told, the first of them at
+	// requested.
+	requests  int64
+	requested time.Time
 }
 
 // held is a lease of tokens; none is spent after until.
@@ -228,6 +234,10 @@
 	want, least := s.want(now)
 	asking := want > 0 && !now.Before(s.askAt)
 	asks := append(s.returns(now, asking), s.debt()...)
+	if s.requests > 0 && (asking || now.Sub(s.requested) >= tellSpent) {
+		asks = append(asks, plane.Ask{Workspace: s.workspace, Requests: s.requests})
+		s.requests = 0
+	}
 	if asking {
 		asks = append(asks, plane.Ask{Workspace: s.workspace, Want: want, Least: least})
 	}
@@ -288,5 +298,5 @@
 
 // idle reports whether the share can be forgotten.
 func (s *share) idle(now time.Time) bool {
-	return len(s.leases) == 0 && len(s.waiters) == 0 && s.owed == 0 && now.Sub(s.usedAt) > forget
+	return len(s.leases) == 0 && len(s.waiters) == 0 && s.owed == 0 && s.requests == 0 && now.Sub(s.usedAt) > forget
 }
--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -1,16 +1,17 @@
-// Package retry keeps the repeats of requests within a share of the traffic of
-// the whole fleet, without asking anybody.
+// Package retry keeps the repeats of requests within the fleet's bound.
 //
 // It answers endpoints that fail many requests at once: repeats on top of the
-// traffic would keep them down. The fleet's bound is a share of the requests of
-// a window plus a fixed number; each entry takes its part of the fixed number.
+// traffic would keep them down. Requests are reported to control and repeats
+// leased from it. While control is out of reach an entry takes repeats out of the
+// requests that it then has itself.
 package retry
 
 import (
+	"context"
 	"sync"
-	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+	"github.com/tanagerspindle/tanagerspindle/pkg/repeat"
 )
 
 // Kind classifies the failures of this package.
@@ -19,93 +20,67 @@
 // Error is this package's error type.
 type Error = fault.Error[Kind]
 
-// parts is into how many parts a window is divided for counting. A repeat
-// counts for up to one part longer than the window, a request for up to one part
-// less.
-const parts = 100
+// mostOwn is how many repeats an entry gathers without control. Each entry may
+// have so many unspent when a window of the bound begins.
+const mostOwn = 1.0
 
 // Budget bounds the repeats of this entry. Its exported fields are set before
 // use; it is safe for concurrent use.
 type Budget struct {
-	// Ratio is how many repeats the fleet may send for each request, and Slack
-	// how many beyond that, in any span of Window.
-	Ratio  float64
-	Slack  float64
-	Window time.Duration
-	// Entries returns how many entries share Slack; at least 1.
+	// Bound is the fleet's.
+	Bound repeat.Bound
+	// Report tells control of a request to a service; false says that it will
+	// not be told.
+	Report func(service string) bool
+	// Lease takes one repeat to a service out of the fleet's pool.
+	Lease func(ctx context.Context, service string) bool
+	// Entries returns among how many entries the bound is divided without
+	// control, 0 while that is not known.
 	Entries func() int
-	// Clock is that of clock.Elapsed: a time of day that steps would empty or
-	// keep the counts.
-	Clock func() time.Duration
 
-	mutex    sync.Mutex
-	services map[string]*window
+	mutex sync.Mutex
+	// own are the repeats gathered without control, by service. A process starts
+	// with none: one before it may just have taken them.
+	own map[string]float64
 }
 
-// window counts the requests and repeats of one service.
-type window struct {
-	requests, repeats [parts + 1]float64
-	// last is the number of the part counted last.
-	last int64
-}
+// Source says out of what a repeat was taken.
+type Source string
+
+// The sources of repeats.
+const (
+	// SourceNone says that the repeat may not be sent.
+	SourceNone Source = "none"
+	// SourcePool is the fleet's pool at control.
+	SourcePool Source = "pool"
+	// SourceOwn is the entry's share of the requests that came without control.
+	SourceOwn Source = "own"
+)
 
 // Request counts a request for a service.
 func (b *Budget) Request(service string) {
+	if b.Report(service) {
+		return
+	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	w := b.window(service)
-	w.requests[w.last%(parts+1)]++
-}
-
-// Decision is the outcome of one wish to repeat, with what decided it.
-type Decision struct {
-	// Allowed says that the repeat may be sent and has been counted.
-	Allowed bool
-	// Requests and Repeats are this entry's in the window before the wish.
-	Requests, Repeats float64
-	// Entries is among how many entries Slack was divided.
-	Entries int
-}
-
-// Spend takes one repeat out of the budget, if there is one.
-func (b *Budget) Spend(service string) Decision {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	w := b.window(service)
-	d := Decision{Requests: sum(w.requests) - w.requests[w.oldest()], Repeats: sum(w.repeats), Entries: b.Entries()}
-	d.Allowed = d.Repeats+1 <= b.Ratio*d.Requests+b.Slack/float64(d.Entries)
-	if d.Allowed {
-		w.repeats[w.last%(parts+1)]++
+	if b.own == nil {
+		b.own = map[string]float64{}
 	}
-	return d
+	b.own[service] = min(b.own[service]+b.Bound.Ratio, mostOwn)
 }
 
-// window returns the service's counts, moved on to the present.
-func (b *Budget) window(service string) *window {
-	if b.services == nil {
-		b.services = map[string]*window{}
-	}
-	at := int64(b.Clock() / (b.Window / parts))
-	w := b.services[service]
-	if w == nil {
-		w = &window{last: at}
-		b.services[service] = w
+// Spend takes one repeat out of the budget and returns where from. It may wait
+// for control.
+func (b *Budget) Spend(ctx context.Context, service string) Source {
+	if b.Lease(ctx, service) {
+		return SourcePool
 	}
-	for w.last < at {
-		w.last = max(w.last+1, at-parts-1)
-		w.requests[w.last%(parts+1)] = 0
-		w.repeats[w.last%(parts+1)] = 0
-	}
-	return w
-}
-
-// oldest is the place of the part that lies partly before the window.
-func (w *window) oldest() int64 { return (w.last + 1) % (parts + 1) }
-
-func sum(counts [parts + 1]float64) float64 {
-	total := 0.0
-	for _, count := range counts {
-		total += count
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.own[service] < 1 || !b.Bound.Alone(b.Entries()) {
+		return SourceNone
 	}
-	return total
+	b.own[service]--
+	return SourceOwn
 }
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -30,16 +30,6 @@
 	return time.Unix(read.Sec, read.Nsec)
 }
 
-// Elapsed returns a clock that begins at zero and follows no step of the time of
-// day. boot is that of Watch; nil does not count suspensions.
-func Elapsed(boot func() time.Time) func() time.Duration {
-	if boot == nil {
-		boot = time.Now
-	}
-	start := boot()
-	return func() time.Duration { return boot().Sub(start) }
-}
-
 // Watch tells how long the VM was suspended, for parts that count in Go's own
 // time. Its fields are set before use; it is used by one goroutine at a time.
 type Watch struct {
--- a/pkg/plane/quota.go
+++ b/pkg/plane/quota.go
@@ -13,6 +13,7 @@
 
 // Ask is the need of one workspace at one entry.
 type Ask struct {
+	// Workspace may also be the account of a service's repeats.
 	Workspace string `protobuf:"bytes,1,opt"`
 	// Want is how many tokens the entry could use now.
 	Want int64 `protobuf:"varint,2,opt"`
@@ -29,6 +30,10 @@
 	// Owed is how many tokens the entry has spent without a grant while control
 	// did not answer.
 	Owed int64 `protobuf:"varint,7,opt"`
+	// Requests is how many requests to the service whose repeats Workspace names
+	// have come to the entry since it last said so. They are told once: an ask
+	// that is sent again does not hold them.
+	Requests int64 `protobuf:"varint,8,opt"`
 }
 
 // Check reports the first invalid field.
@@ -37,7 +42,7 @@
 		return &Error{Op: "check grant", Kind: KindInvalid}
 	}
 	for _, ask := range g.Asks {
-		if ask.Want < 0 || ask.Least < 0 || ask.Unused < 0 || ask.Spent < 0 || ask.Owed < 0 {
+		if ask.Want < 0 || ask.Least < 0 || ask.Unused < 0 || ask.Spent < 0 || ask.Owed < 0 || ask.Requests < 0 {
 			return &Error{Op: "check ask", Kind: KindInvalid}
 		}
 	}
--- /dev/null
+++ b/pkg/repeat/repeat.go
@@ -0,0 +1,76 @@
+// Package repeat tells how the fleet's bound on repeats is divided.
+//
+// The bound of a service is a share of its requests in a window plus a fixed
+// number. All of it is one pool at control, which accrues by the requests that
+// entries report and leases repeats as it leases tokens of workspaces. What one
+// process remembers, or how many others it knows, bounds nothing.
+package repeat
+
+import (
+	"strings"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+// Unit is how many tokens of a pool one repeat takes: a request adds less than
+// one repeat to it.
+const Unit = 1000
+
+// How Slack is divided. What is left, a tenth, covers repeats that reach
+// endpoints later than they were taken, and requests that are reported later
+// than they came.
+const (
+	// heldShare is what a pool holds at most, and so what may be repeated at
+	// once.
+	heldShare = 0.3
+	// accruedShare is what a pool accrues in a window without any request.
+	accruedShare = 0.3
+	// ownShare is for what entries take without control, at most one repeat
+	// each beyond the share of their requests.
+	ownShare = 0.3
+)
+
+// prefix begins the accounts of pools; no workspace's name may contain its first
+// letter.
+const prefix = "+repeats/"
+
+// Bound bounds the repeats to one service over the whole fleet.
+type Bound struct {
+	// Ratio is how many repeats the fleet may send for each request, and Slack
+	// how many beyond that, in any span of Window.
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// Pool returns the rate at which a service's pool accrues without requests, and
+// what it holds at most.
+func (b Bound) Pool() conf.Workspace {
+	return conf.Workspace{
+		Rate:  max(int64(b.Slack*accruedShare*Unit/b.Window.Seconds()), 1),
+		Burst: max(int64(b.Slack*heldShare*Unit), 1),
+	}
+}
+
+// Credit returns the tokens that requests add to the pool.
+func (b Bound) Credit(requests int64) int64 { return int64(float64(requests) * b.Ratio * Unit) }
+
+// Alone reports whether each of a number of entries may take repeats without
+// control. It may not while the number is not known, which is 0.
+func (b Bound) Alone(entries int) bool {
+	return entries > 0 && float64(entries) <= b.Slack*ownShare
+}
+
+// Account names the pool of a service where tokens are leased.
+func Account(service string) string { return prefix + service }
+
+// Service returns the service whose pool an account is.
+func Service(account string) (service string, ok bool) { return strings.CutPrefix(account, prefix) }
