pool: measure the silence of sessions without the time of day

Callers could see: requests that wait on a session which has gone silent, for as long as the time of day was set back, because it counted as heard lately and was not proved.

TestTheTimeOfDayMeasuresNoSpans failed on the package with its entry removed.

--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -63,8 +63,10 @@
 	active  int
 	retired bool
 	timer   *time.Timer
-	// heard is when the other end was last heard, in nanoseconds.
-	heard atomic.Int64
+	// heard is for how long the session had existed when the other end was last
+	// heard, in nanoseconds.
+	created time.Time
+	heard   atomic.Int64
 }
 
 // Get returns a session to the address and counts an attempt on it.
@@ -107,7 +109,7 @@
 		if p.sessions == nil {
 			p.sessions = map[string]*Session{}
 		}
-		s = &Session{address: address, ready: make(chan struct{})}
+		s = &Session{address: address, ready: make(chan struct{}), created: time.Now()}
 		p.sessions[address] = s
 		created = true
 	}
@@ -202,10 +204,11 @@
 }
 
 // Note remembers that the other end was heard.
-func (p *Pool) Note(s *Session) { s.heard.Store(time.Now().UnixNano()) }
+func (p *Pool) Note(s *Session) { s.heard.Store(int64(time.Since(s.created))) }
 
+// Fresh reports whether the other end was heard lately.
 func (p *Pool) Fresh(s *Session) bool {
-	return time.Now().UnixNano()-s.heard.Load() < int64(freshFor)
+	return time.Since(s.created)-time.Duration(s.heard.Load()) < freshFor
 }
 
 // Prove pings the other end and ends the session when no pong comes in time.
--- a/pkg/clock/span_test.go
+++ b/pkg/clock/span_test.go
@@ -22,7 +22,6 @@
 	"ctrl/feeds/burn.go":     "places counts of the burn report, which replicas exchange",
 	"ctrl/node/loop.go":      "is the time that the log holds",
 	"ctrl/quota/space.go":    "orders the ends of leases",
-	"entry/pool/pool.go":     "measures the silence of sessions",
 	"pkg/roster/origin.go":   "begins counters above those of a former process",
 	"pkg/clock/clock.go":     "reads the clock of the VM",
 	"spindle/story/story.go": "orders lines of logs, which hold the time of day",
