quota: order leases by a clock that does not step

Workspaces could see: after the time of day was set back, the last lease in the list was not the last to end; a record of that moment told the successor of the leader that all leases end sooner, and it could grant their tokens again.

TestTheTimeOfDayMeasuresNoSpans failed on the package with its entry removed.

--- a/ctrl/quota/space.go
+++ b/ctrl/quota/space.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -80,7 +79,7 @@
 
 // lease adds a grant in the order of the ends.
 func (s *space) lease(granted lease) {
-	at, _ := slices.BinarySearchFunc(s.leases, granted, func(a, b lease) int { return cmp.Compare(a.until.UnixNano(), b.until.UnixNano()) })
+	at, _ := slices.BinarySearchFunc(s.leases, granted, func(a, b lease) int { return a.until.Compare(b.until) })
 	s.leases = slices.Insert(s.leases, at, granted)
 	s.out += granted.tokens
 }
--- a/pkg/clock/span_test.go
+++ b/pkg/clock/span_test.go
@@ -21,7 +21,6 @@
 	"ctrl/daemon/daemon.go":  "compares with the time that the log holds",
 	"ctrl/feeds/burn.go":     "places counts of the burn report, which replicas exchange",
 	"ctrl/node/loop.go":      "is the time that the log holds",
-	"ctrl/quota/space.go":    "orders the ends of leases",
 	"pkg/roster/origin.go":   "begins counters above those of a former process",
 	"pkg/clock/clock.go":     "reads the clock of the VM",
 	"spindle/story/story.go": "orders lines of logs, which hold the time of day",
