feeds: count no entries too few

Workspaces could see: more than their rate and burst while control is out of reach: entries then take their part of each rate, and the number of parts was what one replica heard at that moment.

TestReconnectingEntriesAreNotCountedTooFew did not compile before; what it shows first, a count of 1 at a replica that has just begun, is what the logs showed.

--- /dev/null
+++ b/ctrl/feeds/entries_test.go
@@ -0,0 +1,38 @@
+package feeds
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+// Entries that reconnect after all of control was killed, or are cut off, do not
+// make the others take larger parts of the fleet's bounds.
+func TestReconnectingEntriesAreNotCountedTooFew(t *testing.T) {
+	began := time.Now()
+	f := &Feeds{}
+	f.prepare()
+	connect := func(name string) *member {
+		m := &member{hello: plane.Hello{Role: plane.RoleEntry, Name: name}, news: make(chan struct{}, 1)}
+		require.True(t, f.join(m))
+		return m
+	}
+	first := connect("e1")
+	require.Zero(t, f.countEntries(), "one of nobody knows how many")
+	connect("e2")
+	f.seen.began = began.Add(-countAfter)
+	require.Equal(t, 2, f.countEntries())
+	f.leave(first)
+	require.Equal(t, 2, f.countEntries(), "it may still use its part")
+	require.Equal(t, []string{"e2"}, f.Entries())
+	f.seen.heard["e1"] = began.Add(-entryMemory - time.Second)
+	require.Equal(t, 1, f.countEntries())
+	f.meet("peer").heard = began.Add(-peerSilence)
+	require.Zero(t, f.countEntries(), "entries of a silent replica are not known")
+	f.meet("peer").heard = time.Now()
+	f.meet("peer").last.Entries = []string{"e3", "e4"}
+	require.Equal(t, 3, f.countEntries())
+}
--- a/ctrl/feeds/feeds.go
+++ b/ctrl/feeds/feeds.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,7 +13,6 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/parts"
-	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
 )
@@ -101,6 +99,8 @@
 	peers   map[string]*peer
 	// proved is when the last successful quorum round began.
 	proved time.Time
+	// seen are the entries that may divide bounds of the fleet among them.
+	seen entryCount
 	// listening is since when this replica has heard agents without a pause.
 	listening time.Time
 	closed    bool
@@ -119,6 +119,7 @@
 		f.peers = map[string]*peer{}
 		f.changed = make(chan struct{})
 		f.proved, f.listening = time.Now(), time.Now()
+		f.seen.began = f.listening
 		f.barriers.run = f.round
 		f.enrols.run = f.enrolAll
 	})
@@ -171,14 +172,6 @@
 	f.wakePeers()
 }
 
-func (f *Feeds) wakeEntries() {
-	for _, m := range f.all() {
-		if m.hello.Role == plane.RoleEntry {
-			notify(m.news)
-		}
-	}
-}
-
 // round makes one quorum round for all beats that came before it.
 func (f *Feeds) round(ctx context.Context, items []struct{}) ([]struct{}, error) {
 	began := time.Now()
@@ -202,29 +195,3 @@
 	}
 	return result.Fences, nil
 }
-
-// Entries returns the names of the entries that are connected here or at
-// another replica, sorted.
-func (f *Feeds) Entries() []string {
-	f.prepare()
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	names := f.ownEntries()
-	for _, p := range f.peers {
-		if time.Since(p.heard) < peerSilence {
-			names = append(names, p.last.Entries...)
-		}
-	}
-	slices.Sort(names)
-	return slices.Compact(names)
-}
-
-func (f *Feeds) ownEntries() []string {
-	var names []string
-	for m := range f.members {
-		if m.hello.Role == plane.RoleEntry {
-			names = append(names, m.hello.Name)
-		}
-	}
-	return names
-}
--- a/ctrl/feeds/update.go
+++ b/ctrl/feeds/update.go
@@ -73,7 +73,7 @@
 		news = true
 	}
 	if m.hello.Role == plane.RoleEntry {
-		update.Entries = int32(len(f.Entries()))
+		update.Entries = int32(f.countEntries())
 	}
 	return news
 }
