limit: a process that starts anew takes no overdraft in its first 8 s

Workspaces could see: more than their rate and burst when entries are killed again and again while control does not answer them: each process went on at its part of the rate for 0.75 s anew, and what its predecessor had spent so was told to nobody.

TestOverdraftsOfEntriesThatStartAnewStayWithinTheBound failed before. The other tests of overdrafts begin with entries that have run for 10 s.

--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -73,6 +73,8 @@
 	shares map[string]*share
 	wake   wake.Signal
 	seq    uint64
+	// began is when Run did.
+	began time.Time
 	// asked is since when an ask is unanswered; zero when none is.
 	asked time.Time
 }
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -225,7 +225,6 @@
 // what that came to.
 func TestEntryGoesOnWithoutControl(t *testing.T) {
 	var silent atomic.Bool
-	silent.Store(true)
 	answer := func(ask *plane.GrantAsk) (*plane.GrantReply, error) {
 		if silent.Load() {
 			return nil, context.DeadlineExceeded
@@ -234,6 +233,8 @@
 	}
 	inLimit(t, answer, func(l *limit.Limit, o *owner) {
 		o.entries.Store(4)
+		time.Sleep(10 * time.Second)
+		silent.Store(true)
 		payFor := func(length time.Duration) (paid int) {
 			for start := time.Now(); time.Since(start) < length; time.Sleep(2 * time.Millisecond) {
 				if pay(l, 1, 0, 10*time.Millisecond) == nil {
--- a/entry/limit/loop.go
+++ b/entry/limit/loop.go
@@ -25,6 +25,9 @@
 // Run exchanges tokens with control until ctx ends, then gives back what is
 // left.
 func (l *Limit) Run(ctx context.Context) {
+	l.mutex.Lock()
+	l.began = time.Now()
+	l.mutex.Unlock()
 	go l.watchCutOff(ctx)
 	l.wake.Set()
 	for ctx.Err() == nil {
--- a/entry/limit/overdraft.go
+++ b/entry/limit/overdraft.go
@@ -22,6 +22,10 @@
 	// of which seven entries of eight take 0.875 * (0.75 + 7.25 * 0.06) = 1.04.
 	overdraftFull = 750 * time.Millisecond
 	overdraftRest = 0.06
+	// overdraftAge is how old a process is before it goes on by itself: one
+	// before it may have done so in the same window, which control was not told.
+	// The longest window of the users' bounds on tokens.
+	overdraftAge = 8 * time.Second
 	// overdraftTick is the time between two looks at who waits.
 	overdraftTick = 50 * time.Millisecond
 	// overdraftLife keeps the overdraft's lease valid from tick to tick.
@@ -53,7 +57,7 @@
 // The caller holds the mutex.
 func (l *Limit) overdraw(now time.Time) {
 	entries := l.Entries()
-	if !l.cutOff(now) || entries < 1 {
+	if !l.cutOff(now) || entries < 1 || now.Sub(l.began) < overdraftAge {
 		return
 	}
 	for workspace, s := range l.shares {
--- a/stubs/prove/overdraft_test.go
+++ b/stubs/prove/overdraft_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -35,15 +36,21 @@
 	cutTokens  = 1500
 	// cutRate is the rate of a large workspace, with a second's burst.
 	cutRate = 60_000
+	// platformBound is the most tokens of that workspace in a window.
+	platformBound = int(platformOver*cutRate*(float64(platformWindow/time.Second)+1)) + platformSlack
 )
 
 // cuttable is a fleet of entries that one owner grants tokens to, some of which
 // it cannot be reached from.
 type cuttable struct {
-	owner  quota.Owner
-	limits [cutEntries]limit.Limit
-	cut    [cutEntries]atomic.Bool
+	owner quota.Owner
+	cut   [cutEntries]atomic.Bool
+	// start starts an entry's process anew.
+	start func(entry int)
+
 	mutex  sync.Mutex
+	limits [cutEntries]*limit.Limit
+	kill   [cutEntries]func()
 	spent  []time.Time
 }
 
@@ -64,23 +71,32 @@
 		f.owner.Lead(1, true)
 		var parts sync.WaitGroup
 		parts.Go(func() { f.owner.Run(ctx) })
-		for i := range f.limits {
-			l := &f.limits[i]
-			l.Host = host.Host{VM: fmt.Sprint("e", i), Meter: meter.New()}
-			l.Incarnation = uint64(i + 1)
-			l.Config = func() *conf.Config { return config }
-			l.Entries = func() int { return cutEntries }
+		f.start = func(entry int) {
+			running, stop := context.WithCancel(ctx)
+			l := &limit.Limit{
+				Host: host.Host{VM: fmt.Sprint("e", entry), Meter: meter.New()}, Incarnation: rand.Uint64() | 1,
+				Config: func() *conf.Config { return config }, Entries: func() int { return cutEntries },
+			}
 			l.Grant = func(ctx context.Context, ask *plane.GrantAsk, reply *plane.GrantReply) error {
-				if f.cut[i].Load() {
+				if f.cut[entry].Load() || running.Err() != nil {
 					<-ctx.Done()
 					return ctx.Err()
 				}
 				*reply = *f.owner.Grant(ctx, ask)
 				return nil
 			}
-			parts.Go(func() { l.Run(ctx) })
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			if f.kill[entry] != nil {
+				f.kill[entry]()
+			}
+			f.limits[entry], f.kill[entry] = l, stop
+			parts.Go(func() { l.Run(running) })
 		}
-		time.Sleep(time.Second)
+		for i := range f.limits {
+			f.start(i)
+		}
+		time.Sleep(10 * time.Second)
 		test(f)
 		cancel()
 		parts.Wait()
@@ -97,7 +113,10 @@
 		callers.Go(func() {
 			var requests sync.WaitGroup
 			for start := time.Now(); time.Since(start) < length; time.Sleep(gap) {
-				requests.Go(func() { f.pay(&f.limits[i]) })
+				f.mutex.Lock()
+				l := f.limits[i]
+				f.mutex.Unlock()
+				requests.Go(func() { f.pay(l) })
 			}
 			requests.Wait()
 		})
@@ -135,7 +154,6 @@
 // that it reaches may use all of it. However many are cut off, for however
 // long, and however much the workspace sends, the sum stays within the bound.
 func TestOverdraftsOfSeveralEntriesStayWithinTheBound(t *testing.T) {
-	bound := int(platformOver*(cutRate*platformWindow.Seconds()+cutRate)) + platformSlack
 	for _, multiple := range []float64{1, 1.7, 3, 6} {
 		for cut := range cutEntries + 1 {
 			for _, gap := range []time.Duration{0, 1300 * time.Millisecond} {
@@ -145,7 +163,7 @@
 						f.cutOff(cut, gap)
 					}()
 					f.offer(multiple, 15*time.Second)
-					require.LessOrEqual(t, f.most(), bound, "%v times the rate, %d entries cut off, with breaks after %v", multiple, cut, gap)
+					require.LessOrEqual(t, f.most(), platformBound, "%v times the rate, %d entries cut off, with breaks after %v", multiple, cut, gap)
 				})
 			}
 		}
@@ -169,3 +187,23 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 }
+
+// Entries that control does not reach, and whose processes start anew again and
+// again, do not spend beside what the others get from control.
+func TestOverdraftsOfEntriesThatStartAnewStayWithinTheBound(t *testing.T) {
+	inFleet(t, func(f *cuttable) {
+		for i := range cutEntries - 1 {
+			f.cut[i].Store(true)
+		}
+		go func() {
+			for range 8 {
+				time.Sleep(1500 * time.Millisecond)
+				for i := range cutEntries - 1 {
+					f.start(i)
+				}
+			}
+		}()
+		f.offer(12, 16*time.Second)
+		require.LessOrEqual(t, f.most(), platformBound)
+	})
+}
