relay: requests through agents have the fleet's bound on repeats

Callers saw: nothing of their own; endpoints behind agents that fail got twenty repeats more for each process of an entry that starts anew.

The relay now uses entry/retry with a pool for all requests through agents (repeat.Agents), and its own budget is gone. So that the first seconds of a system have repeats, pools are full before the first configuration, which the log records; nothing was used then.

TestRetriesOfProcessesThatStartAnewStayWithinTheBudget failed before with 156 attempts where 119 are allowed. TestRetriesStayWithinTheirBudget holds unchanged (one for ten requests and twenty).

--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -2,6 +2,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -88,7 +89,7 @@
 	// Boot is that of clock.Watch; nil counts in Go's own time.
 	Boot func() time.Time
 	// Repeats bounds the repeats to each service over all entries, which have
-	// the same bound.
+	// the same bound; zero means repeat.Default.
 	Repeats repeat.Bound
 	// Watch runs beside the replica and submits the operators' folder, by
 	// Fetch and Submit; nil does nothing. It must return when ctx ends.
@@ -121,7 +122,7 @@
 		d.machine.Changed = d.feeds.Changed
 		d.quota = &quota.Owner{
 			Host: d.Host, Config: d.config, Horizon: d.machine.Horizon, Propose: d.reserve,
-			Boot: d.Boot, Repeats: d.Repeats,
+			Boot: d.Boot, Repeats: cmp.Or(d.Repeats, repeat.Default),
 		}
 	})
 }
--- a/ctrl/quota/quota.go
+++ b/ctrl/quota/quota.go
@@ -73,8 +73,8 @@
 	Propose func(ctx context.Context, term uint64, horizons []state.Horizon) error
 	// Boot is that of clock.Watch: reserves end while the VM is suspended.
 	Boot func() time.Time
-	// Repeats bounds the repeats to each service; the pools of services are
-	// granted like tokens of workspaces.
+	// Repeats bounds the repeats to each service, and to all endpoints behind
+	// agents together. The pools are granted like tokens of workspaces.
 	Repeats repeat.Bound
 
 	mutex   sync.Mutex
@@ -223,6 +223,7 @@
 	if o.config == nil || !o.leading {
 		return
 	}
+	o.space(repeat.Account(repeat.Agents))
 	for service := range o.config.Services {
 		o.space(repeat.Account(service))
 	}
@@ -236,7 +237,7 @@
 	}
 	if service, pool := repeat.Service(account); pool {
 		_, ok := o.config.Services[service]
-		return o.Repeats.Pool(), ok && o.Repeats.Window > 0
+		return o.Repeats.Pool(), ok || service == repeat.Agents
 	}
 	limits, ok := o.config.Workspaces[account]
 	return limits, ok
--- a/ctrl/state/config.go
+++ b/ctrl/state/config.go
@@ -38,11 +38,15 @@
 	if err != nil {
 		return &plane.Submitted{Refused: plane.KindInvalid, Detail: err.Error(), Number: m.number()}
 	}
+	first := m.config == nil
 	m.config = next
 	m.history = append(m.history, Decided{Number: number, Sum: proposal.Sum, Author: proposal.Author})
 	m.history = lastOf(m.history, mostDecided)
 	m.deltas = lastOf(append(m.deltas, proposal.Delta), mostDeltas)
 	m.dropHorizons()
+	if first {
+		m.fillPools()
+	}
 	return &plane.Submitted{Number: number, Winner: proposal.Author}
 }
 
--- a/ctrl/state/horizon.go
+++ b/ctrl/state/horizon.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"math"
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/repeat"
@@ -25,12 +26,26 @@
 	m.horizons[horizon.Workspace] = reservation{Horizon: horizon, seen: seen}
 }
 
+// fillPools records that nothing of the pools of repeats was used before the first
+// configuration.
+func (m *Machine) fillPools() {
+	m.reserve(fullPool(repeat.Agents), time.Time{})
+	for service := range m.config.Services {
+		m.reserve(fullPool(service), time.Time{})
+	}
+}
+
+// fullPool is a pool that holds as much as it may.
+func fullPool(service string) Horizon {
+	return Horizon{Workspace: repeat.Account(service), Level: math.MaxInt64}
+}
+
 // dropHorizons forgets the workspaces and services that the configuration no
 // longer has.
 func (m *Machine) dropHorizons() {
 	for account := range m.horizons {
 		if service, pool := repeat.Service(account); pool {
-			if _, ok := m.config.Services[service]; ok {
+			if _, ok := m.config.Services[service]; ok || service == repeat.Agents {
 				continue
 			}
 		}
--- a/ctrl/state/machine_test.go
+++ b/ctrl/state/machine_test.go
@@ -14,6 +14,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/repeat"
 )
 
 func TestMain(m *testing.M) {
@@ -121,3 +122,41 @@
 	require.Equal(t, int64(10), horizon.Level)
 	require.Empty(t, record(0, 3, 20), "records of older programs carry no term")
 }
+
+// Pools of repeats are full before the first configuration. A service that is
+// taken out and put in again has what it used up forgotten, and begins with
+// nothing.
+func TestPoolsAreFullBeforeTheFirstConfiguration(t *testing.T) {
+	m := &state.Machine{}
+	services := func(names ...string) map[string]conf.Service {
+		all := map[string]conf.Service{}
+		for _, name := range names {
+			all[name] = conf.Service{}
+		}
+		return all
+	}
+	level := func(service string) (int64, bool) {
+		horizon, _, known := m.Horizon(repeat.Account(service))
+		return horizon.Level, known
+	}
+	apply(t, m, 0, &state.Command{Whole: &conf.Config{Number: 1, Services: services("desk")}})
+	full, known := level("desk")
+	require.True(t, known)
+	require.Greater(t, full, repeat.Default.Pool().Burst)
+	agents, known := level(repeat.Agents)
+	require.True(t, known)
+	require.Equal(t, full, agents)
+	apply(t, m, 0, &state.Command{Horizons: []state.Horizon{{Workspace: repeat.Account("desk"), Level: 7}}})
+	apply(t, m, 0, &state.Command{Whole: &conf.Config{Number: 2, Services: services("desk", "late")}})
+	left, known := level("desk")
+	require.True(t, known)
+	require.EqualValues(t, 7, left, "a configuration that keeps the service changes nothing")
+	_, known = level("late")
+	require.False(t, known)
+	apply(t, m, 0, &state.Command{Whole: &conf.Config{Number: 3}})
+	apply(t, m, 0, &state.Command{Whole: &conf.Config{Number: 4, Services: services("desk")}})
+	_, known = level("desk")
+	require.False(t, known)
+	_, known = level(repeat.Agents)
+	require.True(t, known)
+}
--- a/ctrl/state/site.go
+++ b/ctrl/state/site.go
@@ -42,10 +42,14 @@
 	if m.config != nil {
 		m.deltas = lastOf(append(m.deltas, conf.Diff(m.config, next)), mostDeltas)
 	}
+	first := m.config == nil
 	m.config = next
 	m.history = append(m.history, Decided{Number: next.Number})
 	m.history = lastOf(m.history, mostDecided)
 	m.dropHorizons()
+	if first {
+		m.fillPools()
+	}
 	return &plane.Submitted{Number: next.Number}
 }
 
--- a/entry/daemon/control_test.go
+++ b/entry/daemon/control_test.go
@@ -11,6 +11,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/lease"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/repeat"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 	"github.com/tanagerspindle/tanagerspindle/pkg/span"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
@@ -165,13 +166,19 @@
 		c.level[name] = min(c.level[name]+passed*float64(workspace.Rate), float64(workspace.Burst))
 	}
 	for i, a := range ask.Asks {
+		workspace := c.config.Workspaces[a.Workspace]
+		if _, pool := repeat.Service(a.Workspace); pool {
+			workspace = repeat.Default.Pool()
+			if _, known := c.level[a.Workspace]; !known {
+				c.level[a.Workspace] = float64(workspace.Burst)
+			}
+		}
 		c.level[a.Workspace] += float64(a.Unused)
 		c.returned[a.Workspace] += a.Unused
 		c.spent[a.Workspace] += a.Spent
 		if a.Want == 0 {
 			continue
 		}
-		workspace := c.config.Workspaces[a.Workspace]
 		grant := plane.Grant{Workspace: a.Workspace, Lease: ask.Seq<<8 | uint64(i), Life: span.Duration(2 * time.Second)}
 		grant.Over = a.Least > workspace.Burst
 		if c.level[a.Workspace] >= float64(max(a.Least, 1)) {
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -94,8 +95,8 @@
 	// Send sends requests of opaque routes to endpoints; nil serves no such
 	// routes. An entry with it serves them also while control is out of reach.
 	Send func(ctx context.Context, c *direct.Call) (*direct.Answer, error)
-	// Repeats bounds the repeats of requests of opaque routes. Control has the
-	// same bound.
+	// Repeats bounds the repeats to each service over all entries; zero means
+	// repeat.Default. Control has the same bound.
 	Repeats repeat.Bound
 	// Boot is that of clock.Watch; nil counts in Go's own time.
 	Boot func() time.Time
@@ -206,11 +207,11 @@
 	e := &entry{daemon: d, drain: &drain.Drain{Grace: d.Grace}}
 	e.uplink = &uplink.Uplink{Host: d.Host, Replicas: d.Control, Refresh: d.Refresh}
 	choice := &picker.Picker{Near: d.Host.DataCentre, Choose: d.Choose}
-	e.relay = &relay.Relay{Host: d.Host, Picker: choice}
+	budget := &retry.Budget{Bound: cmp.Or(d.Repeats, repeat.Default), Entries: e.entries}
+	e.relay = &relay.Relay{Host: d.Host, Picker: choice, Budget: budget}
 	e.relay.Start()
 	e.auth = &auth.Auth{}
 	e.view = &view.View{Near: d.Host.DataCentre}
-	budget := &retry.Budget{Bound: d.Repeats, Entries: e.entries}
 	e.direct = &direct.Direct{
 		Host: d.Host, View: e.view, Send: d.Send, Budget: budget, Ends: e.drain.Ends,
 		Agents: &pool.Pool{Dial: d.Host.Dial, DialLimit: agentLimit},
@@ -232,7 +233,7 @@
 	e.blame = &blame.Blame{Entry: d.Host.VM, Report: e.feed.Crashed}
 	e.direct.Config, e.direct.Broke, e.direct.Cleared = e.feed.Config, e.blame.Broke, e.feed.Clear
 	e.limit = &limit.Limit{
-		Host: d.Host, Incarnation: incarnation, Config: e.feed.Config, Grant: e.grant, Boot: d.Boot, Repeats: d.Repeats,
+		Host: d.Host, Incarnation: incarnation, Config: e.feed.Config, Grant: e.grant, Boot: d.Boot, Repeats: budget.Bound,
 	}
 	budget.Report, budget.Lease = e.limit.Report, e.limit.Repeat
 	if d.Send != nil {
--- a/entry/daemon/relay_test.go
+++ b/entry/daemon/relay_test.go
@@ -204,6 +204,32 @@
 	})
 }
 
+// A process that starts anew repeats nothing beyond what the one before it left of
+// the fleet's budget.
+func TestRetriesOfProcessesThatStartAnewStayWithinTheBudget(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.agents["s1"].setRun(refuse(call.ReasonEngine, true))
+		w.agents["s2"].setRun(refuse(call.ReasonLoad, false))
+		sent, entry := 0, "entry"
+		for _, next := range []string{"second", "third", ""} {
+			for range 30 {
+				got := w.requestAt(entry, "GET", "/lookup/1", keyAnand, "")
+				require.NotEqual(t, 200, got.status)
+				sent++
+			}
+			if next == "" {
+				break
+			}
+			w.kill(entry)
+			w.killed = append(w.killed, w.ended)
+			w.startEntry(next)
+			time.Sleep(500 * time.Millisecond)
+			entry = next
+		}
+		require.LessOrEqual(t, len(w.all("s1", "s2")), sent+sent/10+20)
+	})
+}
+
 func TestNoEndpointMeansNotRunAndComeBack(t *testing.T) {
 	inWorld(t, func(w *world) {
 		for _, name := range []string{"e1", "e2"} {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -10,10 +10,12 @@
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/entry/picker"
 	"github.com/tanagerspindle/tanagerspindle/entry/pool"
+	"github.com/tanagerspindle/tanagerspindle/entry/retry"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/digest"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/repeat"
 )
 
 // Kind classifies the failures of this package.
@@ -47,9 +49,10 @@
 	Host host.Host
 	// Picker chooses endpoints.
 	Picker *picker.Picker
+	// Budget bounds the repeats.
+	Budget *retry.Budget
 
-	pool   pool.Pool
-	budget budget
+	pool pool.Pool
 }
 
 // Start prepares the relay; it is called once before the first request.
@@ -62,7 +65,7 @@
 
 // Do runs the request; it ignores next.
 func (r *Relay) Do(ctx context.Context, q *chain.Request, _ chain.Next) error {
-	r.budget.request()
+	r.Budget.Request(repeat.Agents)
 	j := &job{relay: r, request: q, ran: chain.RanNo}
 	j.prefix = digest.Prefix(q.Prompt, mostBlocks)
 	return j.run(ctx)
@@ -127,7 +130,7 @@
 		case verdictFinal:
 			return err
 		}
-		if err := j.next(choice, verdict, err); err != nil {
+		if err := j.next(ctx, choice, verdict, err); err != nil {
 			return err
 		}
 	}
@@ -223,7 +226,7 @@
 }
 
 // next decides whether another attempt follows a failed one.
-func (j *job) next(choice *picker.Choice, verdict verdict, cause error) error {
+func (j *job) next(ctx context.Context, choice *picker.Choice, verdict verdict, cause error) error {
 	q := j.request
 	j.tried = append(j.tried, choice.Agent)
 	j.tries++
@@ -238,7 +241,9 @@
 	if handedBack(j.last) && verdict == verdictElsewhere && j.tries < mostTries {
 		return nil
 	}
-	if !j.relay.budget.retry() {
+	source := j.relay.Budget.Spend(ctx, repeat.Agents)
+	j.relay.Host.Log.Write("repeat", "request", q.ID, "source", source, "tries", j.tries)
+	if source == retry.SourceNone {
 		return j.refusal(chain.Refuse(http.StatusServiceUnavailable, "retry_budget", "too many requests are being retried").After(retryLater))
 	}
 	return nil
--- a/pkg/repeat/repeat.go
+++ b/pkg/repeat/repeat.go
@@ -38,6 +38,13 @@
 	ownShare = 0.3
 )
 
+// Agents stands in place of a service for all requests that go through agents.
+const Agents = ""
+
+// Default is the bound where the settings name none: one repeat for ten requests,
+// and what retries eighteen requests that fail at once.
+var Default = Bound{Ratio: 0.1, Slack: 60, Window: 10 * time.Second}
+
 // prefix begins the accounts of pools; no workspace's name may contain its first
 // letter.
 const prefix = "+repeats/"
