feeds: count no engines too few

The weight store could see: more loads than its rate while control is out of reach: agents then load at their static share of the rate, and the share was the rate over the engines that one replica heard at that moment, 1 for the first agent that reconnects after all of control was killed. Agents of the users' platform have no such share.

TestReconnectingEnginesAreNotCountedTooFew: the count of a replica that has just begun was 1, and fell as soon as an agent left.

--- a/ctrl/feeds/entries.go
+++ b/ctrl/feeds/entries.go
@@ -4,52 +4,9 @@
 	"slices"
 	"time"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/lease"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 )
 
-const (
-	// entryMemory is how long an entry counts after it was heard: what it has
-	// used up of a bound may be in a window of ten seconds, the longest of the
-	// users' bounds, and it may go on for the length of its lease.
-	entryMemory = 10*time.Second + lease.Length
-	// countAfter is how long a replica listens before it knows how many entries
-	// there are. Each of them is heard within the length of its lease, and the
-	// peers tell of theirs a moment later.
-	countAfter = lease.Length + peerInterval
-)
-
-// entryCount counts the entries that divide bounds of the fleet among them. It
-// may count some that are gone, but none too few.
-type entryCount struct {
-	// began is when the replica began to listen.
-	began time.Time
-	heard map[string]time.Time
-}
-
-// note says that entries were heard.
-func (c *entryCount) note(names []string, now time.Time) {
-	if c.heard == nil {
-		c.heard = map[string]time.Time{}
-	}
-	for _, name := range names {
-		c.heard[name] = now
-	}
-}
-
-// count returns the number of entries, 0 while it is not known.
-func (c *entryCount) count(now time.Time) int {
-	for name, at := range c.heard {
-		if now.Sub(at) > entryMemory {
-			delete(c.heard, name)
-		}
-	}
-	if now.Sub(c.began) < countAfter {
-		return 0
-	}
-	return len(c.heard)
-}
-
 // Entries returns the names of the entries that are connected here or at
 // another replica, sorted.
 func (f *Feeds) Entries() []string {
--- a/ctrl/feeds/entries_test.go
+++ b/ctrl/feeds/entries_test.go
@@ -1,12 +1,16 @@
 package feeds
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 )
 
 // Entries that reconnect after all of control was killed, or are cut off, do not
@@ -28,7 +32,7 @@
 	f.leave(first)
 	require.Equal(t, 2, f.countEntries(), "it may still use its part")
 	require.Equal(t, []string{"e2"}, f.Entries())
-	f.seen.heard["e1"] = began.Add(-entryMemory - time.Second)
+	f.seen.heard["e1"] = began.Add(-liveMemory - time.Second)
 	require.Equal(t, 1, f.countEntries())
 	f.meet("peer").heard = began.Add(-peerSilence)
 	require.Zero(t, f.countEntries(), "entries of a silent replica are not known")
@@ -36,3 +40,21 @@
 	f.meet("peer").last.Entries = []string{"e3", "e4"}
 	require.Equal(t, 3, f.countEntries())
 }
+
+// Agents that reconnect after all of control was killed do not take larger
+// parts of the load budget.
+func TestReconnectingEnginesAreNotCountedTooFew(t *testing.T) {
+	f := &Feeds{Roster: &roster.Roster{}, Host: host.Host{Meter: meter.New()}}
+	f.prepare()
+	for agent := range 3 {
+		require.True(t, f.Roster.Report(1, roster.Record{Agent: fmt.Sprint("a", agent), Incarnation: 1, Beat: 1, Model: "m"}))
+		f.countEngines()
+		require.Zero(t, f.engines.Load(), "one of nobody knows how many")
+	}
+	f.loading.began = time.Now().Add(-countAfter)
+	f.countEngines()
+	require.EqualValues(t, 3, f.engines.Load())
+	require.True(t, f.Roster.Leave(1, "a0", 1))
+	f.countEngines()
+	require.EqualValues(t, 3, f.engines.Load(), "it may still load")
+}
--- a/ctrl/feeds/feeds.go
+++ b/ctrl/feeds/feeds.go
@@ -85,7 +85,8 @@
 	Loads float64
 
 	once sync.Once
-	// engines is the number of live engines in the roster.
+	// engines is the number of engines that may share the load budget, 0 while
+	// it is not known.
 	engines  atomic.Int32
 	barriers batch[struct{}, struct{}]
 	enrols   batch[state.Enrol, uint64]
@@ -99,8 +100,9 @@
 	peers   map[string]*peer
 	// proved is when the last successful quorum round began.
 	proved time.Time
-	// seen are the entries that may divide bounds of the fleet among them.
-	seen entryCount
+	// seen are the entries, and loading the engines' agents, that may divide
+	// bounds of the fleet among them. Only sweepAll uses loading.
+	seen, loading liveCount
 	// listening is since when this replica has heard agents without a pause.
 	listening time.Time
 	closed    bool
@@ -119,7 +121,7 @@
 		f.peers = map[string]*peer{}
 		f.changed = make(chan struct{})
 		f.proved, f.listening = time.Now(), time.Now()
-		f.seen.began = f.listening
+		f.seen.began, f.loading.began = f.listening, f.listening
 		f.barriers.run = f.round
 		f.enrols.run = f.enrolAll
 	})
--- a/ctrl/feeds/sweep.go
+++ b/ctrl/feeds/sweep.go
@@ -100,16 +100,18 @@
 	}
 }
 
-// countEngines counts the live engines, which share the load budget.
+// countEngines counts the engines that may share the load budget.
 func (f *Feeds) countEngines() {
-	engines := int32(0)
+	var live []string
 	for _, record := range f.Roster.All() {
 		if record.Model != "" {
-			engines++
+			live = append(live, record.Agent)
 		}
 	}
-	f.engines.Store(engines)
-	f.Host.Meter.Set("engines", int64(engines))
+	now := time.Now()
+	f.loading.note(live, now)
+	f.engines.Store(int32(f.loading.count(now)))
+	f.Host.Meter.Set("engines", int64(len(live)))
 	f.Host.Meter.Set("feeds", int64(len(f.all())))
 }
 
