direct: leave an agent alone that did not answer

Cause: nothing remembered that an agent had not answered.

Why it works: the agent is left alone for 0.4 s, doubling to 1 s, as endpoints are; then one request asks it first. Requests go on at once as they did after the wait: to the engine itself if the adapter was used there lately, else to the next home.

--- a/entry/direct/place.go
+++ b/entry/direct/place.go
@@ -103,7 +103,7 @@
 // there all the same if the adapter is probably there.
 func (j *job) ask(ctx context.Context, engine census.Record, last bool) (*place, *admit.Reply) {
 	d := j.direct
-	reply, end, err := j.exchange(ctx, engine, last)
+	reply, end, err := j.askAgent(ctx, engine, last)
 	if err != nil {
 		d.Host.Meter.Add("agents_unreachable", 1)
 		d.Host.Log.Write("agent-unreachable", "request", j.request.ID, "endpoint", engine.Name, "agent", engine.Agent, "err", err)
@@ -132,6 +132,19 @@
 	return &place{endpoint: engine, version: reply.Version, waited: reply.Wait.Std(), release: release}, reply
 }
 
+// askAgent asks an engine's agent unless it did not answer lately.
+func (j *job) askAgent(ctx context.Context, engine census.Record, last bool) (*admit.Reply, func(), error) {
+	v := j.direct.View
+	if !v.AskAgent(engine.Name, promptLimit, time.Now()) {
+		return nil, nil, &Error{Op: "ask agent", Kind: KindSilent}
+	}
+	reply, end, err := j.exchange(ctx, engine, last)
+	if ctx.Err() == nil {
+		v.AgentAsked(engine.Name, err == nil, time.Now())
+	}
+	return reply, end, err
+}
+
 // exchange sends an Ask and waits for the Reply. When it admits the request,
 // end tells the agent that the request has ended.
 func (j *job) exchange(ctx context.Context, engine census.Record, last bool) (reply *admit.Reply, end func(), err error) {
--- a/entry/direct/place_test.go
+++ b/entry/direct/place_test.go
@@ -31,13 +31,15 @@
 	// refuse holds what each agent answers; an empty reason admits.
 	refuse map[string]admit.Reply
 	asks   []admit.Ask
+	// silent agents read what they are asked and say nothing.
+	silent map[string]bool
 }
 
 func inSite(t *testing.T, engines int, test func(t *testing.T, s *site)) {
 	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		network := vnet.New()
-		s := &site{refuse: map[string]admit.Reply{}, direct: newDirect(&service{replies: []reply{good}}, 0)}
+		s := &site{refuse: map[string]admit.Reply{}, silent: map[string]bool{}, direct: newDirect(&service{replies: []reply{good}}, 0)}
 		dial := network.Dialer("entry")
 		s.direct.Agents = &pool.Pool{Dial: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, address) }}
 		config := &conf.Config{Number: 1, Services: map[string]conf.Service{"s": {Engine: &conf.Engine{Slots: 8, Places: 4, Stride: 1}}}}
@@ -70,8 +72,11 @@
 	}
 	s.mutex.Lock()
 	s.asks = append(s.asks, ask)
-	reply := s.refuse[name]
+	reply, silent := s.refuse[name], s.silent[name]
 	s.mutex.Unlock()
+	if silent {
+		return stream.Receive(&ask)
+	}
 	return stream.Send(&reply)
 }
 
@@ -114,3 +119,45 @@
 		})
 	}
 }
+
+// An agent that does not answer holds up one request now and then, not each of
+// them; when it answers again it is asked as before.
+func TestSilentAgentHoldsUpFewRequests(t *testing.T) {
+	inSite(t, 3, func(t *testing.T, s *site) {
+		_, err := run(t.Context(), s.direct, model)
+		require.NoError(t, err)
+		home := s.asks[0].Endpoint
+		set := func(silent bool) {
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			s.silent[home] = silent
+		}
+		set(true)
+		held := 0
+		for range 200 {
+			began := time.Now()
+			_, err := run(t.Context(), s.direct, model)
+			require.NoError(t, err)
+			if time.Since(began) >= 200*time.Millisecond {
+				held++
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		require.Positive(t, held)
+		require.LessOrEqual(t, held, 8, "in four seconds")
+		set(false)
+		time.Sleep(2 * time.Second)
+		s.asks = nil
+		began := time.Now()
+		asked := map[string]bool{}
+		for range 20 {
+			_, err := run(t.Context(), s.direct, model)
+			require.NoError(t, err)
+		}
+		for _, ask := range s.asks {
+			asked[ask.Endpoint] = true
+		}
+		require.True(t, asked[home], "it is asked as before")
+		require.Less(t, time.Since(began), 100*time.Millisecond)
+	})
+}
--- a/entry/view/view.go
+++ b/entry/view/view.go
@@ -23,6 +23,9 @@
 	// alone; the pause doubles up to longestPause.
 	firstPause   = 400 * time.Millisecond
 	longestPause = 4 * time.Second
+	// agentPause is the longest pause of an agent: it starts anew in less than a
+	// second, and its engine gets no work that must be admitted meanwhile.
+	agentPause = time.Second
 	// weight is that of the newest answer in the means of time and failures.
 	weight = 0.15
 	// tolerated is how many times the others' time an endpoint may take, and
@@ -57,10 +60,8 @@
 	// load is what its agent reported last, in thousandths.
 	load     int64
 	loadedAt time.Time
-	// faults counts the failures to reach it in a row; it is left alone until
-	// a time.
-	faults int
-	until  time.Time
+	// reach and agent are the failures to reach it and its agent.
+	reach, agent backoff
 	// failing and took are the means of failures and of times in seconds.
 	failing, took float64
 	// resident are the adapters used there lately.
@@ -143,7 +144,7 @@
 	candidates := make([]spread.Candidate, 0, len(list))
 	for _, e := range list {
 		candidate := spread.Candidate{
-			Name: e.record.Name, Load: e.work(now), Far: e.record.DataCentre != v.Near, Down: now.Before(e.until),
+			Name: e.record.Name, Load: e.work(now), Far: e.record.DataCentre != v.Near, Down: e.reach.away(now),
 		}
 		if known > 1 && e.took > 0 {
 			// The others' mean, so that a bad endpoint is measured against good
@@ -189,7 +190,7 @@
 	if e == nil {
 		return
 	}
-	e.faults, e.until = 0, time.Time{}
+	e.reach = backoff{}
 	one := 0.0
 	if failed {
 		one = 1
@@ -210,15 +211,44 @@
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	e := v.byName[name]
-	if e == nil || now.Before(e.until) {
+	if e == nil || e.reach.away(now) {
 		return
 	}
-	pause := min(firstPause<<min(e.faults, 8), longestPause)
-	e.faults++
-	e.until = now.Add(pause)
+	e.reach.fail(now, longestPause)
 	clear(e.resident)
 }
 
+// AskAgent reports whether an engine's agent is to be asked: one that did not
+// answer is left alone for a while, and then asked by one request first, for
+// at most patience.
+func (v *View) AskAgent(name string, patience time.Duration, now time.Time) bool {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	e := v.byName[name]
+	if e == nil || e.agent.faults == 0 {
+		return true
+	}
+	if e.agent.away(now) {
+		return false
+	}
+	e.agent.until = now.Add(patience)
+	return true
+}
+
+// AgentAsked notes whether an engine's agent answered.
+func (v *View) AgentAsked(name string, answered bool, now time.Time) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	e := v.byName[name]
+	switch {
+	case e == nil:
+	case answered:
+		e.agent = backoff{}
+	default:
+		e.agent.fail(now, agentPause)
+	}
+}
+
 // Loaded notes the load that an engine's agent reported, in thousandths.
 func (v *View) Loaded(name string, load int64, now time.Time) {
 	v.mutex.Lock()
