feeds: entries of a silent replica count on

While another replica was silent no number was told, so that entries that had come meanwhile were not counted by those that were there before: together they could take more than the fleet's bounds. What a silent replica heard last now counts as long as it is silent; a replica that never heard it tells no number. TestReconnectingEntriesAreNotCountedTooFew failed before with 0 where 3 and 4 are due. Beside it: an agent that is left alone has a kind of error of its own; feed.Entries, used nowhere any more, is gone.

--- a/ctrl/feeds/count.go
+++ b/ctrl/feeds/count.go
@@ -35,6 +35,13 @@
 	}
 }
 
+// keep lets all daemons count on although they are not heard.
+func (c *liveCount) keep(now time.Time) {
+	for name := range c.heard {
+		c.heard[name] = now
+	}
+}
+
 // count returns the number of daemons, 0 while it is not known.
 func (c *liveCount) count(now time.Time) int {
 	for name, at := range c.heard {
--- a/ctrl/feeds/entries.go
+++ b/ctrl/feeds/entries.go
@@ -18,18 +18,23 @@
 }
 
 // countEntries returns among how many entries bounds are divided, 0 while that
-// is not known: this replica has just begun, or another one is silent.
+// is not known: this replica has just begun, or has never heard another one.
 func (f *Feeds) countEntries() int {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := time.Now()
 	names, silent := f.connected(now)
 	f.seen.note(names, now)
-	count := f.seen.count(now)
 	if silent {
-		return 0
+		// Those that a silent replica heard last may still be there.
+		f.seen.keep(now)
 	}
-	return count
+	for _, p := range f.peers {
+		if p.heard.IsZero() {
+			return 0
+		}
+	}
+	return f.seen.count(now)
 }
 
 // connected returns the names of the entries that are connected here or at
--- a/ctrl/feeds/entries_test.go
+++ b/ctrl/feeds/entries_test.go
@@ -34,11 +34,15 @@
 	require.Equal(t, []string{"e2"}, f.Entries())
 	f.seen.heard["e1"] = began.Add(-liveMemory - time.Second)
 	require.Equal(t, 1, f.countEntries())
-	f.meet("peer").heard = began.Add(-peerSilence)
-	require.Zero(t, f.countEntries(), "entries of a silent replica are not known")
-	f.meet("peer").heard = time.Now()
-	f.meet("peer").last.Entries = []string{"e3", "e4"}
+	peer := f.meet("peer")
+	require.Zero(t, f.countEntries(), "entries of a replica that was never heard are not known")
+	peer.heard, peer.last.Entries = time.Now(), []string{"e3", "e4"}
 	require.Equal(t, 3, f.countEntries())
+	peer.heard = time.Now().Add(-peerSilence)
+	f.seen.heard["e3"] = began.Add(-liveMemory - time.Second)
+	require.Equal(t, 3, f.countEntries(), "those of a silent one may still be there")
+	connect("e5")
+	require.Equal(t, 4, f.countEntries())
 }
 
 // Agents that reconnect after all of control was killed do not take larger
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -37,6 +37,8 @@
 	KindSize Kind = "answer too large"
 	// KindSilent says that an endpoint sent nothing for too long.
 	KindSilent Kind = "endpoint is silent"
+	// KindAway says that an agent did not answer lately and is not asked.
+	KindAway Kind = "agent did not answer lately"
 )
 
 // Error is this package's error type.
--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -1,5 +1,5 @@
 // Package limit keeps each workspace within its rate and burst, with tokens
-// leased from control.
+// leased from control. Repeats of requests are leased in the same way.
 package limit
 
 import (
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -110,11 +110,8 @@
 // Valid reports whether the daemon has authority to serve keys.
 func (f *Feed) Valid() bool { return f.config.Load() != nil && f.lease.Valid() }
 
-// Entries returns how many entries control hears of, as far as is known; at
-// least 1.
-func (f *Feed) Entries() int { return max(int(f.entries.Load()), 1) }
-
-// KnownEntries returns the same, and 0 while nothing is known.
+// KnownEntries returns how many entries there are as far as control knows, 0
+// while nothing is known.
 func (f *Feed) KnownEntries() int { return int(f.entries.Load()) }
 
 // Banned returns the time for which a request is quarantined, and whether it
