--- a/entry/view/backoff.go
+++ b/entry/view/backoff.go
@@ -10,7 +10,6 @@
 }
 
 // fail notes a failure and starts a pause, twice the former one up to longest.
-// Requests that fail during a pause do not lengthen it.
 func (b *backoff) fail(now time.Time, longest time.Duration) {
 	b.until = now.Add(min(firstPause<<min(b.faults, 8), longest))
 	b.faults++
