pkg/link: a multiplexer ends only by its failed read, so that no stream reader spins

From its shutdown until it has closed its streams the multiplexer's readers select on a closed channel and begin anew; the goroutine that would close them waits for its reader (a failed write, no pong, no answer to a new stream) or for a write in progress (net's Close). With one processor and no preemption the readers run for ever; with preemption they take 10 ms slices from it.

--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -17,7 +17,7 @@
 const (
 	// PingInterval is the time between two keep-alive pings sent by one end.
 	PingInterval = time.Second
-	// closeTimeout bounds the wait for the multiplexer to end after its
+	// closeTimeout is how long Close waits for the multiplexer to end after its
 	// connection was closed. Normally its pending read fails at once.
 	closeTimeout = 250 * time.Millisecond
 	// PingTimeout is how long a pong may take before the session is closed.
@@ -47,7 +47,7 @@
 // Session is one multiplexed connection. Both ends may open streams.
 type Session struct {
 	mux      *yamux.Session
-	conn     net.Conn
+	conn     *muxConn
 	handlers map[string]Handler
 	context  context.Context
 	cancel   context.CancelFunc
@@ -62,14 +62,16 @@
 // name, serve the streams that the peer opens; with nil, such streams are
 // closed.
 func Client(conn net.Conn, handlers map[string]Handler) (*Session, error) {
-	mux, err := yamux.Client(conn, muxConfig())
-	return newSession(mux, conn, handlers, err)
+	below := newMuxConn(conn)
+	mux, err := yamux.Client(below, muxConfig())
+	return newSession(mux, below, handlers, err)
 }
 
 // Server starts a session on the end that accepted the connection.
 func Server(conn net.Conn, handlers map[string]Handler) (*Session, error) {
-	mux, err := yamux.Server(conn, muxConfig())
-	return newSession(mux, conn, handlers, err)
+	below := newMuxConn(conn)
+	mux, err := yamux.Server(below, muxConfig())
+	return newSession(mux, below, handlers, err)
 }
 
 // Dial connects to address and starts a client session without handlers.
@@ -81,30 +83,50 @@
 	return Client(conn, nil)
 }
 
-func newSession(mux *yamux.Session, conn net.Conn, handlers map[string]Handler, err error) (*Session, error) {
+func newSession(mux *yamux.Session, conn *muxConn, handlers map[string]Handler, err error) (*Session, error) {
 	if err != nil {
 		return nil, &Error{Op: "start session", Kind: KindSession, Err: err}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Session{mux: mux, conn: conn, handlers: handlers, context: ctx, cancel: cancel}
 	go s.accept()
+	go s.keepAlive()
 	return s, nil
 }
 
+// muxConfig turns off the time limits by which the multiplexer would shut itself
+// down; keepAlive and Open have them, and end the session by Close.
 func muxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
-	c.EnableKeepAlive = true
-	c.KeepAliveInterval = PingInterval
+	c.EnableKeepAlive = false
 	c.ConnectionWriteTimeout = PingTimeout
 	c.MaxStreamWindowSize = streamWindow
-	c.StreamOpenTimeout = PingTimeout
+	c.StreamOpenTimeout = 0
 	c.StreamCloseTimeout = time.Minute
 	c.LogOutput = io.Discard
 	return c
 }
 
+// keepAlive pings the peer and closes the session when no pong arrives in time.
+func (s *Session) keepAlive() {
+	ticker := time.NewTicker(PingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.mux.CloseChan():
+			return
+		case <-ticker.C:
+		}
+		if _, err := s.mux.Ping(); err != nil {
+			_ = s.Close()
+			return
+		}
+	}
+}
+
 func (s *Session) accept() {
 	defer s.cancel()
+	defer close(s.conn.ended)
 	for {
 		conn, err := s.mux.AcceptStream()
 		if err != nil {
@@ -128,12 +150,18 @@
 }
 
 // Open starts a stream for the named method. It does not wait for the peer's
-// confirmation; an unresponsive peer is noticed by the first Receive.
+// confirmation; the session is closed when nothing is received within PingTimeout.
 func (s *Session) Open(method string) (*wire.Stream, error) {
+	opened := time.Now()
 	conn, err := s.mux.OpenStream()
 	if err != nil {
 		return nil, &Error{Op: "open " + method, Kind: KindOpen, Err: err}
 	}
+	time.AfterFunc(PingTimeout, func() {
+		if !s.conn.receivedSince(opened) {
+			_ = s.Close()
+		}
+	})
 	stream := wire.New(conn)
 	if err := stream.Send(&openRequest{Method: method}); err != nil {
 		_ = stream.Close()
@@ -176,9 +204,7 @@
 
 // Close ends the session and all of its streams. It closes the connection
 // first, which makes the multiplexer end its streams and itself. Closing the
-// multiplexer directly makes its stream readers spin until it has closed the
-// connection, and on a single core the spinning readers can keep the closing
-// goroutine from running.
+// multiplexer directly makes its stream readers spin; see muxConn.
 func (s *Session) Close() error {
 	s.cancel()
 	err := s.conn.Close()
@@ -186,8 +212,7 @@
 	defer timer.Stop()
 	select {
 	case <-s.mux.CloseChan():
-		return err
 	case <-timer.C:
-		return s.mux.Close()
 	}
+	return err
 }
