--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -36,6 +36,7 @@
 	KindOpen         Kind = "cannot open stream"
 	KindUnresponsive Kind = "connection is unresponsive"
 	KindSession      Kind = "cannot start session"
+	KindFrame        Kind = "frame is larger than a stream's window"
 )
 
 // Error is this package's error type.
