pkg/httpc: a header without end ends the exchange

Change: 64 KB until the answer's header is complete; beyond, the error is KindAnswer and the connection is reset.

--- a/pkg/httpc/client.go
+++ b/pkg/httpc/client.go
@@ -52,6 +52,9 @@
 	idleMargin = 500 * time.Millisecond
 	// maxIdlePerAddress is the maximum number of idle connections to one address.
 	maxIdlePerAddress = 16
+	// maxHeaderBytes limits what is read, in bytes, until the answer's header is
+	// complete, informational responses included.
+	maxHeaderBytes = 64 << 10
 	// maxStrayAnswers is how many answers to other requests are skipped before
 	// the connection is closed.
 	maxStrayAnswers = 2
@@ -83,12 +86,29 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	// readingHeader limits reads to headerBytesLeft.
+	readingHeader   bool
+	headerBytesLeft int
 	// reusableUntil is the time from which an idle connection is not reused.
 	reusableUntil time.Time
 	// used reports whether a request was sent on the connection.
 	used bool
 }
 
+// Read reads from the connection. While a header is read, it fails beyond
+// maxHeaderBytes.
+func (pc *persistConn) Read(b []byte) (int, error) {
+	if !pc.readingHeader {
+		return pc.Conn.Read(b)
+	}
+	if pc.headerBytesLeft == 0 {
+		return 0, &Error{Op: "read header", Kind: KindAnswer}
+	}
+	n, err := pc.Conn.Read(b[:min(len(b), pc.headerBytesLeft)])
+	pc.headerBytesLeft -= n
+	return n, err
+}
+
 // abort resets the connection, which discards unsent bytes: a request that is
 // delayed by a network partition must not arrive after the caller gave up.
 func (pc *persistConn) abort() {
@@ -164,8 +184,11 @@
 // receive reads the header of the answer. It skips informational responses and
 // answers to other requests.
 func receive(pc *persistConn, request *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
+	pc.headerBytesLeft = maxHeaderBytes
 	for strays := 0; ; {
+		pc.readingHeader = true
 		response, err := http.ReadResponse(pc.reader, request)
+		pc.readingHeader = false
 		if err != nil {
 			return nil, err
 		}
--- a/pkg/httpc/client_test.go
+++ b/pkg/httpc/client_test.go
@@ -235,3 +235,52 @@
 	_, reused, _ = exchange(c, address, "5")
 	require.True(t, reused)
 }
+
+// A server that sends a header without end must not fill the client's memory, and
+// its connection is closed long before the caller's deadline.
+func TestEndlessHeaderEndsTheExchange(t *testing.T) {
+	for name, piece := range map[string]string{
+		"one line":                "x",
+		"many lines":              "A: b\r\n",
+		"informational responses": "\r\n\r\nHTTP/1.1 102 Processing\r\nA: b",
+	} {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan int, 1)
+			address := startPeer(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				written, _ := fmt.Fprint(conn, "HTTP/1.1 102 Processing\r\nName: ")
+				block := strings.Repeat(piece, 1000)
+				for {
+					n, err := fmt.Fprint(conn, block)
+					written += n
+					if err != nil || written > 1<<28 {
+						closed <- written
+						return false
+					}
+				}
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			_, err := client().Do(ctx, address, request(address, "a"), false, hasID("a"))
+			require.ErrorIs(t, err, &httpc.Error{Kind: httpc.KindAnswer})
+			const maxBuffered = 16 << 20
+			require.Less(t, <-closed, maxBuffered, "the client read on")
+		})
+	}
+}
+
+// The limit of a header does not apply to the body that follows it.
+func TestLargeBodyAfterHeader(t *testing.T) {
+	const size = 1 << 20
+	address := startPeer(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		writeAnswer(conn, "a", strings.Repeat("x", size))
+		return true
+	})
+	c := client()
+	for range 2 {
+		answer, err := c.Do(context.Background(), address, request(address, "a"), false, hasID("a"))
+		require.NoError(t, err)
+		body, err := answer.ReadAll(2 * size)
+		require.NoError(t, err)
+		require.Len(t, body, size)
+	}
+}
--- a/pkg/httpc/idle.go
+++ b/pkg/httpc/idle.go
@@ -33,7 +33,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &persistConn{Conn: made, address: address, reader: bufio.NewReaderSize(made, readBuffer)}, nil
+	pc := &persistConn{Conn: made, address: address}
+	pc.reader = bufio.NewReaderSize(pc, readBuffer)
+	return pc, nil
 }
 
 // popIdle removes and returns the most recently used idle connection, which is
