entry/direct, pkg/stream: a stream that drips bytes but no event counts as stalled

Cause: any byte restarted the watchdog of a stream, so that a stalled endpoint that sent a byte or a comment now and then kept its caller until the deadline, though another could continue. The head shortened the time to the first event from 2 s to 1.2 s, which cuts slow sound streams. The splitter copied and searched the incomplete event for each read: 200 KB in single bytes took 105 s of a busy machine's time; 1 MB an incomplete event is more than an entry has for its streams. Change: only events restart the watchdog; the head restarts the time to the first event; the splitter goes on where it stopped; 256 KB an event. Tests: TestStreamWithoutProgressIsContinuedElsewhere (two kinds), TestIncompleteEventIsBounded, TestEventInSingleBytesIsCheap failed before; TestSlowStreamStaysAtItsEndpoint passed before too and guards the other side.

--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -52,7 +52,7 @@
 	if !valid(answer) {
 		return j.handleBroken(ctx, attemptCtx, t, &Error{Op: "check answer", Kind: KindAnswer, Err: statusError(answer.Status)})
 	}
-	watchdog.reset()
+	watchdog.headReceived()
 	var verdict verdict
 	if j.request.Route.Stream && answer.Status == http.StatusOK {
 		verdict, err = j.stream(answer, watchdog)
@@ -183,12 +183,17 @@
 	buffer := make([]byte, streamBufferSize)
 	for {
 		n, err := answer.Body.Read(buffer)
-		watchdog.reset()
-		j.lastReceived = time.Now()
+		hadID, formerID := j.cutter.HasLastID, j.cutter.LastID
 		complete, splitErr := j.cutter.Push(buffer[:n])
 		if splitErr != nil {
 			return verdictBroken, splitErr
 		}
+		if len(complete) > 0 {
+			j.lastReceived = time.Now()
+		}
+		if j.cutter.LastID != formerID || j.cutter.HasLastID != hadID || len(complete) > 0 && !hadID {
+			watchdog.eventReceived()
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			if j.forwardEvents(answer, complete) != nil {
 				return verdictCallerGone, err
--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -43,6 +43,32 @@
 	unresponsive bool
 	// encoding is the Content-Encoding of the answer.
 	encoding string
+	// pieces are the rest of the body after body, each sent after pause. The last
+	// one is repeated until the attempt is cancelled if endless is set.
+	pieces  []string
+	pause   time.Duration
+	endless bool
+}
+
+// pieceReader is the body of a reply with pieces.
+type pieceReader struct {
+	ctx   context.Context
+	reply reply
+	next  int
+}
+
+func (p *pieceReader) Read(data []byte) (int, error) {
+	if p.next == len(p.reply.pieces) && !p.reply.endless {
+		return 0, io.EOF
+	}
+	select {
+	case <-p.ctx.Done():
+		return 0, &httpc.Error{Kind: httpc.KindCancelled, Err: p.ctx.Err()}
+	case <-time.After(p.reply.pause):
+	}
+	n := copy(data, p.reply.pieces[min(p.next, len(p.reply.pieces)-1)])
+	p.next = min(p.next+1, len(p.reply.pieces))
+	return n, nil
 }
 
 // service returns one reply after another to the attempts of a request.
@@ -68,6 +94,9 @@
 	if next.broken {
 		body = io.MultiReader(body, broken{})
 	}
+	if len(next.pieces) > 0 {
+		body = io.MultiReader(body, &pieceReader{ctx: ctx, reply: next})
+	}
 	header := http.Header{"X-Own": {next.body}}
 	if next.encoding != "" {
 		header.Set("Content-Encoding", next.encoding)
@@ -283,6 +312,41 @@
 	require.NotEqual(t, s.calls[0].Endpoint.Name, s.calls[1].Endpoint.Name)
 }
 
+// A stalled stream that still sends something now and then, but no event, is
+// continued at another endpoint within the same time as one that sends nothing.
+func TestStreamWithoutProgressIsContinuedElsewhere(t *testing.T) {
+	for name, piece := range map[string]string{"bytes of an event": "d", "comments": ": wait\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				s := &service{replies: []reply{
+					{status: 200, authentic: true, body: completeStream[:15], pieces: []string{piece}, pause: 300 * time.Millisecond, endless: true},
+					{status: 200, authentic: true, body: completeStream[15:]},
+				}}
+				started := time.Now()
+				got, err := run(context.Background(), newFilter(s, 3), resumable)
+				require.NoError(t, err)
+				require.Len(t, s.calls, 2)
+				require.True(t, got.ended)
+				require.Equal(t, completeStream, strings.ReplaceAll(got.text, ": wait\n\n", ""))
+				require.Less(t, time.Since(started), 2*time.Second)
+			})
+		})
+	}
+}
+
+// A slow stream that makes progress stays where it is: its first event may take as
+// long after the head as after the request, and each event arrives in pieces.
+func TestSlowStreamStaysAtItsEndpoint(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		pieces := []string{"", "", completeStream[:15], completeStream[15:20], completeStream[20:30], completeStream[30:]}
+		s := &service{replies: []reply{{status: 200, authentic: true, pieces: pieces, pause: 550 * time.Millisecond}}}
+		got, err := run(context.Background(), newFilter(s, 3), resumable)
+		require.NoError(t, err)
+		require.Len(t, s.calls, 1)
+		require.Equal(t, completeStream, got.text)
+	})
+}
+
 // A request that may be retried is cancelled when its caller disconnects; a
 // request that must not run twice is not.
 func TestCallerDisconnects(t *testing.T) {
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -43,7 +43,7 @@
 	// headSent reports whether the caller has received the head of the answer.
 	headSent bool
 	cutter   stream.Splitter
-	// lastReceived is when data of a stream last arrived.
+	// lastReceived is when complete events of a stream last arrived.
 	lastReceived time.Time
 	// failure is an endpoint's error answer, forwarded if no further attempt
 	// succeeds.
--- a/entry/direct/watchdog.go
+++ b/entry/direct/watchdog.go
@@ -10,7 +10,10 @@
 // can take over the request.
 type watchdog struct {
 	timer *time.Timer
-	gap   time.Duration
+	// first and gap are how long the endpoint may take until the first event and
+	// from one event to the next. With a gap of 0, the header of the answer ends
+	// the supervision.
+	first, gap time.Duration
 }
 
 // startWatchdog starts the watchdog of an attempt. The watchdog never expires
@@ -21,11 +24,11 @@
 		return &watchdog{}
 	}
 	expire := func() { cancel(&Error{Op: "wait for endpoint", Kind: KindUnresponsive}) }
-	return &watchdog{timer: time.AfterFunc(first, expire), gap: gap}
+	return &watchdog{timer: time.AfterFunc(first, expire), first: first, gap: gap}
 }
 
-// silenceLimits returns how long the endpoint may send nothing before its first
-// bytes and between later ones; 0 means no limit.
+// silenceLimits returns how long the endpoint may send no event before the first one
+// and between later ones; 0 means no limit.
 func (j *job) silenceLimits() (first, gap time.Duration) {
 	route := &j.request.Route
 	others := j.filter.Endpoints.Count(j.service) > len(j.excluded)+1
@@ -41,16 +44,22 @@
 	return 0, 0
 }
 
-// reset restarts the timer after the endpoint has sent data.
-func (w *watchdog) reset() {
-	if w.timer == nil {
-		return
-	}
+// headReceived restarts the timer for the first event, and stops it if there is no
+// limit for events.
+func (w *watchdog) headReceived() {
 	if w.gap == 0 {
-		w.timer.Stop()
+		w.stop()
 		return
 	}
-	w.timer.Reset(w.gap)
+	w.timer.Reset(w.first)
+}
+
+// eventReceived restarts the timer for the next event. Bytes of an incomplete event
+// and comments do not: a stalled endpoint may send them without end.
+func (w *watchdog) eventReceived() {
+	if w.gap > 0 {
+		w.timer.Reset(w.gap)
+	}
 }
 
 func (w *watchdog) stop() {
--- a/pkg/stream/splitter.go
+++ b/pkg/stream/splitter.go
@@ -24,11 +24,13 @@
 type Error = fault.Error[Kind]
 
 // maxEvent is the maximum size of an incomplete event, in bytes.
-const maxEvent = 1 << 20
+const maxEvent = 256 << 10
+
+const newline = '\n'
 
 var (
-	newline = []byte("\n")
-	idField = []byte("id:")
+	carriageReturn = []byte("\r")
+	idField        = []byte("id:")
 )
 
 // Splitter passes on the complete events of a stream and buffers the incomplete
@@ -41,31 +43,33 @@
 	// EventCount is the number of complete events.
 	EventCount int
 
-	// pending is the incomplete event.
-	pending []byte
+	// pending is the incomplete event. Its last line starts at lineStart and has no
+	// end before searched.
+	pending             []byte
+	lineStart, searched int
 }
 
 // Push adds the next bytes of the stream. It returns the bytes up to the end of the
 // last complete event, which are valid until the next call. Event IDs must increase.
 func (s *Splitter) Push(data []byte) (complete []byte, err error) {
 	s.pending = append(s.pending, data...)
-	end := 0
-	for start := 0; ; {
-		length := eventLength(s.pending[start:])
-		if length == 0 {
-			break
-		}
-		if err := s.recordEvent(s.pending[start : start+length]); err != nil {
+	start := 0
+	for s.nextEvent() {
+		if err := s.recordEvent(s.pending[start:s.lineStart]); err != nil {
 			return nil, err
 		}
-		start += length
-		end = start
+		start = s.lineStart
 	}
-	if len(s.pending)-end > maxEvent {
+	if len(s.pending)-start > maxEvent {
 		return nil, &Error{Op: "cut", Kind: KindSize}
 	}
-	complete = s.pending[:end:end]
-	s.pending = append([]byte(nil), s.pending[end:]...)
+	if start == 0 {
+		return nil, nil
+	}
+	complete = s.pending[:start:start]
+	s.pending = append([]byte(nil), s.pending[start:]...)
+	s.lineStart -= start
+	s.searched -= start
 	return complete, nil
 }
 
@@ -74,20 +78,22 @@
 
 // Resume discards the incomplete event. The next Push must start with the event
 // after the last complete one, as sent when the stream is resumed.
-func (s *Splitter) Resume() { s.pending = nil }
+func (s *Splitter) Resume() { s.pending, s.lineStart, s.searched = nil, 0, 0 }
 
-// eventLength returns the length of the first event, including the empty line that
-// ends it, or 0 if the event is incomplete.
-func eventLength(data []byte) int {
-	for start := 0; ; {
-		at := bytes.Index(data[start:], newline)
+// nextEvent searches on for the empty line that ends an event and moves lineStart
+// behind it. It returns false if the event is incomplete.
+func (s *Splitter) nextEvent() bool {
+	for {
+		at := bytes.IndexByte(s.pending[s.searched:], newline)
 		if at < 0 {
-			return 0
+			s.searched = len(s.pending)
+			return false
 		}
-		line := bytes.TrimSuffix(data[start:start+at], []byte("\r"))
-		start += at + 1
+		end := s.searched + at
+		line := bytes.TrimSuffix(s.pending[s.lineStart:end], carriageReturn)
+		s.lineStart, s.searched = end+1, end+1
 		if len(line) == 0 {
-			return start
+			return true
 		}
 	}
 }
--- a/pkg/stream/splitter_test.go
+++ b/pkg/stream/splitter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -53,3 +54,35 @@
 	_, err := splitter.Push(make([]byte, 2<<20))
 	require.ErrorIs(t, err, &stream.Error{Kind: stream.KindSize})
 }
+
+// The incomplete event of a stream is bounded well below an entry's memory, which
+// hundreds of streams share.
+func TestIncompleteEventIsBounded(t *testing.T) {
+	const limit = 256 << 10
+	splitter := stream.Splitter{}
+	_, err := splitter.Push(make([]byte, limit))
+	require.NoError(t, err)
+	_, err = splitter.Push(make([]byte, 1))
+	require.ErrorIs(t, err, &stream.Error{Kind: stream.KindSize})
+}
+
+// An event that arrives a byte at a time costs time in proportion to its size. It
+// used to be copied and searched anew for each byte, which is seconds of processor
+// time for one stream.
+func TestEventInSingleBytesIsCheap(t *testing.T) {
+	const size = 200 << 10
+	splitter := stream.Splitter{}
+	started := time.Now()
+	for range size / 64 {
+		for range 63 {
+			_, err := splitter.Push([]byte("x"))
+			require.NoError(t, err)
+		}
+		_, err := splitter.Push([]byte("\n"))
+		require.NoError(t, err)
+	}
+	complete, err := splitter.Push([]byte("\n"))
+	require.NoError(t, err)
+	require.Len(t, complete, size+1)
+	require.Less(t, time.Since(started), 2*time.Second)
+}
