ctrl/reopen: a call that its replica's end interrupts is repeated at the bridge

Change: the supervisor repeats a stopped call at what takes the replica's or bridge's place; each of these calls may be repeated. A call after Run is refused.

--- a/ctrl/reopen/reopen.go
+++ b/ctrl/reopen/reopen.go
@@ -57,6 +57,8 @@
 
 	mutex  sync.Mutex
 	active controlAPI
+	// replaced is closed when active is replaced.
+	replaced chan struct{}
 }
 
 // controlAPI is the set of calls that a replica and a bridge both serve.
@@ -70,6 +72,7 @@
 
 // Run serves until ctx ends or the replica fails for a reason other than its disk.
 func (s *Supervisor) Run(ctx context.Context) error {
+	defer s.setActive(nil)
 	if s.NewReplica == nil {
 		return s.runBridge(ctx)
 	}
@@ -111,60 +114,73 @@
 func (s *Supervisor) setActive(next controlAPI) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.active = next
+	if s.replaced != nil {
+		close(s.replaced)
+	}
+	s.active, s.replaced = next, make(chan struct{})
 }
 
-// getActive returns the running replica or bridge.
-func (s *Supervisor) getActive() (controlAPI, error) {
+// getActive returns the running replica or bridge, and a channel that is closed when
+// another one takes its place.
+func (s *Supervisor) getActive() (controlAPI, <-chan struct{}, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.active == nil {
-		return nil, &Error{Op: "call control", Kind: KindInactive}
+		return nil, nil, &Error{Op: "call control", Kind: KindInactive}
+	}
+	return s.active, s.replaced, nil
+}
+
+// forward makes a call at the running replica or bridge. A call that fails because
+// its replica stopped is repeated at the bridge that takes its place, and the reverse;
+// all calls of controlAPI may be repeated.
+func (s *Supervisor) forward(ctx context.Context, call func(controlAPI) error) error {
+	for {
+		active, replaced, err := s.getActive()
+		if err != nil {
+			return err
+		}
+		err = call(active)
+		if !errors.Is(err, &node.Error{Kind: node.KindStopped}) {
+			return err
+		}
+		select {
+		case <-replaced:
+		case <-ctx.Done():
+			return err
+		}
 	}
-	return s.active, nil
 }
 
 // Replace calls Replace of the running replica or bridge.
 func (s *Supervisor) Replace(ctx context.Context, next *conf.Config) (newest uint64, err error) {
-	active, err := s.getActive()
-	if err != nil {
-		return 0, err
-	}
-	return active.Replace(ctx, next)
+	err = s.forward(ctx, func(active controlAPI) (err error) {
+		newest, err = active.Replace(ctx, next)
+		return err
+	})
+	return newest, err
 }
 
 // Fetch calls Fetch of the running replica or bridge.
 func (s *Supervisor) Fetch(ctx context.Context) (config *conf.Config, author string, err error) {
-	active, err := s.getActive()
-	if err != nil {
-		return nil, "", err
-	}
-	return active.Fetch(ctx)
+	err = s.forward(ctx, func(active controlAPI) (err error) {
+		config, author, err = active.Fetch(ctx)
+		return err
+	})
+	return config, author, err
 }
 
 // Announce calls Announce of the running replica or bridge.
 func (s *Supervisor) Announce(ctx context.Context, report *advert.Record) error {
-	active, err := s.getActive()
-	if err != nil {
-		return err
-	}
-	return active.Announce(ctx, report)
+	return s.forward(ctx, func(active controlAPI) error { return active.Announce(ctx, report) })
 }
 
 // Depart calls Depart of the running replica or bridge.
 func (s *Supervisor) Depart(ctx context.Context, name string, born int64) error {
-	active, err := s.getActive()
-	if err != nil {
-		return err
-	}
-	return active.Depart(ctx, name, born)
+	return s.forward(ctx, func(active controlAPI) error { return active.Depart(ctx, name, born) })
 }
 
 // Release calls Release of the running replica or bridge.
 func (s *Supervisor) Release(ctx context.Context, named *plane.Release) error {
-	active, err := s.getActive()
-	if err != nil {
-		return err
-	}
-	return active.Release(ctx, named)
+	return s.forward(ctx, func(active controlAPI) error { return active.Release(ctx, named) })
 }
--- a/ctrl/reopen/reopen_test.go
+++ b/ctrl/reopen/reopen_test.go
@@ -95,14 +95,17 @@
 		}
 		require.NoError(t, submit())
 		noSpace.Store(true)
-		served := 0
+		served, failures := 0, []string{}
 		for range 5 {
-			if submit() == nil {
+			called := time.Now()
+			if err := submit(); err != nil {
+				failures = append(failures, fmt.Sprintf("%s after %s", err, time.Since(called)))
+			} else {
 				served++
 			}
 			time.Sleep(time.Second)
 		}
-		require.GreaterOrEqual(t, served, 3, "calls are forwarded while the disk is full")
+		require.GreaterOrEqual(t, served, 3, "calls are forwarded while the disk is full: %q", failures)
 		noSpace.Store(false)
 		time.Sleep(20 * time.Second)
 		require.NoError(t, submit())
