agent/runner: no second run is interrupted when the first has just ended

An interrupted run that ended in between was no longer listed as being interrupted, so that another one was interrupted for an item that had its slot.

--- a/agent/runner/preempt.go
+++ b/agent/runner/preempt.go
@@ -29,12 +29,19 @@
 	if r.hasFreeSlot() {
 		return
 	}
-	waiting := r.Queue.Peek(r.canRun)
-	if waiting == nil {
-		return
+	if waiting := r.Queue.Peek(r.canRun); waiting != nil {
+		r.preemptFor(waiting)
 	}
+}
+
+// preemptFor interrupts a run for the waiting item, unless a slot has become free since
+// the item was chosen or a run is being interrupted already.
+func (r *Runner) preemptFor(waiting *queue.Item) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if r.hasFreeSlotLocked() {
+		return
+	}
 	var victim *task
 	for t := range r.running {
 		if t.preempting {
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -299,6 +299,10 @@
 func (r *Runner) hasFreeSlot() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	return r.hasFreeSlotLocked()
+}
+
+func (r *Runner) hasFreeSlotLocked() bool {
 	return r.endpoint != nil && len(r.running) < r.endpoint.RequestSlots
 }
 
