--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -58,6 +58,9 @@
 	// extending reports that more are being requested.
 	reserved  int64
 	extending bool
+	// grace aborts the attempt if it stalls for another stallTimeout; nil unless it
+	// has stalled while more tokens were being requested.
+	grace *time.Timer
 }
 
 // exchange sends an attempt to its agent and forwards the answer.
@@ -115,6 +118,7 @@
 	defer cancel(nil)
 	watchdog := time.AfterFunc(e.attempt.Remaining+firstFrameGrace, e.stalled)
 	defer watchdog.Stop()
+	defer e.resumed()
 	for {
 		var frame call.Frame
 		if err := e.stream.Receive(&frame); err != nil {
@@ -122,6 +126,7 @@
 		}
 		e.job.relay.pool.MarkAlive(e.session)
 		watchdog.Reset(stallTimeout)
+		e.resumed()
 		if !bytes.Equal(frame.ID, e.attempt.ID) {
 			e.job.relay.Host.Meter.Add("frames_foreign", 1)
 			continue
@@ -143,16 +148,28 @@
 }
 
 // stalled aborts an attempt without a frame in time. While the attempt waits
-// for more tokens, it aborts the attempt only after another stallTimeout.
+// for more tokens, it aborts the attempt only after another stallTimeout
+// without a frame.
 func (e *exchange) stalled() {
 	e.mutex.Lock()
 	extending := e.extending
-	e.mutex.Unlock()
 	if extending {
-		time.AfterFunc(stallTimeout, e.abort)
-		return
+		e.grace = time.AfterFunc(stallTimeout, e.abort)
+	}
+	e.mutex.Unlock()
+	if !extending {
+		e.abort()
+	}
+}
+
+// resumed ends the grace period of an attempt that had stalled.
+func (e *exchange) resumed() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.grace != nil {
+		e.grace.Stop()
+		e.grace = nil
 	}
-	e.abort()
 }
 
 // handleFrame handles one frame of this attempt; done reports that it was the
