pkg/codec: a panic while a message is decoded or checked is an invalid message

Decoding runs in a goroutine a stream, where a panic ends the process. It holds no locks, so that it can be an error of the message. No such message is known: FuzzDecode found none. Test: TestPanicWhileDecodingIsAnError panicked before.

--- a/pkg/codec/codec.go
+++ b/pkg/codec/codec.go
@@ -45,8 +45,15 @@
 }
 
 // Decode fills message, a pointer to a struct, from its protobuf encoding and then
-// calls its Check method if it has one. Unknown fields are skipped.
-func Decode(data []byte, message any) error {
+// calls its Check method if it has one. Unknown fields are skipped. A panic in either
+// is an error of KindDecode: an invalid message must not end the process, and
+// decoding holds no locks.
+func Decode(data []byte, message any) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = &Error{Op: "decode", Kind: KindDecode, Err: fmt.Errorf("panic: %v", cause)}
+		}
+	}()
 	value := reflect.ValueOf(message)
 	if value.Kind() != reflect.Pointer || value.Elem().Kind() != reflect.Struct {
 		return &Error{Op: "decode", Kind: KindType, Err: fmt.Errorf("expected a pointer to a struct, got %T", message)}
--- a/pkg/codec/codec_test.go
+++ b/pkg/codec/codec_test.go
@@ -92,3 +92,20 @@
 		}
 	}
 }
+
+// fragile is a message whose check panics.
+type fragile struct {
+	Size int64 `protobuf:"varint,1,opt"`
+}
+
+func (f *fragile) Check() error {
+	_ = make([]byte, 4)[f.Size]
+	return nil
+}
+
+// A message whose decoding panics is an invalid message; the process goes on.
+func TestPanicWhileDecodingIsAnError(t *testing.T) {
+	data, err := codec.Encode(&fragile{Size: 9})
+	require.NoError(t, err)
+	require.ErrorIs(t, codec.Decode(data, &fragile{}), &codec.Error{Kind: codec.KindDecode})
+}
