--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -71,6 +71,9 @@
 	// after which to ask again; zero permits the load. If RequestPermit is nil, no permission
 	// is needed.
 	RequestPermit func(ctx context.Context) (wait time.Duration, err error)
+	// BootTime returns the time of a clock that keeps running while the VM is suspended, such
+	// as clock.Now; nil means that a suspension is not detected.
+	BootTime func() time.Time
 
 	once      sync.Once
 	mutex     sync.Mutex
@@ -91,13 +94,13 @@
 	seqKnown   bool
 	lastAnswer time.Time
 	// modelLoadStart is when the load of a base model was ordered; zero when none is in
-	// progress. permitInFlight is set during a permit request, permitGranted after control has
-	// permitted the load. permitFailingSince is when the first of the failed permit requests in
-	// a row ended; zero after a successful one. nextPermitRequest is the earliest time of the
-	// next one.
+	// progress. permitInFlight is set during a permit request. permitExpires is until when, by
+	// bootTime, a permit of control may be used; zero without one. permitFailingSince is when
+	// the first of the failed permit requests in a row ended; zero after a successful one.
+	// nextPermitRequest is the earliest time of the next one.
 	modelLoadStart     time.Time
 	permitInFlight     bool
-	permitGranted      bool
+	permitExpires      time.Time
 	permitFailingSince time.Time
 	nextPermitRequest  time.Time
 	// changed triggers a step, pollSoon an early request for a report.
--- a/agent/keeper/keeper_test.go
+++ b/agent/keeper/keeper_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -358,6 +359,34 @@
 	}
 }
 
+// A permit that the agent receives long after it asked, because the process was paused or
+// the VM suspended meanwhile, has expired: control has given its place at the weight store
+// to another engine. The agent asks again.
+func TestExpiredPermitIsNotUsed(t *testing.T) {
+	for _, pause := range []time.Duration{time.Second, 5 * time.Second, 30 * time.Second} {
+		run(t, func(f *fixture) {
+			requested, suspended := 0, atomic.Int64{}
+			f.keeper.BootTime = func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
+			f.keeper.RequestPermit = func(context.Context) (time.Duration, error) {
+				requested++
+				if requested == 1 {
+					suspended.Store(int64(pause))
+					return 0, nil
+				}
+				return time.Hour, nil
+			}
+			f.engine.mutex.Lock()
+			f.engine.model, f.engine.seq = false, 0
+			f.engine.mutex.Unlock()
+			time.Sleep(time.Second)
+			f.engine.mutex.Lock()
+			defer f.engine.mutex.Unlock()
+			require.False(t, f.engine.model)
+			require.Equal(t, 2, requested)
+		})
+	}
+}
+
 // After a power failure all engines start empty with their base model on disk. Each of them
 // loads the model at once, without a permit and before it has a configuration.
 func TestBaseModelOnDiskIsLoadedAtOnce(t *testing.T) {
--- a/agent/keeper/orders.go
+++ b/agent/keeper/orders.go
@@ -19,8 +19,10 @@
 	// one. A permit is control's permission to load a base model from the weight store, whose
 	// throughput all engines' loads share. When permit requests have failed for maxPermitOutage, the load starts without a
 	// permit. An election in control takes half a second, a network partition lasts seconds.
-	permitTimeout    = time.Second
+	permitTimeout = time.Second
+	// A permit is valid for permitLifetime from its request.
 	permitRetryDelay = 200 * time.Millisecond
+	permitLifetime   = time.Second
 	maxPermitOutage  = 4 * time.Second
 	// modelLoadExpiry is how long an ordered load of a base model counts as in progress
 	// without an effect. A load takes 2.9 s, longer when several engines load at once.
@@ -132,7 +134,7 @@
 		if !k.mayLoadModel(now) {
 			return nil, false
 		}
-		k.permitGranted = false
+		k.permitExpires = time.Time{}
 	}
 	return &Order{Load: true, Model: model}, true
 }
@@ -141,7 +143,7 @@
 // a permit if none was granted. An agent that gets no answer from control loads the model
 // after maxPermitOutage, because an engine without a model serves no requests.
 func (k *Keeper) mayLoadModel(now time.Time) bool {
-	if k.RequestPermit == nil || k.permitGranted {
+	if k.RequestPermit == nil || k.bootTime().Before(k.permitExpires) {
 		return true
 	}
 	if !k.permitFailingSince.IsZero() && now.Sub(k.permitFailingSince) > maxPermitOutage {
@@ -158,6 +160,7 @@
 func (k *Keeper) fetchPermit() {
 	k.mutex.Lock()
 	ctx, cancel := context.WithTimeout(k.runContext, permitTimeout)
+	requested := k.bootTime()
 	k.mutex.Unlock()
 	defer cancel()
 	wait, err := k.RequestPermit(ctx)
@@ -173,11 +176,21 @@
 		k.Host.Log.Write("leave-not-known", "since", k.permitFailingSince, "err", err)
 		return
 	}
-	k.permitFailingSince, k.permitGranted = time.Time{}, wait == 0
-	k.nextPermitRequest = now.Add(wait)
+	k.permitFailingSince, k.nextPermitRequest = time.Time{}, now.Add(wait)
+	if wait == 0 {
+		k.permitExpires = requested.Add(permitLifetime)
+	}
 	k.changed.Set()
 }
 
+// bootTime returns the time of a clock that keeps running while the VM is suspended.
+func (k *Keeper) bootTime() time.Time {
+	if k.BootTime == nil {
+		return time.Now()
+	}
+	return k.BootTime()
+}
+
 // modelToLoad returns the configured model for which most requests wait, by default the first
 // one. For an engine without a configuration it returns the first model of which the VM has a
 // copy.
