entry/direct: nothing of another answer follows a part that the caller has received

Change: once a head is sent only a stream may go on with a stream. Test: TestPartsOfDifferentAnswersAreNotJoined, both ways; both joined the answers before.

--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -54,9 +54,14 @@
 	}
 	watchdog.headReceived()
 	var verdict verdict
-	if j.request.Route.Stream && answer.Status == http.StatusOK {
+	isStream := j.request.Route.Stream && answer.Status == http.StatusOK
+	switch {
+	case isStream:
 		verdict, err = j.stream(answer, watchdog)
-	} else {
+	case j.headSent:
+		// An error answer cannot take the place of the rest of a stream.
+		verdict, err = verdictFailed, statusError(answer.Status)
+	default:
 		verdict, err = j.buffer(answer)
 	}
 	switch verdict {
@@ -233,7 +238,7 @@
 	if j.headSent {
 		return nil
 	}
-	j.headSent = true
+	j.headSent, j.streaming = true, true
 	return j.request.Write(&call.Frame{Type: call.FrameHead, Status: int32(answer.Status), Header: fields(answer.Header)})
 }
 
--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -334,6 +334,32 @@
 	}
 }
 
+// After the caller has received a part of one answer, nothing of another kind of
+// answer follows it: neither an error answer in place of the rest of a stream, nor a
+// stream in place of the rest of a large plain answer.
+func TestPartsOfDifferentAnswersAreNotJoined(t *testing.T) {
+	large := strings.Repeat("x", 100<<10)
+	for name, replies := range map[string][]reply{
+		"error after a part of a stream": {
+			{status: 200, authentic: true, body: completeStream[:20], broken: true},
+			{status: 404, authentic: true, body: "unknown"},
+		},
+		"stream after a part of a large answer": {
+			{status: 404, authentic: true, body: large, broken: true},
+			{status: 200, authentic: true, body: completeStream},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &service{replies: replies}
+			got, err := run(context.Background(), newFilter(s, 3), resumable)
+			require.Error(t, err)
+			require.False(t, got.ended, "a broken answer must not look complete")
+			require.NotContains(t, got.text, "unknown")
+			require.False(t, strings.Contains(got.text, "x") && strings.Contains(got.text, "data:"))
+		})
+	}
+}
+
 // A slow stream that makes progress stays where it is: its first event may take as
 // long after the head as after the request, and each event arrives in pieces.
 func TestSlowStreamStaysAtItsEndpoint(t *testing.T) {
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -40,9 +40,10 @@
 	// possibleRuns those that may have run there. ran states whether any did.
 	delivered, possibleRuns int
 	ran                     chain.Ran
-	// headSent reports whether the caller has received the head of the answer.
-	headSent bool
-	cutter   stream.Splitter
+	// headSent reports whether the caller has received the head of the answer,
+	// streaming whether it was that of a stream.
+	headSent, streaming bool
+	cutter              stream.Splitter
 	// lastReceived is when complete events of a stream last arrived.
 	lastReceived time.Time
 	// failure is an endpoint's error answer, forwarded if no further attempt
@@ -149,7 +150,10 @@
 		return false
 	}
 	route := &j.request.Route
-	return route.Resume || route.Idempotent && !j.headSent
+	if j.headSent {
+		return route.Resume && j.streaming
+	}
+	return route.Resume || route.Idempotent
 }
 
 // fail ends a request without a complete answer: it forwards the error answer
