--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -48,6 +48,8 @@
 	pieces  []string
 	pause   time.Duration
 	endless bool
+	// firstPause is the pause before the first piece; zero means pause.
+	firstPause time.Duration
 }
 
 // pieceReader is the body of a reply with pieces.
@@ -61,10 +63,14 @@
 	if p.next == len(p.reply.pieces) && !p.reply.endless {
 		return 0, io.EOF
 	}
+	pause := p.reply.pause
+	if p.next == 0 && p.reply.firstPause > 0 {
+		pause = p.reply.firstPause
+	}
 	select {
 	case <-p.ctx.Done():
 		return 0, &httpc.Error{Kind: httpc.KindCancelled, Err: p.ctx.Err()}
-	case <-time.After(p.reply.pause):
+	case <-time.After(pause):
 	}
 	n := copy(data, p.reply.pieces[min(p.next, len(p.reply.pieces)-1)])
 	p.next = min(p.next+1, len(p.reply.pieces))
@@ -364,8 +370,9 @@
 // long after the head as after the request, and each event arrives in pieces.
 func TestSlowStreamStaysAtItsEndpoint(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
-		pieces := []string{"", "", completeStream[:15], completeStream[15:20], completeStream[20:30], completeStream[30:]}
-		s := &service{replies: []reply{{status: 200, authentic: true, pieces: pieces, pause: 550 * time.Millisecond}}}
+		pieces := []string{completeStream[:15], completeStream[15:20], completeStream[20:30], completeStream[30:]}
+		slow := reply{status: 200, authentic: true, pieces: pieces, firstPause: 1500 * time.Millisecond, pause: 550 * time.Millisecond}
+		s := &service{replies: []reply{slow}}
 		got, err := run(context.Background(), newFilter(s, 3), resumable)
 		require.NoError(t, err)
 		require.Len(t, s.calls, 1)
