--- a/spindle/cmds/cmds_test.go
+++ b/spindle/cmds/cmds_test.go
@@ -175,6 +175,8 @@
 		"ban-list":         {&fakeControl{bans: []plane.Ban{{Digest: []byte{1, 255}, Crashes: 2, SoleSuspectCrashes: 1, Remaining: span.Duration(time.Hour)}}}, append(both, "ban", "list")},
 		"ban-list-none":    {&fakeControl{}, append(both, "ban", "list")},
 		"ban-lift":         {&fakeControl{}, append(both, "ban", "lift", digest)},
+		"losses":           {&fakeControl{}, []string{"losses", "--width", "4s", "../losses/testdata/logs.txt"}},
+		"losses-usage":     {&fakeControl{}, []string{"losses", "--width", "0s", "../losses/testdata/logs.txt"}},
 		"ban-lift-usage":   {&fakeControl{}, append(both, "ban", "lift", "zz")},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/spindle/cmds/program.go
+++ b/spindle/cmds/program.go
@@ -122,7 +122,7 @@
 		},
 		Commands: append([]*cli.Command{
 			p.check(),
-			p.trace(), p.apply(), p.key(), p.status(), p.report(), p.replace(), p.move(), p.ban(),
+			p.trace(), p.losses(), p.apply(), p.key(), p.status(), p.report(), p.replace(), p.move(), p.ban(),
 		}, p.ExtraCommands...),
 	}
 }
--- a/spindle/cmds/trace.go
+++ b/spindle/cmds/trace.go
@@ -29,7 +29,7 @@
 func (p *Program) writeTrace(c *cli.Command, id string, files []string) error {
 	t := &story.Trace{ID: id}
 	for _, name := range files {
-		if err := readLog(t, name); err != nil {
+		if err := readLog(t.Read, name); err != nil {
 			return &Error{Op: c.FullName(), Kind: KindFailed, Err: err}
 		}
 	}
@@ -39,15 +39,15 @@
 	return t.Write(p.Output)
 }
 
-// readLog adds a log file, or the standard input for "-", to a trace.
-func readLog(t *story.Trace, name string) (err error) {
+// readLog passes a log file, or the standard input for "-", to read.
+func readLog(read func(io.Reader) error, name string) (err error) {
 	if name == "-" {
-		return t.Read(os.Stdin)
+		return read(os.Stdin)
 	}
 	file, err := os.Open(name)
 	if err != nil {
 		return err
 	}
 	defer func() { err = errors.Join(err, file.Close()) }()
-	return t.Read(io.Reader(file))
+	return read(file)
 }
--- a/spindle/story/story.go
+++ b/spindle/story/story.go
@@ -77,11 +77,16 @@
 
 // Read adds the log of one or several processes.
 func (t *Trace) Read(log io.Reader) error {
+	return ReadLines(log, func(line Line) { t.logLines = append(t.logLines, line) })
+}
+
+// ReadLines calls add for each event in a log and skips other lines.
+func ReadLines(log io.Reader, add func(Line)) error {
 	scanner := bufio.NewScanner(log)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
 		if line, ok := parse(scanner.Text()); ok {
-			t.logLines = append(t.logLines, line)
+			add(line)
 		}
 	}
 	if err := scanner.Err(); err != nil {
