ctrl/node: a member without a leader asks after 1.5 s whether its group has moved, not after 10

Cause: where more VMs have a disk than the group has voters, the voters move as VMs fail. A seed that was replaced keeps the group on its disk as it was when it failed; after a kill of all VMs it took itself for a member and waited 10 s for a leader before it asked. Daemons know only the seeds until then. Test: TestDaemonsFindVotersThatHaveMoved, six VMs, three voters: 10.6 s before, 0.1 s after; bound 3 s.

--- a/ctrl/node/join.go
+++ b/ctrl/node/join.go
@@ -16,8 +16,8 @@
 const joinInterval = 500 * time.Millisecond
 
 // leaderlessRounds is the number of intervals without a leader after which a member
-// checks whether it is still one: 10 s.
-const leaderlessRounds = 20
+// checks whether it is still one. It exceeds an election, which takes half a second.
+const leaderlessRounds = 3
 
 // runJoin sends join requests to the peers while this replica is not a member. A
 // member that has known no leader for leaderlessRounds also sends them, to find out
