--- a/pkg/link/close_test.go
+++ b/pkg/link/close_test.go
@@ -47,6 +47,13 @@
 	return c.Conn.Write(b)
 }
 
+// dropBubbleTimers empties the multiplexer's timer pool, which tests in synctest
+// bubbles have filled; see bubble.Test.
+func dropBubbleTimers() {
+	runtime.GC()
+	runtime.GC()
+}
+
 func cpuTime(t *testing.T) time.Duration {
 	usage := &syscall.Rusage{}
 	require.NoError(t, syscall.Getrusage(syscall.RUSAGE_SELF, usage))
@@ -75,9 +82,7 @@
 	}
 	for _, scenario := range ends {
 		t.Run(scenario.name, func(t *testing.T) {
-			// Empty the timer pool that tests in synctest bubbles filled; see bubble.Test.
-			runtime.GC()
-			runtime.GC()
+			dropBubbleTimers()
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
 			ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/link/conn_test.go
+++ b/pkg/link/conn_test.go
@@ -24,6 +24,7 @@
 // openToRaw starts a session whose peer is the returned connection.
 func openToRaw(t *testing.T) (*link.Session, net.Conn) {
 	t.Helper()
+	dropBubbleTimers()
 	near, far := net.Pipe()
 	t.Cleanup(func() { _ = far.Close() })
 	session, err := link.Client(near, nil)
--- a/spindle/losses/losses.go
+++ b/spindle/losses/losses.go
@@ -41,7 +41,8 @@
 	// Width is the length of one window.
 	Width time.Duration
 
-	windows map[int64]*window
+	// windows are the periods by their start.
+	windows map[time.Time]*window
 	// entryColumns and agentColumns are the outcomes that occur, with their totals.
 	entryColumns, agentColumns map[string]int
 }
@@ -59,7 +60,7 @@
 // Read adds the log of one or several processes.
 func (t *Table) Read(log io.Reader) error {
 	if t.windows == nil {
-		t.windows, t.entryColumns, t.agentColumns = map[int64]*window{}, map[string]int{}, map[string]int{}
+		t.windows, t.entryColumns, t.agentColumns = map[time.Time]*window{}, map[string]int{}, map[string]int{}
 	}
 	return story.ReadLines(log, t.add)
 }
@@ -87,11 +88,11 @@
 }
 
 func (t *Table) windowOf(at time.Time) *window {
-	number := at.UnixNano() / int64(t.Width)
-	w := t.windows[number]
+	start := at.UTC().Truncate(t.Width)
+	w := t.windows[start]
 	if w == nil {
 		w = &window{entry: map[string]int{}, agent: map[string]int{}}
-		t.windows[number] = w
+		t.windows[start] = w
 	}
 	return w
 }
@@ -123,9 +124,9 @@
 		header = append(header, "agents: "+reason)
 	}
 	writeRow(table, append(header, "wait p50"))
-	for _, number := range slices.Sorted(maps.Keys(t.windows)) {
-		w := t.windows[number]
-		row := []string{time.Unix(0, number*int64(t.Width)).UTC().Format("15:04:05.0"), fmt.Sprint(w.requests)}
+	for _, start := range slices.SortedFunc(maps.Keys(t.windows), time.Time.Compare) {
+		w := t.windows[start]
+		row := []string{start.Format("15:04:05.0"), fmt.Sprint(w.requests)}
 		for _, outcome := range entry {
 			row = append(row, fmt.Sprint(w.entry[outcome]))
 		}
