agent/keeper: a permit is a lease of pkg/lease

The permit's end was counted anew beside pkg/lease, which counts a permission from its request and subtracts suspensions.

--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -17,6 +17,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/lease"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/notify"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
@@ -71,8 +72,8 @@
 	// after which to ask again; zero permits the load. If RequestPermit is nil, no permission
 	// is needed.
 	RequestPermit func(ctx context.Context) (wait time.Duration, err error)
-	// BootTime returns the time of a clock that keeps running while the VM is suspended, such
-	// as clock.Now; nil means that a suspension is not detected.
+	// BootTime is the boot clock for clock.SuspendDetector; nil means that a suspension of the
+	// VM is not detected.
 	BootTime func() time.Time
 
 	once      sync.Once
@@ -94,13 +95,13 @@
 	seqKnown   bool
 	lastAnswer time.Time
 	// modelLoadStart is when the load of a base model was ordered; zero when none is in
-	// progress. permitInFlight is set during a permit request. permitExpires is until when, by
-	// bootTime, a permit of control may be used; zero without one. permitFailingSince is when
-	// the first of the failed permit requests in a row ended; zero after a successful one.
-	// nextPermitRequest is the earliest time of the next one.
+	// progress. permitInFlight is set during a permit request. permit is control's permission
+	// to load one, nil without one. permitFailingSince is when the first of the failed permit
+	// requests in a row ended; zero after a successful one. nextPermitRequest is the earliest
+	// time of the next one.
 	modelLoadStart     time.Time
 	permitInFlight     bool
-	permitExpires      time.Time
+	permit             *lease.Lease
 	permitFailingSince time.Time
 	nextPermitRequest  time.Time
 	// changed triggers a step, pollSoon an early request for a report.
--- a/agent/keeper/orders.go
+++ b/agent/keeper/orders.go
@@ -7,6 +7,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/agent/lora"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/lease"
 	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 )
 
@@ -24,6 +25,8 @@
 	permitRetryDelay = 200 * time.Millisecond
 	permitLifetime   = time.Second
 	maxPermitOutage  = 4 * time.Second
+	// permitRequest is the number of the one request of a permit's lease.
+	permitRequest = 1
 	// modelLoadExpiry is how long an ordered load of a base model counts as in progress
 	// without an effect. A load takes 2.9 s, longer when several engines load at once.
 	modelLoadExpiry = 12 * time.Second
@@ -134,7 +137,7 @@
 		if !k.mayLoadModel(now) {
 			return nil, false
 		}
-		k.permitExpires = time.Time{}
+		k.permit = nil
 	}
 	return &Order{Load: true, Model: model}, true
 }
@@ -143,7 +146,7 @@
 // a permit if none was granted. An agent that gets no answer from control loads the model
 // after maxPermitOutage, because an engine without a model serves no requests.
 func (k *Keeper) mayLoadModel(now time.Time) bool {
-	if k.RequestPermit == nil || k.bootTime().Before(k.permitExpires) {
+	if k.RequestPermit == nil || k.permit != nil && k.permit.Valid() {
 		return true
 	}
 	if !k.permitFailingSince.IsZero() && now.Sub(k.permitFailingSince) > maxPermitOutage {
@@ -160,7 +163,8 @@
 func (k *Keeper) fetchPermit() {
 	k.mutex.Lock()
 	ctx, cancel := context.WithTimeout(k.runContext, permitTimeout)
-	requested := k.bootTime()
+	permit := &lease.Lease{BootTime: k.BootTime}
+	permit.Sent(permitRequest)
 	k.mutex.Unlock()
 	defer cancel()
 	wait, err := k.RequestPermit(ctx)
@@ -178,19 +182,12 @@
 	}
 	k.permitFailingSince, k.nextPermitRequest = time.Time{}, now.Add(wait)
 	if wait == 0 {
-		k.permitExpires = requested.Add(permitLifetime)
+		permit.Renew(permitRequest, permitLifetime)
+		k.permit = permit
 	}
 	k.changed.Set()
 }
 
-// bootTime returns the time of a clock that keeps running while the VM is suspended.
-func (k *Keeper) bootTime() time.Time {
-	if k.BootTime == nil {
-		return time.Now()
-	}
-	return k.BootTime()
-}
-
 // modelToLoad returns the configured model for which most requests wait, by default the first
 // one. For an engine without a configuration it returns the first model of which the VM has a
 // copy.
