pkg/link, bubble: one way to start a session; one DropTimers for tests

Client and Server wrapped the connection each; newSession does so for both. The two collections that empty the multiplexer's timer pool stood in bubble.Test and in link's tests.

--- a/pkg/bubble/bubble.go
+++ b/pkg/bubble/bubble.go
@@ -7,10 +7,17 @@
 	"testing/synctest"
 )
 
-// Test runs f in a synctest bubble. The stream multiplexer keeps timers in a global
-// sync.Pool, and a timer of one bubble must not be used in another. Test therefore
-// empties the pool first: two garbage collections remove everything from a sync.Pool.
-// Bubbles of one process must not run at the same time.
+// DropTimers empties the stream multiplexer's timer pool. The multiplexer keeps timers
+// in a global sync.Pool, and a timer of one bubble must not be used in another, nor
+// outside of bubbles: a test in real time that uses the multiplexer calls DropTimers
+// first. Two garbage collections remove everything from a sync.Pool.
+func DropTimers() {
+	runtime.GC()
+	runtime.GC()
+}
+
+// Test runs f in a synctest bubble, after DropTimers. Bubbles of one process must not
+// run at the same time.
 //
 // Under the race detector, the bubble runs on one processor. The runtime runs the
 // timers of a bubble in one race context, but on several processors at once
@@ -22,7 +29,6 @@
 	if raceEnabled {
 		defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	}
-	runtime.GC()
-	runtime.GC()
+	DropTimers()
 	synctest.Test(t, f)
 }
--- a/pkg/link/close_test.go
+++ b/pkg/link/close_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -12,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
@@ -47,13 +47,6 @@
 	return c.Conn.Write(b)
 }
 
-// dropBubbleTimers empties the multiplexer's timer pool, which tests in synctest
-// bubbles have filled; see bubble.Test.
-func dropBubbleTimers() {
-	runtime.GC()
-	runtime.GC()
-}
-
 func cpuTime(t *testing.T) time.Duration {
 	usage := &syscall.Rusage{}
 	require.NoError(t, syscall.Getrusage(syscall.RUSAGE_SELF, usage))
@@ -82,7 +75,7 @@
 	}
 	for _, scenario := range ends {
 		t.Run(scenario.name, func(t *testing.T) {
-			dropBubbleTimers()
+			bubble.DropTimers()
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
 			ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/link/conn_test.go
+++ b/pkg/link/conn_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 )
@@ -24,7 +25,7 @@
 // openToRaw starts a session whose peer is the returned connection.
 func openToRaw(t *testing.T) (*link.Session, net.Conn) {
 	t.Helper()
-	dropBubbleTimers()
+	bubble.DropTimers()
 	near, far := net.Pipe()
 	t.Cleanup(func() { _ = far.Close() })
 	session, err := link.Client(near, nil)
--- a/pkg/link/fuzz_test.go
+++ b/pkg/link/fuzz_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
@@ -19,7 +20,7 @@
 	f.Add(append(frameHeader(1, 3), 1, 2, 3))
 	f.Add(frameHeader(2, 1<<31))
 	f.Add([]byte{0, 1, 0, 1, 0, 0, 0, 2, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 2, 0, 0, 0, 1, 0})
-	dropBubbleTimers()
+	bubble.DropTimers()
 	f.Fuzz(func(t *testing.T, sent []byte) {
 		near, far := net.Pipe()
 		handlers := map[string]link.Handler{"": func(_ context.Context, s *wire.Stream) error { return s.Receive(&call.Probe{}) }}
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -63,16 +63,12 @@
 // name, serve the streams that the peer opens; with nil, such streams are
 // closed.
 func Client(conn net.Conn, handlers map[string]Handler) (*Session, error) {
-	below := newMuxConn(conn)
-	mux, err := yamux.Client(below, muxConfig())
-	return newSession(mux, below, handlers, err)
+	return newSession(yamux.Client, conn, handlers)
 }
 
 // Server starts a session on the end that accepted the connection.
 func Server(conn net.Conn, handlers map[string]Handler) (*Session, error) {
-	below := newMuxConn(conn)
-	mux, err := yamux.Server(below, muxConfig())
-	return newSession(mux, below, handlers, err)
+	return newSession(yamux.Server, conn, handlers)
 }
 
 // Dial connects to address and starts a client session without handlers.
@@ -84,12 +80,17 @@
 	return Client(conn, nil)
 }
 
-func newSession(mux *yamux.Session, conn *muxConn, handlers map[string]Handler, err error) (*Session, error) {
+// muxer starts one end of a multiplexer on a connection.
+type muxer func(conn io.ReadWriteCloser, config *yamux.Config) (*yamux.Session, error)
+
+func newSession(start muxer, conn net.Conn, handlers map[string]Handler) (*Session, error) {
+	wrapped := newMuxConn(conn)
+	mux, err := start(wrapped, muxConfig())
 	if err != nil {
 		return nil, &Error{Op: "start session", Kind: KindSession, Err: err}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Session{mux: mux, conn: conn, handlers: handlers, context: ctx, cancel: cancel}
+	s := &Session{mux: mux, conn: wrapped, handlers: handlers, context: ctx, cancel: cancel}
 	go s.accept()
 	go s.keepAlive()
 	return s, nil
