--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -54,9 +54,8 @@
 	}
 	watchdog.headReceived()
 	var verdict verdict
-	isStream := j.request.Route.Stream && answer.Status == http.StatusOK
 	switch {
-	case isStream:
+	case j.request.Route.Stream && answer.Status == http.StatusOK:
 		verdict, err = j.stream(answer, watchdog)
 	case j.headSent:
 		// An error answer cannot take the place of the rest of a stream.
@@ -195,9 +194,9 @@
 		}
 		if len(complete) > 0 {
 			j.lastReceived = time.Now()
-		}
-		if j.cutter.LastID != formerID || j.cutter.HasLastID != hadID || len(complete) > 0 && !hadID {
-			watchdog.eventReceived()
+			if !hadID || j.cutter.LastID != formerID {
+				watchdog.eventReceived()
+			}
 		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			if j.forwardEvents(answer, complete) != nil {
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -118,7 +118,7 @@
 	defer cancel(nil)
 	watchdog := time.AfterFunc(e.attempt.Remaining+firstFrameGrace, e.stalled)
 	defer watchdog.Stop()
-	defer e.resumed()
+	defer e.endGrace()
 	for {
 		var frame call.Frame
 		if err := e.stream.Receive(&frame); err != nil {
@@ -126,7 +126,7 @@
 		}
 		e.job.relay.pool.MarkAlive(e.session)
 		watchdog.Reset(stallTimeout)
-		e.resumed()
+		e.endGrace()
 		if !bytes.Equal(frame.ID, e.attempt.ID) {
 			e.job.relay.Host.Meter.Add("frames_foreign", 1)
 			continue
@@ -162,8 +162,8 @@
 	}
 }
 
-// resumed ends the grace period of an attempt that had stalled.
-func (e *exchange) resumed() {
+// endGrace ends the grace period of an attempt that had stalled.
+func (e *exchange) endGrace() {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if e.grace != nil {
--- a/entry/relay/exchange_test.go
+++ b/entry/relay/exchange_test.go
@@ -23,7 +23,7 @@
 		e := &exchange{stream: wire.New(near), attempt: &call.Attempt{}, extending: true}
 		e.stalled()
 		time.Sleep(stallTimeout / 2)
-		e.resumed()
+		e.endGrace()
 		time.Sleep(stallTimeout)
 		go func() { _ = agent.Send(&call.Frame{ID: make([]byte, 16), Type: call.FramePart}) }()
 		require.NoError(t, e.stream.Receive(&call.Frame{}))
