--- a/ctrl/reopen/moved_test.go
+++ b/ctrl/reopen/moved_test.go
@@ -12,8 +12,6 @@
 	"github.com/tanagerspindle/tanagerspindle/ctrl/disk"
 	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
-	"github.com/tanagerspindle/tanagerspindle/pkg/host"
-	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
 	"github.com/tanagerspindle/tanagerspindle/pkg/uplink"
 	"github.com/tanagerspindle/tanagerspindle/pkg/vnet"
 )
@@ -32,15 +30,7 @@
 		network.Latency = func(string, string) time.Duration { return time.Millisecond }
 		ctx, cancel := context.WithCancel(t.Context())
 		names := []string{"v1", "v2", "v3", "v4", "v5", "v6"}
-		var peers []daemon.Peer
-		var seeds []string
-		for _, name := range names[:3] {
-			peers = append(peers, daemon.Peer{Name: name, Address: name + ":1"})
-			seeds = append(seeds, name+":1")
-		}
-		hostOf := func(name string) host.Host {
-			return host.Host{VM: name, Meter: meter.New(), Dial: network.Dialer(name), Listen: network.Listen}
-		}
+		peers, seeds := seedsOf(names[:3]...)
 		disks, stops, started := map[string]*disk.Memory{}, map[string]func(){}, uint64(0)
 		start := func(name string) *daemon.Daemon {
 			if disks[name] == nil {
@@ -48,7 +38,7 @@
 			}
 			started++
 			d := &daemon.Daemon{
-				Host: hostOf(name), Name: name, Address: name + ":1", Peers: peers, Disk: disks[name].Disk(), Seed: started,
+				Host: hostOn(network, name), Name: name, Address: name + ":1", Peers: peers, Disk: disks[name].Disk(), Seed: started,
 				Voters: 3, DeadAfter: 1500 * time.Millisecond, JoinOnly: started > 3,
 			}
 			inner, stop := context.WithCancel(ctx)
@@ -91,7 +81,7 @@
 		for _, name := range names {
 			start(name)
 		}
-		b := &bridge.Bridge{Host: hostOf("entry"), Name: "entry", Address: "entry:1", Uplink: &uplink.Uplink{Host: hostOf("entry"), Replicas: seeds}}
+		b := &bridge.Bridge{Host: hostOn(network, "entry"), Name: "entry", Address: "entry:1", Uplink: &uplink.Uplink{Host: hostOn(network, "entry"), Replicas: seeds}}
 		go func() { _ = b.Run(ctx) }()
 		began := time.Now()
 		for {
--- a/ctrl/reopen/reopen_test.go
+++ b/ctrl/reopen/reopen_test.go
@@ -43,6 +43,20 @@
 	return d
 }
 
+// hostOn returns what the parts on a VM of the network get.
+func hostOn(network *vnet.Network, name string) host.Host {
+	return host.Host{VM: name, Meter: meter.New(), Dial: network.Dialer(name), Listen: network.Listen}
+}
+
+// seedsOf returns the control replicas of these names, and their addresses.
+func seedsOf(names ...string) (peers []daemon.Peer, addresses []string) {
+	for _, name := range names {
+		peers = append(peers, daemon.Peer{Name: name, Address: name + ":1"})
+		addresses = append(addresses, name+":1")
+	}
+	return peers, addresses
+}
+
 // A replica whose disk is full for at least five seconds must not end its process. Meanwhile
 // operators' calls are forwarded, and the replica rejoins the group once there is
 // space.
@@ -50,15 +64,8 @@
 	bubble.Test(t, func(t *testing.T) {
 		network := vnet.New()
 		ctx, cancel := context.WithCancel(t.Context())
-		var peers []daemon.Peer
-		var addresses []string
-		for _, name := range []string{"v1", "v2", "v3"} {
-			peers = append(peers, daemon.Peer{Name: name, Address: name + ":1"})
-			addresses = append(addresses, name+":1")
-		}
-		hostOf := func(name string) host.Host {
-			return host.Host{VM: name, Meter: meter.New(), Dial: network.Dialer(name), Listen: network.Listen}
-		}
+		peers, addresses := seedsOf("v1", "v2", "v3")
+		hostOf := func(name string) host.Host { return hostOn(network, name) }
 		var noSpace atomic.Bool
 		memory := &disk.Memory{}
 		var started atomic.Uint64
