--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -214,11 +214,28 @@
 					return verdictCallerGone, err
 				}
 			}
+			j.recordStreamEnd(answer)
 			return j.finish(j.cutter.Partial())
 		}
 	}
 }
 
+// recordStreamEnd counts and logs how a stream ended, unless its framing and its
+// events both mark the end.
+func (j *job) recordStreamEnd(answer *Answer) {
+	partial := len(j.cutter.Partial())
+	if partial > 0 {
+		j.filter.Host.Meter.Add("streams_ended_inside_event", 1)
+	}
+	if answer.EndsWithConnection {
+		j.filter.Host.Meter.Add("streams_ended_with_connection", 1)
+	}
+	if partial > 0 || answer.EndsWithConnection {
+		j.filter.Host.Log.Write("stream-ended", "request", j.request.ID, "endpoint", j.request.Endpoint, "with_connection", answer.EndsWithConnection,
+			"events", j.cutter.EventCount, "partial_bytes", partial)
+	}
+}
+
 // forwardEvents writes complete events to the caller, preceded by the head of
 // the answer before the first of them.
 func (j *job) forwardEvents(answer *Answer, events []byte) error {
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -88,6 +88,9 @@
 	// NotExecuted reports that the endpoint guarantees that it has not run the
 	// request and will not run it.
 	NotExecuted bool
+	// EndsWithConnection reports that the end of the connection is the only mark
+	// of the body's end.
+	EndsWithConnection bool
 	// Body returns an error when the answer is incomplete. The receiver of the
 	// Answer closes it.
 	Body io.ReadCloser
--- a/pkg/event/share.go
+++ b/pkg/event/share.go
@@ -20,7 +20,7 @@
 			return successShare
 		}
 		return refusalShare
-	case isEvent(line, "admitted"), isEvent(line, "engine-ordered"):
+	case isEvent(line, "admitted"), isEvent(line, "engine-ordered"), isEvent(line, "stream-ended"):
 		return successShare
 	case isEvent(line, "admission-refused"), isEvent(line, "attempt-failed"), isEvent(line, "agent-unreachable"), isEvent(line, "repeat"):
 		return refusalShare
--- a/pkg/httpc/client.go
+++ b/pkg/httpc/client.go
@@ -157,6 +157,12 @@
 	return answer, nil
 }
 
+// EndsWithConnection reports whether the end of the connection is the only mark of
+// the body's end, because the answer has neither a length nor chunks.
+func (a *Answer) EndsWithConnection() bool {
+	return a.ContentLength < 0 && len(a.TransferEncoding) == 0
+}
+
 func (a *Answer) wrapError(ctx context.Context, address string, err error) error {
 	if ctx.Err() != nil {
 		return &Error{Op: "exchange with " + address, Kind: KindCancelled, Err: ctx.Err()}
@@ -258,7 +264,7 @@
 		requestSent = err == nil
 	default:
 	}
-	if !a.stop() || !requestSent || a.Close || a.ContentLength < 0 && len(a.TransferEncoding) == 0 || a.conn.reader.Buffered() > 0 {
+	if !a.stop() || !requestSent || a.Close || a.EndsWithConnection() || a.conn.reader.Buffered() > 0 {
 		a.ended = true
 		_ = a.conn.Close()
 		return
