--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -39,6 +39,8 @@
 	authentic, notExecuted bool
 	body                   string
 	broken                 bool
+	// endsWithConnection states that the answer has neither a length nor chunks.
+	endsWithConnection bool
 	// unresponsive returns nothing until the attempt is cancelled.
 	unresponsive bool
 	// encoding is the Content-Encoding of the answer.
@@ -107,7 +109,10 @@
 	if next.encoding != "" {
 		header.Set("Content-Encoding", next.encoding)
 	}
-	return &direct.Answer{Status: next.status, Header: header, Authentic: next.authentic, NotExecuted: next.notExecuted, Body: io.NopCloser(body)}, nil
+	return &direct.Answer{
+		Status: next.status, Header: header, Authentic: next.authentic, NotExecuted: next.notExecuted, Body: io.NopCloser(body),
+		EndsWithConnection: next.endsWithConnection,
+	}, nil
 }
 
 type broken struct{}
@@ -265,6 +270,49 @@
 	}
 }
 
+// An endpoint that crashes may close its connection like one that has finished.
+// The end of an answer without length is then no sign that its stream is complete.
+func TestStreamThatEndsInsideEventIsNotEndedAsComplete(t *testing.T) {
+	// inside is how much of the stream arrives; it ends inside the second event.
+	const inside, first = 20, 15
+	whole := reply{status: 200, authentic: true, body: completeStream, endsWithConnection: true}
+	cut := reply{status: 200, authentic: true, body: completeStream[:inside], endsWithConnection: true}
+	cutInChunks := reply{status: 200, authentic: true, body: completeStream[:inside]}
+	cutAtStart := reply{status: 200, authentic: true, endsWithConnection: true}
+	rest := reply{status: 200, authentic: true, body: completeStream[first:], endsWithConnection: true}
+	for name, test := range map[string]struct {
+		change        func(*chain.Request)
+		replies       []reply
+		status, calls int
+		text          string
+		ended         bool
+	}{
+		"whole stream without length":                  {streaming, []reply{whole}, 200, 1, completeStream, true},
+		"cut inside an event":                          {streaming, []reply{cut, whole}, 200, 1, completeStream[:first], false},
+		"cut inside an event in chunks":                {streaming, []reply{cutInChunks, whole}, 200, 1, completeStream[:first], false},
+		"cut before the first event":                   {streaming, []reply{cutAtStart, whole}, 502, 1, "", false},
+		"cut inside an event, resumed":                 {resumable, []reply{cut, rest}, 200, 2, completeStream, true},
+		"cut before the first event, then repeated":    {resumable, []reply{cutAtStart, whole}, 200, 2, completeStream, true},
+		"cut inside an event at both endpoints it ran": {resumable, []reply{cut, {status: 200, authentic: true, body: completeStream[first : first+4], endsWithConnection: true}}, 200, 2, completeStream[:first], false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				s := &service{replies: test.replies}
+				got, err := run(context.Background(), newFilter(s, 3), test.change)
+				status := int(got.status)
+				if err != nil && status == 0 {
+					status = chain.RefusalOf(err).Status
+				}
+				require.Equal(t, test.status, status)
+				require.Equal(t, test.calls, len(s.calls))
+				require.Equal(t, test.text, got.text)
+				require.Equal(t, test.ended, got.ended)
+				require.Equal(t, test.ended, err == nil)
+			})
+		})
+	}
+}
+
 // A request is reported as a possible cause of a crash only if its connection
 // broke before any part of the answer arrived. A suspected request that is
 // answered completely is cleared.
