entry/direct: a stream whose body ends inside an event is broken off, not complete

Cause: the end of the body was taken for the end of the stream, and the bytes of an incomplete event were passed on with it. Where an answer has a length or chunks, the HTTP client reports a body that ends early; an answer without either ends with its connection, and an endpoint that crashes closes that like one that has finished.

Change: the end of a body counts only between two events; without length and chunks, also only after the first event of the attempt. Anything else is a broken attempt: resumed where the route allows it, else broken off visibly, and the incomplete event is not passed on. Answers of streaming routes that state another type than text/event-stream are passed on as plain answers, as they have no events.

The fixture of target_test answered a streaming request with the text 'good', which is no event and by the rule incomplete; it now answers with a whole stream and its checks compare with that.

What cannot be told: a stream without length that ends exactly between two events.

--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -55,7 +55,7 @@
 	watchdog.headReceived()
 	var verdict verdict
 	switch {
-	case j.request.Route.Stream && answer.Status == http.StatusOK:
+	case j.request.Route.Stream && answer.Status == http.StatusOK && answer.isEventStream():
 		verdict, err = j.stream(answer, watchdog)
 	case j.headSent:
 		// An error answer cannot take the place of the rest of a stream.
@@ -184,6 +184,7 @@
 // stream forwards events as each is received completely.
 func (j *job) stream(answer *Answer, watchdog *watchdog) (verdict, error) {
 	j.cutter.Resume()
+	eventsBefore := j.cutter.EventCount
 	buffer := make([]byte, streamBufferSize)
 	for {
 		n, err := answer.Body.Read(buffer)
@@ -208,18 +209,30 @@
 			return verdictCallerGone, err
 		}
 		if err != nil {
-			if !j.headSent {
-				// An empty stream is complete too.
-				if err := j.sendHead(answer); err != nil {
-					return verdictCallerGone, err
-				}
-			}
 			j.recordStreamEnd(answer)
-			return j.finish(j.cutter.Partial())
+			if err := j.checkStreamEnd(answer, eventsBefore); err != nil {
+				return verdictBroken, err
+			}
+			// An empty stream is complete too.
+			if err := j.sendHead(answer); err != nil {
+				return verdictCallerGone, err
+			}
+			return j.finish(nil)
 		}
 	}
 }
 
+// checkStreamEnd returns an error if the body of a stream has ended but the stream
+// is incomplete. An endpoint that crashes may close its connection regularly.
+func (j *job) checkStreamEnd(answer *Answer, eventsBefore int) error {
+	insideEvent := len(j.cutter.Partial()) > 0
+	withoutEvent := answer.EndsWithConnection && j.cutter.EventCount == eventsBefore
+	if insideEvent || withoutEvent {
+		return &Error{Op: "read stream", Kind: KindTruncated, Err: io.ErrUnexpectedEOF}
+	}
+	return nil
+}
+
 // recordStreamEnd counts and logs how a stream ended, unless its framing and its
 // events both mark the end.
 func (j *job) recordStreamEnd(answer *Answer) {
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -12,6 +12,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +37,8 @@
 	KindAnswer Kind = "invalid endpoint answer"
 	// KindSize reports an answer that is larger than may be buffered.
 	KindSize Kind = "answer too large"
+	// KindTruncated reports a stream that ended before it was complete.
+	KindTruncated Kind = "stream ended early"
 	// KindUnresponsive reports an endpoint that sent nothing for too long.
 	KindUnresponsive Kind = "endpoint is unresponsive"
 	// KindUnreachable reports an agent that is not queried because it recently
@@ -96,6 +99,14 @@
 	Body io.ReadCloser
 }
 
+// isEventStream reports whether the answer is a stream of events. An answer that
+// does not state its type is taken for one.
+func (a *Answer) isEventStream() bool {
+	mediaType, _, _ := strings.Cut(a.Header.Get("Content-Type"), ";")
+	mediaType = strings.TrimSpace(mediaType)
+	return mediaType == "" || strings.EqualFold(mediaType, "text/event-stream")
+}
+
 // Filter is the filter that serves opaque routes; it passes requests of other
 // routes to the next filter. Its exported fields are set before the first
 // request.
--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -45,6 +45,8 @@
 	unresponsive bool
 	// encoding is the Content-Encoding of the answer.
 	encoding string
+	// contentType is the Content-Type of the answer.
+	contentType string
 	// pieces are the rest of the body after body, each sent after pause. The last
 	// one is repeated until the attempt is cancelled if endless is set.
 	pieces  []string
@@ -109,6 +111,9 @@
 	if next.encoding != "" {
 		header.Set("Content-Encoding", next.encoding)
 	}
+	if next.contentType != "" {
+		header.Set("Content-Type", next.contentType)
+	}
 	return &direct.Answer{
 		Status: next.status, Header: header, Authentic: next.authentic, NotExecuted: next.notExecuted, Body: io.NopCloser(body),
 		EndsWithConnection: next.endsWithConnection,
@@ -194,6 +199,7 @@
 	rejected     = reply{status: 503, notExecuted: true}
 	failed       = reply{status: 500, authentic: true, body: "bad"}
 	good         = reply{status: 200, authentic: true, body: "good"}
+	wholeStream  = reply{status: 200, authentic: true, body: completeStream}
 	unauthentic  = reply{status: 200, body: "good"}
 	encoded      = reply{status: 200, authentic: true, body: "good", encoding: "gzip"}
 	truncated    = reply{status: 200, authentic: true, body: "go", broken: true}
@@ -202,6 +208,17 @@
 
 const completeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
 
+// An error page or a JSON body has no events that could be incomplete.
+func TestAnswerOfStreamingRouteWithoutEventsIsForwarded(t *testing.T) {
+	for contentType, ended := range map[string]bool{"application/json": true, "text/plain; charset=utf-8": true, "text/event-stream; charset=utf-8": false, "": false} {
+		s := &service{replies: []reply{{status: 200, authentic: true, body: "{}", contentType: contentType}}}
+		got, err := run(context.Background(), newFilter(s, 1), streaming)
+		require.Equal(t, ended, err == nil, contentType)
+		require.Equal(t, ended, got.ended, contentType)
+		require.Equal(t, ended, got.text == "{}", contentType)
+	}
+}
+
 func TestAttempts(t *testing.T) {
 	for name, test := range map[string]struct {
 		change  func(*chain.Request)
--- a/entry/direct/target_test.go
+++ b/entry/direct/target_test.go
@@ -40,7 +40,7 @@
 	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		network := vnet.New()
-		s := &site{agentReplies: map[string]admit.Reply{}, unresponsive: map[string]bool{}, filter: newFilter(&service{replies: []reply{good}}, 0)}
+		s := &site{agentReplies: map[string]admit.Reply{}, unresponsive: map[string]bool{}, filter: newFilter(&service{replies: []reply{wholeStream}}, 0)}
 		dial := network.Dialer("entry")
 		s.filter.Agents = &pool.Pool{Dial: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, address) }}
 		config := &conf.Config{Number: 1, Services: map[string]conf.Service{"s": {Engine: &conf.Engine{Slots: 8, AdapterSlots: 4, TokensPerEvent: 1}}}}
@@ -94,7 +94,7 @@
 		inSite(t, 3, func(t *testing.T, s *site) {
 			got, err := run(t.Context(), s.filter, model)
 			require.NoError(t, err)
-			require.Equal(t, "good", got.text)
+			require.Equal(t, completeStream, got.text)
 			preferred := s.received[0].Endpoint
 			s.agentReplies[preferred] = admit.Reply{Reason: reason, Wait: span.Duration(3 * time.Second)}
 			_, err = run(t.Context(), s.filter, model)
