--- a/entry/front/answer.go
+++ b/entry/front/answer.go
@@ -164,6 +164,7 @@
 // serviceAnswer is the answer of a plain service, written as it arrives.
 type serviceAnswer struct {
 	w           http.ResponseWriter
+	request     *http.Request
 	headWritten bool
 }
 
@@ -208,6 +209,6 @@
 // mistake it for a complete one.
 func (a *serviceAnswer) finish(refusal *chain.Refusal) {
 	if refusal != nil {
-		panic(http.ErrAbortHandler)
+		chain.AbortAnswer(a.w, a.request)
 	}
 }
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -137,7 +137,7 @@
 	var a answer
 	switch {
 	case q.API == chain.APIService:
-		service := &serviceAnswer{w: w}
+		service := &serviceAnswer{w: w, request: r}
 		q.Write = service.write
 		a = service
 	case q.Stream:
