agent/engine: an answer that is cut inside an event is lost, not malformed

The run ended as a malformed answer instead of a lost connection: the adapter slot was released without waiting for the engine's end, the engine was not checked, and the request was not recorded among those that break off answers (agent/runner handleModelError).

--- a/agent/engine/run.go
+++ b/agent/engine/run.go
@@ -106,6 +106,7 @@
 func readStream(body io.Reader, onToken TokenFunc) (*Result, error) {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxEventBytes)
+	lines.Split(splitLines)
 	result := &Result{}
 	for lines.Scan() {
 		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data:"))
@@ -127,6 +128,16 @@
 	return nil, &Error{Op: "read answer", Kind: KindLost, Err: cause}
 }
 
+// splitLines is bufio.ScanLines without a last line that has no end, which the engine
+// may have cut, unless that line is complete with doneMarker.
+func splitLines(data []byte, atEOF bool) (advance int, line []byte, err error) {
+	unterminated := atEOF && bytes.IndexByte(data, '\n') < 0
+	if unterminated && !bytes.HasSuffix(data, []byte(doneMarker)) {
+		return len(data), nil, nil
+	}
+	return bufio.ScanLines(data, atEOF)
+}
+
 func readEvent(data []byte, result *Result, onToken TokenFunc) error {
 	var event completionChunk
 	if err := json.Unmarshal(data, &event); err != nil {
