httpc: an answer without body does not end with its connection

The answer to a HEAD request for a stream has no length either, and entry/direct would have taken it for a stream that was cut before its first event. TestOnlyBodiesWithoutLengthEndWithTheConnection fails without the condition on the body.

--- a/pkg/httpc/client.go
+++ b/pkg/httpc/client.go
@@ -130,6 +130,9 @@
 	ended  bool
 	// Reused reports whether the connection had carried another request before.
 	Reused bool
+	// EndsWithConnection reports whether the end of the connection is the only mark
+	// of the body's end, because the body has neither a length nor chunks.
+	EndsWithConnection bool
 }
 
 // Do sends a request and returns its answer once the header has been read. With
@@ -153,16 +156,11 @@
 		answer.discard()
 		return nil, answer.wrapError(ctx, address, err)
 	}
+	answer.EndsWithConnection = answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 && answer.Body != http.NoBody
 	answer.Response.Body = &answerBody{answer: answer, inner: answer.Response.Body, ctx: ctx}
 	return answer, nil
 }
 
-// EndsWithConnection reports whether the end of the connection is the only mark of
-// the body's end, because the answer has neither a length nor chunks.
-func (a *Answer) EndsWithConnection() bool {
-	return a.ContentLength < 0 && len(a.TransferEncoding) == 0
-}
-
 func (a *Answer) wrapError(ctx context.Context, address string, err error) error {
 	if ctx.Err() != nil {
 		return &Error{Op: "exchange with " + address, Kind: KindCancelled, Err: ctx.Err()}
@@ -264,7 +262,7 @@
 		requestSent = err == nil
 	default:
 	}
-	if !a.stop() || !requestSent || a.Close || a.EndsWithConnection() || a.conn.reader.Buffered() > 0 {
+	if !a.stop() || !requestSent || a.Close || a.EndsWithConnection || a.conn.reader.Buffered() > 0 {
 		a.ended = true
 		_ = a.conn.Close()
 		return
--- a/pkg/httpc/client_test.go
+++ b/pkg/httpc/client_test.go
@@ -180,6 +180,28 @@
 
 // A server may answer before it has read a long body. The connection must not be
 // reused then: the server would read the next request as the rest of the body.
+func TestOnlyBodiesWithoutLengthEndWithTheConnection(t *testing.T) {
+	for head, want := range map[string]bool{
+		"":                               true,
+		"Content-Length: 0\r\n":          false,
+		"Content-Length: 4\r\n":          false,
+		"Transfer-Encoding: chunked\r\n": false,
+	} {
+		for _, method := range []string{http.MethodPost, http.MethodHead} {
+			address := startPeer(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: a\r\n%s\r\n", head)
+				return false
+			})
+			r := request(address, "a")
+			r.Method = method
+			answer, err := client().Do(t.Context(), address, r, false, hasID("a"))
+			require.NoError(t, err)
+			require.Equal(t, want && method == http.MethodPost, answer.EndsWithConnection, "%s %q", method, head)
+			require.NoError(t, answer.Body.Close())
+		}
+	}
+}
+
 func TestEarlyAnswerToALongBody(t *testing.T) {
 	read := make(chan string, 1)
 	address := startPeer(t, func(conn net.Conn, r *http.Request, _ int) bool {
