agent/proxy: an event stream of a plain service that ends inside an event is lost

An answer that states text/event-stream now ends only between two events, and without length and chunks not before the first; otherwise the attempt is lost, as after a reset.

--- a/agent/proxy/client.go
+++ b/agent/proxy/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/agent/idle"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/stream"
 )
 
 const (
@@ -66,7 +67,25 @@
 	if err := head(int32(response.StatusCode), endToEndFields(response.Header)); err != nil {
 		return err
 	}
-	return copyBody(response.Body, part)
+	end, err := copyBody(response.Body, part)
+	if err != nil {
+		return err
+	}
+	return checkEnd(response, end)
+}
+
+// checkEnd returns an error if the body of an event stream has ended but the stream is
+// incomplete. A service that crashes may close its connection regularly. end holds the
+// last bytes of the body.
+func checkEnd(response *http.Response, end []byte) error {
+	if response.Body == http.NoBody || !stream.IsContentType(response.Header.Get("Content-Type")) {
+		return nil
+	}
+	endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	if !stream.EndsBetweenEvents(end) || endsWithConnection && len(end) == 0 {
+		return &Error{Op: "read stream", Kind: KindLost, Err: io.ErrUnexpectedEOF}
+	}
+	return nil
 }
 
 func (c *Client) request(ctx context.Context, a *call.Attempt) (*http.Request, error) {
@@ -101,20 +120,23 @@
 	return list
 }
 
-func copyBody(body io.Reader, part func([]byte) error) error {
+// copyBody passes on the pieces of a body and returns its last stream.EndSize bytes.
+func copyBody(body io.Reader, part func([]byte) error) (end []byte, err error) {
 	buffer := make([]byte, maxPieceBytes)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
 			if err := part(append([]byte(nil), buffer[:n]...)); err != nil {
-				return err
+				return nil, err
 			}
+			end = append(end, buffer[max(0, n-stream.EndSize):n]...)
+			end = end[max(0, len(end)-stream.EndSize):]
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return end, nil
 		}
 		if err != nil {
-			return &Error{Op: "read answer", Kind: KindLost, Err: err}
+			return nil, &Error{Op: "read answer", Kind: KindLost, Err: err}
 		}
 	}
 }
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -12,7 +12,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -26,6 +25,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/stream"
 )
 
 // Kind classifies the failures of this package.
@@ -102,9 +102,8 @@
 // isEventStream reports whether the answer is a stream of events. An answer that
 // does not state its type is taken for one.
 func (a *Answer) isEventStream() bool {
-	mediaType, _, _ := strings.Cut(a.Header.Get("Content-Type"), ";")
-	mediaType = strings.TrimSpace(mediaType)
-	return mediaType == "" || strings.EqualFold(mediaType, "text/event-stream")
+	contentType := a.Header.Get("Content-Type")
+	return contentType == "" || stream.IsContentType(contentType)
 }
 
 // Filter is the filter that serves opaque routes; it passes requests of other
--- a/pkg/stream/splitter_test.go
+++ b/pkg/stream/splitter_test.go
@@ -86,3 +86,13 @@
 	require.Len(t, complete, size+1)
 	require.Less(t, time.Since(started), 2*time.Second)
 }
+
+func TestEndOfStreamIsBetweenEventsWhereNoEventIsPartial(t *testing.T) {
+	for at := range len(text) + 1 {
+		splitter := stream.Splitter{}
+		_, err := splitter.Push([]byte(text[:at]))
+		require.NoError(t, err)
+		end := []byte(text[max(0, at-stream.EndSize):at])
+		require.Equal(t, len(splitter.Partial()) == 0, stream.EndsBetweenEvents(end), "%q", text[:at])
+	}
+}
