--- a/entry/chain/chain.go
+++ b/entry/chain/chain.go
@@ -94,6 +94,10 @@
 	// ExpectedTokens is the answer length that the caller expects; 0 if it gives none.
 	ExpectedTokens int64
 
+	// PromptParts identifies the parts of the prompt that other requests may share, in
+	// order; the last part, which belongs to the request itself, is not among them.
+	PromptParts []string
+
 	// ID identifies the request; the trace filter sets it if the frontend has not.
 	// Start is when the request arrived.
 	ID    string
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
@@ -135,7 +136,8 @@
 	}
 	j.filter.Host.Meter.Add("attempts_failed", 1)
 	j.filter.Host.Log.Write("attempt-failed", "request", j.request.ID, "route", j.request.RouteName, "endpoint", endpoint.Name,
-		"address", endpoint.Address, "verdict", verdict.String(), "tries", j.tries, "events", j.cutter.EventCount, "err", err)
+		"address", endpoint.Address, "verdict", verdict.String(), "tries", j.tries, "events", j.cutter.EventCount,
+		"parts", strings.Join(j.request.PromptParts, ","), "err", err)
 }
 
 // mayRetry reports whether another attempt may follow.
