ctrl/poison: the part of a prompt that crashes endpoints is found and quarantined

Callers saw: engines crashed one after the other for as long as requests of one kind came, and half of all requests, sound ones too, failed.

Cause: crashes were attributed to whole contents only.

Change: an entry reports with a crash also the shared parts of the prompts that had no answer when it happened, without those on which an endpoint has answered from a second before it. Control keeps the crashes of the last two minutes with their candidates; an answer anywhere on a candidate removes it (and ends a quarantine). The part that is left in three crashes is quarantined: the one that explains most, and among equals the last in its prompt, because the parts before it are shared with sound requests. Crashes that a quarantined part explains count against no other part; endpoints that crash within 0.1 s of each other count once. A request with a quarantined part is answered 503, not run. Parts are counted by service.

--- /dev/null
+++ b/ctrl/poison/poison_test.go
@@ -0,0 +1,130 @@
+package poison_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/ctrl/poison"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+// crash returns an entry's report about the requests of an endpoint. Each prompt is a
+// word, each of its letters a part.
+func crash(endpoint string, prompts ...string) *plane.Crash {
+	report := &plane.Crash{Endpoint: endpoint, Incarnation: 1}
+	for _, prompt := range prompts {
+		for position, letter := range prompt {
+			report.Parts = append(report.Parts, plane.CrashPart{Digest: []byte(string(letter)), Position: int32(position)})
+		}
+	}
+	return report
+}
+
+// describe lists the quarantined parts and then, after a slash, the suspected ones.
+func describe(p *poison.Parts) string {
+	var quarantined, suspected string
+	for _, ban := range p.List(0) {
+		if ban.Suspect {
+			suspected += string(ban.Digest)
+		} else {
+			quarantined += string(ban.Digest)
+		}
+	}
+	return quarantined + "/" + suspected
+}
+
+func TestPartOfAllCrashesIsQuarantined(t *testing.T) {
+	for name, test := range map[string]struct {
+		// steps are endpoints with the prompts of their unanswered requests, one step a
+		// second, or a part on which an endpoint has answered.
+		steps []string
+		want  string
+	}{
+		"two crashes make suspects":                    {[]string{"a: fsx", "b: fsx"}, "/fsx"},
+		"the last common part, answered before it":     {[]string{"a: fsx", "+f", "b: fsx ft", "+f", "c: fsx"}, "x/"},
+		"the last of parts that always come together":  {[]string{"a: fsx", "b: fsx", "c: fsx"}, "x/"},
+		"an earlier part with different later ones":    {[]string{"a: fsu", "+f", "b: fsv", "c: fsw", "+f"}, "s/"},
+		"a part at different positions":                {[]string{"a: fx", "+f", "b: fsx", "c: gx"}, "x/"},
+		"different prompts of one crash":               {[]string{"a: fx fs ft", "b: fx fu", "+f", "c: fx fs"}, "x/"},
+		"an earlier part in one crash more waits":      {[]string{"a: fsx", "b: fs", "+f", "c: fsx"}, "/fsx"},
+		"until the later part has crashed enough":      {[]string{"a: fsx", "b: fs", "+f", "c: fsx", "d: fsx"}, "x/s"},
+		"or no longer explains the crashes":            {[]string{"a: fsx", "b: fs", "+f", "c: fsx", "d: fs", "e: fs"}, "s/"},
+		"a crash reported by three entries counts one": {[]string{"a: fx", "a: fx", "a: fx"}, "/fx"},
+		"an explained crash is reported late":          {[]string{"a: x", "b: x", "c: x", "b: s", "c: s", "a: s"}, "x/"},
+		"an answer clears before the quarantine":       {[]string{"a: x", "b: x", "+x", "c: x"}, "/x"},
+		"an answer ends the quarantine":                {[]string{"a: x", "b: x", "c: x", "+x"}, "/"},
+		"and the next suspect has all crashes again":   {[]string{"a: sx", "b: sx", "c: sx", "+x"}, "s/"},
+		"two causes": {[]string{"a: fx", "b: fy", "+f", "c: fx", "d: fy", "e: fx", "f: fy"}, "xy/"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			parts, now := &poison.Parts{}, int64(0)
+			for _, step := range test.steps {
+				now += int64(time.Second)
+				if part, answered := strings.CutPrefix(step, "+"); answered {
+					parts.Clear([]byte(part), now)
+					continue
+				}
+				endpoint, prompts, _ := strings.Cut(step, ": ")
+				parts.Apply(crash(endpoint, strings.Fields(prompts)...), now)
+			}
+			require.Equal(t, test.want, describe(parts))
+			restored := &poison.Parts{}
+			restored.Restore(parts.Snapshot())
+			require.Equal(t, test.want, describe(restored))
+			require.Equal(t, parts.Revision(), restored.Revision())
+		})
+	}
+}
+
+// Endpoints that lose power together are no evidence against what they all worked on.
+func TestEndpointsThatCrashTogetherCountOnce(t *testing.T) {
+	parts := &poison.Parts{}
+	for i := range int64(5) {
+		parts.Apply(crash(fmt.Sprint("a", i), "fs"), i*int64(poison.SimultaneousCrashes)/5)
+	}
+	require.Equal(t, "/fs", describe(parts))
+}
+
+func TestQuarantineAndCrashesExpire(t *testing.T) {
+	parts := &poison.Parts{}
+	_, ok := parts.NextExpiry()
+	require.False(t, ok)
+	for i := range int64(3) {
+		parts.Apply(crash(fmt.Sprint("a", i), "x"), i*int64(time.Second))
+	}
+	parts.Apply(crash("b", "y"), 0)
+	require.Equal(t, "x/y", describe(parts))
+	revision := parts.Revision()
+	due, ok := parts.NextExpiry()
+	require.True(t, ok)
+	require.Equal(t, int64(poison.CrashRetention), due)
+	parts.Expire(int64(poison.CrashRetention + time.Second))
+	require.Equal(t, "x/", describe(parts))
+	require.Greater(t, parts.Revision(), revision)
+	parts.Expire(int64(poison.QuarantineDuration + time.Minute))
+	require.Equal(t, "/", describe(parts))
+	for i := range int64(3) {
+		parts.Apply(crash(fmt.Sprint("c", i), "x"), int64(time.Hour)+i*int64(time.Second))
+	}
+	require.True(t, parts.Lift([]byte("x")))
+	require.False(t, parts.Lift([]byte("x")))
+}
+
+func TestPartsAreBounded(t *testing.T) {
+	parts := &poison.Parts{}
+	for i := range 500 {
+		report := &plane.Crash{Endpoint: fmt.Sprint("e", i), Incarnation: 1}
+		for j := range 500 {
+			report.Parts = append(report.Parts, plane.CrashPart{Digest: fmt.Append(nil, i, "-", j)})
+		}
+		parts.Apply(report, int64(i))
+	}
+	table := parts.Snapshot()
+	require.Len(t, table.Crashes, 64)
+	require.Len(t, table.Crashes[0].Parts, 64)
+	require.Len(t, parts.List(0), 64*64)
+}
--- a/ctrl/state/command.go
+++ b/ctrl/state/command.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/tanagerspindle/tanagerspindle/ctrl/bans"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/ledger"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/poison"
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
@@ -128,4 +129,5 @@
 	EndpointsRevision uint64          `protobuf:"varint,9,opt"`
 	Endpoints         []advert.Record `protobuf:"bytes,10,rep"`
 	Releases          []plane.Release `protobuf:"bytes,11,rep"`
+	PromptParts       *poison.Table   `protobuf:"bytes,12,opt"`
 }
--- a/ctrl/state/machine.go
+++ b/ctrl/state/machine.go
@@ -13,6 +13,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/bans"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/ledger"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/poison"
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
@@ -56,6 +57,8 @@
 	// lastFence is the last fencing number issued.
 	lastFence uint64
 	bans      bans.Bans
+	// promptParts are the parts of prompts that may crash endpoints.
+	promptParts poison.Parts
 	// endpointsRevision counts the changes to endpoints and releases.
 	endpointsRevision uint64
 	endpoints         advert.Table
@@ -105,7 +108,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.time = max(m.time, committed)
-	number, bansRevision, lastFence, endpointsRevision := m.number(), m.bans.Revision(), m.lastFence, m.endpointsRevision
+	number, bansRevision, lastFence, endpointsRevision := m.number(), m.bansRevision(), m.lastFence, m.endpointsRevision
 	result := &Result{}
 	if command.Config != nil {
 		result.Config = m.propose(command.Config)
@@ -125,21 +128,24 @@
 	m.applyBans(command, result)
 	m.applyOpaqueRoutes(command, result)
 	m.ledger.Expire(m.time)
-	changed := number != m.number() || bansRevision != m.bans.Revision() || lastFence != m.lastFence || endpointsRevision != m.endpointsRevision
+	changed := number != m.number() || bansRevision != m.bansRevision() || lastFence != m.lastFence || endpointsRevision != m.endpointsRevision
 	return result, changed
 }
 
 func (m *Machine) applyBans(command *Command, result *Result) {
 	for i := range command.Crashes {
 		m.bans.Apply(&command.Crashes[i], m.time)
+		m.promptParts.Apply(&command.Crashes[i], m.time)
 	}
 	for _, digest := range command.ClearedDigests {
 		m.bans.ClearSuspect(digest)
+		m.promptParts.Clear(digest, m.time)
 	}
 	if len(command.LiftDigest) > 0 {
-		result.Lifted = m.bans.Lift(command.LiftDigest)
+		result.Lifted = m.bans.Lift(command.LiftDigest) || m.promptParts.Lift(command.LiftDigest)
 	}
 	m.bans.Expire(m.time)
+	m.promptParts.Expire(m.time)
 }
 
 // Snapshot returns the encoded state. The mutex is not held during the encoding,
@@ -159,7 +165,7 @@
 	defer m.mutex.Unlock()
 	stored := &image{
 		Time: m.time, Config: m.config, History: slices.Clone(m.history), Claims: m.ledger.Snapshot(),
-		LastFence: m.lastFence, Bans: m.bans.Snapshot(),
+		LastFence: m.lastFence, Bans: m.bans.Snapshot(), PromptParts: m.promptParts.Snapshot(),
 		EndpointsRevision: m.endpointsRevision, Endpoints: m.endpoints.Snapshot(), Releases: m.releasesSince(0),
 	}
 	for _, reservation := range m.reservations {
@@ -193,6 +199,7 @@
 	m.time, m.config, m.history, m.deltas = stored.Time, stored.Config, stored.History, nil
 	m.ledger.Restore(stored.Claims)
 	m.bans.Restore(stored.Bans)
+	m.promptParts.Restore(stored.PromptParts)
 	m.lastFence = stored.LastFence
 	m.restoreOpaqueRoutes(stored)
 	m.reservations = map[string]timedReservation{}
@@ -220,8 +227,11 @@
 	if ok && claim <= time {
 		return true
 	}
-	ban, ok := m.bans.NextExpiry()
-	return ok && ban <= time
+	if ban, ok := m.bans.NextExpiry(); ok && ban <= time {
+		return true
+	}
+	part, ok := m.promptParts.NextExpiry()
+	return ok && part <= time
 }
 
 // Claim returns the state of the claim on the request's key without changing it.
@@ -241,17 +251,20 @@
 	return m.ledger.Size()
 }
 
-// Bans returns the suspect and quarantined requests, and the revision of the
-// list.
+// Bans returns the suspect and quarantined requests and parts of prompts, and the
+// revision of the list.
 func (m *Machine) Bans() ([]plane.Ban, uint64) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.bans.List(m.time), m.bans.Revision()
+	return slices.Concat(m.bans.List(m.time), m.promptParts.List(m.time)), m.bansRevision()
 }
 
 // BansRevision returns the revision of the list of bans.
 func (m *Machine) BansRevision() uint64 {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.bans.Revision()
+	return m.bansRevision()
 }
+
+// bansRevision increases with each change of the bans. m.mutex must be held.
+func (m *Machine) bansRevision() uint64 { return m.bans.Revision() + m.promptParts.Revision() }
--- a/entry/crash/crash.go
+++ b/entry/crash/crash.go
@@ -1,14 +1,14 @@
 // Package crash attributes crashes of endpoints to the requests of opaque
-// routes that may have caused them.
+// routes that may have caused them, and to the parts of their prompts.
 //
 // A request may crash each endpoint that starts to run it and be sent again by
-// its caller. No agent stands between the entry and the endpoint, so the entry
+// its caller, or other requests may share the part of its prompt that crashes
+// endpoints. No agent stands between the entry and the endpoint, so the entry
 // records the requests whose connection to an endpoint broke, and reports them
 // once another process has replaced the endpoint.
 package crash
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +32,15 @@
 	maxLost = 64
 )
 
+// Request identifies a request for the attribution of crashes.
+type Request struct {
+	// Digest is the request's content digest.
+	Digest []byte
+	// Parts are the digests of the parts of its prompt that other requests may
+	// share, in order.
+	Parts [][]byte
+}
+
 // Tracker records lost requests and reports crashes. It is safe for concurrent
 // use; its exported fields are set before use.
 type Tracker struct {
@@ -40,23 +49,28 @@
 	// Report is called with the requests that an endpoint was running when it
 	// crashed.
 	Report func(crash plane.Crash)
+	// Suspected reports whether a part of a prompt is suspected or quarantined.
+	Suspected func(digest []byte) bool
+	// Clear is called with a suspected part on which an endpoint has answered.
+	Clear func(digest []byte)
 
 	mutex sync.Mutex
 	// lost holds the requests whose connection broke, by the endpoint's
 	// address.
-	lost map[string]*lostRequests
+	lost    map[string]*lostRequests
+	answers answers
 }
 
 // lostRequests are the requests whose connections to one process broke.
 type lostRequests struct {
 	endpoint advert.Record
-	digests  [][]byte
+	requests []Request
 	lastLost time.Time
 }
 
 // RecordLostRequest records a request whose connection to an endpoint broke
 // before any part of the answer arrived.
-func (t *Tracker) RecordLostRequest(endpoint advert.Record, digest []byte, now time.Time) {
+func (t *Tracker) RecordLostRequest(endpoint advert.Record, request Request, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.lost == nil {
@@ -68,8 +82,21 @@
 		t.lost[endpoint.Address] = known
 	}
 	known.lastLost = now
-	if len(known.digests) < maxLost {
-		known.digests = append(known.digests, slices.Clone(digest))
+	if len(known.requests) < maxLost {
+		known.requests = append(known.requests, request)
+	}
+}
+
+// RecordAnswered records that an endpoint has begun to answer on a prompt, which
+// its parts therefore do not prevent.
+func (t *Tracker) RecordAnswered(parts [][]byte, now time.Time) {
+	for _, part := range parts {
+		t.mutex.Lock()
+		mayClear := t.answers.record(part, now)
+		t.mutex.Unlock()
+		if mayClear && t.Suspected(part) {
+			t.Clear(part)
+		}
 	}
 }
 
@@ -110,7 +137,17 @@
 // newCrash returns the report of a crash. It names the process and this entry,
 // since each entry reports its own requests of the same crash.
 func (t *Tracker) newCrash(known *lostRequests) plane.Crash {
-	return plane.Crash{
-		Source: plane.CrashSource(t.Entry, known.endpoint.Name), Incarnation: uint64(known.endpoint.StartedMillis), Count: 1, Digests: known.digests,
+	crash := plane.Crash{
+		Source: plane.CrashSource(t.Entry, known.endpoint.Name), Incarnation: uint64(known.endpoint.StartedMillis), Count: 1,
+		Endpoint: known.endpoint.Name,
+	}
+	for _, request := range known.requests {
+		crash.Digests = append(crash.Digests, request.Digest)
+		for position, part := range request.Parts {
+			if !t.answers.since(part, known.lastLost.Add(-recentAnswer)) {
+				crash.AddPart(plane.CrashPart{Digest: part, Position: int32(position)})
+			}
+		}
 	}
+	return crash
 }
--- a/entry/crash/crash_test.go
+++ b/entry/crash/crash_test.go
@@ -25,8 +25,8 @@
 		want   []plane.Crash
 	}{
 		"process keeps running":             {[]advert.Record{first}, time.Second, nil},
-		"restarted under its name":          {[]advert.Record{process("e1", "a:1", 200)}, time.Second, []plane.Crash{{Source: "entry/e1", Incarnation: 100, Count: 1, Digests: [][]byte{{1}, {2}}}}},
-		"restarted under another name":      {[]advert.Record{process("e9", "a:1", 200)}, time.Second, []plane.Crash{{Source: "entry/e1", Incarnation: 100, Count: 1, Digests: [][]byte{{1}, {2}}}}},
+		"restarted under its name":          {[]advert.Record{process("e1", "a:1", 200)}, time.Second, []plane.Crash{{Source: "entry/e1", Incarnation: 100, Count: 1, Digests: [][]byte{{1}, {2}}, Endpoint: "e1"}}},
+		"restarted under another name":      {[]advert.Record{process("e9", "a:1", 200)}, time.Second, []plane.Crash{{Source: "entry/e1", Incarnation: 100, Count: 1, Digests: [][]byte{{1}, {2}}, Endpoint: "e1"}}},
 		"another endpoint starts":           {[]advert.Record{first, process("e2", "b:1", 300)}, time.Second, nil},
 		"late announcement of a former one": {[]advert.Record{process("e0", "a:1", 50)}, time.Second, nil},
 		"replaced long after":               {[]advert.Record{process("e1", "a:1", 200)}, time.Minute, nil},
@@ -35,8 +35,8 @@
 			bubble.Test(t, func(t *testing.T) {
 				var got []plane.Crash
 				tracker := &crash.Tracker{Entry: "entry", Report: func(crash plane.Crash) { got = append(got, crash) }}
-				tracker.RecordLostRequest(first, []byte{1}, time.Now())
-				tracker.RecordLostRequest(first, []byte{2}, time.Now())
+				tracker.RecordLostRequest(first, crash.Request{Digest: []byte{1}}, time.Now())
+				tracker.RecordLostRequest(first, crash.Request{Digest: []byte{2}}, time.Now())
 				time.Sleep(test.wait)
 				for range 2 {
 					tracker.Update(map[string][]advert.Record{"s": test.usable})
@@ -46,3 +46,42 @@
 		})
 	}
 }
+
+// A part on which an endpoint answered shortly before the crash, or after it, is not
+// among the candidates; a suspected part is reported as sound once it is answered.
+func TestOnlyPartsWithoutAnswerAreReported(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		var got []plane.Crash
+		var cleared []string
+		tracker := &crash.Tracker{
+			Entry: "entry", Report: func(crash plane.Crash) { got = append(got, crash) },
+			Suspected: func(digest []byte) bool { return string(digest) != "never suspected" },
+			Clear:     func(digest []byte) { cleared = append(cleared, string(digest)) },
+		}
+		first := process("e1", "a:1", 100)
+		answered := func(parts ...string) {
+			for _, part := range parts {
+				tracker.RecordAnswered([][]byte{[]byte(part)}, time.Now())
+			}
+		}
+		answered("long before", "never suspected")
+		time.Sleep(2 * time.Second)
+		answered("just before")
+		time.Sleep(500 * time.Millisecond)
+		for _, parts := range [][]string{{"just before", "long before"}, {"long before", "after", "without"}} {
+			request := crash.Request{Digest: []byte(parts[1])}
+			for _, part := range parts {
+				request.Parts = append(request.Parts, []byte(part))
+			}
+			tracker.RecordLostRequest(first, request, time.Now())
+		}
+		time.Sleep(time.Second)
+		answered("after", "after")
+		time.Sleep(time.Second)
+		answered("after")
+		tracker.Update(map[string][]advert.Record{"s": {process("e2", "a:1", 200)}})
+		require.Len(t, got, 1)
+		require.Equal(t, []plane.CrashPart{{Digest: []byte("long before"), Position: 1}, {Digest: []byte("without"), Position: 2}}, got[0].Parts)
+		require.Equal(t, []string{"long before", "just before", "after", "after"}, cleared, "at most one report a part in 0.3 s")
+	})
+}
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/entry/crash"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/httpc"
 )
@@ -71,6 +72,9 @@
 		if verdict == verdictComplete && j.request.Suspect && j.filter.OnSuspectCleared != nil {
 			j.filter.OnSuspectCleared(j.request.Digest)
 		}
+		if verdict == verdictComplete {
+			j.recordAnswered()
+		}
 		if verdict == verdictComplete && j.adapterKey() != "" {
 			j.filter.Endpoints.MarkResident(t.endpoint.Name, j.adapterKey(), time.Now())
 		}
@@ -120,8 +124,8 @@
 	if cause != nil && ctx.Err() == nil {
 		err = cause
 	}
-	if cause == nil && j.filter.OnConnectionLost != nil && j.cutter.EventCount == 0 && errors.Is(err, &httpc.Error{Kind: httpc.KindBroken}) {
-		j.filter.OnConnectionLost(t.endpoint, j.request.Digest, time.Now())
+	if cause == nil && j.filter.OnConnectionLost != nil && j.cutter.EventCount == 0 && connectionLost(err) {
+		j.filter.OnConnectionLost(t.endpoint, crash.Request{Digest: j.request.Digest, Parts: j.parts}, time.Now())
 	}
 	if ctx.Err() == nil {
 		j.filter.Endpoints.MarkUnreachable(t.endpoint.Name, time.Now())
@@ -130,6 +134,12 @@
 	return verdictBroken, err
 }
 
+// connectionLost reports whether an attempt ended with its connection, which may be the
+// sign of a crash.
+func connectionLost(err error) bool {
+	return errors.Is(err, &httpc.Error{Kind: httpc.KindBroken}) || errors.Is(err, &Error{Kind: KindTruncated})
+}
+
 // valid reports whether an answer comes from the endpoint itself, in the
 // encoding in which the endpoint sent it.
 func valid(answer *Answer) bool {
@@ -184,7 +194,7 @@
 // stream forwards events as each is received completely.
 func (j *job) stream(answer *Answer, watchdog *watchdog) (verdict, error) {
 	j.cutter.Resume()
-	eventsBefore := j.cutter.EventCount
+	eventsBefore, answered := j.cutter.EventCount, false
 	buffer := make([]byte, streamBufferSize)
 	for {
 		n, err := answer.Body.Read(buffer)
@@ -194,6 +204,10 @@
 			return verdictBroken, splitErr
 		}
 		if len(complete) > 0 {
+			if !answered {
+				answered = true
+				j.recordAnswered()
+			}
 			j.lastReceived = time.Now()
 			if !hadID || j.cutter.LastID != formerID {
 				watchdog.eventReceived()
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/entry/crash"
 	"github.com/tanagerspindle/tanagerspindle/entry/pool"
 	"github.com/tanagerspindle/tanagerspindle/entry/retry"
 	"github.com/tanagerspindle/tanagerspindle/entry/shares"
@@ -126,12 +127,16 @@
 	// ShutdownTime returns when this process will exit, or zero while no
 	// shutdown is in progress. Nil means that the process never exits.
 	ShutdownTime func() time.Time
-	// OnConnectionLost is called with the digest of a request whose connection
-	// broke before any part of the answer arrived, OnSuspectCleared with the
-	// digest of a suspected request that was answered completely. Both may be
-	// nil.
-	OnConnectionLost func(endpoint advert.Record, digest []byte, now time.Time)
+	// OnConnectionLost is called with a request whose connection broke before any
+	// part of the answer arrived, OnSuspectCleared with the digest of a suspected
+	// request that was answered completely. Both may be nil.
+	OnConnectionLost func(endpoint advert.Record, request crash.Request, now time.Time)
 	OnSuspectCleared func(digest []byte)
+	// OnAnswered is called with the digests of the parts of a prompt on which an
+	// endpoint has begun to answer. Quarantined returns how much longer requests
+	// with a part are refused, 0 if they are not. Both may be nil.
+	OnAnswered  func(parts [][]byte, now time.Time)
+	Quarantined func(part []byte) time.Duration
 	// Random returns a number between 0 and 1; nil uses the global generator.
 	Random func() float64
 
@@ -185,7 +190,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline())
 	defer cancel()
-	j := &job{filter: f, request: r, service: service, excluded: map[string]bool{}, ran: chain.RanNo}
+	j := &job{filter: f, request: r, service: service, parts: partDigests(service, r.PromptParts), excluded: map[string]bool{}, ran: chain.RanNo}
 	if configured, ok := f.Config().Services[service]; ok {
 		j.engine = configured.Engine
 	}
--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/entry/crash"
 	"github.com/tanagerspindle/tanagerspindle/entry/direct"
 	"github.com/tanagerspindle/tanagerspindle/entry/pool"
 	"github.com/tanagerspindle/tanagerspindle/entry/retry"
@@ -350,9 +351,9 @@
 		t.Run(name, func(t *testing.T) {
 			bubble.Test(t, func(t *testing.T) {
 				d, lost := newFilter(&service{replies: test.replies}, 3), 0
-				d.OnConnectionLost = func(endpoint advert.Record, digest []byte, _ time.Time) {
+				d.OnConnectionLost = func(endpoint advert.Record, request crash.Request, _ time.Time) {
 					require.NotEmpty(t, endpoint.Address)
-					require.Equal(t, []byte("x"), digest)
+					require.Equal(t, []byte("x"), request.Digest)
 					lost++
 				}
 				_, _ = run(context.Background(), d, func(r *chain.Request) {
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -31,6 +31,8 @@
 	filter  *Filter
 	request *chain.Request
 	service string
+	// parts are the digests of the prompt's shared parts, in order.
+	parts [][]byte
 	// engine is the engine configuration of the service; nil for a plain
 	// service.
 	engine *conf.Engine
@@ -117,6 +119,9 @@
 	if ctx.Err() != nil {
 		return j.fail(ctx, nil)
 	}
+	if refusal := j.refusePrompt(); refusal != nil {
+		return j.fail(ctx, refusal)
+	}
 	if j.request.Check == nil {
 		return nil
 	}
--- /dev/null
+++ b/entry/direct/prompt.go
@@ -0,0 +1,43 @@
+package direct
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/pkg/digest"
+)
+
+// partDigests returns the digests of the parts of a prompt. They include the service,
+// since the engines of another one may answer on the same part.
+func partDigests(service string, parts []string) [][]byte {
+	digests := make([][]byte, 0, len(parts))
+	for _, part := range parts {
+		digests = append(digests, digest.Of([]byte("prompt part"), []byte(service), []byte(part)))
+	}
+	return digests
+}
+
+// recordAnswered reports that an endpoint has begun to answer on the prompt.
+func (j *job) recordAnswered() {
+	if j.filter.OnAnswered != nil && len(j.parts) > 0 {
+		j.filter.OnAnswered(j.parts, time.Now())
+	}
+}
+
+// refusePrompt refuses a request with a quarantined part in its prompt.
+func (j *job) refusePrompt() *chain.Refusal {
+	if j.filter.Quarantined == nil {
+		return nil
+	}
+	for i, part := range j.parts {
+		remaining := j.filter.Quarantined(part)
+		if remaining <= 0 {
+			continue
+		}
+		j.filter.Host.Log.Write("prompt-refused", "request", j.request.ID, "service", j.service, "part", j.request.PromptParts[i], "remaining", remaining)
+		j.filter.Host.Meter.Add("prompts_refused", 1)
+		return chain.Refuse(http.StatusServiceUnavailable, "quarantined", "endpoints crashed on a part of the prompt").WithRetryAfter(remaining)
+	}
+	return nil
+}
--- a/pkg/plane/feed.go
+++ b/pkg/plane/feed.go
@@ -3,6 +3,8 @@
 package plane
 
 import (
+	"bytes"
+
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
@@ -141,6 +143,30 @@
 	Count       uint64 `protobuf:"varint,3,opt" json:"count"`
 	// Digests are the content digests of the requests at the endpoint.
 	Digests [][]byte `protobuf:"bytes,4,rep" json:"digests"`
+	// Endpoint names the process that crashed, of which Incarnation is the start. Parts
+	// are the prompts' parts of those of its requests that had no answer yet. Both are
+	// reported by entries only.
+	Endpoint string      `protobuf:"bytes,5,opt" json:"endpoint,omitempty"`
+	Parts    []CrashPart `protobuf:"bytes,6,rep" json:"parts,omitempty"`
+}
+
+// AddPart adds a part, or raises its position if the crash has it already.
+func (c *Crash) AddPart(part CrashPart) {
+	for i := range c.Parts {
+		if bytes.Equal(c.Parts[i].Digest, part.Digest) {
+			c.Parts[i].Position = max(c.Parts[i].Position, part.Position)
+			return
+		}
+	}
+	c.Parts = append(c.Parts, part)
+}
+
+// CrashPart is a part of a prompt that may have crashed an endpoint.
+type CrashPart struct {
+	// Digest identifies the part and the service.
+	Digest []byte `protobuf:"bytes,1,opt" json:"digest"`
+	// Position is the part's largest index in a prompt, from 0.
+	Position int32 `protobuf:"varint,2,opt" json:"position"`
 }
 
 // Update answers a heartbeat, or carries changes at other times (Seq 0).
@@ -202,9 +228,9 @@
 	return nil
 }
 
-// Ban is a quarantined or suspected request.
+// Ban is a quarantined or suspected request, or part of a prompt.
 type Ban struct {
-	// Digest is the request's content digest.
+	// Digest is the request's content digest, or that of the part.
 	Digest []byte `protobuf:"bytes,1,opt" json:"digest"`
 	// Suspect means that the request may still run, but not beside another suspect.
 	Suspect bool `protobuf:"varint,2,opt" json:"suspect"`
@@ -216,4 +242,7 @@
 	UntilNanos int64 `protobuf:"varint,5,opt" json:"until"`
 	// Remaining is the time until the ban ends, as of when the message was sent.
 	Remaining span.Duration `protobuf:"varint,6,opt" json:"left"`
+	// Part means that the ban concerns all requests with a part of a prompt. Such
+	// suspects may run beside each other.
+	Part bool `protobuf:"varint,7,opt" json:"part,omitempty"`
 }
