entry/crash: a crash is reported when the endpoint refuses connections, not when it is replaced

Callers saw: engines crashed again before the first crash was known.

Change: 30 ms after a connection broke before its answer began, the entry connects to the endpoint once. A refused connection means that no process listens any more: the crash is reported at once, with what the entry lost there; later losses follow in a report of their own. An endpoint that accepts, or one that had announced to leave, has not crashed; a machine that does not answer is left to the replacement as before. At most one check in 0.25 s an endpoint.

--- a/entry/crash/crash.go
+++ b/entry/crash/crash.go
@@ -4,11 +4,13 @@
 // A request may crash each endpoint that starts to run it and be sent again by
 // its caller, or other requests may share the part of its prompt that crashes
 // endpoints. No agent stands between the entry and the endpoint, so the entry
-// records the requests whose connection to an endpoint broke, and reports them
-// once another process has replaced the endpoint.
+// records the requests whose connection to an endpoint broke. It reports them
+// once the endpoint's address refuses connections, or another process has
+// replaced the endpoint.
 package crash
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -49,6 +51,9 @@
 	// Report is called with the requests that an endpoint was running when it
 	// crashed.
 	Report func(crash plane.Crash)
+	// Refuses reports whether an address refuses connections. With nil, a crash is
+	// known only from the endpoint's replacement.
+	Refuses func(ctx context.Context, address string) bool
 	// Suspected reports whether a part of a prompt is suspected or quarantined.
 	Suspected func(digest []byte) bool
 	// Clear is called with a suspected part on which an endpoint has answered.
@@ -59,6 +64,9 @@
 	// address.
 	lost    map[string]*lostRequests
 	answers answers
+	// accepting holds the start times of the processes that accept requests, by
+	// address.
+	accepting map[string]int64
 }
 
 // lostRequests are the requests whose connections to one process broke.
@@ -66,6 +74,12 @@
 	endpoint advert.Record
 	requests []Request
 	lastLost time.Time
+	// reports counts the reports, which included the first reported requests.
+	reports  uint64
+	reported int
+	// checking reports that a check is due, nextCheck when the one after it may be.
+	checking  bool
+	nextCheck time.Time
 }
 
 // RecordLostRequest records a request whose connection to an endpoint broke
@@ -85,6 +99,7 @@
 	if len(known.requests) < maxLost {
 		known.requests = append(known.requests, request)
 	}
+	t.scheduleCheck(known, now)
 }
 
 // RecordAnswered records that an endpoint has begun to answer on a prompt, which
@@ -104,25 +119,27 @@
 // crashes of those that another process has replaced.
 func (t *Tracker) Update(usable map[string][]advert.Record) {
 	for _, crash := range t.findCrashes(usable, time.Now()) {
-		t.Report(crash)
+		t.Report(*crash)
 	}
 }
 
 // findCrashes returns the crashes of replaced endpoints and removes expired
 // requests.
-func (t *Tracker) findCrashes(usable map[string][]advert.Record, now time.Time) []plane.Crash {
+func (t *Tracker) findCrashes(usable map[string][]advert.Record, now time.Time) []*plane.Crash {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	var crashes []plane.Crash
+	var crashes []*plane.Crash
+	t.accepting = map[string]int64{}
 	for _, records := range usable {
 		for _, record := range records {
+			t.accepting[record.Address] = record.StartedMillis
 			known := t.lost[record.Address]
 			if known == nil || record.StartedMillis <= known.endpoint.StartedMillis {
 				continue
 			}
 			delete(t.lost, record.Address)
-			if now.Sub(known.lastLost) <= retention {
-				crashes = append(crashes, t.newCrash(known))
+			if crash := t.newCrash(known); crash != nil && now.Sub(known.lastLost) <= retention {
+				crashes = append(crashes, crash)
 			}
 		}
 	}
@@ -134,14 +151,21 @@
 	return crashes
 }
 
-// newCrash returns the report of a crash. It names the process and this entry,
-// since each entry reports its own requests of the same crash.
-func (t *Tracker) newCrash(known *lostRequests) plane.Crash {
-	crash := plane.Crash{
-		Source: plane.CrashSource(t.Entry, known.endpoint.Name), Incarnation: uint64(known.endpoint.StartedMillis), Count: 1,
+// newCrash returns a report of the requests that have not been reported yet, nil
+// if there is none. It names the process and this entry, since each entry reports
+// its own requests of the same crash.
+func (t *Tracker) newCrash(known *lostRequests) *plane.Crash {
+	requests := known.requests[known.reported:]
+	if len(requests) == 0 {
+		return nil
+	}
+	known.reports++
+	known.reported = len(known.requests)
+	crash := &plane.Crash{
+		Source: plane.CrashSource(t.Entry, known.endpoint.Name), Incarnation: uint64(known.endpoint.StartedMillis), Count: known.reports,
 		Endpoint: known.endpoint.Name,
 	}
-	for _, request := range known.requests {
+	for _, request := range requests {
 		crash.Digests = append(crash.Digests, request.Digest)
 		for position, part := range request.Parts {
 			if !t.answers.since(part, known.lastLost.Add(-recentAnswer)) {
--- a/entry/crash/crash_test.go
+++ b/entry/crash/crash_test.go
@@ -1,6 +1,7 @@
 package crash_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -85,3 +86,52 @@
 		require.Equal(t, []string{"long before", "just before", "after", "after"}, cleared, "at most one report a part in 0.3 s")
 	})
 }
+
+// A crash is reported as soon as the endpoint's address refuses connections, which its
+// replacement confirms seconds later. Broken connections alone are no crash.
+func TestRefusedConnectionsConfirmCrash(t *testing.T) {
+	first := process("e1", "a:1", 100)
+	request := func(digest byte) crash.Request { return crash.Request{Digest: []byte{digest}} }
+	for name, test := range map[string]struct {
+		accepting []advert.Record
+		refuses   bool
+		// want are the numbers of requests in the reports before the replacement,
+		// replaced those at it.
+		want, replaced []int
+	}{
+		"crashed":           {[]advert.Record{first}, true, []int{2, 1}, nil},
+		"reset connections": {[]advert.Record{first}, false, nil, []int{3}},
+		"has left":          {nil, true, nil, []int{3}},
+		"replaced already":  {[]advert.Record{process("e2", "a:1", 200)}, true, nil, []int{3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				var got []int
+				checks := 0
+				tracker := &crash.Tracker{
+					Entry: "entry",
+					Report: func(crash plane.Crash) {
+						require.EqualValues(t, len(got)+1, crash.Count)
+						got = append(got, len(crash.Digests))
+					},
+					Refuses: func(_ context.Context, address string) bool {
+						require.Equal(t, "a:1", address)
+						checks++
+						return test.refuses
+					},
+				}
+				tracker.Update(map[string][]advert.Record{"s": test.accepting})
+				tracker.RecordLostRequest(first, request(1), time.Now())
+				tracker.RecordLostRequest(first, request(2), time.Now())
+				time.Sleep(100 * time.Millisecond)
+				tracker.RecordLostRequest(first, request(3), time.Now())
+				time.Sleep(time.Second)
+				require.Equal(t, 2, checks, "one check for connections that break together")
+				require.Equal(t, test.want, got)
+				got = nil
+				tracker.Update(map[string][]advert.Record{"s": {process("e2", "a:1", 200)}})
+				require.Equal(t, test.replaced, got)
+			})
+		})
+	}
+}
--- a/entry/daemon/crash.go
+++ b/entry/daemon/crash.go
@@ -1,7 +1,10 @@
 package daemon
 
 import (
+	"context"
 	"encoding/hex"
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
@@ -31,3 +34,15 @@
 	remaining, _ := e.feed.Quarantined(digest)
 	return remaining
 }
+
+// refusesConnections reports whether no process listens at an address.
+func (e *entry) refusesConnections(ctx context.Context, address string) bool {
+	conn, err := e.daemon.Host.Dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	if err := conn.Close(); err != nil {
+		e.daemon.Host.Log.Write("crash-check-failed", "address", address, "err", err)
+	}
+	return false
+}
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -234,7 +234,7 @@
 		OnRelease: e.direct.AddReleases,
 		BootTime:  d.BootTime,
 	}
-	e.crashes = &crash.Tracker{Entry: d.Host.VM, Report: e.reportCrash, Suspected: e.isSuspected, Clear: e.clearPart}
+	e.crashes = &crash.Tracker{Entry: d.Host.VM, Report: e.reportCrash, Refuses: e.refusesConnections, Suspected: e.isSuspected, Clear: e.clearPart}
 	e.direct.Config, e.direct.OnConnectionLost, e.direct.OnSuspectCleared = e.feed.Config, e.crashes.RecordLostRequest, e.feed.ClearSuspect
 	e.direct.OnAnswered, e.direct.Quarantined = e.crashes.RecordAnswered, e.quarantinedFor
 	e.limit = &limit.Limiter{
