entry/direct: a request is checked again after it has waited for its admission

Callers saw: requests that were known to crash engines still reached them, sent up to seconds after the quarantine.

Evidence: TestRequestQuarantinedWhileItWaitsIsNotSent, both cases failed before.

--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -88,6 +88,11 @@
 			target.release()
 			return j.fail(ctx, j.refuse("retry_budget", "too many requests are being repeated", failedRetryAfter))
 		}
+		// The wait for the admission or the retry may have been long.
+		if err := j.checkAllowed(ctx); err != nil {
+			target.release()
+			return err
+		}
 		verdict, err := j.attempt(ctx, target)
 		target.release()
 		switch verdict {
--- a/entry/direct/target_test.go
+++ b/entry/direct/target_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/httpc"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/span"
 	"github.com/tanagerspindle/tanagerspindle/pkg/vnet"
@@ -34,6 +36,8 @@
 	received     []admit.Request
 	// unresponsive agents read admission requests and do not reply.
 	unresponsive map[string]bool
+	// admissionTime is how long agents let requests wait.
+	admissionTime time.Duration
 }
 
 func inSite(t *testing.T, engines int, test func(t *testing.T, s *site)) {
@@ -78,6 +82,7 @@
 	if unresponsive {
 		return stream.Receive(&request)
 	}
+	time.Sleep(s.admissionTime)
 	return stream.Send(&reply)
 }
 
@@ -164,3 +169,46 @@
 		require.Less(t, time.Since(started), 100*time.Millisecond)
 	})
 }
+
+// A request that became quarantined while it waited for its admission was still sent.
+func TestRequestQuarantinedWhileItWaitsIsNotSent(t *testing.T) {
+	for name, quarantine := range map[string]func(s *site, r *chain.Request, after time.Time){
+		"part of its prompt": func(s *site, r *chain.Request, after time.Time) {
+			r.PromptParts = []string{"shared"}
+			s.filter.Quarantined = func([]byte) time.Duration {
+				if time.Now().Before(after) {
+					return 0
+				}
+				return time.Minute
+			}
+		},
+		"its content": func(_ *site, r *chain.Request, after time.Time) {
+			r.Check = func() error {
+				if time.Now().Before(after) {
+					return nil
+				}
+				return chain.Refuse(http.StatusServiceUnavailable, "quarantined", "endpoints failed").WithRetryAfter(time.Minute)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inSite(t, 2, func(t *testing.T, s *site) {
+				s.admissionTime = 200 * time.Millisecond
+				sent := 0
+				s.filter.Send = func(context.Context, *direct.Call) (*direct.Answer, error) {
+					sent++
+					return nil, &httpc.Error{Kind: httpc.KindBroken}
+				}
+				_, err := run(t.Context(), s.filter, func(r *chain.Request) {
+					model(r)
+					quarantine(s, r, time.Now().Add(100*time.Millisecond))
+				})
+				refusal := chain.RefusalOf(err)
+				require.Equal(t, "quarantined", refusal.Code)
+				require.Equal(t, chain.RanNo, refusal.Ran)
+				require.Equal(t, time.Minute, refusal.RetryAfter)
+				require.Zero(t, sent)
+			})
+		})
+	}
+}
