ctrl/poison: one content that is in all crashes is their cause, not the parts of its prompt

Looked for elsewhere, same class: a crash must be attributed to what its requests have in common, and a request that is sent again has its whole content in common with itself. A single content that crashed three engines would have quarantined the last shared part of its prompt, and sound requests with it. Contents are candidates too now, after all parts; where one is in all crashes of a part, it explains them, and package bans quarantines it as before.

Evidence: the case 'one content in all crashes' failed before.

--- a/ctrl/poison/poison.go
+++ b/ctrl/poison/poison.go
@@ -4,13 +4,15 @@
 // Each crash names the parts of the requests that had no answer yet when their endpoint
 // crashed. A part that an endpoint answers on elsewhere is sound and no longer a
 // candidate. The part that is left in several crashes is quarantined, which explains
-// these crashes for all other parts in them.
+// these crashes for all other parts in them. So does one content that is in all of them;
+// package bans quarantines it.
 package poison
 
 import (
 	"bytes"
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -35,9 +37,11 @@
 	CrashRetention = 2 * time.Minute
 	// QuarantineDuration is how long a part is quarantined.
 	QuarantineDuration = 30 * time.Minute
+	// contentPosition is the position of a request's whole content among its parts.
+	contentPosition = math.MaxInt32
 	// maxCrashes and maxParts bound the remembered crashes and the parts of one crash.
 	maxCrashes = 64
-	maxParts   = 64
+	maxParts   = 128
 	// maxQuarantined bounds the quarantined parts. If there are more, the one whose
 	// quarantine ends first is released.
 	maxQuarantined = 1024
@@ -50,7 +54,7 @@
 	Incarnation uint64 `protobuf:"varint,2,opt"`
 	// AtNanos is when the crash was first reported, in nanoseconds of committed time.
 	AtNanos int64 `protobuf:"varint,3,opt"`
-	// Parts are the candidates, without duplicates.
+	// Parts are the candidates, contents of requests included, without duplicates.
 	Parts []plane.CrashPart `protobuf:"bytes,4,rep"`
 }
 
@@ -59,6 +63,19 @@
 	return slices.ContainsFunc(c.Parts, func(p plane.CrashPart) bool { return bytes.Equal(p.Digest, digest) })
 }
 
+// add adds a candidate, or raises its position.
+func (c *Crash) add(part plane.CrashPart) {
+	for i := range c.Parts {
+		if bytes.Equal(c.Parts[i].Digest, part.Digest) {
+			c.Parts[i].Position = max(c.Parts[i].Position, part.Position)
+			return
+		}
+	}
+	if len(c.Parts) < maxParts {
+		c.Parts = append(c.Parts, part)
+	}
+}
+
 // Table is the snapshot of Parts.
 type Table struct {
 	Revision    uint64      `protobuf:"varint,1,opt"`
@@ -90,11 +107,11 @@
 		p.crashes = p.crashes[max(0, len(p.crashes)-maxCrashes):]
 		index = len(p.crashes) - 1
 	}
-	known := &p.crashes[index]
 	for _, part := range crash.Parts {
-		if len(known.Parts) < maxParts && !known.has(part.Digest) {
-			known.Parts = append(known.Parts, part)
-		}
+		p.crashes[index].add(part)
+	}
+	for _, content := range crash.Digests {
+		p.crashes[index].add(plane.CrashPart{Digest: content, Position: contentPosition})
 	}
 	p.quarantine(now)
 	p.revision++
@@ -165,6 +182,9 @@
 func (p *Parts) List(now int64) []plane.Ban {
 	list := make([]plane.Ban, 0, len(p.quarantined))
 	for _, ban := range p.quarantined {
+		if !ban.Part {
+			continue
+		}
 		listed := *ban
 		listed.Remaining = span.Duration(max(ban.UntilNanos-now, 0))
 		list = append(list, listed)
@@ -172,6 +192,9 @@
 	candidates := p.candidates()
 	for _, digest := range slices.Sorted(maps.Keys(candidates)) {
 		found := candidates[digest]
+		if found.position == contentPosition {
+			continue
+		}
 		until := found.crashes[len(found.crashes)-1].AtNanos + int64(CrashRetention)
 		list = append(list, plane.Ban{
 			Digest: []byte(digest), Part: true, Suspect: true, Crashes: int32(len(found.crashes)), UntilNanos: until, Remaining: span.Duration(max(until-now, 0)),
@@ -265,7 +288,7 @@
 			p.release()
 		}
 		p.quarantined[string(found.digest)] = &plane.Ban{
-			Digest: found.digest, Part: true, Crashes: int32(len(found.crashes)), UntilNanos: now + int64(QuarantineDuration),
+			Digest: found.digest, Part: found.position != contentPosition, Crashes: int32(len(found.crashes)), UntilNanos: now + int64(QuarantineDuration),
 		}
 	}
 }
@@ -281,6 +304,7 @@
 // findCause returns the part that explains the most crashes, and among equals the last
 // in its prompt, or nil if none explains enough. A part is not the cause while a later
 // part is in all its crashes but one: requests with the later part also have the earlier.
+// Nor is it while one content is in all its crashes.
 func findCause(candidates map[string]*candidate) *candidate {
 	var cause *candidate
 	for _, digest := range slices.Sorted(maps.Keys(candidates)) {
@@ -308,7 +332,11 @@
 				shared++
 			}
 		}
-		if shared >= len(c.crashes)-1 {
+		without := 1
+		if other.position == contentPosition {
+			without = 0
+		}
+		if shared >= len(c.crashes)-without {
 			return true
 		}
 	}
--- a/ctrl/poison/poison_test.go
+++ b/ctrl/poison/poison_test.go
@@ -13,10 +13,15 @@
 )
 
 // crash returns an entry's report about the requests of an endpoint. Each prompt is a
-// word, each of its letters a part.
+// word, each of its letters a part; a content follows after an equals sign.
 func crash(endpoint string, prompts ...string) *plane.Crash {
 	report := &plane.Crash{Endpoint: endpoint, Incarnation: 1}
-	for _, prompt := range prompts {
+	for i, prompt := range prompts {
+		prompt, content, ok := strings.Cut(prompt, "=")
+		if !ok {
+			content = fmt.Sprint(endpoint, i)
+		}
+		report.Digests = append(report.Digests, []byte(content))
 		for position, letter := range prompt {
 			report.Parts = append(report.Parts, plane.CrashPart{Digest: []byte(string(letter)), Position: int32(position)})
 		}
@@ -58,7 +63,10 @@
 		"an answer clears before the quarantine":       {[]string{"a: x", "b: x", "+x", "c: x"}, "/x"},
 		"an answer ends the quarantine":                {[]string{"a: x", "b: x", "c: x", "+x"}, "/"},
 		"and the next suspect has all crashes again":   {[]string{"a: sx", "b: sx", "c: sx", "+x"}, "s/"},
-		"two causes": {[]string{"a: fx", "b: fy", "+f", "c: fx", "d: fy", "e: fx", "f: fy"}, "xy/"},
+		"one content in all crashes":                   {[]string{"a: fsx=C", "+f", "b: fsx=C", "c: fsx=C fs"}, "/"},
+		"one content in most crashes":                  {[]string{"a: fsx=C", "+f", "b: fsx=C", "c: fsx"}, "x/"},
+		"a content that an endpoint answered":          {[]string{"a: fsx=C", "+f", "b: fsx=C", "c: fsx=C", "+C"}, "x/"},
+		"two causes":                                   {[]string{"a: fx", "b: fy", "+f", "c: fx", "d: fy", "e: fx", "f: fy"}, "xy/"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			parts, now := &poison.Parts{}, int64(0)
@@ -125,6 +133,6 @@
 	}
 	table := parts.Snapshot()
 	require.Len(t, table.Crashes, 64)
-	require.Len(t, table.Crashes[0].Parts, 64)
-	require.Len(t, parts.List(0), 64*64)
+	require.Len(t, table.Crashes[0].Parts, 128)
+	require.Len(t, parts.List(0), 64*128)
 }
