--- a/entry/direct/prompt.go
+++ b/entry/direct/prompt.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"encoding/hex"
 	"net/http"
 	"time"
 
@@ -35,7 +36,8 @@
 		if remaining <= 0 {
 			continue
 		}
-		j.filter.Host.Log.Write("prompt-refused", "request", j.request.ID, "service", j.service, "part", j.request.PromptParts[i], "remaining", remaining)
+		j.filter.Host.Log.Write("prompt-refused", "request", j.request.ID, "service", j.service, "part", j.request.PromptParts[i],
+			"digest", hex.EncodeToString(part), "remaining", remaining)
 		j.filter.Host.Meter.Add("prompts_refused", 1)
 		return chain.Refuse(http.StatusServiceUnavailable, "quarantined", "endpoints crashed on a part of the prompt").WithRetryAfter(remaining)
 	}
--- a/spindle/cmds/ban.go
+++ b/spindle/cmds/ban.go
@@ -20,6 +20,8 @@
 	Crashes            int32         `json:"deaths"`
 	SoleSuspectCrashes int32         `json:"alone"`
 	Remaining          span.Duration `json:"left"`
+	// Part means that the digest is that of a part of prompts, not of one content.
+	Part bool `json:"part"`
 }
 
 func (p *Program) ban() *cli.Command {
@@ -28,7 +30,7 @@
 		Usage:  "list and lift quarantines of requests that crash endpoints",
 		Action: requireCommand,
 		Commands: []*cli.Command{
-			{Name: "list", Usage: "list quarantined and suspected requests", Action: p.showBans},
+			{Name: "list", Usage: "list quarantined and suspected requests and parts of prompts", Action: p.showBans},
 			{Name: "lift", Usage: "end the quarantine of DIGEST", ArgsUsage: "DIGEST", Action: p.liftBan},
 		},
 	}
@@ -49,7 +51,7 @@
 	list := make([]banRecord, 0, len(bans))
 	for _, ban := range bans {
 		list = append(list, banRecord{
-			Digest: hex.EncodeToString(ban.Digest), Suspect: ban.Suspect, Crashes: ban.Crashes, SoleSuspectCrashes: ban.SoleSuspectCrashes, Remaining: ban.Remaining,
+			Digest: hex.EncodeToString(ban.Digest), Suspect: ban.Suspect, Crashes: ban.Crashes, SoleSuspectCrashes: ban.SoleSuspectCrashes, Remaining: ban.Remaining, Part: ban.Part,
 		})
 	}
 	return list
@@ -61,13 +63,17 @@
 	}
 	var text strings.Builder
 	table := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "DIGEST\tSTATE\tDEATHS\tALONE\tLEFT")
+	_, _ = fmt.Fprintln(table, "DIGEST\tOF\tSTATE\tDEATHS\tALONE\tLEFT")
 	for _, ban := range list {
 		state := "quarantined"
 		if ban.Suspect {
 			state = "suspect"
 		}
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%s\n", ban.Digest, state, ban.Crashes, ban.SoleSuspectCrashes, ban.Remaining)
+		kind := "content"
+		if ban.Part {
+			kind = "part"
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%s\n", ban.Digest, kind, state, ban.Crashes, ban.SoleSuspectCrashes, ban.Remaining)
 	}
 	_ = table.Flush()
 	return text.String()
--- a/spindle/story/cause.go
+++ b/spindle/story/cause.go
@@ -36,7 +36,7 @@
 	"no_authority":    "its entry had no configuration yet",
 	"invalid_key":     "its key was missing, unknown or withdrawn in the configuration in force",
 	"unknown_path":    "no route of the configuration in force leads to its host and path",
-	"quarantined":     "endpoints had failed while they ran it",
+	"quarantined":     "endpoints had failed while they ran it, or on a part of its prompt: `prompt-refused` names the part and the digest for `spindle ban lift`; `crash-reported` lines of the entries tell the crashes, `part-cleared` the parts found sound",
 	"internal":        "the entry failed; see the lines before",
 }
 
