entry, agent: an endpoint that says it is leaving, or asks for a pause, gets no requests

An entry learned only through control that an endpoint is leaving, and not at all that it wants no requests for a time; a machine that is cut off from control went on.

Change: what an endpoint says of itself is read from each of its answers in one place (platform/client notice), whatever the status, also from answers that are discarded and those to reports and orders. entry/view keeps it by process (name and start), also while control does not list the process; each choice of an endpoint leaves such processes out, and the target is looked at again after the waits for admission and retry. An answer ends an earlier 'leaving' only if its request was sent later; a pause is never shortened. Where all endpoints pause, a request waits up to half a second, else it is refused at once with the rest of the first pause and a spread. An agent refuses admissions to an engine that is leaving, and holds its own reports and orders back in a pause.

--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -87,6 +87,9 @@
 	lastReport    *Report
 	failedReports int
 	stopping      bool
+	// leavingSince is when the engine first said that it is leaving; zero if it is not.
+	// pausedUntil is until when it wants no reports and orders.
+	leavingSince, pausedUntil time.Time
 	// orderInFlight is set while an order is sent to the engine.
 	orderInFlight bool
 	// nextSeq is the ExpectedSeq of the next order, valid while seqKnown is set. lastAnswer is
@@ -187,7 +190,7 @@
 		}
 		return len(k.tasks) > 0
 	}
-	if k.lastReport.Draining {
+	if k.lastReport.Draining || !k.leavingSince.IsZero() {
 		k.refuseAll(admit.ReasonDraining)
 		return false
 	}
--- a/agent/keeper/keeper_test.go
+++ b/agent/keeper/keeper_test.go
@@ -14,6 +14,7 @@
 	"github.com/tanagerspindle/tanagerspindle/agent/keeper"
 	"github.com/tanagerspindle/tanagerspindle/agent/lora"
 	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
+	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
@@ -52,6 +53,7 @@
 	loseNextOrder bool
 	lostOrders    []keeper.Order
 	orderCount    int
+	reportCount   int
 }
 
 const adapterSlots = 3
@@ -73,6 +75,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.advance()
+	e.reportCount++
 	if e.down {
 		return nil, fmt.Errorf("refused")
 	}
@@ -306,6 +309,60 @@
 	})
 }
 
+// An engine says in any answer that it is leaving, or that it wants nothing from the
+// agent's VM for a time; its successor has said neither.
+func TestNoticesOfEngineAreKept(t *testing.T) {
+	counts := func(f *fixture) (reports, orders int) {
+		f.engine.mutex.Lock()
+		defer f.engine.mutex.Unlock()
+		return f.engine.reportCount, f.engine.orderCount
+	}
+	t.Run("leaving", func(t *testing.T) {
+		run(t, func(f *fixture) {
+			f.keeper.RecordNotice(advert.Notice{Leaving: true}, time.Now())
+			f.keeper.RecordNotice(advert.Notice{}, time.Now().Add(-time.Second))
+			reply, _ := f.requestAdmission("", nil)
+			require.Equal(t, admit.ReasonDraining, reply.Reason, "an older answer does not end it")
+			time.Sleep(time.Millisecond)
+			f.keeper.RecordNotice(advert.Notice{}, time.Now())
+			reply, stream := f.requestAdmission("", nil)
+			require.Equal(t, admit.ReasonNone, reply.Reason, "a newer answer does")
+			require.NoError(t, stream.Close())
+		})
+	})
+	t.Run("pause", func(t *testing.T) {
+		run(t, func(f *fixture) {
+			f.keeper.RecordNotice(advert.Notice{Status: 503, Pause: 5 * time.Second}, time.Now())
+			time.Sleep(500 * time.Millisecond)
+			reports, orders := counts(f)
+			time.Sleep(4 * time.Second)
+			laterReports, laterOrders := counts(f)
+			require.Equal(t, reports, laterReports)
+			require.Equal(t, orders, laterOrders)
+			reply, stream := f.requestAdmission("", nil)
+			require.Equal(t, admit.ReasonNone, reply.Reason, "entries keep their own pauses")
+			require.NoError(t, stream.Close())
+			time.Sleep(time.Second)
+			laterReports, _ = counts(f)
+			require.Greater(t, laterReports, reports)
+		})
+	})
+	t.Run("another process", func(t *testing.T) {
+		run(t, func(f *fixture) {
+			f.keeper.RecordNotice(advert.Notice{Status: 503, Leaving: true, Pause: time.Minute}, time.Now())
+			time.Sleep(500 * time.Millisecond)
+			reports, _ := counts(f)
+			f.keeper.ForgetNotices()
+			time.Sleep(500 * time.Millisecond)
+			laterReports, _ := counts(f)
+			require.Greater(t, laterReports, reports)
+			reply, stream := f.requestAdmission("", nil)
+			require.Equal(t, admit.ReasonNone, reply.Reason)
+			require.NoError(t, stream.Close())
+		})
+	})
+}
+
 func TestEngineDownAndBack(t *testing.T) {
 	run(t, func(f *fixture) {
 		f.engine.mutex.Lock()
--- a/agent/keeper/orders.go
+++ b/agent/keeper/orders.go
@@ -42,14 +42,14 @@
 		if ctx.Err() != nil {
 			return
 		}
-		interval := k.applyReport(report, err, requested)
+		interval := max(k.applyReport(report, err, requested), k.remainingPause())
 		k.changed.Set()
 		timer := time.NewTimer(interval)
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
 		case <-k.pollSoon.C():
-			pause.For(ctx, busyReportInterval/2)
+			pause.For(ctx, max(busyReportInterval/2, k.remainingPause()))
 		}
 		timer.Stop()
 	}
@@ -68,6 +68,8 @@
 			k.Host.Log.Write("engine-down", "err", err)
 			k.lastReport = nil
 			k.adapters.Clear()
+			// The next answer may come from another process.
+			k.leavingSince = time.Time{}
 		}
 		return idleReportInterval
 	}
@@ -79,6 +81,7 @@
 		k.Host.Log.Write("engine-restarted", "born", report.StartedMillis, "seq", report.Seq, "former_born", k.lastReport.StartedMillis, "former_seq", k.lastReport.Seq)
 		k.adapters.Clear()
 		k.modelLoadStart = time.Time{}
+		k.forgetNotices()
 	}
 	k.lastReport = report
 	if !k.orderInFlight && !requested.Before(k.lastAnswer) {
@@ -99,7 +102,7 @@
 // that was not accepted or not answered, that number is unknown until the next report, and no
 // order is sent. The mutex is held.
 func (k *Keeper) startNextOrder(wanted []lora.Key, now time.Time) {
-	if k.orderInFlight || !k.seqKnown {
+	if k.orderInFlight || !k.seqKnown || k.pauseLeft(now) > 0 {
 		return
 	}
 	if order, ok := k.modelLoadOrder(now); ok {
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/entry/crash"
+	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/httpc"
 )
@@ -39,7 +40,9 @@
 	defer watchdog.stop()
 	sent := time.Now()
 	j.request.Endpoint, j.request.FailedAttempts, j.request.AdmissionWait = t.endpoint.Name, j.tries, t.waited
-	answer, err := j.filter.Send(attemptCtx, j.newCall(t))
+	c := j.newCall(t)
+	c.OnNotice = func(notice advert.Notice) { j.recordNotice(&t.endpoint, notice, sent) }
+	answer, err := j.filter.Send(attemptCtx, c)
 	if err != nil {
 		return j.handleSendError(ctx, attemptCtx, t, err)
 	}
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -15,6 +15,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/entry/crash"
 	"github.com/tanagerspindle/tanagerspindle/entry/pool"
@@ -81,6 +83,9 @@
 	// NewConnection requires a new connection; it is set for every attempt but
 	// the first.
 	NewConnection bool
+	// OnNotice is called with what the endpoint says of itself in each answer,
+	// also in one to another request. It may be nil.
+	OnNotice func(notice advert.Notice)
 }
 
 // Answer is an endpoint's answer to a Call.
@@ -141,7 +146,10 @@
 	Random func() float64
 
 	popularity shares.Estimator
-	mutex      sync.Mutex
+	// malformedLog limits the lines about malformed notices.
+	malformedLog     rate.Sometimes
+	malformedLogOnce sync.Once
+	mutex            sync.Mutex
 	// minVersions are the adapter versions that new requests need, by model and
 	// adapter.
 	minVersions map[[2]string]int64
--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -42,6 +42,8 @@
 	broken                 bool
 	// endsWithConnection states that the answer has neither a length nor chunks.
 	endsWithConnection bool
+	// notice is what the endpoint says of itself in the answer.
+	notice advert.Notice
 	// unresponsive returns nothing until the attempt is cancelled.
 	unresponsive bool
 	// encoding is the Content-Encoding of the answer.
@@ -101,6 +103,9 @@
 	if next.err != nil {
 		return nil, next.err
 	}
+	if c.OnNotice != nil {
+		c.OnNotice(next.notice)
+	}
 	var body io.Reader = strings.NewReader(next.body)
 	if next.broken {
 		body = io.MultiReader(body, broken{})
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -76,23 +76,35 @@
 
 // run makes attempts until one completes, or none may follow.
 func (j *job) run(ctx context.Context) error {
+	// paid reports that the next attempt's retry has been spent.
+	paid := false
 	for {
 		if err := j.checkAllowed(ctx); err != nil {
 			return err
 		}
+		if refusal := j.awaitEndpoint(ctx); refusal != nil {
+			return j.fail(ctx, refusal)
+		}
 		target, refusal := j.selectTarget(ctx)
 		if target == nil {
 			return j.fail(ctx, refusal)
 		}
-		if j.delivered > 0 && !j.spendRetry(ctx) {
-			target.release()
-			return j.fail(ctx, j.refuse("retry_budget", "too many requests are being repeated", failedRetryAfter))
+		if j.delivered > 0 && !paid {
+			if paid = j.spendRetry(ctx); !paid {
+				target.release()
+				return j.fail(ctx, j.refuse("retry_budget", "too many requests are being repeated", failedRetryAfter))
+			}
 		}
 		// The wait for the admission or the retry may have been long.
 		if err := j.checkAllowed(ctx); err != nil {
 			target.release()
 			return err
 		}
+		if !j.filter.Endpoints.Accepts(target.endpoint.Name, time.Now()) {
+			target.release()
+			continue
+		}
+		paid = false
 		verdict, err := j.attempt(ctx, target)
 		target.release()
 		switch verdict {
--- /dev/null
+++ b/entry/direct/notice.go
@@ -0,0 +1,61 @@
+package direct
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
+)
+
+const (
+	// maxPauseWait is how long a request may wait for an endpoint that wants no
+	// requests. A caller that is refused for so short a time loses more by coming
+	// back.
+	maxPauseWait = 500 * time.Millisecond
+	// pauseSpread is the time after the end of a pause over which waiting and
+	// refused requests are spread, as a share of the pause, and minPauseSpread the
+	// least.
+	pauseSpread    = 0.25
+	minPauseSpread = 100 * time.Millisecond
+	// malformedLogInterval is the time between two lines about malformed notices.
+	malformedLogInterval = 10 * time.Second
+)
+
+// recordNotice records what an endpoint said of itself in an answer.
+func (j *job) recordNotice(endpoint *advert.Record, notice advert.Notice, sent time.Time) {
+	f := j.filter
+	if notice.Malformed != "" {
+		f.Host.Meter.Add("notices_malformed", 1)
+		f.malformedLogOnce.Do(func() { f.malformedLog.Interval = malformedLogInterval })
+		f.malformedLog.Do(func() {
+			f.Host.Log.Write("notice-malformed", "request", j.request.ID, "endpoint", endpoint.Name, "header", notice.Malformed)
+		})
+	}
+	if !f.Endpoints.RecordNotice(endpoint, notice, sent, time.Now()) {
+		return
+	}
+	f.Host.Meter.Add("notices", 1)
+	f.Host.Log.Write("endpoint-notice", "request", j.request.ID, "endpoint", endpoint.Name, "status", notice.Status, "leaving", notice.Leaving, "pause", notice.Pause)
+}
+
+// awaitEndpoint waits until an endpoint of the service wants requests again, if that
+// is soon. It refuses the request if the wait would be too long, and returns nil if
+// an endpoint wants requests now.
+func (j *job) awaitEndpoint(ctx context.Context) *chain.Refusal {
+	f := j.filter
+	wait, ok := f.Endpoints.EndOfPause(j.service, j.excluded, time.Now())
+	if !ok || wait == 0 {
+		return nil
+	}
+	spread := max(time.Duration(float64(wait)*pauseSpread), minPauseSpread)
+	wait += time.Duration(f.random() * float64(spread))
+	if wait > maxPauseWait || time.Now().Add(wait).After(j.callerDeadline()) {
+		f.Host.Meter.Add("paused_refused", 1)
+		return chain.Refuse(http.StatusServiceUnavailable, "endpoints_paused", "no endpoint wants requests now").WithRetryAfter(wait)
+	}
+	pause.For(ctx, wait)
+	return nil
+}
--- /dev/null
+++ b/entry/view/notice.go
@@ -0,0 +1,118 @@
+package view
+
+import (
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
+)
+
+const (
+	// noticeRetention is how long a notice is remembered of a process that is not
+	// listed: a late announcement may list it again.
+	noticeRetention = 10 * time.Minute
+	// maxNotices bounds the processes that are not listed and whose notices are
+	// remembered.
+	maxNotices = 4096
+)
+
+// process identifies one process of an endpoint.
+type process struct {
+	name          string
+	startedMillis int64
+}
+
+func processOf(record *advert.Record) process {
+	return process{name: record.Name, startedMillis: record.StartedMillis}
+}
+
+// notices is what a process has said of itself in its answers to this entry.
+type notices struct {
+	// leavingSince is when the first of the answers arrived that said that the
+	// process is leaving; zero if it is not.
+	leavingSince time.Time
+	// pausedUntil is until when the process wants no requests.
+	pausedUntil time.Time
+	// last is when the last notice arrived.
+	last time.Time
+}
+
+// accepts reports whether the process wants new requests.
+func (n *notices) accepts(now time.Time) bool {
+	return n == nil || n.leavingSince.IsZero() && !now.Before(n.pausedUntil)
+}
+
+// RecordNotice records what an endpoint said in an answer that arrived now, to a
+// request sent at the time sent. An answer ends an earlier notice that the endpoint
+// is leaving only if its request was sent after that notice arrived, since answers
+// on different connections overtake each other. A pause is never shortened.
+// RecordNotice reports whether the endpoint's state changed.
+func (es *Endpoints) RecordNotice(endpoint *advert.Record, notice advert.Notice, sent, now time.Time) (changed bool) {
+	es.mutex.Lock()
+	defer es.mutex.Unlock()
+	key := processOf(endpoint)
+	known := es.notices[key]
+	if known == nil {
+		if !notice.Leaving && notice.Pause <= 0 {
+			return false
+		}
+		es.dropNotices(now)
+		if es.notices == nil {
+			es.notices = map[process]*notices{}
+		}
+		known = &notices{}
+		es.notices[key] = known
+	}
+	switch {
+	case notice.Leaving && known.leavingSince.IsZero():
+		known.leavingSince, changed = now, true
+	case !notice.Leaving && !known.leavingSince.IsZero() && sent.After(known.leavingSince):
+		known.leavingSince, changed = time.Time{}, true
+	}
+	if until := now.Add(notice.Pause); notice.Pause > 0 && until.After(known.pausedUntil) {
+		known.pausedUntil, changed = until, true
+	}
+	known.last = now
+	return changed
+}
+
+// dropNotices removes the notices of processes that are not listed: the expired ones,
+// and all if there are too many. es.mutex must be held.
+func (es *Endpoints) dropNotices(now time.Time) {
+	full := len(es.notices) >= maxNotices
+	for key, n := range es.notices {
+		listed := es.byName[key.name]
+		if (listed == nil || processOf(&listed.record) != key) && (full || now.Sub(n.last) > noticeRetention) {
+			delete(es.notices, key)
+		}
+	}
+}
+
+// Accepts reports whether a listed endpoint wants new requests.
+func (es *Endpoints) Accepts(name string, now time.Time) bool {
+	es.mutex.Lock()
+	defer es.mutex.Unlock()
+	e := es.byName[name]
+	return e != nil && es.notices[processOf(&e.record)].accepts(now)
+}
+
+// EndOfPause returns when the first endpoint of a service that is neither leaving
+// nor excluded wants requests again, and false if there is none.
+func (es *Endpoints) EndOfPause(service string, excluded map[string]bool, now time.Time) (time.Duration, bool) {
+	es.mutex.Lock()
+	defer es.mutex.Unlock()
+	first, found := time.Duration(0), false
+	for _, e := range es.services[service] {
+		n := es.notices[processOf(&e.record)]
+		if excluded[e.record.Name] || n != nil && !n.leavingSince.IsZero() {
+			continue
+		}
+		remaining := time.Duration(0)
+		if n != nil {
+			remaining = max(n.pausedUntil.Sub(now), 0)
+		}
+		if !found || remaining < first {
+			first, found = remaining, true
+		}
+	}
+	return first, found
+}
--- a/entry/view/view.go
+++ b/entry/view/view.go
@@ -53,6 +53,9 @@
 	mutex    sync.Mutex
 	services map[string][]*endpoint
 	byName   map[string]*endpoint
+	// notices holds what processes said of themselves, also of those that are not
+	// listed.
+	notices map[process]*notices
 }
 
 // endpoint is the state of one endpoint as observed by this entry.
@@ -145,7 +148,7 @@
 			failures += e.failureRate
 			measured++
 		}
-		if !excluded[e.record.Name] {
+		if !excluded[e.record.Name] && es.notices[processOf(&e.record)].accepts(now) {
 			list = append(list, e)
 		}
 	}
--- a/spindle/story/cause.go
+++ b/spindle/story/cause.go
@@ -24,20 +24,21 @@
 // causes holds the meaning of each refusal code. docs/OPERATIONS.md has the same
 // table.
 var causes = map[string]string{
-	"rate_limited":    "its workspace's tokens would not have been there in time; grant-failed and overdraft-ended lines tell that control did not answer",
-	"engines_busy":    "the engines that keep its adapter could not have begun it in time; admission-refused lines tell their wait and load",
-	"no_endpoint":     "no endpoint of its service was known, or all had been tried",
-	"endpoint_failed": "its endpoint failed it and it could not, or might not, run elsewhere; attempt-failed lines tell how",
-	"retry_budget":    "it failed at an endpoint, and the fleet's share of repeats was used up; repeat lines tell the counts that decided it",
-	"timeout":         "its caller's time, or its route's, was over",
-	"caller_gone":     "its caller left before the answer was whole",
-	"stopping":        "its entry was stopping and could not have finished it",
-	"starting":        "its entry had no configuration yet",
-	"no_authority":    "its entry had no configuration yet",
-	"invalid_key":     "its key was missing, unknown or withdrawn in the configuration in force",
-	"unknown_path":    "no route of the configuration in force leads to its host and path",
-	"quarantined":     "endpoints had failed while they ran it, or on a part of its prompt: `prompt-refused` names the part and the digest for `spindle ban lift`; `crash-reported` lines of the entries tell the crashes, `part-cleared` the parts found sound",
-	"internal":        "the entry failed; see the lines before",
+	"rate_limited":     "its workspace's tokens would not have been there in time; grant-failed and overdraft-ended lines tell that control did not answer",
+	"engines_busy":     "the engines that keep its adapter could not have begun it in time; admission-refused lines tell their wait and load",
+	"endpoints_paused": "all endpoints of its service that were not leaving had asked for a pause; `endpoint-notice` lines tell since when and how long",
+	"no_endpoint":      "no endpoint of its service was known, or all had been tried",
+	"endpoint_failed":  "its endpoint failed it and it could not, or might not, run elsewhere; attempt-failed lines tell how",
+	"retry_budget":     "it failed at an endpoint, and the fleet's share of repeats was used up; repeat lines tell the counts that decided it",
+	"timeout":          "its caller's time, or its route's, was over",
+	"caller_gone":      "its caller left before the answer was whole",
+	"stopping":         "its entry was stopping and could not have finished it",
+	"starting":         "its entry had no configuration yet",
+	"no_authority":     "its entry had no configuration yet",
+	"invalid_key":      "its key was missing, unknown or withdrawn in the configuration in force",
+	"unknown_path":     "no route of the configuration in force leads to its host and path",
+	"quarantined":      "endpoints had failed while they ran it, or on a part of its prompt: `prompt-refused` names the part and the digest for `spindle ban lift`; `crash-reported` lines of the entries tell the crashes, `part-cleared` the parts found sound",
+	"internal":         "the entry failed; see the lines before",
 }
 
 // Causes returns the meaning of each refusal code.
