--- a/ctrl/feeds/crash.go
+++ b/ctrl/feeds/crash.go
@@ -23,7 +23,8 @@
 	// lostWindow is the time within which agents count as lost together: slightly
 	// longer than the interval between an agent's heartbeats.
 	lostWindow = 1100 * time.Millisecond
-	// maxCrashDigests limits the suspects that a report of one crash may name.
+	// maxCrashDigests limits the suspects of each kind that a report of one crash may
+	// name.
 	maxCrashDigests = 1024
 	// crashTimeout limits how long committing the suspects of a lost agent is retried.
 	crashTimeout = 10 * time.Second
@@ -31,13 +32,13 @@
 
 // checkCrashes returns the crashes that the client is allowed to report: an agent its
 // own, an entry those of endpoints under its own name. Reports with more than
-// maxCrashDigests digests are rejected.
+// maxCrashDigests digests or parts are rejected.
 func (f *Feeds) checkCrashes(c *client, crashes []plane.Crash) []plane.Crash {
 	var valid []plane.Crash
 	for _, crash := range crashes {
 		own := c.hello.Role == plane.RoleAgent && crash.Source == c.hello.Name ||
 			c.hello.Role == plane.RoleEntry && strings.HasPrefix(crash.Source, plane.CrashSource(c.hello.Name, ""))
-		if !own || len(crash.Digests) > maxCrashDigests {
+		if !own || max(len(crash.Digests), len(crash.Parts)) > maxCrashDigests {
 			f.Host.Log.Write("crash-refused", "daemon", c.hello.Name)
 			continue
 		}
--- a/ctrl/poison/poison.go
+++ b/ctrl/poison/poison.go
@@ -118,9 +118,10 @@
 }
 
 // Clear removes a part from the candidates and ends its quarantine, because an endpoint
-// has answered on it. It reports whether the part was known.
+// has answered on it or an operator orders so. It reports whether the part was known.
 func (p *Parts) Clear(digest []byte, now int64) bool {
-	found := p.Lift(digest)
+	found := p.quarantined[string(digest)] != nil
+	delete(p.quarantined, string(digest))
 	for i := range p.crashes {
 		before := len(p.crashes[i].Parts)
 		p.crashes[i].Parts = slices.DeleteFunc(p.crashes[i].Parts, func(part plane.CrashPart) bool { return bytes.Equal(part.Digest, digest) })
@@ -134,16 +135,6 @@
 	return found
 }
 
-// Lift ends the quarantine of a part and reports whether it was quarantined.
-func (p *Parts) Lift(digest []byte) bool {
-	if p.quarantined[string(digest)] == nil {
-		return false
-	}
-	delete(p.quarantined, string(digest))
-	p.revision++
-	return true
-}
-
 // Expire removes the crashes and quarantines that have ended at a committed time.
 func (p *Parts) Expire(now int64) {
 	kept := slices.DeleteFunc(p.crashes, func(c Crash) bool { return c.AtNanos+int64(CrashRetention) <= now })
--- a/ctrl/poison/poison_test.go
+++ b/ctrl/poison/poison_test.go
@@ -118,8 +118,11 @@
 	for i := range int64(3) {
 		parts.Apply(crash(fmt.Sprint("c", i), "x"), int64(time.Hour)+i*int64(time.Second))
 	}
-	require.True(t, parts.Lift([]byte("x")))
-	require.False(t, parts.Lift([]byte("x")))
+	require.Equal(t, "x/", describe(parts))
+	require.True(t, parts.Clear([]byte("x"), int64(time.Hour)))
+	require.False(t, parts.Clear([]byte("x"), int64(time.Hour)))
+	parts.Apply(crash("d", "x"), int64(time.Hour+time.Minute))
+	require.Equal(t, "/x", describe(parts), "the crashes before count no more")
 }
 
 func TestPartsAreBounded(t *testing.T) {
--- a/ctrl/state/machine.go
+++ b/ctrl/state/machine.go
@@ -142,7 +142,7 @@
 		m.promptParts.Clear(digest, m.time)
 	}
 	if len(command.LiftDigest) > 0 {
-		result.Lifted = m.bans.Lift(command.LiftDigest) || m.promptParts.Lift(command.LiftDigest)
+		result.Lifted = m.bans.Lift(command.LiftDigest) || m.promptParts.Clear(command.LiftDigest, m.time)
 	}
 	m.bans.Expire(m.time)
 	m.promptParts.Expire(m.time)
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -40,9 +40,7 @@
 	defer watchdog.stop()
 	sent := time.Now()
 	j.request.Endpoint, j.request.FailedAttempts, j.request.AdmissionWait = t.endpoint.Name, j.tries, t.waited
-	c := j.newCall(t)
-	c.OnNotice = func(notice advert.Notice) { j.recordNotice(&t.endpoint, notice, sent) }
-	answer, err := j.filter.Send(attemptCtx, c)
+	answer, err := j.filter.Send(attemptCtx, j.newCall(t, sent))
 	if err != nil {
 		return j.handleSendError(ctx, attemptCtx, t, err)
 	}
@@ -86,11 +84,13 @@
 }
 
 // newCall describes the attempt at the target, with the caller's remaining time
-// and, for a resumed stream, the last event that the caller has received.
-func (j *job) newCall(t *target) *Call {
+// and, for a resumed stream, the last event that the caller has received. sent is
+// when the attempt is sent.
+func (j *job) newCall(t *target, sent time.Time) *Call {
 	c := &Call{
 		Request: j.request, Endpoint: t.endpoint, Version: t.version, Priority: j.priority(),
 		Remaining: max(time.Until(j.request.Deadline()), time.Millisecond), NewConnection: j.tries > 0,
+		OnNotice: func(notice advert.Notice) { j.recordNotice(&t.endpoint, notice, sent) },
 	}
 	if c.Version == 0 && j.request.Adapter != "" {
 		c.Version = j.filter.minVersion(j.request.Model, j.request.Adapter)
@@ -230,7 +230,7 @@
 			if err := j.checkStreamEnd(answer, eventsBefore); err != nil {
 				return verdictBroken, err
 			}
-			// An empty stream is complete too.
+			// An empty stream has a head too.
 			if err := j.sendHead(answer); err != nil {
 				return verdictCallerGone, err
 			}
--- a/pkg/event/share.go
+++ b/pkg/event/share.go
@@ -22,7 +22,7 @@
 		return refusalShare
 	case isEvent(line, "admitted"), isEvent(line, "engine-ordered"), isEvent(line, "stream-ended"):
 		return successShare
-	case isEvent(line, "admission-refused"), isEvent(line, "attempt-failed"), isEvent(line, "agent-unreachable"), isEvent(line, "repeat"):
+	case isEvent(line, "admission-refused"), isEvent(line, "attempt-failed"), isEvent(line, "agent-unreachable"), isEvent(line, "repeat"), isEvent(line, "prompt-refused"):
 		return refusalShare
 	}
 	return 1
