--- a/entry/crash/crash_test.go
+++ b/entry/crash/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -106,16 +107,29 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			bubble.Test(t, func(t *testing.T) {
+				var mutex sync.Mutex
 				var got []int
 				checks := 0
+				// reported returns the reports since the last call.
+				reported := func() []int {
+					mutex.Lock()
+					defer mutex.Unlock()
+					reports := got
+					got = nil
+					return reports
+				}
 				tracker := &crash.Tracker{
 					Entry: "entry",
 					Report: func(crash plane.Crash) {
+						mutex.Lock()
+						defer mutex.Unlock()
 						require.EqualValues(t, len(got)+1, crash.Count)
 						got = append(got, len(crash.Digests))
 					},
 					Refuses: func(_ context.Context, address string) bool {
 						require.Equal(t, "a:1", address)
+						mutex.Lock()
+						defer mutex.Unlock()
 						checks++
 						return test.refuses
 					},
@@ -126,11 +140,12 @@
 				time.Sleep(100 * time.Millisecond)
 				tracker.RecordLostRequest(first, request(3), time.Now())
 				time.Sleep(time.Second)
-				require.Equal(t, 2, checks, "one check for connections that break together")
-				require.Equal(t, test.want, got)
-				got = nil
+				require.Equal(t, test.want, reported())
 				tracker.Update(map[string][]advert.Record{"s": {process("e2", "a:1", 200)}})
-				require.Equal(t, test.replaced, got)
+				require.Equal(t, test.replaced, reported())
+				mutex.Lock()
+				defer mutex.Unlock()
+				require.Equal(t, 2, checks, "one check for connections that break together")
 			})
 		})
 	}
