One copy each: the reset of a connection, the end of a body without length, the candidates of a crash, what a process said of itself

No decision changes and no test does. One log line differs: an agent writes one engine-notice line for an answer with both notices instead of two, and one when a notice that the engine is leaving ends, as entries do.

--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -14,6 +14,7 @@
 	"github.com/tanagerspindle/tanagerspindle/agent/gate"
 	"github.com/tanagerspindle/tanagerspindle/agent/lora"
 	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
+	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
@@ -87,9 +88,8 @@
 	lastReport    *Report
 	failedReports int
 	stopping      bool
-	// leavingSince is when the engine first said that it is leaving; zero if it is not.
-	// pausedUntil is until when it wants no reports and orders.
-	leavingSince, pausedUntil time.Time
+	// notices is what the engine said of itself in its answers to this agent.
+	notices advert.Notices
 	// orderInFlight is set while an order is sent to the engine.
 	orderInFlight bool
 	// nextSeq is the ExpectedSeq of the next order, valid while seqKnown is set. lastAnswer is
@@ -190,7 +190,7 @@
 		}
 		return len(k.tasks) > 0
 	}
-	if k.lastReport.Draining || !k.leavingSince.IsZero() {
+	if k.lastReport.Draining || k.notices.Leaving() {
 		k.refuseAll(admit.ReasonDraining)
 		return false
 	}
--- a/agent/keeper/notice.go
+++ b/agent/keeper/notice.go
@@ -13,42 +13,26 @@
 func (k *Keeper) RecordNotice(notice advert.Notice, sent time.Time) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	now := time.Now()
 	if notice.Malformed != "" {
 		k.Host.Meter.Add("notices_malformed", 1)
 	}
-	switch {
-	case notice.Leaving && k.leavingSince.IsZero():
-		k.leavingSince = now
-		k.Host.Log.Write("engine-notice", "status", notice.Status, "leaving", true, "pause", notice.Pause)
-		k.changed.Set()
-	case !notice.Leaving && sent.After(k.leavingSince):
-		k.leavingSince = time.Time{}
-	}
-	if until := now.Add(notice.Pause); notice.Pause > 0 && until.After(k.pausedUntil) {
-		k.pausedUntil = until
+	if k.notices.Record(notice, sent, time.Now()) {
 		k.Host.Log.Write("engine-notice", "status", notice.Status, "leaving", notice.Leaving, "pause", notice.Pause)
+		k.changed.Set()
 	}
 }
 
 // ForgetNotices forgets what the engine said, because another process has taken its place.
 func (k *Keeper) ForgetNotices() {
 	k.mutex.Lock()
-	k.forgetNotices()
+	k.notices = advert.Notices{}
 	k.mutex.Unlock()
 	k.pollSoon.Set()
 }
 
-// forgetNotices forgets what an earlier process of the engine said. The mutex is held.
-func (k *Keeper) forgetNotices() { k.leavingSince, k.pausedUntil = time.Time{}, time.Time{} }
-
-// remainingPause is pauseLeft without the mutex held.
+// remainingPause returns how much longer the engine wants no reports and orders.
 func (k *Keeper) remainingPause() time.Duration {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.pauseLeft(time.Now())
+	return k.notices.PauseLeft(time.Now())
 }
-
-// pauseLeft returns how much longer the engine wants no reports and orders. The mutex is
-// held.
-func (k *Keeper) pauseLeft(now time.Time) time.Duration { return max(k.pausedUntil.Sub(now), 0) }
--- a/agent/keeper/orders.go
+++ b/agent/keeper/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/agent/lora"
+	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/lease"
 	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
@@ -69,7 +70,7 @@
 			k.lastReport = nil
 			k.adapters.Clear()
 			// The next answer may come from another process.
-			k.leavingSince = time.Time{}
+			k.notices.LeavingSince = time.Time{}
 		}
 		return idleReportInterval
 	}
@@ -81,7 +82,7 @@
 		k.Host.Log.Write("engine-restarted", "born", report.StartedMillis, "seq", report.Seq, "former_born", k.lastReport.StartedMillis, "former_seq", k.lastReport.Seq)
 		k.adapters.Clear()
 		k.modelLoadStart = time.Time{}
-		k.forgetNotices()
+		k.notices = advert.Notices{}
 	}
 	k.lastReport = report
 	if !k.orderInFlight && !requested.Before(k.lastAnswer) {
@@ -102,7 +103,7 @@
 // that was not accepted or not answered, that number is unknown until the next report, and no
 // order is sent. The mutex is held.
 func (k *Keeper) startNextOrder(wanted []lora.Key, now time.Time) {
-	if k.orderInFlight || !k.seqKnown || k.pauseLeft(now) > 0 {
+	if k.orderInFlight || !k.seqKnown || k.notices.PauseLeft(now) > 0 {
 		return
 	}
 	if order, ok := k.modelLoadOrder(now); ok {
--- a/agent/proxy/client.go
+++ b/agent/proxy/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/agent/idle"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/httpc"
 	"github.com/tanagerspindle/tanagerspindle/pkg/stream"
 )
 
@@ -78,11 +79,10 @@
 // incomplete. A service that crashes may close its connection regularly. end holds the
 // last bytes of the body.
 func checkEnd(response *http.Response, end []byte) error {
-	if response.Body == http.NoBody || !stream.IsContentType(response.Header.Get("Content-Type")) {
+	if !stream.IsContentType(response.Header.Get("Content-Type")) {
 		return nil
 	}
-	endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-	if !stream.EndsBetweenEvents(end) || endsWithConnection && len(end) == 0 {
+	if !stream.EndsBetweenEvents(end) || len(end) == 0 && httpc.EndsWithConnection(response) {
 		return &Error{Op: "read stream", Kind: KindLost, Err: io.ErrUnexpectedEOF}
 	}
 	return nil
--- a/ctrl/poison/poison.go
+++ b/ctrl/poison/poison.go
@@ -63,16 +63,10 @@
 	return slices.ContainsFunc(c.Parts, func(p plane.CrashPart) bool { return bytes.Equal(p.Digest, digest) })
 }
 
-// add adds a candidate, or raises its position.
+// add adds a candidate if there is room, or raises its position.
 func (c *Crash) add(part plane.CrashPart) {
-	for i := range c.Parts {
-		if bytes.Equal(c.Parts[i].Digest, part.Digest) {
-			c.Parts[i].Position = max(c.Parts[i].Position, part.Position)
-			return
-		}
-	}
-	if len(c.Parts) < maxParts {
-		c.Parts = append(c.Parts, part)
+	if len(c.Parts) < maxParts || c.has(part.Digest) {
+		c.Parts = plane.AddCrashPart(c.Parts, part)
 	}
 }
 
--- a/entry/crash/crash.go
+++ b/entry/crash/crash.go
@@ -169,7 +169,7 @@
 		crash.Digests = append(crash.Digests, request.Digest)
 		for position, part := range request.Parts {
 			if !t.answers.since(part, known.lastLost.Add(-recentAnswer)) {
-				crash.AddPart(plane.CrashPart{Digest: part, Position: int32(position)})
+				crash.Parts = plane.AddCrashPart(crash.Parts, plane.CrashPart{Digest: part, Position: int32(position)})
 			}
 		}
 	}
--- a/entry/view/notice.go
+++ b/entry/view/notice.go
@@ -27,26 +27,20 @@
 
 // notices is what a process has said of itself in its answers to this entry.
 type notices struct {
-	// leavingSince is when the first of the answers arrived that said that the
-	// process is leaving; zero if it is not.
-	leavingSince time.Time
-	// pausedUntil is until when the process wants no requests.
-	pausedUntil time.Time
+	advert.Notices
 	// last is when the last notice arrived.
 	last time.Time
 }
 
 // accepts reports whether the process wants new requests.
 func (n *notices) accepts(now time.Time) bool {
-	return n == nil || n.leavingSince.IsZero() && !now.Before(n.pausedUntil)
+	return n == nil || !n.Leaving() && n.PauseLeft(now) == 0
 }
 
 // RecordNotice records what an endpoint said in an answer that arrived now, to a
-// request sent at the time sent. An answer ends an earlier notice that the endpoint
-// is leaving only if its request was sent after that notice arrived, since answers
-// on different connections overtake each other. A pause is never shortened.
-// RecordNotice reports whether the endpoint's state changed.
-func (es *Endpoints) RecordNotice(endpoint *advert.Record, notice advert.Notice, sent, now time.Time) (changed bool) {
+// request sent at the time sent; see advert.Notices.Record. It reports whether the
+// endpoint's state changed.
+func (es *Endpoints) RecordNotice(endpoint *advert.Record, notice advert.Notice, sent, now time.Time) bool {
 	es.mutex.Lock()
 	defer es.mutex.Unlock()
 	key := processOf(endpoint)
@@ -62,17 +56,8 @@
 		known = &notices{}
 		es.notices[key] = known
 	}
-	switch {
-	case notice.Leaving && known.leavingSince.IsZero():
-		known.leavingSince, changed = now, true
-	case !notice.Leaving && !known.leavingSince.IsZero() && sent.After(known.leavingSince):
-		known.leavingSince, changed = time.Time{}, true
-	}
-	if until := now.Add(notice.Pause); notice.Pause > 0 && until.After(known.pausedUntil) {
-		known.pausedUntil, changed = until, true
-	}
 	known.last = now
-	return changed
+	return known.Record(notice, sent, now)
 }
 
 // dropNotices removes the notices of processes that are not listed: the expired ones,
@@ -103,12 +88,12 @@
 	first, found := time.Duration(0), false
 	for _, e := range es.services[service] {
 		n := es.notices[processOf(&e.record)]
-		if excluded[e.record.Name] || n != nil && !n.leavingSince.IsZero() {
+		if excluded[e.record.Name] || n != nil && n.Leaving() {
 			continue
 		}
 		remaining := time.Duration(0)
 		if n != nil {
-			remaining = max(n.pausedUntil.Sub(now), 0)
+			remaining = n.PauseLeft(now)
 		}
 		if !found || remaining < first {
 			first, found = remaining, true
--- a/pkg/httpc/client.go
+++ b/pkg/httpc/client.go
@@ -111,12 +111,22 @@
 
 // abort resets the connection, which discards unsent bytes: a request that is
 // delayed by a network partition must not arrive after the caller gave up.
-func (pc *persistConn) abort() {
-	if tcp, ok := pc.Conn.(interface{ SetLinger(seconds int) error }); ok {
+func (pc *persistConn) abort() { Reset(pc.Conn) }
+
+// Reset closes a connection with a reset, which discards unsent bytes and tells the
+// peer that the exchange is incomplete.
+func Reset(conn net.Conn) {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		// If this fails, Close still sends the pending bytes; there is no better way.
 		_ = tcp.SetLinger(0)
 	}
-	_ = pc.Close()
+	_ = conn.Close()
+}
+
+// EndsWithConnection reports whether the end of the connection is the only mark of the
+// end of a response's body, because the body has neither a length nor chunks.
+func EndsWithConnection(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
 }
 
 // Answer is the server's response to a request. Its Body must be read to the end
@@ -130,8 +140,7 @@
 	ended  bool
 	// Reused reports whether the connection had carried another request before.
 	Reused bool
-	// EndsWithConnection reports whether the end of the connection is the only mark
-	// of the body's end, because the body has neither a length nor chunks.
+	// EndsWithConnection is the result of the function EndsWithConnection.
 	EndsWithConnection bool
 }
 
@@ -156,7 +165,7 @@
 		answer.discard()
 		return nil, answer.wrapError(ctx, address, err)
 	}
-	answer.EndsWithConnection = answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 && answer.Body != http.NoBody
+	answer.EndsWithConnection = EndsWithConnection(answer.Response)
 	answer.Response.Body = &answerBody{answer: answer, inner: answer.Response.Body, ctx: ctx}
 	return answer, nil
 }
--- a/pkg/plane/feed.go
+++ b/pkg/plane/feed.go
@@ -150,15 +150,16 @@
 	Parts    []CrashPart `protobuf:"bytes,6,rep" json:"parts,omitempty"`
 }
 
-// AddPart adds a part, or raises its position if the crash has it already.
-func (c *Crash) AddPart(part CrashPart) {
-	for i := range c.Parts {
-		if bytes.Equal(c.Parts[i].Digest, part.Digest) {
-			c.Parts[i].Position = max(c.Parts[i].Position, part.Position)
-			return
+// AddCrashPart returns the parts with one more, or with its position raised if it is
+// among them already.
+func AddCrashPart(parts []CrashPart, part CrashPart) []CrashPart {
+	for i := range parts {
+		if bytes.Equal(parts[i].Digest, part.Digest) {
+			parts[i].Position = max(parts[i].Position, part.Position)
+			return parts
 		}
 	}
-	c.Parts = append(c.Parts, part)
+	return append(parts, part)
 }
 
 // CrashPart is a part of a prompt that may have crashed an endpoint.
