entry, agent: an endpoint's request limit is read and logged

The header is read from each answer in platform/client; advert.Limit keeps the newest statement of a process: older answers that overtake newer ones neither end nor raise it, and of two that overlap the stricter holds. endpoint-notice and engine-notice name the limit and the age of the answer. No decision uses it yet. Tests: forms of the header, order of statements.

--- a/agent/keeper/notice.go
+++ b/agent/keeper/notice.go
@@ -17,7 +17,8 @@
 		k.Host.Meter.Add("notices_malformed", 1)
 	}
 	if k.notices.Record(notice, sent, time.Now()) {
-		k.Host.Log.Write("engine-notice", "status", notice.Status, "leaving", notice.Leaving, "pause", notice.Pause)
+		k.Host.Log.Write("engine-notice", "status", notice.Status, "leaving", notice.Leaving, "pause", notice.Pause,
+			"limited", notice.Limited, "limit", notice.RequestsPerSecond)
 		k.changed.Set()
 	}
 }
--- a/entry/direct/notice.go
+++ b/entry/direct/notice.go
@@ -38,7 +38,8 @@
 		return
 	}
 	f.Host.Meter.Add("notices", 1)
-	f.Host.Log.Write("endpoint-notice", "request", j.request.ID, "endpoint", endpoint.Name, "status", notice.Status, "leaving", notice.Leaving, "pause", notice.Pause)
+	f.Host.Log.Write("endpoint-notice", "request", j.request.ID, "endpoint", endpoint.Name, "status", notice.Status, "leaving", notice.Leaving, "pause", notice.Pause,
+		"limited", notice.Limited, "limit", notice.RequestsPerSecond, "age", time.Since(sent))
 }
 
 // awaitEndpoint waits until an endpoint of the service wants requests again, if that
--- a/entry/view/notice.go
+++ b/entry/view/notice.go
@@ -46,7 +46,7 @@
 	key := processOf(endpoint)
 	known := es.notices[key]
 	if known == nil {
-		if !notice.Leaving && notice.Pause <= 0 {
+		if !notice.Leaving && notice.Pause <= 0 && !notice.Limited {
 			return false
 		}
 		es.dropNotices(now)
--- a/pkg/advert/notice.go
+++ b/pkg/advert/notice.go
@@ -9,6 +9,12 @@
 	// Pause is how long the endpoint wants no requests from this VM; 0 if it wants
 	// them.
 	Pause time.Duration
+	// Limited reports whether the endpoint limits the requests that it takes from all VMs
+	// together, and RequestsPerSecond is that limit. LimitUnreadable means that the answer
+	// states a limit in a wrong form; it then neither names nor ends one.
+	Limited           bool
+	RequestsPerSecond float64
+	LimitUnreadable   bool
 	// Status is the answer's status, and Malformed the name of a header field of a
 	// wrong form, which is not taken into account; empty if there is none.
 	Status    int
@@ -23,6 +29,8 @@
 	LeavingSince time.Time
 	// PausedUntil is until when the process wants no requests.
 	PausedUntil time.Time
+	// Limit is how many requests the process takes.
+	Limit Limit
 }
 
 // Record records what an answer said that arrived now, to a request sent at the time
@@ -39,7 +47,11 @@
 	if until := now.Add(notice.Pause); notice.Pause > 0 && until.After(n.PausedUntil) {
 		n.PausedUntil, changed = until, true
 	}
-	return changed
+	if notice.LimitUnreadable {
+		return changed
+	}
+	stated := Limit{Named: notice.Limited, RequestsPerSecond: notice.RequestsPerSecond, Sent: sent, Arrived: now}
+	return n.Limit.Merge(stated) || changed
 }
 
 // Leaving reports whether the process is leaving.
