entry, agent: requests to an endpoint stay within the limit that it names

Cause: no process read the limit; the class is a statement of an endpoint that is passed on and not obeyed, as with draining and pauses before.

Engines: the agent beside it keeps the whole limit (pkg/pacer), whatever the number of entries. It learns it from answers to its reports and orders and from each admission request, which carries what the engine said to that entry, with its age and process; the newest statement holds. A request that the limit does not allow is refused at once and tries other engines; if all are limited it waits at one, the most urgent first, or is refused with the time until its turn. Plain endpoints, and engines whose agent cannot be reached: entries divide the limit by their position among all entries, which control now tells them (EntryRank). A limit has as many members as it has requests a second; the others try once in a long, random while whether it still holds. Without control the last position holds; an entry that has none sends hardly anything.

--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -21,6 +21,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/lease"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/notify"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pacer"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/tasks"
 )
@@ -90,6 +91,8 @@
 	stopping      bool
 	// notices is what the engine said of itself in its answers to this agent.
 	notices advert.Notices
+	// pacer keeps the engine's limit.
+	pacer pacer.Pacer
 	// orderInFlight is set while an order is sent to the engine.
 	orderInFlight bool
 	// nextSeq is the ExpectedSeq of the next order, valid while seqKnown is set. lastAnswer is
@@ -219,9 +222,16 @@
 // those that fit. It returns the adapters of those that continue to wait.
 func (k *Keeper) admitWaiting(now time.Time) []lora.Key {
 	var wanted []lora.Key
-	full := false
+	full, ahead := false, 0
+	k.applyLimit(now)
 	for _, r := range k.admission.Waiting(now) {
 		t := k.tasks[r]
+		limitWait := k.pacer.Wait(ahead, now)
+		if limitWait > 0 && !r.Spec.AwaitLimit {
+			k.refuse(t, &admit.Reply{Reason: admit.ReasonLimited, Wait: retryDelay(limitWait), LoadPermille: k.admission.Load(now)})
+			continue
+		}
+		ahead++
 		if !k.lastReport.hasModel(r.Spec.Model) {
 			if k.refuseWithoutModel(t, now) {
 				continue
@@ -233,14 +243,15 @@
 		if r.Spec.Adapter != "" {
 			version, ready = k.adapters.Ready(t.adapter, r.Spec.MinVersion)
 		}
-		if ready && !full && k.admission.Fits(r, now) {
+		if ready && !full && limitWait == 0 && k.admission.Fits(r, now) && k.pacer.Take(now) {
 			k.start(t, version, now)
+			ahead--
 			continue
 		}
 		full = full || ready
-		load := time.Duration(0)
+		load := limitWait
 		if !ready {
-			load = k.adapters.EstimateWait(t.adapter, wanted, now)
+			load = max(load, k.adapters.EstimateWait(t.adapter, wanted, now))
 			if k.adapters.Retiring(t.adapter) {
 				load += k.remainingRunTime(t.adapter, now)
 			}
--- a/agent/keeper/notice.go
+++ b/agent/keeper/notice.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 )
 
@@ -16,6 +17,11 @@
 	if notice.Malformed != "" {
 		k.Host.Meter.Add("notices_malformed", 1)
 	}
+	if !notice.Limited {
+		// Answers to reports and orders need not name the limit for requests, so that its
+		// absence does not end the limit.
+		notice.LimitUnreadable = true
+	}
 	if k.notices.Record(notice, sent, time.Now()) {
 		k.Host.Log.Write("engine-notice", "status", notice.Status, "leaving", notice.Leaving, "pause", notice.Pause,
 			"limited", notice.Limited, "limit", notice.RequestsPerSecond)
@@ -27,6 +33,7 @@
 func (k *Keeper) ForgetNotices() {
 	k.mutex.Lock()
 	k.notices = advert.Notices{}
+	k.pacer.Unlimit()
 	k.mutex.Unlock()
 	k.pollSoon.Set()
 }
@@ -37,3 +44,32 @@
 	defer k.mutex.Unlock()
 	return k.notices.PauseLeft(time.Now())
 }
+
+// mergeLimit takes in what the engine said of its limit to an entry. k.mutex must be held.
+func (k *Keeper) mergeLimit(stated *admit.Limit, now time.Time) {
+	if stated == nil {
+		return
+	}
+	if r := k.lastReport; r != nil && r.StartedMillis != 0 && stated.StartedMillis != r.StartedMillis {
+		// Another process of the engine said so.
+		return
+	}
+	limit := advert.Limit{
+		Named: stated.Named, RequestsPerSecond: stated.RequestsPerSecond,
+		Sent: now.Add(-stated.SentAgo.Std()), Arrived: now.Add(-stated.ArrivedAgo.Std()),
+	}
+	if k.notices.Limit.Merge(limit) {
+		k.Host.Log.Write("engine-limit", "limited", limit.Named, "limit", limit.RequestsPerSecond, "age", stated.ArrivedAgo)
+	}
+}
+
+// applyLimit brings the pacer to the engine's limit. All requests for the engine pass this
+// agent, so the whole limit is its own.
+func (k *Keeper) applyLimit(now time.Time) {
+	limit := &k.notices.Limit
+	if !limit.Named {
+		k.pacer.Unlimit()
+		return
+	}
+	k.pacer.Limit(limit.RequestsPerSecond, 0, 1, now)
+}
--- a/agent/keeper/task.go
+++ b/agent/keeper/task.go
@@ -110,6 +110,7 @@
 	if k.stopping {
 		return false
 	}
+	k.mergeLimit(t.request.Spec.Limit, now)
 	k.tasks[t.request] = t
 	k.admission.Add(t.request)
 	if t.adapter.Adapter != "" {
--- a/ctrl/feeds/entries.go
+++ b/ctrl/feeds/entries.go
@@ -1,6 +1,7 @@
 package feeds
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -38,6 +39,22 @@
 	return f.liveEntries.count(now)
 }
 
+// rankEntry returns the position of an entry among those that countEntries counts, from 1,
+// and their number; 0 while that is unknown.
+func (f *Feeds) rankEntry(name string) (rank, listed int32) {
+	if f.countEntries() == 0 {
+		return 0, 0
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	names := slices.Sorted(maps.Keys(f.liveEntries.lastHeard))
+	at, found := slices.BinarySearch(names, name)
+	if !found {
+		return 0, 0
+	}
+	return int32(at + 1), int32(len(names))
+}
+
 // connected returns the names of the entries that are connected here or at
 // another replica, sorted, and whether any other replica is unresponsive. The caller
 // holds the mutex.
--- a/ctrl/feeds/entries_test.go
+++ b/ctrl/feeds/entries_test.go
@@ -29,13 +29,16 @@
 	connect("e2")
 	f.liveEntries.startedAt = began.Add(-countDelay)
 	require.Equal(t, 2, f.countEntries())
+	requireRank(t, f, "e2", 2, 2)
 	f.leave(first)
 	require.Equal(t, 2, f.countEntries(), "a disconnected entry may still use its share")
 	require.Equal(t, []string{"e2"}, f.Entries())
 	f.liveEntries.lastHeard["e1"] = began.Add(-liveRetention - time.Second)
 	require.Equal(t, 1, f.countEntries())
+	requireRank(t, f, "e2", 1, 1)
 	peer := f.ensurePeer("peer")
 	require.Zero(t, f.countEntries(), "the entries of a peer that has sent no update are unknown")
+	requireRank(t, f, "e2", 0, 0)
 	peer.lastHeard, peer.lastUpdate.Entries = time.Now(), []string{"e3", "e4"}
 	require.Equal(t, 3, f.countEntries())
 	peer.lastHeard = time.Now().Add(-peerTimeout)
@@ -43,6 +46,16 @@
 	require.Equal(t, 3, f.countEntries(), "the entries of an unresponsive peer may still be running")
 	connect("e5")
 	require.Equal(t, 4, f.countEntries())
+	requireRank(t, f, "e5", 4, 4)
+	requireRank(t, f, "e9", 0, 0)
+}
+
+// requireRank checks an entry's position: one that is too low in too short a list would give
+// the entry a larger share of a limit than its own.
+func requireRank(t *testing.T, f *Feeds, name string, rank, listed int32) {
+	t.Helper()
+	gotRank, gotListed := f.rankEntry(name)
+	require.Equal(t, []int32{rank, listed}, []int32{gotRank, gotListed})
 }
 
 // Agents that reconnect after all of control was killed must not take larger shares of
--- a/ctrl/feeds/update.go
+++ b/ctrl/feeds/update.go
@@ -74,6 +74,7 @@
 	}
 	if c.hello.Role == plane.RoleEntry {
 		update.EntryCount = int32(f.countEntries())
+		update.EntryRank, update.EntryListed = f.rankEntry(c.hello.Name)
 	}
 	return changed
 }
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -216,6 +216,7 @@
 	e.relay.Start()
 	e.auth = &auth.Auth{}
 	e.view = &view.Endpoints{DataCentre: d.Host.DataCentre}
+	e.view.Position = func() (index, count int) { return e.feed.Position() }
 	e.direct = &direct.Filter{
 		Host: d.Host, Endpoints: e.view, Send: d.Send, Budget: retryBudget, ShutdownTime: e.drain.ExitTime,
 		Agents: &pool.Pool{Dial: d.Host.Dial, DialTimeout: agentDialTimeout},
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -52,6 +52,8 @@
 	// failure is an endpoint's error answer, forwarded if no further attempt
 	// succeeds.
 	failure *bufferedAnswer
+	// waited reports that the request has waited until an endpoint may get requests again.
+	waited bool
 	// retryAfter is the shortest retry delay that an agent reported, 0 if none
 	// did.
 	retryAfter time.Duration
@@ -100,7 +102,7 @@
 			target.release()
 			return err
 		}
-		if !j.filter.Endpoints.Accepts(target.endpoint.Name, time.Now()) {
+		if !j.filter.Endpoints.Claim(target.endpoint.Name, target.admitted, time.Now()) {
 			target.release()
 			continue
 		}
--- a/entry/direct/notice.go
+++ b/entry/direct/notice.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/entry/view"
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 )
@@ -42,21 +43,37 @@
 		"limited", notice.Limited, "limit", notice.RequestsPerSecond, "age", time.Since(sent))
 }
 
-// awaitEndpoint waits until an endpoint of the service wants requests again, if that
-// is soon. It refuses the request if the wait would be too long, and returns nil if
-// an endpoint wants requests now.
+// awaitEndpoint waits until an endpoint of the service may get requests again, if that is
+// soon, at most once a request. It refuses the request if the wait would be too long, and
+// returns nil if an endpoint may get requests now.
 func (j *job) awaitEndpoint(ctx context.Context) *chain.Refusal {
 	f := j.filter
-	wait, ok := f.Endpoints.EndOfPause(j.service, j.excluded, time.Now())
-	if !ok || wait == 0 {
+	opening, ok := f.Endpoints.FirstOpening(j.service, j.excluded, time.Now())
+	if !ok || opening.Wait == 0 {
 		return nil
 	}
-	spread := max(time.Duration(float64(wait)*pauseSpread), minPauseSpread)
-	wait += time.Duration(f.random() * float64(spread))
-	if wait > maxPauseWait || time.Now().Add(wait).After(j.callerDeadline()) {
-		f.Host.Meter.Add("paused_refused", 1)
-		return chain.Refuse(http.StatusServiceUnavailable, "endpoints_paused", "no endpoint wants requests now").WithRetryAfter(wait)
+	wait := j.spreadWait(opening)
+	if !opening.Here || j.waited || wait > maxPauseWait || time.Now().Add(wait).After(j.callerDeadline()) {
+		return j.refuseUntil(opening)
 	}
+	j.waited = true
+	defer f.Endpoints.BeginWait(opening)()
 	pause.For(ctx, wait)
 	return nil
 }
+
+// spreadWait returns the time until an opening and a random time after it.
+func (j *job) spreadWait(opening view.Opening) time.Duration {
+	spread := max(time.Duration(float64(opening.Wait)*pauseSpread), minPauseSpread)
+	return opening.Wait + time.Duration(j.filter.random()*float64(spread))
+}
+
+// refuseUntil refuses the request until an opening.
+func (j *job) refuseUntil(opening view.Opening) *chain.Refusal {
+	code, message := "endpoints_paused", "no endpoint wants requests now"
+	if opening.Limited {
+		code, message = "endpoints_limited", "the endpoints take no more requests now"
+	}
+	j.filter.Host.Meter.Add(code, 1)
+	return chain.Refuse(http.StatusServiceUnavailable, code, message).WithRetryAfter(j.spreadWait(opening))
+}
--- a/entry/direct/target.go
+++ b/entry/direct/target.go
@@ -20,6 +20,9 @@
 	// just failed.
 	maxBusyEngines = 3
 	maxEngines     = 5
+	// maxLimitedEngines is how many engines may refuse a request by their limits before
+	// it waits at one of them, and how many of those are tried.
+	maxLimitedEngines = 3
 	// workspacePriorityStep is how many steps of a route's priority one step of
 	// a workspace's priority counts.
 	workspacePriorityStep = 10
@@ -30,8 +33,10 @@
 	endpoint advert.Record
 	// version is the adapter version at the endpoint; 0 when it is unknown.
 	version int64
-	// waited is how long the request waited for admission.
-	waited time.Duration
+	// waited is how long the request waited for admission, and admitted reports whether an
+	// agent has admitted it.
+	waited   time.Duration
+	admitted bool
 	// release ends the endpoint's count of the request and the agent's
 	// admission.
 	release func()
@@ -46,6 +51,9 @@
 	f := j.filter
 	endpoint, ok := f.Endpoints.ChoosePlain(j.service, j.excluded, f.random(), time.Now())
 	if !ok {
+		if opening, known := f.Endpoints.FirstOpening(j.service, j.excluded, time.Now()); known && opening.Wait > 0 {
+			return nil, j.refuseUntil(opening)
+		}
 		return nil, j.refuse("no_endpoint", "no endpoint takes the request", noEndpointRetryAfter)
 	}
 	return &target{endpoint: endpoint, release: f.Endpoints.BeginRequest(endpoint.Name)}, nil
@@ -71,29 +79,51 @@
 		share = f.popularity.Record(key, now)
 	}
 	engines, preferred := f.Endpoints.RankEngines(j.service, key, share, f.random(), j.excluded, now)
-	if len(engines) == 0 {
+	if len(engines) == 0 && len(f.Endpoints.LimitedEngines(j.service, j.excluded, now)) == 0 {
 		return nil, j.refuse("no_endpoint", "no engine takes the request", noEndpointRetryAfter)
 	}
-	engines = engines[:min(len(engines), maxEngines)]
-	busy := min(preferred, maxBusyEngines)
-	for i, engine := range engines {
-		admitted, reply := j.requestAdmission(ctx, engine, busy == 1 || i == len(engines)-1)
+	asked, busy := 0, min(preferred, maxBusyEngines)
+	for i, engine := range engines[:min(len(engines), maxEngines+maxLimitedEngines)] {
+		admitted, reply := j.requestAdmission(ctx, engine, busy == 1 || i == len(engines)-1 || asked == maxEngines-1, false)
 		if admitted != nil {
 			return admitted, nil
 		}
 		if ctx.Err() != nil {
 			return nil, nil
 		}
-		if reply != nil && (reply.Reason == admit.ReasonBusy || reply.Reason == admit.ReasonModelMissing) {
-			j.retryAfter = shorterWait(j.retryAfter, reply.Wait.Std())
+		if reply != nil && reply.Reason == admit.ReasonLimited {
+			continue
 		}
+		asked++
 		if reply != nil && reply.Reason == admit.ReasonBusy {
 			busy--
 		}
-		if busy == 0 {
+		if busy == 0 || asked == maxEngines {
 			break
 		}
 	}
+	return j.selectLimitedEngine(ctx, busy == 0)
+}
+
+// selectLimitedEngine requests admission from engines whose limits do not allow a request
+// at once. They are the last resort; their agents let the most urgent requests go first.
+// If the preferred engines are busy, only engines that hold the adapter are asked.
+func (j *job) selectLimitedEngine(ctx context.Context, preferredBusy bool) (*target, *chain.Refusal) {
+	v, key := j.filter.Endpoints, j.adapterKey()
+	engines := v.LimitedEngines(j.service, j.excluded, time.Now())
+	engines = engines[:min(len(engines), maxLimitedEngines)]
+	for i, engine := range engines {
+		if preferredBusy && key != "" && !v.LikelyResident(engine.Name, key, time.Now()) {
+			continue
+		}
+		admitted, _ := j.requestAdmission(ctx, engine, i == len(engines)-1, true)
+		if admitted != nil {
+			return admitted, nil
+		}
+		if ctx.Err() != nil {
+			return nil, nil
+		}
+	}
 	return nil, j.refuse("engines_busy", "no engine could begin the request in time", failedRetryAfter)
 }
 
@@ -109,21 +139,32 @@
 // requestAdmission requests admission to an engine from its agent. When the
 // agent is unreachable, the engine is used without admission if the adapter is
 // probably resident there.
-func (j *job) requestAdmission(ctx context.Context, engine advert.Record, last bool) (*target, *admit.Reply) {
+//
+// last reports that no further engine is tried, awaitLimit that the request may wait until
+// the engine's limit allows it.
+func (j *job) requestAdmission(ctx context.Context, engine advert.Record, last, awaitLimit bool) (*target, *admit.Reply) {
 	f := j.filter
-	reply, end, err := j.queryAgent(ctx, engine, last)
+	spec := j.newAdmissionRequest(engine)
+	spec.LastCandidate, spec.AwaitLimit = last, awaitLimit
+	reply, end, err := j.queryAgent(ctx, engine, spec)
 	if err != nil {
 		f.Host.Meter.Add("agents_unreachable", 1)
 		f.Host.Log.Write("agent-unreachable", "request", j.request.ID, "endpoint", engine.Name, "agent", engine.Agent, "err", err)
-		if ctx.Err() != nil || j.adapterKey() != "" && !f.Endpoints.LikelyResident(engine.Name, j.adapterKey(), time.Now()) {
+		if ctx.Err() != nil || j.adapterKey() != "" && !f.Endpoints.LikelyResident(engine.Name, j.adapterKey(), time.Now()) || !f.Endpoints.AllowsUnadmitted(engine.Name, time.Now()) {
 			return nil, nil
 		}
 		return &target{endpoint: engine, release: f.Endpoints.BeginRequest(engine.Name)}, nil
 	}
 	f.Endpoints.SetLoad(engine.Name, reply.LoadPermille, time.Now())
 	if reply.Reason != admit.ReasonNone {
-		if reply.Reason == admit.ReasonEngineDown || reply.Reason == admit.ReasonDraining {
+		switch reply.Reason {
+		case admit.ReasonEngineDown, admit.ReasonDraining:
 			f.Endpoints.MarkUnreachable(engine.Name, time.Now())
+		case admit.ReasonLimited:
+			f.Endpoints.MarkLimited(engine.Name, reply.Wait.Std(), time.Now())
+			j.retryAfter = shorterWait(j.retryAfter, reply.Wait.Std())
+		case admit.ReasonBusy, admit.ReasonModelMissing:
+			j.retryAfter = shorterWait(j.retryAfter, reply.Wait.Std())
 		}
 		return nil, reply
 	}
@@ -137,17 +178,17 @@
 		done()
 		end()
 	}
-	return &target{endpoint: engine, version: reply.Version, waited: reply.Wait.Std(), release: release}, reply
+	return &target{endpoint: engine, version: reply.Version, waited: reply.Wait.Std(), admitted: true, release: release}, reply
 }
 
 // queryAgent sends the admission request to an engine's agent, unless the agent
 // recently failed to reply.
-func (j *job) queryAgent(ctx context.Context, engine advert.Record, last bool) (*admit.Reply, func(), error) {
+func (j *job) queryAgent(ctx context.Context, engine advert.Record, spec *admit.Request) (*admit.Reply, func(), error) {
 	v := j.filter.Endpoints
 	if !v.AllowAgentQuery(engine.Name, agentTimeout, time.Now()) {
 		return nil, nil, &Error{Op: "query agent", Kind: KindUnreachable}
 	}
-	reply, end, err := j.exchange(ctx, engine, last)
+	reply, end, err := j.exchange(ctx, engine, spec)
 	if ctx.Err() == nil {
 		v.RecordAgentQuery(engine.Name, err == nil, time.Now())
 	}
@@ -157,7 +198,7 @@
 // exchange sends an admission request and waits for the final reply. If the
 // request is admitted, the returned end function reports the end of the request
 // to the agent.
-func (j *job) exchange(ctx context.Context, engine advert.Record, last bool) (reply *admit.Reply, end func(), err error) {
+func (j *job) exchange(ctx context.Context, engine advert.Record, spec *admit.Request) (reply *admit.Reply, end func(), err error) {
 	firstReplyCtx, cancel := context.WithTimeout(ctx, agentTimeout)
 	defer cancel()
 	agents := j.filter.Agents
@@ -175,7 +216,7 @@
 		_ = stream.Close()
 		agents.Put(session)
 	}
-	if err = stream.Send(j.newAdmissionRequest(engine, last)); err == nil {
+	if err = stream.Send(spec); err == nil {
 		reply, err = receive(ctx, firstReplyCtx, stream)
 	}
 	if err != nil {
@@ -207,20 +248,27 @@
 	return reply, stream.Receive(reply)
 }
 
-// newAdmissionRequest describes the request to an engine's agent. last reports
-// that no further engine is tried.
-func (j *job) newAdmissionRequest(engine advert.Record, last bool) *admit.Request {
+// newAdmissionRequest describes the request to an engine's agent, with what the engine said
+// of its limit to this entry.
+func (j *job) newAdmissionRequest(engine advert.Record) *admit.Request {
 	r := j.request
 	now := time.Now()
-	return &admit.Request{
+	spec := &admit.Request{
 		ID: r.ID, Endpoint: engine.Name, Model: r.Model, Adapter: r.Adapter,
 		MinVersion: j.filter.minVersion(r.Model, r.Adapter),
 		Workspace:  r.Workspace, Priority: j.priority(),
 		PromptTokens: r.PromptTokens, MaxAnswerTokens: j.remainingTokens(r.MaxTokens), ExpectedAnswerTokens: j.remainingTokens(r.ExpectedTokens),
 		FirstTokenRemaining: span.Duration(r.Start.Add(r.Objective.FirstToken.Std()).Sub(now)),
 		Remaining:           span.Duration(j.callerDeadline().Sub(now)),
-		Resumed:             j.cutter.EventCount > 0, LastCandidate: last,
+		Resumed:             j.cutter.EventCount > 0,
+	}
+	if limit, ok := j.filter.Endpoints.Limit(engine.Name); ok {
+		spec.Limit = &admit.Limit{
+			StartedMillis: engine.StartedMillis, Named: limit.Named, RequestsPerSecond: limit.RequestsPerSecond,
+			SentAgo: span.Duration(now.Sub(limit.Sent)), ArrivedAgo: span.Duration(now.Sub(limit.Arrived)),
+		}
 	}
+	return spec
 }
 
 // callerDeadline returns when the caller disconnects if it receives nothing
--- a/entry/view/notice.go
+++ b/entry/view/notice.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pacer"
 )
 
 const (
@@ -30,9 +31,13 @@
 	advert.Notices
 	// last is when the last notice arrived.
 	last time.Time
+	// pacer keeps this entry's share of the process's limit; nil until it names one.
+	pacer *pacer.Pacer
+	// waiting counts the requests that wait until the process may get one again.
+	waiting int
 }
 
-// accepts reports whether the process wants new requests.
+// accepts reports whether the process wants new requests, apart from its limit.
 func (n *notices) accepts(now time.Time) bool {
 	return n == nil || !n.Leaving() && n.PauseLeft(now) == 0
 }
@@ -57,6 +62,11 @@
 		es.notices[key] = known
 	}
 	known.last = now
+	defer func() {
+		if known.pacer != nil && !known.Limit.Named {
+			known.pacer.Unlimit()
+		}
+	}()
 	return known.Record(notice, sent, now)
 }
 
@@ -77,27 +87,5 @@
 	es.mutex.Lock()
 	defer es.mutex.Unlock()
 	e := es.byName[name]
-	return e != nil && es.notices[processOf(&e.record)].accepts(now)
-}
-
-// EndOfPause returns when the first endpoint of a service that is neither leaving
-// nor excluded wants requests again, and false if there is none.
-func (es *Endpoints) EndOfPause(service string, excluded map[string]bool, now time.Time) (time.Duration, bool) {
-	es.mutex.Lock()
-	defer es.mutex.Unlock()
-	first, found := time.Duration(0), false
-	for _, e := range es.services[service] {
-		n := es.notices[processOf(&e.record)]
-		if excluded[e.record.Name] || n != nil && n.Leaving() {
-			continue
-		}
-		remaining := time.Duration(0)
-		if n != nil {
-			remaining = n.PauseLeft(now)
-		}
-		if !found || remaining < first {
-			first, found = remaining, true
-		}
-	}
-	return first, found
+	return e != nil && es.accepts(e, now)
 }
--- a/entry/view/view.go
+++ b/entry/view/view.go
@@ -49,6 +49,11 @@
 type Endpoints struct {
 	// DataCentre is the entry's data centre.
 	DataCentre string
+	// Position returns this entry's position among all entries, from 0, and their number,
+	// which is 0 while it is unknown. Nil means that this is the only entry.
+	Position func() (index, count int)
+	// Random returns a number between 0 and 1; nil uses the global generator.
+	Random func() float64
 
 	mutex    sync.Mutex
 	services map[string][]*endpoint
@@ -66,6 +71,9 @@
 	// load is the load last reported by the endpoint's agent, in thousandths.
 	load     int64
 	loadTime time.Time
+	// limitedUntil is until when the endpoint is passed over because its agent has
+	// refused a request by its limit.
+	limitedUntil time.Time
 	// connection and agent are the backoffs after failures to reach the
 	// endpoint and its agent.
 	connection, agent backoff
@@ -148,7 +156,7 @@
 			failures += e.failureRate
 			measured++
 		}
-		if !excluded[e.record.Name] && es.notices[processOf(&e.record)].accepts(now) {
+		if !excluded[e.record.Name] && es.accepts(e, now) && !e.limitedUntil.After(now) {
 			list = append(list, e)
 		}
 	}
--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -58,6 +58,24 @@
 	// LastCandidate means that the entry has no other engine to ask. The agent then
 	// refuses the request only if it cannot be served in time.
 	LastCandidate bool `protobuf:"varint,14,opt"`
+	// AwaitLimit means that the request may wait until the engine's limit allows it.
+	// Otherwise the agent refuses it at once while the limit does not.
+	AwaitLimit bool `protobuf:"varint,15,opt"`
+	// Limit is what the engine said of its limit to the entry; nil if it named none.
+	Limit *Limit `protobuf:"bytes,16,opt"`
+}
+
+// Limit is how many requests an engine said that it takes from all VMs together.
+type Limit struct {
+	// StartedMillis identifies the engine's process by its start, in Unix milliseconds.
+	StartedMillis int64 `protobuf:"varint,1,opt"`
+	// Named reports whether the process limits its requests, to RequestsPerSecond.
+	Named             bool    `protobuf:"varint,2,opt"`
+	RequestsPerSecond float64 `protobuf:"fixed64,3,opt"`
+	// SentAgo is how long ago the request was sent whose answer said so, and ArrivedAgo
+	// how long ago that answer arrived.
+	SentAgo    span.Duration `protobuf:"varint,4,opt"`
+	ArrivedAgo span.Duration `protobuf:"varint,5,opt"`
 }
 
 // Check reports the first invalid field.
@@ -68,6 +86,9 @@
 	if r.PromptTokens < 0 || r.MaxAnswerTokens < 0 || r.ExpectedAnswerTokens < 0 || r.MinVersion < 0 {
 		return &Error{Op: "check sizes", Kind: KindField}
 	}
+	if l := r.Limit; l != nil && (!(l.RequestsPerSecond >= 0) || l.SentAgo < l.ArrivedAgo || l.ArrivedAgo < 0) {
+		return &Error{Op: "check limit", Kind: KindField}
+	}
 	return nil
 }
 
@@ -86,6 +107,9 @@
 	// ReasonBusy means that the request could not start in time; Reply.Wait is when
 	// it could.
 	ReasonBusy Reason = "busy"
+	// ReasonLimited means that the engine's limit does not allow the request now;
+	// Reply.Wait is when it would.
+	ReasonLimited Reason = "limited"
 	// ReasonOtherEngine means that the agent now serves an engine of another name.
 	ReasonOtherEngine Reason = "other-engine"
 	// ReasonEngineDown means that the engine does not respond.
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -91,6 +91,7 @@
 	// endpointsRevision is the revision of the endpoints and the releases.
 	endpointsRevision atomic.Uint64
 	entryCount        atomic.Int32
+	position          atomic.Pointer[position]
 	burn              burnCounter
 	suspectReports    suspectReports
 	heartbeatDue      notify.Signal
@@ -119,6 +120,18 @@
 // has not reported it yet.
 func (f *Feed) KnownEntries() int { return int(f.entryCount.Load()) }
 
+// Position returns the entry's position among all connected entries, from 0, and their
+// number, as control last reported them. The number is 0 if control has not.
+func (f *Feed) Position() (index, count int) {
+	if p := f.position.Load(); p != nil {
+		return p.index, p.count
+	}
+	return 0, 0
+}
+
+// position is an entry's place among all connected entries.
+type position struct{ index, count int }
+
 // Quarantined returns how long a request remains quarantined, and whether it is
 // suspected of having crashed an endpoint. A suspect that is not quarantined
 // returns a time of 0.
--- a/pkg/feed/session.go
+++ b/pkg/feed/session.go
@@ -140,6 +140,9 @@
 	if update.EntryCount > 0 && f.entryCount.Swap(update.EntryCount) != update.EntryCount {
 		f.Host.Log.Write("entries-known", "entries", update.EntryCount)
 	}
+	if update.EntryRank > 0 {
+		f.position.Store(&position{index: int(update.EntryRank - 1), count: int(update.EntryListed)})
+	}
 	if update.EndpointsRevision == 0 {
 		return
 	}
--- a/pkg/plane/feed.go
+++ b/pkg/plane/feed.go
@@ -208,6 +208,10 @@
 	Replicas []string `protobuf:"bytes,15,rep"`
 	// EntryCount is the number of entries that control knows of.
 	EntryCount int32 `protobuf:"varint,16,opt"`
+	// EntryRank is the entry's position in the sorted names of the EntryListed entries
+	// that are connected, from 1; 0 if it is unknown.
+	EntryRank   int32 `protobuf:"varint,17,opt"`
+	EntryListed int32 `protobuf:"varint,18,opt"`
 }
 
 // Release is the version of an adapter that new requests run on.
