entry, control: software versions of endpoints and continued streams are logged

The announced version is kept in advert.Record and shown in attempt-failed; a request that continues a stream logs stream-continued with the attempt that brought its first event. No decision uses either yet.

--- a/entry/chain/chain.go
+++ b/entry/chain/chain.go
@@ -98,6 +98,12 @@
 	// order; the last part, which belongs to the request itself, is not among them.
 	PromptParts []string
 
+	// FirstAttempt is the ID of the caller's attempt that brought the first event of the
+	// stream that this request continues, and LastEventID that of the last event that the
+	// caller has. Both are empty for a request that continues no stream.
+	FirstAttempt string
+	LastEventID  string
+
 	// ID identifies the request; the trace filter sets it if the frontend has not.
 	// Start is when the request arrived.
 	ID    string
@@ -171,3 +177,6 @@
 
 // Deadline returns the time until which the caller is expected to wait.
 func (r *Request) Deadline() time.Time { return r.Start.Add(r.MaxWait) }
+
+// ResumesStream reports whether the caller continues a stream that another attempt began.
+func (r *Request) ResumesStream() bool { return r.FirstAttempt != "" || r.LastEventID != "" }
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -190,6 +190,9 @@
 		return refusal
 	}
 	service := f.service(&r.Route)
+	if r.Route.Stream && r.ResumesStream() {
+		f.Host.Log.Write("stream-continued", "request", r.ID, "first", r.FirstAttempt, "after", r.LastEventID)
+	}
 	f.Budget.RecordRequest(service)
 	if f.runsToCompletion(r) {
 		// A request that must not run twice is completed although its caller
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -160,7 +160,7 @@
 	}
 	j.filter.Host.Meter.Add("attempts_failed", 1)
 	j.filter.Host.Log.Write("attempt-failed", "request", j.request.ID, "route", j.request.RouteName, "endpoint", endpoint.Name,
-		"address", endpoint.Address, "verdict", verdict.String(), "tries", j.tries, "events", j.cutter.EventCount,
+		"address", endpoint.Address, "software", endpoint.SoftwareVersion, "verdict", verdict.String(), "tries", j.tries, "events", j.cutter.EventCount,
 		"parts", strings.Join(j.request.PromptParts, ","), "err", err)
 }
 
--- a/pkg/advert/record.go
+++ b/pkg/advert/record.go
@@ -27,6 +27,9 @@
 	Seq uint64 `protobuf:"varint,10,opt" json:"seq"`
 	// Revision is the table's revision at which the record last changed.
 	Revision uint64 `protobuf:"varint,11,opt" json:"revision"`
+	// SoftwareVersion is the version of the process's software, not of its weights; empty
+	// if it is unknown. Streams do not go on at a process of another version.
+	SoftwareVersion string `protobuf:"bytes,12,opt" json:"software,omitempty"`
 }
 
 // Check reports the first invalid field.
@@ -37,6 +40,9 @@
 	if r.Removed {
 		return nil
 	}
+	if len(r.SoftwareVersion) > maxNameBytes {
+		return &Error{Op: "check software version", Kind: KindField}
+	}
 	if r.Service == "" || r.Address == "" || r.DataCentre == "" || r.Slots < 0 || r.StartedMillis < 0 {
 		return &Error{Op: "check endpoint", Kind: KindField}
 	}
@@ -46,7 +52,8 @@
 // sameContent reports whether two records of one process announce the same content.
 func (r *Record) sameContent(other *Record) bool {
 	return r.Service == other.Service && r.Address == other.Address && r.DataCentre == other.DataCentre &&
-		r.Agent == other.Agent && r.Slots == other.Slots && r.Draining == other.Draining && r.StartedMillis == other.StartedMillis
+		r.Agent == other.Agent && r.Slots == other.Slots && r.Draining == other.Draining && r.StartedMillis == other.StartedMillis &&
+		r.SoftwareVersion == other.SoftwareVersion
 }
 
 // available reports whether the endpoint accepts new requests.
