entry/direct: a stream that broke off goes on at the software version that began it, or nowhere

Cause: the continuation inside an answer chose any other endpoint; the announced version was dropped by control. The class: a process is taken for another one of its service where what it wrote has to go on.

The first event fixes the version. Other versions are excluded from then on; if none of the version is left, the answer breaks off at once. An endpoint whose name a process of other software has taken since is not trusted: which of the two wrote the first event is uncertain. Before a request is sent, the chosen process must still be the listed one. The watchdog cuts a silent stream only if an endpoint of its version could continue it.

--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -36,7 +36,7 @@
 func (j *job) attempt(ctx context.Context, t *target) (verdict, error) {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := j.startWatchdog(cancel)
+	watchdog := j.startWatchdog(&t.endpoint, cancel)
 	defer watchdog.stop()
 	sent := time.Now()
 	j.request.Endpoint, j.request.FailedAttempts, j.request.AdmissionWait = t.endpoint.Name, j.tries, t.waited
@@ -58,7 +58,7 @@
 	var verdict verdict
 	switch {
 	case j.request.Route.Stream && answer.Status == http.StatusOK && answer.isEventStream():
-		verdict, err = j.stream(answer, watchdog)
+		verdict, err = j.stream(answer, t.endpoint, watchdog)
 	case j.headSent:
 		// An error answer cannot take the place of the rest of a stream.
 		verdict, err = verdictFailed, statusError(answer.Status)
@@ -195,7 +195,7 @@
 }
 
 // stream forwards events as each is received completely.
-func (j *job) stream(answer *Answer, watchdog *watchdog) (verdict, error) {
+func (j *job) stream(answer *Answer, endpoint advert.Record, watchdog *watchdog) (verdict, error) {
 	j.cutter.Resume()
 	eventsBefore, answered := j.cutter.EventCount, false
 	buffer := make([]byte, streamBufferSize)
@@ -210,6 +210,7 @@
 			if !answered {
 				answered = true
 				j.recordAnswered()
+				j.recordOrigin(endpoint)
 			}
 			j.lastReceived = time.Now()
 			if !hadID || j.cutter.LastID != formerID {
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -52,6 +52,8 @@
 	// failure is an endpoint's error answer, forwarded if no further attempt
 	// succeeds.
 	failure *bufferedAnswer
+	// origin is the beginning of the stream; nil before its first event.
+	origin *origin
 	// waited reports that the request has waited until an endpoint may get requests again.
 	waited bool
 	// retryAfter is the shortest retry delay that an agent reported, 0 if none
@@ -84,6 +86,9 @@
 		if err := j.checkAllowed(ctx); err != nil {
 			return err
 		}
+		if refusal := j.keepSoftware(); refusal != nil {
+			return j.fail(ctx, refusal)
+		}
 		if refusal := j.awaitEndpoint(ctx); refusal != nil {
 			return j.fail(ctx, refusal)
 		}
@@ -102,7 +107,7 @@
 			target.release()
 			return err
 		}
-		if !j.filter.Endpoints.Claim(target.endpoint.Name, target.admitted, time.Now()) {
+		if !j.filter.Endpoints.Claim(&target.endpoint, target.admitted, time.Now()) {
 			target.release()
 			continue
 		}
--- a/entry/direct/watchdog.go
+++ b/entry/direct/watchdog.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 )
 
 // watchdog cancels an attempt at an unresponsive endpoint when another endpoint
@@ -11,31 +13,35 @@
 type watchdog struct {
 	timer *time.Timer
 	// first and gap are how long the endpoint may take until the first event and
-	// from one event to the next. With a gap of 0, the header of the answer ends
-	// the supervision.
+	// from one event to the next. With a gap of 0, the first event ends the
+	// supervision, and so does the header of an answer that is no stream.
 	first, gap time.Duration
+	stream     bool
 }
 
 // startWatchdog starts the watchdog of an attempt. The watchdog never expires
 // when no other endpoint could take the request.
-func (j *job) startWatchdog(cancel context.CancelCauseFunc) *watchdog {
-	first, gap := j.silenceLimits()
+func (j *job) startWatchdog(endpoint *advert.Record, cancel context.CancelCauseFunc) *watchdog {
+	first, gap := j.silenceLimits(endpoint)
 	if first == 0 {
 		return &watchdog{}
 	}
 	expire := func() { cancel(&Error{Op: "wait for endpoint", Kind: KindUnresponsive}) }
-	return &watchdog{timer: time.AfterFunc(first, expire), first: first, gap: gap}
+	return &watchdog{timer: time.AfterFunc(first, expire), first: first, gap: gap, stream: j.request.Route.Stream && j.request.Route.Resume}
 }
 
 // silenceLimits returns how long the endpoint may send no event before the first one
-// and between later ones; 0 means no limit.
-func (j *job) silenceLimits() (first, gap time.Duration) {
+// and between later ones; 0 means no limit. A stream can go on only at an endpoint of the
+// same software version.
+func (j *job) silenceLimits(endpoint *advert.Record) (first, gap time.Duration) {
 	route := &j.request.Route
-	others := j.filter.Endpoints.Count(j.service) > len(j.excluded)+1
-	if !others || j.tries+1 >= maxTries || j.possibleRuns+1 >= int(route.Attempts) {
+	others, sameSoftware := j.filter.Endpoints.CountOthers(endpoint, j.excluded)
+	if others == 0 || j.tries+1 >= maxTries || j.possibleRuns+1 >= int(route.Attempts) {
 		return 0, 0
 	}
 	switch {
+	case route.Stream && route.Resume && sameSoftware == 0:
+		return maxFirstDelay, 0
 	case route.Stream && route.Resume:
 		return maxFirstDelay, maxEventGap
 	case route.Idempotent && j.request.Objective.FirstToken > 0:
@@ -44,14 +50,16 @@
 	return 0, 0
 }
 
-// headReceived restarts the timer for the first event, and stops it if there is no
-// limit for events.
+// headReceived restarts the timer for the first event of a stream, and stops it for other
+// answers.
 func (w *watchdog) headReceived() {
-	if w.gap == 0 {
+	if !w.stream {
 		w.stop()
 		return
 	}
-	w.timer.Reset(w.first)
+	if w.timer != nil {
+		w.timer.Reset(w.first)
+	}
 }
 
 // eventReceived restarts the timer for the next event. Bytes of an incomplete event
@@ -59,7 +67,9 @@
 func (w *watchdog) eventReceived() {
 	if w.gap > 0 {
 		w.timer.Reset(w.gap)
+		return
 	}
+	w.stop()
 }
 
 func (w *watchdog) stop() {
--- a/entry/view/limit.go
+++ b/entry/view/limit.go
@@ -47,16 +47,16 @@
 	return es.notices[processOf(&e.record)].accepts(now) && (e.record.Agent != "" || es.limitWait(e, now) == 0)
 }
 
-// Claim reports whether a request may be sent to a listed endpoint now, and counts it
-// against the endpoint's limit if no agent has admitted it.
-func (es *Endpoints) Claim(name string, admitted bool, now time.Time) bool {
+// Claim reports whether a request may be sent to an endpoint now, and counts it against the
+// endpoint's limit if no agent has admitted it. It may not if another process has taken the
+// endpoint's place since it was chosen.
+func (es *Endpoints) Claim(endpoint *advert.Record, admitted bool, now time.Time) bool {
 	es.mutex.Lock()
 	defer es.mutex.Unlock()
-	e := es.byName[name]
-	if e == nil {
+	e, key := es.byName[endpoint.Name], processOf(endpoint)
+	if e == nil || processOf(&e.record) != key {
 		return false
 	}
-	key := processOf(&e.record)
 	n := es.notices[key]
 	if !n.accepts(now) {
 		return false
--- a/entry/view/view.go
+++ b/entry/view/view.go
@@ -110,13 +110,6 @@
 	return es.byName[name] != nil
 }
 
-// Count returns the number of endpoints of a service.
-func (es *Endpoints) Count(service string) int {
-	es.mutex.Lock()
-	defer es.mutex.Unlock()
-	return len(es.services[service])
-}
-
 // ChoosePlain chooses an endpoint of a plain service that is not excluded.
 func (es *Endpoints) ChoosePlain(service string, excluded map[string]bool, random float64, now time.Time) (advert.Record, bool) {
 	es.mutex.Lock()
