entry, agent: a stream whose caller comes back goes on at the software version that began it

Cause: the entry at which a caller continues a stream knew nothing of its beginning and chose any endpoint.

At its first event, an entry records the stream (ID of the caller's attempt, service, software version) in its own memory and, without delay to the stream, at two agents chosen by hashing the ID (entry/finder, pkg/origin). Another entry asks the four first agents for the attempt that Resumes names. An origin that nobody knows is guessed only if the entry's view is current and one version alone is listed or was announced or removed within two minutes; control now also tells an entry that has just started the last 64 endpoints that were removed. Otherwise, and if no endpoint of the version is left, the request is refused at once, not run, so that the caller can begin anew. Bounds: 16384 records a store, two minutes since the last use, 128 recordings at once; what is dropped cannot be continued elsewhere while two versions serve.

--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -74,6 +75,8 @@
 	// after which to ask again; zero permits the load. If RequestPermit is nil, no permission
 	// is needed.
 	RequestPermit func(ctx context.Context) (wait time.Duration, err error)
+	// Handlers serve further methods to the entries; nil if there are none.
+	Handlers map[string]link.Handler
 	// BootTime is the boot clock for clock.SuspendDetector; nil means that a suspension of the
 	// VM is not detected.
 	BootTime func() time.Time
@@ -139,7 +142,9 @@
 	group.Go(func() { k.pollReports(serving) })
 	group.Go(func() { k.runSteps(serving) })
 	k.Host.Log.Write("keeper-started", "listen", k.ListenAddress)
-	err = link.Serve(serving, listener, map[string]link.Handler{admit.Method: k.Admit})
+	handlers := map[string]link.Handler{admit.Method: k.Admit}
+	maps.Copy(handlers, k.Handlers)
+	err = link.Serve(serving, listener, handlers)
 	stop()
 	group.Wait()
 	k.Host.Log.Write("keeper-stopped", "err", err)
--- a/ctrl/state/endpoints.go
+++ b/ctrl/state/endpoints.go
@@ -98,12 +98,21 @@
 	return m.endpointsRevision
 }
 
+// maxRemovedAtStart is how many removed endpoints a daemon learns of that has just started:
+// their streams may still go on, if an endpoint with the same software is left.
+const maxRemovedAtStart = 64
+
 // EndpointsSince returns the endpoints and releases that changed after a
-// revision, and the current revision.
+// revision, and the current revision. For revision 0 it includes the last endpoints that
+// were removed.
 func (m *Machine) EndpointsSince(revision uint64) (endpoints []advert.Record, releases []plane.Release, now uint64) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.endpoints.ChangedSince(revision), m.releasesSince(revision), m.endpointsRevision
+	endpoints = m.endpoints.ChangedSince(revision)
+	if revision == 0 {
+		endpoints = append(endpoints, m.endpoints.RecentlyRemoved(maxRemovedAtStart)...)
+	}
+	return endpoints, m.releasesSince(revision), m.endpointsRevision
 }
 
 // AcceptsAnnouncement reports whether an announcement would change the table
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/tanagerspindle/tanagerspindle/entry/crash"
 	"github.com/tanagerspindle/tanagerspindle/entry/direct"
 	"github.com/tanagerspindle/tanagerspindle/entry/drain"
+	"github.com/tanagerspindle/tanagerspindle/entry/finder"
 	"github.com/tanagerspindle/tanagerspindle/entry/front"
 	"github.com/tanagerspindle/tanagerspindle/entry/guard"
 	"github.com/tanagerspindle/tanagerspindle/entry/limit"
@@ -133,6 +134,7 @@
 	direct  *direct.Filter
 	view    *view.Endpoints
 	crashes *crash.Tracker
+	origins *finder.Finder
 	drain   *drain.Drain
 	server  *http.Server
 }
@@ -221,6 +223,9 @@
 		Host: d.Host, Endpoints: e.view, Send: d.Send, Budget: retryBudget, ShutdownTime: e.drain.ExitTime,
 		Agents: &pool.Pool{Dial: d.Host.Dial, DialTimeout: agentDialTimeout},
 	}
+	e.origins = &finder.Finder{Host: d.Host, Agents: e.direct.Agents, Addresses: e.view.Agents}
+	e.direct.RecordOrigin, e.direct.FindOrigin = e.origins.Record, e.origins.Find
+	e.direct.Current = func() bool { return e.feed.Valid() }
 	e.feed = &feed.Feed{
 		Host:        d.Host,
 		Incarnation: incarnation,
@@ -232,8 +237,9 @@
 			e.view.Update(usable)
 			e.crashes.Update(usable)
 		},
-		OnRelease: e.direct.AddReleases,
-		BootTime:  d.BootTime,
+		OnEndpointRecords: func(changed []advert.Record) { e.view.RecordSoftware(changed, time.Now()) },
+		OnRelease:         e.direct.AddReleases,
+		BootTime:          d.BootTime,
 	}
 	e.crashes = &crash.Tracker{Entry: d.Host.VM, Report: e.reportCrash, Refuses: e.refusesConnections, Suspected: e.isSuspected, Clear: e.clearPart}
 	e.direct.Config, e.direct.OnConnectionLost, e.direct.OnSuspectCleared = e.feed.Config, e.crashes.RecordLostRequest, e.feed.ClearSuspect
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -27,6 +27,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/origin"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/stream"
 )
@@ -142,6 +143,12 @@
 	// with a part are refused, 0 if they are not. Both may be nil.
 	OnAnswered  func(parts [][]byte, now time.Time)
 	Quarantined func(part []byte) time.Duration
+	// RecordOrigin is called with where a stream began, and FindOrigin finds it by the ID
+	// of the attempt of the caller that began it. Nil keeps no origins. Current reports
+	// whether the endpoints are known as of about now; nil means that they are.
+	RecordOrigin func(record origin.Record)
+	FindOrigin   func(ctx context.Context, attempt string) origin.Record
+	Current      func() bool
 	// Random returns a number between 0 and 1; nil uses the global generator.
 	Random func() float64
 
@@ -190,9 +197,6 @@
 		return refusal
 	}
 	service := f.service(&r.Route)
-	if r.Route.Stream && r.ResumesStream() {
-		f.Host.Log.Write("stream-continued", "request", r.ID, "first", r.FirstAttempt, "after", r.LastEventID)
-	}
 	f.Budget.RecordRequest(service)
 	if f.runsToCompletion(r) {
 		// A request that must not run twice is completed although its caller
@@ -201,10 +205,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline())
 	defer cancel()
-	j := &job{filter: f, request: r, service: service, parts: partDigests(service, r.PromptParts), excluded: map[string]bool{}, ran: chain.RanNo}
-	if configured, ok := f.Config().Services[service]; ok {
-		j.engine = configured.Engine
-	}
+	j := &job{filter: f, request: r, service: service, excluded: map[string]bool{}, ran: chain.RanNo}
 	return j.run(ctx)
 }
 
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -52,8 +52,10 @@
 	// failure is an endpoint's error answer, forwarded if no further attempt
 	// succeeds.
 	failure *bufferedAnswer
-	// origin is the beginning of the stream; nil before its first event.
-	origin *origin
+	// origin is the endpoint that wrote the first event of the stream; nil before it is
+	// known. It has only a service and a software version if another attempt of the caller
+	// brought that event.
+	origin *advert.Record
 	// waited reports that the request has waited until an endpoint may get requests again.
 	waited bool
 	// retryAfter is the shortest retry delay that an agent reported, 0 if none
@@ -82,6 +84,13 @@
 func (j *job) run(ctx context.Context) error {
 	// paid reports that the next attempt's retry has been spent.
 	paid := false
+	if refusal := j.findOrigin(ctx); refusal != nil {
+		return j.fail(ctx, refusal)
+	}
+	j.parts = partDigests(j.service, j.request.PromptParts)
+	if configured, ok := j.filter.Config().Services[j.service]; ok {
+		j.engine = configured.Engine
+	}
 	for {
 		if err := j.checkAllowed(ctx); err != nil {
 			return err
--- /dev/null
+++ b/entry/finder/finder_test.go
@@ -0,0 +1,167 @@
+package finder_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/finder"
+	"github.com/tanagerspindle/tanagerspindle/entry/pool"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
+	"github.com/tanagerspindle/tanagerspindle/pkg/origin"
+	"github.com/tanagerspindle/tanagerspindle/pkg/vnet"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
+)
+
+// fleet is a number of agents, and entries that know all or some of them.
+type fleet struct {
+	network *vnet.Network
+	stores  []*origin.Store
+	// stop ends an agent. silent agents receive messages and do not reply.
+	stop   []func()
+	mutex  sync.Mutex
+	silent map[int]bool
+}
+
+func inFleet(t *testing.T, agents int, test func(t *testing.T, f *fleet)) {
+	bubble.Test(t, func(t *testing.T) {
+		f := &fleet{network: vnet.New(), silent: map[int]bool{}}
+		var group sync.WaitGroup
+		for i := range agents {
+			store := &origin.Store{}
+			handlers := store.Handlers()
+			for method, handler := range handlers {
+				handlers[method] = func(ctx context.Context, stream *wire.Stream) error {
+					f.mutex.Lock()
+					silent := f.silent[i]
+					f.mutex.Unlock()
+					if silent {
+						<-ctx.Done()
+						return ctx.Err()
+					}
+					return handler(ctx, stream)
+				}
+			}
+			listener, err := f.network.Listen(agentAddress(i))
+			require.NoError(t, err)
+			ctx, cancel := context.WithCancel(t.Context())
+			group.Go(func() { _ = link.Serve(ctx, listener, handlers) })
+			f.stores, f.stop = append(f.stores, store), append(f.stop, cancel)
+		}
+		test(t, f)
+		for _, stop := range f.stop {
+			stop()
+		}
+		group.Wait()
+	})
+}
+
+func agentAddress(i int) string { return fmt.Sprintf("agent-%d:1", i) }
+
+// entry returns an entry that knows the agents from first to last.
+func (f *fleet) entry(t *testing.T, name string, first, last int) *finder.Finder {
+	dial := f.network.Dialer(name)
+	agents := &pool.Pool{Dial: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, address) }}
+	var addresses []string
+	for i := first; i <= last; i++ {
+		addresses = append(addresses, agentAddress(i))
+	}
+	found := &finder.Finder{Host: host.Host{Meter: meter.New()}, Agents: agents, Addresses: func() []string { return addresses }}
+	t.Cleanup(agents.Close)
+	return found
+}
+
+func record(i int) origin.Record {
+	return origin.Record{Attempt: fmt.Sprint("attempt-", i), Service: "s", SoftwareVersion: fmt.Sprint("v", i%3), Known: true}
+}
+
+// The origin of a stream was lost with the entry at which it began.
+func TestOtherEntriesFindOrigins(t *testing.T) {
+	const streams = 100
+	for name, test := range map[string]struct {
+		// lost are agents that end after the streams began.
+		lost []int
+		// first is the first agent that the second entry knows.
+		first int
+		want  int
+	}{
+		"all agents left":            {nil, 0, streams},
+		"one agent lost":             {[]int{3}, 0, streams},
+		"agents it does not know of": {nil, 2, streams * 9 / 10},
+		"half of the agents lost":    {[]int{0, 1, 2, 3, 4, 5}, 0, streams * 6 / 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, 12, func(t *testing.T, f *fleet) {
+				first, second := f.entry(t, "first", 0, 11), f.entry(t, "second", test.first, 11)
+				for i := range streams {
+					first.Record(record(i))
+				}
+				first.Wait()
+				stored := 0
+				for _, store := range f.stores {
+					stored += store.Len()
+				}
+				require.Equal(t, 2*streams, stored, "two agents hold each")
+				for _, i := range test.lost {
+					f.stop[i]()
+				}
+				found := 0
+				for i := range streams {
+					if got := second.Find(t.Context(), record(i).Attempt); got.Known {
+						require.Equal(t, record(i), got)
+						found++
+					}
+				}
+				require.GreaterOrEqual(t, found, test.want)
+			})
+		})
+	}
+}
+
+// A search that nobody answers ends soon, so that the caller can begin a new stream.
+func TestSearchIsBounded(t *testing.T) {
+	inFleet(t, 12, func(t *testing.T, f *fleet) {
+		f.mutex.Lock()
+		for i := range 12 {
+			f.silent[i] = true
+		}
+		f.mutex.Unlock()
+		first, second := f.entry(t, "first", 0, 11), f.entry(t, "second", 0, 11)
+		first.Record(record(1))
+		require.True(t, first.Find(t.Context(), record(1).Attempt).Known, "its own streams are known at once")
+		for _, attempt := range []string{record(1).Attempt, "", string(make([]byte, 1000))} {
+			started := time.Now()
+			require.False(t, second.Find(t.Context(), attempt).Known)
+			require.LessOrEqual(t, time.Since(started), 300*time.Millisecond)
+		}
+		first.Wait()
+		none := &finder.Finder{Host: host.Host{Meter: meter.New()}, Addresses: func() []string { return nil }}
+		none.Record(record(1))
+		require.False(t, none.Find(t.Context(), "attempt-2").Known, "without agents")
+	})
+}
+
+// Agents that do not reply must not make an entry collect records without bound.
+func TestRecordingIsBounded(t *testing.T) {
+	inFleet(t, 4, func(t *testing.T, f *fleet) {
+		f.mutex.Lock()
+		for i := range 4 {
+			f.silent[i] = true
+		}
+		f.mutex.Unlock()
+		first := f.entry(t, "first", 0, 3)
+		for i := range 1000 {
+			first.Record(record(i))
+		}
+		require.EqualValues(t, 1000-128, first.Host.Meter.Value("origins_dropped"))
+		first.Wait()
+	})
+}
--- a/entry/view/software.go
+++ b/entry/view/software.go
@@ -1,6 +1,60 @@
 package view
 
-import "github.com/tanagerspindle/tanagerspindle/pkg/advert"
+import (
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
+	"github.com/tanagerspindle/tanagerspindle/pkg/origin"
+)
+
+// RecordSoftware records the software versions of announced or removed endpoints.
+func (es *Endpoints) RecordSoftware(changed []advert.Record, now time.Time) {
+	es.mutex.Lock()
+	defer es.mutex.Unlock()
+	for i := range changed {
+		es.recordSoftware(&changed[i], now)
+	}
+	for service, versions := range es.softwareSeen {
+		for version, at := range versions {
+			if now.Sub(at) > origin.Retention {
+				delete(versions, version)
+			}
+		}
+		if len(versions) == 0 {
+			delete(es.softwareSeen, service)
+		}
+	}
+}
+
+// recordSoftware records the software version of one endpoint; es.mutex must be held.
+func (es *Endpoints) recordSoftware(record *advert.Record, now time.Time) {
+	if es.softwareSeen == nil {
+		es.softwareSeen = map[string]map[string]time.Time{}
+	}
+	if es.softwareSeen[record.Service] == nil {
+		es.softwareSeen[record.Service] = map[string]time.Time{}
+	}
+	es.softwareSeen[record.Service][record.SoftwareVersion] = now
+}
+
+// OnlySoftware returns the software version that began all streams of a service that may
+// still go on, and false if more than one may have begun some.
+func (es *Endpoints) OnlySoftware(service string, now time.Time) (version string, only bool) {
+	es.mutex.Lock()
+	defer es.mutex.Unlock()
+	versions := map[string]bool{}
+	for _, e := range es.services[service] {
+		versions[e.record.SoftwareVersion] = true
+	}
+	for version, at := range es.softwareSeen[service] {
+		if now.Sub(at) <= origin.Retention {
+			versions[version] = true
+		}
+	}
+	for version = range versions {
+	}
+	return version, len(versions) == 1
+}
 
 // ExcludeOtherSoftware adds the endpoints of a service whose software has another version to
 // excluded, and returns how many endpoints of the service are not excluded then.
--- a/entry/view/view.go
+++ b/entry/view/view.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,6 +59,9 @@
 	mutex    sync.Mutex
 	services map[string][]*endpoint
 	byName   map[string]*endpoint
+	// softwareSeen holds when an endpoint of a service with a software version was last
+	// announced or removed, by service and version.
+	softwareSeen map[string]map[string]time.Time
 	// notices holds what processes said of themselves, also of those that are not
 	// listed.
 	notices map[process]*notices
@@ -306,3 +310,17 @@
 	at, ok := e.resident[key]
 	return ok && now.Sub(at) < residentTimeout
 }
+
+// Agents returns the addresses of the agents of all listed engines, without duplicates.
+func (es *Endpoints) Agents() []string {
+	es.mutex.Lock()
+	defer es.mutex.Unlock()
+	addresses := make([]string, 0, len(es.byName))
+	for _, e := range es.byName {
+		if e.record.Agent != "" {
+			addresses = append(addresses, e.record.Agent)
+		}
+	}
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
--- a/pkg/advert/advert.go
+++ b/pkg/advert/advert.go
@@ -161,6 +161,20 @@
 	return changed
 }
 
+// RecentlyRemoved returns the tombstones with the newest revisions, at most limit.
+func (t *Table) RecentlyRemoved(limit int) []Record {
+	var removed []Record
+	for _, record := range t.records {
+		if record.Removed {
+			removed = append(removed, *record)
+		}
+	}
+	slices.SortFunc(removed, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(b.Revision, a.Revision), cmp.Compare(a.Name, b.Name))
+	})
+	return removed[:min(len(removed), limit)]
+}
+
 // Get returns the record of an endpoint, which may be a tombstone.
 func (t *Table) Get(name string) (Record, bool) {
 	record, ok := t.records[name]
--- a/pkg/advert/advert_test.go
+++ b/pkg/advert/advert_test.go
@@ -1,6 +1,7 @@
 package advert_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -132,3 +133,37 @@
 		require.ErrorIs(t, bad.Check(), &advert.Error{Kind: advert.KindField})
 	}
 }
+
+// A daemon that has just started did not learn which endpoints had been removed, and so not
+// which software versions had begun the streams that still go on.
+func TestRecentlyRemovedEndpoints(t *testing.T) {
+	table := advert.Table{}
+	for i := range 5 {
+		name := fmt.Sprint("e", i)
+		require.True(t, table.Apply(advert.Record{Name: name, Service: "s", Address: name, DataCentre: "d", SoftwareVersion: fmt.Sprint("v", i), Seq: 1}, uint64(i+1)))
+	}
+	require.Empty(t, table.RecentlyRemoved(2))
+	for i := range 3 {
+		require.True(t, table.Remove(fmt.Sprint("e", i), 0, uint64(10-i)))
+	}
+	removed := table.RecentlyRemoved(2)
+	require.Len(t, removed, 2)
+	require.Equal(t, "v0", removed[0].SoftwareVersion)
+	require.Equal(t, "v1", removed[1].SoftwareVersion)
+	fresh := advert.Table{}
+	fresh.Merge(append(table.ChangedSince(0), removed...))
+	require.Len(t, fresh.Available()["s"], 2)
+	report := advert.Record{Name: "e0", Service: "s", Address: "e0", DataCentre: "d", Seq: 9}
+	require.False(t, fresh.Accepts(&report), "a removed process stays removed")
+}
+
+// An endpoint whose software version changes must be announced to the entries.
+func TestSoftwareVersionIsAnnounced(t *testing.T) {
+	table := advert.Table{}
+	record := advert.Record{Name: "e", Service: "s", Address: "e", DataCentre: "d", SoftwareVersion: "v1", Seq: 1}
+	require.True(t, table.Apply(record, 1))
+	record.Seq = 2
+	require.False(t, table.Apply(record, 2), "the same again")
+	record.SoftwareVersion, record.Seq = "v2", 3
+	require.True(t, table.Apply(record, 2))
+}
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -80,6 +80,9 @@
 	// OnEndpoints is called after a change with the endpoints that accept requests,
 	// by service.
 	OnEndpoints func(available map[string][]advert.Record)
+	// OnEndpointRecords is called before it with the records that have changed, also of
+	// endpoints that accept no requests or were removed. It may be nil.
+	OnEndpointRecords func(changed []advert.Record)
 	// OnRelease is called with new releases of adapter versions.
 	OnRelease func(releases []plane.Release)
 
--- a/pkg/feed/session.go
+++ b/pkg/feed/session.go
@@ -147,6 +147,9 @@
 		return
 	}
 	f.endpoints.Merge(update.Endpoints)
+	if len(update.Endpoints) > 0 && f.OnEndpointRecords != nil {
+		f.OnEndpointRecords(update.Endpoints)
+	}
 	f.endpointsRevision.Store(update.EndpointsRevision)
 	if len(update.Endpoints) > 0 && f.OnEndpoints != nil {
 		f.OnEndpoints(f.endpoints.Available())
