entry, control: entries learn endpoints' limits, and their ends, from each other

Callers saw nothing of it; a plain endpoint that names a limit got a request from each entry before that entry knew, and an entry without a share of the limit learned of its end only by a rare trial. Entries report what endpoints said to them with their heartbeats (pkg/limits, for 5 s after an answer, at once after a change); replicas pass it to each other and to all entries. The newest statement of a process holds, as everywhere. advert.LimitReport serves feeds, replicas and admission requests.

--- a/agent/keeper/limit_test.go
+++ b/agent/keeper/limit_test.go
@@ -14,8 +14,8 @@
 
 // limited is what entries report of an engine that limits its requests; StartedMillis is
 // that of the simulated engine.
-func limited(perSecond float64, ago time.Duration) *admit.Limit {
-	return &admit.Limit{StartedMillis: 1, Named: true, RequestsPerSecond: perSecond, SentAgo: span.Duration(ago), ArrivedAgo: span.Duration(ago)}
+func limited(perSecond float64, ago time.Duration) *advert.LimitReport {
+	return &advert.LimitReport{Endpoint: "e", StartedMillis: 1, Named: true, RequestsPerSecond: perSecond, SentAgo: span.Duration(ago), ArrivedAgo: span.Duration(ago)}
 }
 
 // An engine that had named a limit got as many requests as its slots allow.
@@ -70,10 +70,12 @@
 	}{
 		"a report without it": {func(f *fixture, _ *admit.Request) { f.keeper.RecordNotice(advert.Notice{}, time.Now()) }, true},
 		"an older answer without it": {func(_ *fixture, spec *admit.Request) {
-			spec.Limit = &admit.Limit{StartedMillis: 1, SentAgo: span.Duration(time.Minute), ArrivedAgo: span.Duration(time.Minute)}
+			spec.Limit = &advert.LimitReport{Endpoint: "e", StartedMillis: 1, SentAgo: span.Duration(time.Minute), ArrivedAgo: span.Duration(time.Minute)}
 		}, true},
-		"a newer answer without it": {func(_ *fixture, spec *admit.Request) { spec.Limit = &admit.Limit{StartedMillis: 1} }, false},
-		"another process":           {func(f *fixture, _ *admit.Request) { f.keeper.ForgetNotices() }, false},
+		"a newer answer without it": {func(_ *fixture, spec *admit.Request) {
+			spec.Limit = &advert.LimitReport{Endpoint: "e", StartedMillis: 1}
+		}, false},
+		"another process": {func(f *fixture, _ *admit.Request) { f.keeper.ForgetNotices() }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			run(t, func(f *fixture) {
--- a/agent/keeper/notice.go
+++ b/agent/keeper/notice.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 )
 
@@ -46,7 +45,7 @@
 }
 
 // mergeLimit takes in what the engine said of its limit to an entry. k.mutex must be held.
-func (k *Keeper) mergeLimit(stated *admit.Limit, now time.Time) {
+func (k *Keeper) mergeLimit(stated *advert.LimitReport, now time.Time) {
 	if stated == nil {
 		return
 	}
@@ -54,10 +53,7 @@
 		// Another process of the engine said so.
 		return
 	}
-	limit := advert.Limit{
-		Named: stated.Named, RequestsPerSecond: stated.RequestsPerSecond,
-		Sent: now.Add(-stated.SentAgo.Std()), Arrived: now.Add(-stated.ArrivedAgo.Std()),
-	}
+	limit := stated.Limit(now)
 	if k.notices.Limit.Merge(limit) {
 		k.Host.Log.Write("engine-limit", "limited", limit.Named, "limit", limit.RequestsPerSecond, "age", stated.ArrivedAgo)
 	}
--- a/ctrl/feeds/feeds.go
+++ b/ctrl/feeds/feeds.go
@@ -12,6 +12,7 @@
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/limits"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 	"github.com/tanagerspindle/tanagerspindle/pkg/tasks"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
@@ -99,6 +100,8 @@
 	barriers batcher[struct{}, struct{}]
 	enrols   batcher[state.AgentIncarnation, uint64]
 	burn     burnCounter
+	// limits holds what endpoints said of their request limits to any entry.
+	limits limits.Table
 
 	mutex sync.Mutex
 	// clients are the daemons with an open feed.
--- a/ctrl/feeds/peers.go
+++ b/ctrl/feeds/peers.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 	"github.com/tanagerspindle/tanagerspindle/pkg/tasks"
@@ -46,6 +47,8 @@
 	Roster  *roster.Delta `protobuf:"bytes,5,opt"`
 	// BurnCounts holds the request counts that reached the sender since its last update.
 	BurnCounts []plane.BurnCount `protobuf:"bytes,6,rep"`
+	// Limits holds all request limits of endpoints that the sender knows.
+	Limits []advert.LimitReport `protobuf:"bytes,7,rep"`
 }
 
 // peer is another replica as seen by this one.
@@ -155,7 +158,10 @@
 	if update.Roster != nil && len(f.Roster.Merge(update.Roster)) > 0 {
 		f.notifyEntries()
 	}
-	update.Roster = nil
+	if f.limits.Merge(update.Limits, time.Now()) {
+		f.notifyEntries()
+	}
+	update.Roster, update.Limits = nil, nil
 	f.burn.add(update.BurnCounts)
 	p := f.ensurePeer(name)
 	f.mutex.Lock()
@@ -223,6 +229,7 @@
 		message.Roster.Sender = message.ReplicaID
 		*vector = joinVectors(*vector, message.Roster.Vector)
 	}
+	message.Limits = f.limits.Reports(time.Now())
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	message.Lagging = f.lagging(message.ConfigNumber)
--- a/ctrl/feeds/serve.go
+++ b/ctrl/feeds/serve.go
@@ -49,6 +49,8 @@
 	// addresses of the control replicas, that were sent last.
 	sentRevision uint64
 	sentReplicas []string
+	// sentLimits is the revision of the endpoints' request limits that was sent last.
+	sentLimits uint64
 	// rosterSynced is set once the daemon has received the roster up to sentVector
 	// from this replica rather than from another one.
 	rosterSynced bool
@@ -181,6 +183,10 @@
 	f.acknowledge(c, beat.ConfigNumber)
 	f.checkResend(c, beat)
 	f.countBurn(beat.BurnCounts)
+	if f.limits.Merge(beat.Limits, time.Now()) {
+		f.notifyEntries()
+		f.notifyPeers()
+	}
 	if c.hello.Role != plane.RoleAgent || beat.Departing {
 		return
 	}
--- a/ctrl/feeds/update.go
+++ b/ctrl/feeds/update.go
@@ -75,6 +75,10 @@
 	if c.hello.Role == plane.RoleEntry {
 		update.EntryCount = int32(f.countEntries())
 		update.EntryRank, update.EntryListed = f.rankEntry(c.hello.Name)
+		if revision := f.limits.Revision(); revision != c.sentLimits {
+			c.sentLimits, update.Limits = revision, f.limits.Reports(time.Now())
+			changed = true
+		}
 	}
 	return changed
 }
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -225,6 +225,7 @@
 	}
 	e.origins = &finder.Finder{Host: d.Host, Agents: e.direct.Agents, Addresses: e.view.Agents}
 	e.direct.RecordOrigin, e.direct.FindOrigin = e.origins.Record, e.origins.Find
+	e.direct.OnNoticeChanged = func() { e.feed.ReportLimits() }
 	e.direct.Current = func() bool { return e.feed.Valid() }
 	e.feed = &feed.Feed{
 		Host:        d.Host,
@@ -239,6 +240,8 @@
 		},
 		OnEndpointRecords: func(changed []advert.Record) { e.view.RecordSoftware(changed, time.Now()) },
 		OnRelease:         e.direct.AddReleases,
+		Limits:            func() []advert.LimitReport { return e.view.LimitReports(time.Now()) },
+		OnLimits:          func(reports []advert.LimitReport) { e.view.MergeLimits(reports, time.Now()) },
 		BootTime:          d.BootTime,
 	}
 	e.crashes = &crash.Tracker{Entry: d.Host.VM, Report: e.reportCrash, Refuses: e.refusesConnections, Suspected: e.isSuspected, Clear: e.clearPart}
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -143,6 +143,9 @@
 	// with a part are refused, 0 if they are not. Both may be nil.
 	OnAnswered  func(parts [][]byte, now time.Time)
 	Quarantined func(part []byte) time.Duration
+	// OnNoticeChanged is called when an endpoint has said something new of itself. It may be
+	// nil.
+	OnNoticeChanged func()
 	// RecordOrigin is called with where a stream began, and FindOrigin finds it by the ID
 	// of the attempt of the caller that began it. Nil keeps no origins. Current reports
 	// whether the endpoints are known as of about now; nil means that they are.
--- a/entry/direct/limit_test.go
+++ b/entry/direct/limit_test.go
@@ -201,8 +201,8 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		require.Nil(t, s.received[0].Limit)
-		require.Equal(t, &admit.Limit{
-			StartedMillis: 7, Named: true, RequestsPerSecond: 2, SentAgo: span.Duration(100 * time.Millisecond), ArrivedAgo: span.Duration(100 * time.Millisecond),
+		require.Equal(t, &advert.LimitReport{
+			Endpoint: "e0", StartedMillis: 7, Named: true, RequestsPerSecond: 2, SentAgo: span.Duration(100 * time.Millisecond), ArrivedAgo: span.Duration(100 * time.Millisecond),
 		}, s.received[1].Limit)
 		s.mutex.Lock()
 		s.unresponsive["e0"] = true
--- a/entry/direct/notice.go
+++ b/entry/direct/notice.go
@@ -38,6 +38,9 @@
 	if !f.Endpoints.RecordNotice(endpoint, notice, sent, time.Now()) {
 		return
 	}
+	if f.OnNoticeChanged != nil {
+		f.OnNoticeChanged()
+	}
 	f.Host.Meter.Add("notices", 1)
 	f.Host.Log.Write("endpoint-notice", "request", j.request.ID, "endpoint", endpoint.Name, "status", notice.Status, "leaving", notice.Leaving, "pause", notice.Pause,
 		"limited", notice.Limited, "limit", notice.RequestsPerSecond, "age", time.Since(sent))
--- a/entry/direct/software_test.go
+++ b/entry/direct/software_test.go
@@ -214,7 +214,7 @@
 		d := newFilter(s, 0)
 		var recorded []origin.Record
 		d.RecordOrigin = func(record origin.Record) { recorded = append(recorded, record) }
-		listSoftware(d, "a", "b", "a", "b")
+		listSoftware(d, "a", "b", "a", "b", "a", "b")
 		_, err := run(context.Background(), d, func(r *chain.Request) {
 			resumable(r)
 			r.Route.Attempts = 3
--- a/entry/direct/target.go
+++ b/entry/direct/target.go
@@ -263,10 +263,8 @@
 		Resumed:             j.cutter.EventCount > 0,
 	}
 	if limit, ok := j.filter.Endpoints.Limit(engine.Name); ok {
-		spec.Limit = &admit.Limit{
-			StartedMillis: engine.StartedMillis, Named: limit.Named, RequestsPerSecond: limit.RequestsPerSecond,
-			SentAgo: span.Duration(now.Sub(limit.Sent)), ArrivedAgo: span.Duration(now.Sub(limit.Arrived)),
-		}
+		report := advert.NewLimitReport(engine.Name, engine.StartedMillis, &limit, now)
+		spec.Limit = &report
 	}
 	return spec
 }
--- a/entry/view/limit.go
+++ b/entry/view/limit.go
@@ -14,6 +14,14 @@
 // expects.
 const maxLimitedTime = time.Second
 
+const (
+	// limitReportTime is how long after an answer its statement is reported to control: a
+	// few heartbeats, of which some may be lost.
+	limitReportTime = 5 * time.Second
+	// maxLimitReports bounds the statements in one heartbeat.
+	maxLimitReports = 64
+)
+
 // pacerOf returns the pacer of a process, or nil if the process names no limit. es.mutex
 // must be held.
 func (es *Endpoints) pacerOf(key process, n *notices, now time.Time) *pacer.Pacer {
@@ -90,6 +98,41 @@
 	return n.Limit, true
 }
 
+// LimitReports returns what endpoints said of their limits to this entry in answers that
+// arrived lately.
+func (es *Endpoints) LimitReports(now time.Time) []advert.LimitReport {
+	es.mutex.Lock()
+	defer es.mutex.Unlock()
+	var reports []advert.LimitReport
+	for key, n := range es.notices {
+		if len(reports) == maxLimitReports {
+			break
+		}
+		if !n.limitStated.IsZero() && now.Sub(n.limitStated) <= limitReportTime {
+			reports = append(reports, advert.NewLimitReport(key.name, key.startedMillis, &n.Limit, now))
+		}
+	}
+	return reports
+}
+
+// MergeLimits takes in what endpoints said of their limits to any entry.
+func (es *Endpoints) MergeLimits(reports []advert.LimitReport, now time.Time) {
+	es.mutex.Lock()
+	defer es.mutex.Unlock()
+	for i := range reports {
+		key := process{name: reports[i].Endpoint, startedMillis: reports[i].StartedMillis}
+		n := es.notices[key]
+		if n == nil {
+			if !reports[i].Named {
+				continue
+			}
+			n = es.addNotices(key, now)
+		}
+		n.Limit.Merge(reports[i].Limit(now))
+		n.applyEndOfLimit()
+	}
+}
+
 // MarkLimited records that an engine's agent refused a request by the engine's limit, and
 // expects to admit one after wait.
 func (es *Endpoints) MarkLimited(name string, wait time.Duration, now time.Time) {
--- a/entry/view/notice.go
+++ b/entry/view/notice.go
@@ -31,6 +31,9 @@
 	advert.Notices
 	// last is when the last notice arrived.
 	last time.Time
+	// limitStated is when an answer to this entry arrived that states Limit; zero if none
+	// has.
+	limitStated time.Time
 	// pacer keeps this entry's share of the process's limit; nil until it names one.
 	pacer *pacer.Pacer
 	// waiting counts the requests that wait until the process may get one again.
@@ -54,20 +57,33 @@
 		if !notice.Leaving && notice.Pause <= 0 && !notice.Limited {
 			return false
 		}
-		es.dropNotices(now)
-		if es.notices == nil {
-			es.notices = map[process]*notices{}
-		}
-		known = &notices{}
-		es.notices[key] = known
+		known = es.addNotices(key, now)
 	}
 	known.last = now
-	defer func() {
-		if known.pacer != nil && !known.Limit.Named {
-			known.pacer.Unlimit()
-		}
-	}()
-	return known.Record(notice, sent, now)
+	changed := known.Record(notice, sent, now)
+	if known.Limit.Arrived.Equal(now) {
+		known.limitStated = now
+	}
+	known.applyEndOfLimit()
+	return changed
+}
+
+// addNotices adds a process that has said nothing yet. es.mutex must be held.
+func (es *Endpoints) addNotices(key process, now time.Time) *notices {
+	es.dropNotices(now)
+	if es.notices == nil {
+		es.notices = map[process]*notices{}
+	}
+	added := &notices{last: now}
+	es.notices[key] = added
+	return added
+}
+
+// applyEndOfLimit ends this entry's share of a limit that has ended.
+func (n *notices) applyEndOfLimit() {
+	if n.pacer != nil && !n.Limit.Named {
+		n.pacer.Unlimit()
+	}
 }
 
 // dropNotices removes the notices of processes that are not listed: the expired ones,
--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -9,6 +9,7 @@
 package admit
 
 import (
+	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/span"
 )
@@ -62,20 +63,7 @@
 	// Otherwise the agent refuses it at once while the limit does not.
 	AwaitLimit bool `protobuf:"varint,15,opt"`
 	// Limit is what the engine said of its limit to the entry; nil if it named none.
-	Limit *Limit `protobuf:"bytes,16,opt"`
-}
-
-// Limit is how many requests an engine said that it takes from all VMs together.
-type Limit struct {
-	// StartedMillis identifies the engine's process by its start, in Unix milliseconds.
-	StartedMillis int64 `protobuf:"varint,1,opt"`
-	// Named reports whether the process limits its requests, to RequestsPerSecond.
-	Named             bool    `protobuf:"varint,2,opt"`
-	RequestsPerSecond float64 `protobuf:"fixed64,3,opt"`
-	// SentAgo is how long ago the request was sent whose answer said so, and ArrivedAgo
-	// how long ago that answer arrived.
-	SentAgo    span.Duration `protobuf:"varint,4,opt"`
-	ArrivedAgo span.Duration `protobuf:"varint,5,opt"`
+	Limit *advert.LimitReport `protobuf:"bytes,16,opt"`
 }
 
 // Check reports the first invalid field.
@@ -86,8 +74,8 @@
 	if r.PromptTokens < 0 || r.MaxAnswerTokens < 0 || r.ExpectedAnswerTokens < 0 || r.MinVersion < 0 {
 		return &Error{Op: "check sizes", Kind: KindField}
 	}
-	if l := r.Limit; l != nil && (!(l.RequestsPerSecond >= 0) || l.SentAgo < l.ArrivedAgo || l.ArrivedAgo < 0) {
-		return &Error{Op: "check limit", Kind: KindField}
+	if r.Limit != nil {
+		return r.Limit.Check()
 	}
 	return nil
 }
--- a/pkg/advert/limit.go
+++ b/pkg/advert/limit.go
@@ -1,6 +1,10 @@
 package advert
 
-import "time"
+import (
+	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+)
 
 // Limit is how many requests one process of an endpoint takes from all VMs together, as it
 // said in an answer. The zero value is that of a process that has said nothing.
@@ -45,3 +49,44 @@
 	}
 	return l.RequestsPerSecond < other.RequestsPerSecond
 }
+
+// LimitReport is a statement of a process that one VM passes on to another.
+type LimitReport struct {
+	// Endpoint and StartedMillis identify the process.
+	Endpoint      string `protobuf:"bytes,1,opt"`
+	StartedMillis int64  `protobuf:"varint,2,opt"`
+	// Named reports whether the process limits its requests, to RequestsPerSecond.
+	Named             bool    `protobuf:"varint,3,opt"`
+	RequestsPerSecond float64 `protobuf:"fixed64,4,opt"`
+	// SentAgo is how long ago the request was sent whose answer said so, and ArrivedAgo
+	// how long ago that answer arrived.
+	SentAgo    span.Duration `protobuf:"varint,5,opt"`
+	ArrivedAgo span.Duration `protobuf:"varint,6,opt"`
+}
+
+// NewLimitReport describes a limit for another VM.
+func NewLimitReport(endpoint string, startedMillis int64, limit *Limit, now time.Time) LimitReport {
+	return LimitReport{
+		Endpoint: endpoint, StartedMillis: startedMillis, Named: limit.Named, RequestsPerSecond: limit.RequestsPerSecond,
+		SentAgo: span.Duration(now.Sub(limit.Sent)), ArrivedAgo: span.Duration(now.Sub(limit.Arrived)),
+	}
+}
+
+// Check reports the first invalid field.
+func (r *LimitReport) Check() error {
+	if r.Endpoint == "" || len(r.Endpoint) > maxNameBytes {
+		return &Error{Op: "check limited endpoint", Kind: KindField}
+	}
+	if !(r.RequestsPerSecond >= 0) || r.SentAgo < r.ArrivedAgo || r.ArrivedAgo < 0 {
+		return &Error{Op: "check limit", Kind: KindField}
+	}
+	return nil
+}
+
+// Limit returns the statement as of the receiver's clock.
+func (r *LimitReport) Limit(now time.Time) Limit {
+	return Limit{
+		Named: r.Named, RequestsPerSecond: r.RequestsPerSecond,
+		Sent: now.Add(-r.SentAgo.Std()), Arrived: now.Add(-r.ArrivedAgo.Std()),
+	}
+}
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -83,6 +83,11 @@
 	// OnEndpointRecords is called before it with the records that have changed, also of
 	// endpoints that accept no requests or were removed. It may be nil.
 	OnEndpointRecords func(changed []advert.Record)
+	// Limits returns what endpoints lately said of their request limits to this entry; it is
+	// called for each heartbeat. OnLimits is called with what they said to any entry. Both
+	// may be nil.
+	Limits   func() []advert.LimitReport
+	OnLimits func(reports []advert.LimitReport)
 	// OnRelease is called with new releases of adapter versions.
 	OnRelease func(releases []plane.Release)
 
@@ -258,6 +263,9 @@
 	return all.revision
 }
 
+// ReportLimits has the request limits of endpoints reported soon, because one has changed.
+func (f *Feed) ReportLimits() { f.requestHeartbeat() }
+
 // requestHeartbeat has a heartbeat sent as soon as minHeartbeatGap allows.
 func (f *Feed) requestHeartbeat() {
 	f.heartbeatDue.Set()
--- a/pkg/feed/session.go
+++ b/pkg/feed/session.go
@@ -51,6 +51,9 @@
 		BurnCounts:   f.burn.takePending(s.seq),
 		Departing:    departing,
 	}
+	if f.Limits != nil {
+		heartbeat.Limits = f.Limits()
+	}
 	f.suspectReports.attach(heartbeat)
 	f.lease.Sent(s.seq)
 	return s.stream.Send(heartbeat)
@@ -113,6 +116,9 @@
 		}
 	}
 	f.applyEndpoints(update)
+	if len(update.Limits) > 0 && f.OnLimits != nil {
+		f.OnLimits(update.Limits)
+	}
 	if update.BansRevision != 0 && update.BansRevision != f.quarantineRevision() {
 		f.setQuarantine(update)
 	}
--- a/pkg/plane/feed.go
+++ b/pkg/plane/feed.go
@@ -119,6 +119,8 @@
 	// ClearedSuspects holds the digests of suspected requests that completed
 	// without a crash of the endpoint.
 	ClearedSuspects [][]byte `protobuf:"bytes,8,rep"`
+	// Limits holds what endpoints lately said of their request limits to an entry.
+	Limits []advert.LimitReport `protobuf:"bytes,9,rep"`
 }
 
 // BurnCount counts the requests for the objective of a workspace and route.
@@ -212,6 +214,9 @@
 	// that are connected, from 1; 0 if it is unknown.
 	EntryRank   int32 `protobuf:"varint,17,opt"`
 	EntryListed int32 `protobuf:"varint,18,opt"`
+	// Limits holds all known request limits of endpoints, and those that ended lately, if
+	// they have changed.
+	Limits []advert.LimitReport `protobuf:"bytes,19,rep"`
 }
 
 // Release is the version of an adapter that new requests run on.
