entry: what the limits of plain endpoints allow goes to the most urgent requests

Load: a service all of whose endpoints name limits, asked for more than they allow. Now a request yields for half a second after a more urgent one found no endpoint because of limits; a waiting request counts only those before it that are at least as urgent, and looks again after its wait instead of being refused. Waits are half a second in all, as before.

--- a/agent/keeper/limit_test.go
+++ b/agent/keeper/limit_test.go
@@ -117,7 +117,7 @@
 			group.Go(func() {
 				reply, stream := f.requestAdmission("", func(spec *admit.Request) {
 					spec.Priority, spec.AwaitLimit, spec.LastCandidate = 9-priority, true, true
-					spec.FirstTokenRemaining, spec.Remaining = span.Duration(time.Second), span.Duration(2*time.Second)
+					spec.FirstTokenRemaining, spec.Remaining = span.Duration(time.Second), span.Duration(2200*time.Millisecond)
 				})
 				defer func() { require.NoError(t, stream.Close()) }()
 				mutex.Lock()
@@ -132,7 +132,7 @@
 			})
 		}
 		group.Wait()
-		require.Equal(t, []int32{0, 1, 2, 3}, admitted[:4])
+		require.Equal(t, []int32{0, 1, 2, 3}, admitted)
 		require.Equal(t, 10, refused+len(admitted))
 		require.Positive(t, refused)
 	})
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -56,8 +56,8 @@
 	// known. It has only a service and a software version if another attempt of the caller
 	// brought that event.
 	origin *advert.Record
-	// waited reports that the request has waited until an endpoint may get requests again.
-	waited bool
+	// waited is how long the request has waited until an endpoint may get requests again.
+	waited time.Duration
 	// retryAfter is the shortest retry delay that an agent reported, 0 if none
 	// did.
 	retryAfter time.Duration
--- a/entry/direct/limit_test.go
+++ b/entry/direct/limit_test.go
@@ -216,3 +216,49 @@
 		require.Positive(t, sent)
 	})
 }
+
+// Replays a service whose endpoints all name limits, under more load than they take: the
+// requests were served in the order of their arrival, whatever their priority.
+func TestUrgentRequestsGetWhatLimitsAllow(t *testing.T) {
+	for name, test := range map[string]struct {
+		// urgent and other are the requests a second of each kind; the limits allow 6.
+		urgent, other int
+		// minUrgent and minOther are how many a second must be served.
+		minUrgent, minOther float64
+	}{
+		"fewer urgent ones than allowed": {3, 20, 2.8, 1.5},
+		"more urgent ones than allowed":  {12, 20, 4.8, 0},
+		"no urgent ones":                 {0, 20, 0, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				const seconds = 20
+				l := &limitedEndpoints{calls: map[string][]time.Time{}, perSecond: map[string]float64{"e0": 2, "e1": 2, "e2": 2}}
+				d := newFilter(&service{}, 3)
+				d.Send = l.send
+				var callers sync.WaitGroup
+				var mutex sync.Mutex
+				served := map[int32]float64{}
+				load := func(perSecond int, priority int32) {
+					for i := range perSecond * seconds {
+						callers.Go(func() {
+							time.Sleep(time.Duration(i) * time.Second / time.Duration(perSecond))
+							_, err := run(context.Background(), d, func(r *chain.Request) { r.Route.Priority = priority })
+							mutex.Lock()
+							defer mutex.Unlock()
+							if err == nil {
+								served[priority]++
+							}
+						})
+					}
+				}
+				load(test.urgent, 0)
+				load(test.other, 2)
+				callers.Wait()
+				require.GreaterOrEqual(t, served[0], test.minUrgent*seconds)
+				require.GreaterOrEqual(t, served[2], test.minOther*seconds)
+				t.Logf("served: %v urgent, %v others", served[0], served[2])
+			})
+		})
+	}
+}
--- a/entry/direct/notice.go
+++ b/entry/direct/notice.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// maxPauseWait is how long a request may wait for an endpoint that wants no
+	// maxPauseWait is how long a request may wait in all for endpoints that want no
 	// requests. A caller that is refused for so short a time loses more by coming
 	// back.
 	maxPauseWait = 500 * time.Millisecond
@@ -47,24 +47,50 @@
 }
 
 // awaitEndpoint waits until an endpoint of the service may get requests again, if that is
-// soon, at most once a request. It refuses the request if the wait would be too long, and
-// returns nil if an endpoint may get requests now.
+// soon. It refuses the request if its waits would be too long, or if a more urgent request
+// lately found no endpoint because of their limits. It returns nil if an endpoint may get
+// requests now.
 func (j *job) awaitEndpoint(ctx context.Context) *chain.Refusal {
-	f := j.filter
-	opening, ok := f.Endpoints.FirstOpening(j.service, j.excluded, time.Now())
-	if !ok || opening.Wait == 0 {
-		return nil
-	}
-	wait := j.spreadWait(opening)
-	if !opening.Here || j.waited || wait > maxPauseWait || time.Now().Add(wait).After(j.callerDeadline()) {
-		return j.refuseUntil(opening)
+	for ctx.Err() == nil {
+		opening, open := j.findOpening()
+		if open {
+			return nil
+		}
+		wait := opening.Wait
+		if !opening.Limited {
+			wait = j.spreadWait(opening)
+		}
+		if !opening.Here || j.waited+wait > maxPauseWait || time.Now().Add(wait).After(j.callerDeadline()) {
+			return j.refuseUntil(opening)
+		}
+		j.waited += wait
+		end := j.filter.Endpoints.BeginWait(opening)
+		pause.For(ctx, wait)
+		end()
 	}
-	j.waited = true
-	defer f.Endpoints.BeginWait(opening)()
-	pause.For(ctx, wait)
 	return nil
 }
 
+// findOpening returns when the request may be sent to an endpoint, and whether that is now
+// or no endpoint is known. Limits let the more urgent requests go first.
+func (j *job) findOpening() (opening view.Opening, open bool) {
+	v, now, priority := j.filter.Endpoints, time.Now(), j.priority()
+	opening, ok := v.FirstOpening(j.service, priority, j.excluded, now)
+	if !ok || opening.Wait == 0 && !opening.Scarce {
+		return opening, true
+	}
+	if opening.Scarce || opening.Limited {
+		if v.YieldsToUrgent(j.service, priority, now) {
+			opening.Limited, opening.Here = true, false
+			return opening, false
+		}
+		if opening.Limited {
+			v.RecordDenied(j.service, priority, now)
+		}
+	}
+	return opening, opening.Wait == 0
+}
+
 // spreadWait returns the time until an opening and a random time after it.
 func (j *job) spreadWait(opening view.Opening) time.Duration {
 	spread := max(time.Duration(float64(opening.Wait)*pauseSpread), minPauseSpread)
--- a/entry/direct/target.go
+++ b/entry/direct/target.go
@@ -51,7 +51,7 @@
 	f := j.filter
 	endpoint, ok := f.Endpoints.ChoosePlain(j.service, j.excluded, f.random(), time.Now())
 	if !ok {
-		if opening, known := f.Endpoints.FirstOpening(j.service, j.excluded, time.Now()); known && opening.Wait > 0 {
+		if opening, known := f.Endpoints.FirstOpening(j.service, j.priority(), j.excluded, time.Now()); known && opening.Wait > 0 {
 			return nil, j.refuseUntil(opening)
 		}
 		return nil, j.refuse("no_endpoint", "no endpoint takes the request", noEndpointRetryAfter)
--- a/entry/view/limit.go
+++ b/entry/view/limit.go
@@ -18,6 +18,9 @@
 	// limitReportTime is how long after an answer its statement is reported to control: a
 	// few heartbeats, of which some may be lost.
 	limitReportTime = 5 * time.Second
+	// urgentWindow is how long after the denial of a request less urgent ones yield. It is
+	// about the time in which a limit of a few requests a second allows the next one.
+	urgentWindow = 500 * time.Millisecond
 	// maxLimitReports bounds the statements in one heartbeat.
 	maxLimitReports = 64
 )
@@ -166,33 +169,40 @@
 
 // Opening is when an endpoint may get a request again.
 type Opening struct {
-	// Wait is the time until then, after the requests that wait for it at this entry.
+	// Wait is the time until then, after the requests that wait for it at this entry and are
+	// at least as urgent.
 	Wait time.Duration
 	// Here reports whether this entry may send a request then. If not, others may.
 	Here bool
 	// Limited reports whether the endpoint's limit is the reason.
 	Limited bool
+	// Scarce reports that only endpoints with limits may get a request now.
+	Scarce bool
 
-	notices *notices
+	notices  *notices
+	priority int32
 }
 
-// FirstOpening returns the first opening of the endpoints of a service that are neither
-// leaving nor excluded, and false if there is none.
-func (es *Endpoints) FirstOpening(service string, excluded map[string]bool, now time.Time) (first Opening, found bool) {
+// FirstOpening returns the first opening for a request of the given priority, 0 first, of the
+// endpoints of a service that are neither leaving nor excluded, and false if there is none.
+func (es *Endpoints) FirstOpening(service string, priority int32, excluded map[string]bool, now time.Time) (first Opening, found bool) {
 	es.mutex.Lock()
 	defer es.mutex.Unlock()
+	unlimited := false
 	for _, e := range es.services[service] {
 		key := processOf(&e.record)
 		n := es.notices[key]
 		if excluded[e.record.Name] || n != nil && n.Leaving() {
 			continue
 		}
-		opening := Opening{Here: true, notices: n}
+		opening := Opening{Here: true, notices: n, priority: priority}
 		if n != nil {
 			opening.Wait = n.PauseLeft(now)
 		}
-		if p := es.pacerOf(key, n, now); p != nil && e.record.Agent == "" {
-			wait := p.Wait(n.waiting, now)
+		p := es.pacerOf(key, n, now)
+		unlimited = unlimited || opening.Wait == 0 && p == nil
+		if p != nil && e.record.Agent == "" {
+			wait := p.Wait(n.countWaiting(priority), now)
 			if opening.Here = p.Member() || wait == 0; !opening.Here {
 				wait = p.Spacing()
 			}
@@ -202,9 +212,41 @@
 			first, found = opening, true
 		}
 	}
+	first.Scarce = found && first.Wait == 0 && !unlimited
 	return first, found
 }
 
+// RecordDenied records that the limits of a service's endpoints made a request of the given
+// priority wait, or refused it.
+func (es *Endpoints) RecordDenied(service string, priority int32, now time.Time) {
+	es.mutex.Lock()
+	defer es.mutex.Unlock()
+	if es.denied == nil {
+		es.denied = map[string]map[int32]time.Time{}
+	}
+	if es.denied[service] == nil {
+		es.denied[service] = map[int32]time.Time{}
+	}
+	es.denied[service][priority] = now
+}
+
+// YieldsToUrgent reports whether a request of the given priority leaves what the limits of
+// a service's endpoints allow to more urgent ones, because one was lately denied.
+func (es *Endpoints) YieldsToUrgent(service string, priority int32, now time.Time) bool {
+	es.mutex.Lock()
+	defer es.mutex.Unlock()
+	for denied, at := range es.denied[service] {
+		if now.Sub(at) > urgentWindow {
+			delete(es.denied[service], denied)
+			continue
+		}
+		if denied < priority {
+			return true
+		}
+	}
+	return false
+}
+
 // BeginWait counts a request that waits for an opening; the returned function ends it.
 func (es *Endpoints) BeginWait(opening Opening) func() {
 	if opening.notices == nil {
@@ -212,10 +254,14 @@
 	}
 	es.mutex.Lock()
 	defer es.mutex.Unlock()
-	opening.notices.waiting++
+	n := opening.notices
+	if n.waiting == nil {
+		n.waiting = map[int32]int{}
+	}
+	n.waiting[opening.priority]++
 	return func() {
 		es.mutex.Lock()
 		defer es.mutex.Unlock()
-		opening.notices.waiting--
+		n.waiting[opening.priority]--
 	}
 }
--- a/entry/view/notice.go
+++ b/entry/view/notice.go
@@ -36,8 +36,20 @@
 	limitStated time.Time
 	// pacer keeps this entry's share of the process's limit; nil until it names one.
 	pacer *pacer.Pacer
-	// waiting counts the requests that wait until the process may get one again.
-	waiting int
+	// waiting counts the requests that wait until the process may get one again, by
+	// priority.
+	waiting map[int32]int
+}
+
+// countWaiting returns how many requests wait that are at least as urgent.
+func (n *notices) countWaiting(priority int32) int {
+	count := 0
+	for other, waiting := range n.waiting {
+		if other <= priority {
+			count += waiting
+		}
+	}
+	return count
 }
 
 // accepts reports whether the process wants new requests, apart from its limit.
--- a/entry/view/notice_test.go
+++ b/entry/view/notice_test.go
@@ -69,7 +69,7 @@
 func TestFirstOpeningIsThatOfTheFirstEndpoint(t *testing.T) {
 	now := time.Now()
 	es := &view.Endpoints{}
-	_, ok := es.FirstOpening("s", nil, now)
+	_, ok := es.FirstOpening("s", 0, nil, now)
 	require.False(t, ok)
 	records := []advert.Record{record("a", 1), record("b", 1), record("c", 1)}
 	es.Update(map[string][]advert.Record{"s": records})
@@ -77,13 +77,13 @@
 	es.RecordNotice(&records[1], advert.Notice{Pause: 2 * time.Second}, now, now)
 	es.RecordNotice(&records[2], advert.Notice{Leaving: true}, now, now)
 	for excluded, want := range map[string]time.Duration{"": 2 * time.Second, "b": 5 * time.Second} {
-		opening, ok := es.FirstOpening("s", map[string]bool{excluded: true}, now)
+		opening, ok := es.FirstOpening("s", 0, map[string]bool{excluded: true}, now)
 		require.True(t, ok)
 		require.Equal(t, want, opening.Wait)
 		require.True(t, opening.Here)
 		require.False(t, opening.Limited)
 	}
-	_, ok = es.FirstOpening("s", map[string]bool{"a": true, "b": true}, now)
+	_, ok = es.FirstOpening("s", 0, map[string]bool{"a": true, "b": true}, now)
 	require.False(t, ok, "only a leaving endpoint is left")
 }
 
--- a/pkg/pacer/pacer.go
+++ b/pkg/pacer/pacer.go
@@ -154,7 +154,11 @@
 		return max(p.nextTrial.Sub(now), 0) + time.Duration(ahead)*p.meanTrialInterval()
 	}
 	missing := float64(ahead+1) - p.limiter.TokensAt(now)
-	return time.Duration(max(missing/float64(p.limiter.Limit()), 0) * float64(time.Second))
+	if missing <= 0 {
+		return 0
+	}
+	// Rounded up, so that the request may be sent after the wait.
+	return time.Duration(missing/float64(p.limiter.Limit())*float64(time.Second)).Truncate(time.Millisecond) + time.Millisecond
 }
 
 // Take counts a request that is sent now and reports whether it may be.
