entry/finder: origins of streams go to agents only while several software versions serve

Callers see no difference. While one version alone can have begun a service's streams, another entry guesses right without a record; so it is held for half a minute and sent when a second version appears (Finder.Update). Bound: 4096 held records.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -223,7 +223,7 @@
 		Host: d.Host, Endpoints: e.view, Send: d.Send, Budget: retryBudget, ShutdownTime: e.drain.ExitTime,
 		Agents: &pool.Pool{Dial: d.Host.Dial, DialTimeout: agentDialTimeout},
 	}
-	e.origins = &finder.Finder{Host: d.Host, Agents: e.direct.Agents, Addresses: e.view.Agents}
+	e.origins = &finder.Finder{Host: d.Host, Agents: e.direct.Agents, Addresses: e.view.Agents, Needed: e.view.MixesSoftware}
 	e.direct.RecordOrigin, e.direct.FindOrigin = e.origins.Record, e.origins.Find
 	e.direct.OnNoticeChanged = func() { e.feed.ReportLimits() }
 	e.direct.Current = func() bool { return e.feed.Valid() }
@@ -237,6 +237,7 @@
 		OnEndpoints: func(usable map[string][]advert.Record) {
 			e.view.Update(usable)
 			e.crashes.Update(usable)
+			e.origins.Update()
 		},
 		OnEndpointRecords: func(changed []advert.Record) { e.view.RecordSoftware(changed, time.Now()) },
 		OnRelease:         e.direct.AddReleases,
--- a/entry/finder/finder.go
+++ b/entry/finder/finder.go
@@ -35,6 +35,10 @@
 	exchangeTimeout = 250 * time.Millisecond
 	// maxRecording bounds the streams that are being recorded at the same time.
 	maxRecording = 128
+	// heldTime is how long a record is held that agents need not know yet: longer than most
+	// streams take. maxHeld bounds their number.
+	heldTime = 30 * time.Second
+	maxHeld  = 4096
 )
 
 // Finder finds the origins of streams. Its exported fields are set before use; it is
@@ -46,18 +50,33 @@
 	Agents *pool.Pool
 	// Addresses returns the addresses of the agents.
 	Addresses func() []string
+	// Needed reports whether other entries need to know where the streams of a service
+	// began. While only one software version serves, they need not. Nil means always.
+	Needed func(service string) bool
 
 	// local holds the origins of this entry's streams.
 	local     origin.Store
 	mutex     sync.Mutex
 	recording int
-	group     tasks.Group
+	// held are the records that agents do not know, oldest first.
+	held  []heldRecord
+	group tasks.Group
 }
 
-// Record stores where a stream began, here at once and at agents soon after. If that fails,
-// other entries do not know the origin.
+type heldRecord struct {
+	record origin.Record
+	at     time.Time
+}
+
+// Record stores where a stream began, here at once and at agents soon after, if other entries
+// need to know it. If that fails, they do not know the origin.
 func (f *Finder) Record(record origin.Record) {
-	f.local.Put(record, time.Now())
+	now := time.Now()
+	f.local.Put(record, now)
+	if f.Needed != nil && !f.Needed(record.Service) {
+		f.hold(record, now)
+		return
+	}
 	if !f.begin() {
 		f.Host.Meter.Add("origins_dropped", 1)
 		return
@@ -68,6 +87,45 @@
 	})
 }
 
+func (f *Finder) hold(record origin.Record, now time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	expired := 0
+	for expired < len(f.held) && (now.Sub(f.held[expired].at) > heldTime || len(f.held)-expired >= maxHeld) {
+		expired++
+	}
+	f.held = append(slices.Delete(f.held, 0, expired), heldRecord{record: record, at: now})
+}
+
+// Update sends the held records that other entries need to know from now on. It is called
+// after the endpoints have changed.
+func (f *Finder) Update() {
+	now := time.Now()
+	f.mutex.Lock()
+	var needed []origin.Record
+	kept := f.held[:0]
+	for _, h := range f.held {
+		switch {
+		case now.Sub(h.at) > heldTime:
+		case f.Needed == nil || f.Needed(h.record.Service):
+			needed = append(needed, h.record)
+		default:
+			kept = append(kept, h)
+		}
+	}
+	clear(f.held[len(kept):])
+	f.held = kept
+	f.mutex.Unlock()
+	if len(needed) == 0 {
+		return
+	}
+	f.group.Go(func() {
+		for _, record := range needed {
+			f.distribute(record)
+		}
+	})
+}
+
 func (f *Finder) begin() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/entry/finder/finder_test.go
+++ b/entry/finder/finder_test.go
@@ -165,3 +165,45 @@
 		first.Wait()
 	})
 }
+
+// While one software version serves, agents are told nothing; once another one appears, they
+// learn where the streams began that still go on.
+func TestOriginsAreSentOnceTheyAreNeeded(t *testing.T) {
+	inFleet(t, 12, func(t *testing.T, f *fleet) {
+		first, second := f.entry(t, "first", 0, 11), f.entry(t, "second", 0, 11)
+		mixed := false
+		first.Needed = func(service string) bool { return service == "s" && mixed }
+		other := record(1000)
+		other.Service = "other"
+		stored := func() (count int) {
+			first.Wait()
+			for _, store := range f.stores {
+				count += store.Len()
+			}
+			return count
+		}
+		first.Record(record(0))
+		time.Sleep(time.Minute)
+		for i := 1; i <= 50; i++ {
+			first.Record(record(i))
+		}
+		first.Record(other)
+		first.Update()
+		require.Zero(t, stored())
+		mixed = true
+		first.Update()
+		require.Equal(t, 2*50, stored(), "neither the old stream nor that of another service")
+		first.Update()
+		require.True(t, second.Find(t.Context(), record(7).Attempt).Known)
+		require.False(t, second.Find(t.Context(), record(0).Attempt).Known)
+		first.Record(record(60))
+		require.Equal(t, 2*51, stored())
+		mixed = false
+		for i := range 10_000 {
+			first.Record(record(100 + i))
+		}
+		mixed = true
+		first.Update()
+		require.Equal(t, 2*(51+4096), stored(), "held records are bounded")
+	})
+}
--- a/entry/view/software.go
+++ b/entry/view/software.go
@@ -56,6 +56,13 @@
 	return version, len(versions) == 1
 }
 
+// MixesSoftware reports whether endpoints of several software versions may have begun the
+// streams of a service that still go on.
+func (es *Endpoints) MixesSoftware(service string) bool {
+	_, only := es.OnlySoftware(service, time.Now())
+	return !only
+}
+
 // ExcludeOtherSoftware adds the endpoints of a service whose software has another version to
 // excluded, and returns how many endpoints of the service are not excluded then.
 func (es *Endpoints) ExcludeOtherSoftware(service, version string, excluded map[string]bool) (left int) {
