--- a/entry/view/view.go
+++ b/entry/view/view.go
@@ -36,6 +36,9 @@
 	// endpoint is not penalized: averages over few answers differ by as much.
 	slowTolerance    = 2
 	failureTolerance = 0.1
+	// latencyTolerance is the difference in latency that may come from a new connection or
+	// from scheduling. It is added to the other endpoints' latency.
+	latencyTolerance = 2 * time.Millisecond
 	// loadHalfLife is the half-life of the weight of a reported load.
 	loadHalfLife = time.Second
 	// residentTimeout is how long after its use an adapter is assumed to be
@@ -169,7 +172,7 @@
 			// The mean excludes the endpoint itself, so that a bad endpoint is
 			// compared with good ones.
 			others := measured - 1
-			candidate.ExcessLatency = e.meanSeconds/((latencies-e.meanSeconds)/others) - slowTolerance
+			candidate.ExcessLatency = e.meanSeconds/((latencies-e.meanSeconds)/others+latencyTolerance.Seconds()) - slowTolerance
 			candidate.ExcessFailures = e.failureRate - (failures-e.failureRate)/others - failureTolerance
 		}
 		candidates = append(candidates, candidate)
