entry/view: a plain endpoint that was slow or failed is tried again at low load

Callers saw: an endpoint that once answered slowly or failed got no more requests while the others had room, for as long as the process lived; at low load one endpoint then carries a service. Cause: only requests to it could lower its averages, and its cost kept them away. Without requests its latency and failure rate halve each 3 s; a good answer starts from the decreased average, a bad one restores the former, so that one that has not recovered is tried rarely.

--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -69,7 +69,7 @@
 	case verdictBroken:
 		return j.handleBroken(ctx, attemptCtx, t, err)
 	case verdictComplete, verdictFailed:
-		j.filter.Endpoints.RecordAnswer(t.endpoint.Name, time.Since(sent), verdict == verdictFailed)
+		j.filter.Endpoints.RecordAnswer(t.endpoint.Name, time.Since(sent), verdict == verdictFailed, time.Now())
 		if verdict == verdictComplete && j.request.Suspect && j.filter.OnSuspectCleared != nil {
 			j.filter.OnSuspectCleared(j.request.Digest)
 		}
@@ -132,7 +132,7 @@
 	}
 	if ctx.Err() == nil {
 		j.filter.Endpoints.MarkUnreachable(t.endpoint.Name, time.Now())
-		j.filter.Endpoints.RecordAnswer(t.endpoint.Name, 0, true)
+		j.filter.Endpoints.RecordAnswer(t.endpoint.Name, 0, true, time.Now())
 	}
 	return verdictBroken, err
 }
--- a/entry/view/view.go
+++ b/entry/view/view.go
@@ -39,6 +39,9 @@
 	// latencyTolerance is the difference in latency that may come from a new connection or
 	// from scheduling. It is added to the other endpoints' latency.
 	latencyTolerance = 2 * time.Millisecond
+	// recoveryHalfLife is the half-life of an endpoint's latency and failure rate while it
+	// gets no requests: only requests can show that it has recovered.
+	recoveryHalfLife = 3 * time.Second
 	// loadHalfLife is the half-life of the weight of a reported load.
 	loadHalfLife = time.Second
 	// residentTimeout is how long after its use an adapter is assumed to be
@@ -87,8 +90,10 @@
 	// connection and agent are the backoffs after failures to reach the
 	// endpoint and its agent.
 	connection, agent backoff
-	// failureRate and meanSeconds are moving averages of failures and latency.
+	// failureRate and meanSeconds are moving averages of failures and latency, as of
+	// lastAnswer.
 	failureRate, meanSeconds float64
+	lastAnswer               time.Time
 	// resident are the recently used adapters with the time of their last use.
 	resident map[string]time.Time
 }
@@ -172,8 +177,9 @@
 			// The mean excludes the endpoint itself, so that a bad endpoint is
 			// compared with good ones.
 			others := measured - 1
-			candidate.ExcessLatency = e.meanSeconds/((latencies-e.meanSeconds)/others+latencyTolerance.Seconds()) - slowTolerance
-			candidate.ExcessFailures = e.failureRate - (failures-e.failureRate)/others - failureTolerance
+			recovery := e.recovery(now)
+			candidate.ExcessLatency = recovery*e.meanSeconds/((latencies-e.meanSeconds)/others+latencyTolerance.Seconds()) - slowTolerance
+			candidate.ExcessFailures = recovery*e.failureRate - (failures-e.failureRate)/others - failureTolerance
 		}
 		candidates = append(candidates, candidate)
 	}
@@ -203,9 +209,18 @@
 	}
 }
 
+// recovery returns the factor by which the averages have decreased since the last answer.
+func (e *endpoint) recovery(now time.Time) float64 {
+	return math.Exp2(-max(float64(now.Sub(e.lastAnswer)), 0) / float64(recoveryHalfLife))
+}
+
 // RecordAnswer records an answer: its latency, 0 if that is not meaningful, and
 // whether it was a failure. It also ends the pause after a failed connection.
-func (es *Endpoints) RecordAnswer(name string, latency time.Duration, failed bool) {
+//
+// An answer that is better than the average starts from the decreased average, so that an
+// endpoint that has recovered is soon used as before. A worse one restores the former
+// average, so that one that has not is tried rarely.
+func (es *Endpoints) RecordAnswer(name string, latency time.Duration, failed bool, now time.Time) {
 	es.mutex.Lock()
 	defer es.mutex.Unlock()
 	e := es.byName[name]
@@ -213,9 +228,13 @@
 		return
 	}
 	e.connection = backoff{}
+	recovery := e.recovery(now)
+	e.lastAnswer = now
 	sample := 0.0
 	if failed {
 		sample = 1
+	} else {
+		e.failureRate *= recovery
 	}
 	e.failureRate += newestWeight * (sample - e.failureRate)
 	if latency == 0 {
@@ -224,6 +243,9 @@
 	if e.meanSeconds == 0 {
 		e.meanSeconds = latency.Seconds()
 	}
+	if decreased := recovery * e.meanSeconds; latency.Seconds() < e.meanSeconds {
+		e.meanSeconds = max(decreased, latency.Seconds())
+	}
 	e.meanSeconds += newestWeight * (latency.Seconds() - e.meanSeconds)
 }
 
--- a/entry/view/view_test.go
+++ b/entry/view/view_test.go
@@ -42,7 +42,7 @@
 	v := &view.Endpoints{DataCentre: "d"}
 	v.Update(endpoints(1))
 	for range 50 {
-		v.RecordAnswer("e0", time.Second, true)
+		v.RecordAnswer("e0", time.Second, true, time.Now())
 	}
 	require.Equal(t, "e0", mostChosen(v, nil, start))
 	v.MarkUnreachable("e0", start)
@@ -53,8 +53,8 @@
 
 func TestBadEndpointsAreAvoided(t *testing.T) {
 	for name, degrade := range map[string]func(v *view.Endpoints){
-		"slow":        func(v *view.Endpoints) { v.RecordAnswer("e0", 400*time.Millisecond, false) },
-		"failing":     func(v *view.Endpoints) { v.RecordAnswer("e0", 30*time.Millisecond, true) },
+		"slow":        func(v *view.Endpoints) { v.RecordAnswer("e0", 400*time.Millisecond, false, time.Now()) },
+		"failing":     func(v *view.Endpoints) { v.RecordAnswer("e0", 30*time.Millisecond, true, time.Now()) },
 		"unreachable": func(v *view.Endpoints) { v.MarkUnreachable("e0", start) },
 		"busy":        func(v *view.Endpoints) { v.BeginRequest("e0") },
 	} {
@@ -62,7 +62,7 @@
 		v.Update(endpoints(3))
 		for range 40 {
 			for _, e := range []string{"e0", "e1", "e2"} {
-				v.RecordAnswer(e, 30*time.Millisecond, false)
+				v.RecordAnswer(e, 30*time.Millisecond, false, time.Now())
 			}
 			degrade(v)
 		}
@@ -78,7 +78,7 @@
 	v := &view.Endpoints{DataCentre: "d"}
 	v.Update(endpoints(3))
 	for i := range 300 {
-		v.RecordAnswer(fmt.Sprint("e", i%3), 30*time.Millisecond, i/3%7 == 0)
+		v.RecordAnswer(fmt.Sprint("e", i%3), 30*time.Millisecond, i/3%7 == 0, time.Now())
 	}
 	chosen := map[string]bool{}
 	for i := range 100 {
