entry/direct: a quarantine ends the wait of a request for its admission

Cause: the quarantine was looked at only before and after the wait. The feed now signals each change of it, and a waiting request looks again. TestQuarantineEndsTheWaitForAdmission fails without it: refused as engines_busy when its time is up, in place of quarantined after 0.3 s.

--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -143,6 +143,9 @@
 	// with a part are refused, 0 if they are not. Both may be nil.
 	OnAnswered  func(parts [][]byte, now time.Time)
 	Quarantined func(part []byte) time.Duration
+	// QuarantineChanged returns a channel that is closed when the quarantine changes. Nil
+	// means that it does not change.
+	QuarantineChanged func() <-chan struct{}
 	// OnNoticeChanged is called when an endpoint has said something new of itself. It may be
 	// nil.
 	OnNoticeChanged func()
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -101,7 +101,14 @@
 		if refusal := j.awaitEndpoint(ctx); refusal != nil {
 			return j.fail(ctx, refusal)
 		}
-		target, refusal := j.selectTarget(ctx)
+		selecting, stop := j.watchQuarantine(ctx)
+		target, refusal := j.selectTarget(selecting)
+		stop()
+		if target == nil && refusal == nil {
+			if err := j.checkAllowed(ctx); err != nil {
+				return err
+			}
+		}
 		if target == nil {
 			return j.fail(ctx, refusal)
 		}
--- a/entry/direct/prompt.go
+++ b/entry/direct/prompt.go
@@ -1,8 +1,10 @@
 package direct
 
 import (
+	"context"
 	"encoding/hex"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
@@ -31,11 +33,9 @@
 	if j.filter.Quarantined == nil {
 		return nil
 	}
-	for i, part := range j.parts {
+	if i := j.quarantinedPart(); i >= 0 {
+		part := j.parts[i]
 		remaining := j.filter.Quarantined(part)
-		if remaining <= 0 {
-			continue
-		}
 		j.filter.Host.Log.Write("prompt-refused", "request", j.request.ID, "service", j.service, "part", j.request.PromptParts[i],
 			"digest", hex.EncodeToString(part), "remaining", remaining)
 		j.filter.Host.Meter.Add("prompts_refused", 1)
@@ -43,3 +43,32 @@
 	}
 	return nil
 }
+
+// watchQuarantine returns a context that ends when a part of the prompt is quarantined, so
+// that the request does not wait on; stop ends the watch.
+func (j *job) watchQuarantine(ctx context.Context) (watched context.Context, stop func()) {
+	watched, cancel := context.WithCancel(ctx)
+	if j.filter.QuarantineChanged == nil || j.filter.Quarantined == nil || len(j.parts) == 0 {
+		return watched, cancel
+	}
+	go func() {
+		for {
+			changed := j.filter.QuarantineChanged()
+			if j.quarantinedPart() >= 0 {
+				cancel()
+				return
+			}
+			select {
+			case <-watched.Done():
+				return
+			case <-changed:
+			}
+		}
+	}()
+	return watched, cancel
+}
+
+// quarantinedPart returns the index of the first quarantined part of the prompt, or -1.
+func (j *job) quarantinedPart() int {
+	return slices.IndexFunc(j.parts, func(part []byte) bool { return j.filter.Quarantined(part) > 0 })
+}
--- a/entry/direct/target_test.go
+++ b/entry/direct/target_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -170,6 +171,36 @@
 	})
 }
 
+// A request that became quarantined while it waited for its admission was refused only at the
+// end of the wait, seconds later.
+func TestQuarantineEndsTheWaitForAdmission(t *testing.T) {
+	inSite(t, 2, func(t *testing.T, s *site) {
+		s.admissionTime = 2 * time.Second
+		changed := make(chan struct{})
+		quarantined := atomic.Bool{}
+		s.filter.QuarantineChanged = func() <-chan struct{} { return changed }
+		s.filter.Quarantined = func([]byte) time.Duration {
+			if quarantined.Load() {
+				return time.Minute
+			}
+			return 0
+		}
+		time.AfterFunc(300*time.Millisecond, func() {
+			quarantined.Store(true)
+			close(changed)
+		})
+		started := time.Now()
+		_, err := run(t.Context(), s.filter, func(r *chain.Request) {
+			model(r)
+			r.PromptParts = []string{"shared"}
+		})
+		refusal := chain.RefusalOf(err)
+		require.Equal(t, "quarantined", refusal.Code)
+		require.Equal(t, chain.RanNo, refusal.Ran)
+		require.InDelta(t, 0.3, time.Since(started).Seconds(), 0.05)
+	})
+}
+
 // A request that became quarantined while it waited for its admission was still sent.
 func TestRequestQuarantinedWhileItWaitsIsNotSent(t *testing.T) {
 	for name, quarantine := range map[string]func(s *site, r *chain.Request, after time.Time){
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -100,6 +101,9 @@
 	endpointsRevision atomic.Uint64
 	entryCount        atomic.Int32
 	position          atomic.Pointer[position]
+	// quarantineChanged is closed and replaced when the quarantine changes.
+	quarantineMutex   sync.Mutex
+	quarantineChanged chan struct{}
 	burn              burnCounter
 	suspectReports    suspectReports
 	heartbeatDue      notify.Signal
@@ -128,6 +132,26 @@
 // has not reported it yet.
 func (f *Feed) KnownEntries() int { return int(f.entryCount.Load()) }
 
+// QuarantineChanged returns a channel that is closed when the quarantine changes.
+func (f *Feed) QuarantineChanged() <-chan struct{} {
+	f.quarantineMutex.Lock()
+	defer f.quarantineMutex.Unlock()
+	if f.quarantineChanged == nil {
+		f.quarantineChanged = make(chan struct{})
+	}
+	return f.quarantineChanged
+}
+
+// signalQuarantine closes the channel of QuarantineChanged.
+func (f *Feed) signalQuarantine() {
+	f.quarantineMutex.Lock()
+	defer f.quarantineMutex.Unlock()
+	if f.quarantineChanged != nil {
+		close(f.quarantineChanged)
+		f.quarantineChanged = nil
+	}
+}
+
 // Position returns the entry's position among all connected entries, from 0, and their
 // number, as control last reported them. The number is 0 if control has not.
 func (f *Feed) Position() (index, count int) {
--- a/pkg/feed/session.go
+++ b/pkg/feed/session.go
@@ -205,6 +205,7 @@
 		all.byDigest[string(b.Digest)] = quarantineEntry{suspect: b.Suspect, until: now.Add(b.Remaining.Std())}
 	}
 	f.quarantine.Store(all)
+	f.signalQuarantine()
 	f.Host.Log.Write("quarantine", "revision", update.BansRevision, "requests", len(update.Bans))
 	f.requestHeartbeat()
 }
