entry: the order of requests that wait at limited endpoints needs no yielding

What had served the urgent ones was that waiting requests count only those at least as urgent and look again. The rule and its state are removed; the test now also asks that nine tenths of the limits are used.

--- a/entry/direct/limit_test.go
+++ b/entry/direct/limit_test.go
@@ -257,6 +257,7 @@
 				callers.Wait()
 				require.GreaterOrEqual(t, served[0], test.minUrgent*seconds)
 				require.GreaterOrEqual(t, served[2], test.minOther*seconds)
+				require.GreaterOrEqual(t, served[0]+served[2], 0.9*6*seconds, "the limits are used")
 				t.Logf("served: %v urgent, %v others", served[0], served[2])
 			})
 		})
--- a/entry/direct/notice.go
+++ b/entry/direct/notice.go
@@ -47,13 +47,12 @@
 }
 
 // awaitEndpoint waits until an endpoint of the service may get requests again, if that is
-// soon. It refuses the request if its waits would be too long, or if a more urgent request
-// lately found no endpoint because of their limits. It returns nil if an endpoint may get
-// requests now.
+// soon. It refuses the request if its waits would be too long, and returns nil if an endpoint
+// may get requests now. For an endpoint with a limit, the more urgent requests go first.
 func (j *job) awaitEndpoint(ctx context.Context) *chain.Refusal {
 	for ctx.Err() == nil {
-		opening, open := j.findOpening()
-		if open {
+		opening, ok := j.filter.Endpoints.FirstOpening(j.service, j.priority(), j.excluded, time.Now())
+		if !ok || opening.Wait == 0 {
 			return nil
 		}
 		wait := opening.Wait
@@ -71,26 +70,6 @@
 	return nil
 }
 
-// findOpening returns when the request may be sent to an endpoint, and whether that is now
-// or no endpoint is known. Limits let the more urgent requests go first.
-func (j *job) findOpening() (opening view.Opening, open bool) {
-	v, now, priority := j.filter.Endpoints, time.Now(), j.priority()
-	opening, ok := v.FirstOpening(j.service, priority, j.excluded, now)
-	if !ok || opening.Wait == 0 && !opening.Scarce {
-		return opening, true
-	}
-	if opening.Scarce || opening.Limited {
-		if v.YieldsToUrgent(j.service, priority, now) {
-			opening.Limited, opening.Here = true, false
-			return opening, false
-		}
-		if opening.Limited {
-			v.RecordDenied(j.service, priority, now)
-		}
-	}
-	return opening, opening.Wait == 0
-}
-
 // spreadWait returns the time until an opening and a random time after it.
 func (j *job) spreadWait(opening view.Opening) time.Duration {
 	spread := max(time.Duration(float64(opening.Wait)*pauseSpread), minPauseSpread)
--- a/entry/view/limit.go
+++ b/entry/view/limit.go
@@ -18,9 +18,6 @@
 	// limitReportTime is how long after an answer its statement is reported to control: a
 	// few heartbeats, of which some may be lost.
 	limitReportTime = 5 * time.Second
-	// urgentWindow is how long after the denial of a request less urgent ones yield. It is
-	// about the time in which a limit of a few requests a second allows the next one.
-	urgentWindow = 500 * time.Millisecond
 	// maxLimitReports bounds the statements in one heartbeat.
 	maxLimitReports = 64
 )
@@ -176,8 +173,6 @@
 	Here bool
 	// Limited reports whether the endpoint's limit is the reason.
 	Limited bool
-	// Scarce reports that only endpoints with limits may get a request now.
-	Scarce bool
 
 	notices  *notices
 	priority int32
@@ -188,7 +183,6 @@
 func (es *Endpoints) FirstOpening(service string, priority int32, excluded map[string]bool, now time.Time) (first Opening, found bool) {
 	es.mutex.Lock()
 	defer es.mutex.Unlock()
-	unlimited := false
 	for _, e := range es.services[service] {
 		key := processOf(&e.record)
 		n := es.notices[key]
@@ -199,9 +193,7 @@
 		if n != nil {
 			opening.Wait = n.PauseLeft(now)
 		}
-		p := es.pacerOf(key, n, now)
-		unlimited = unlimited || opening.Wait == 0 && p == nil
-		if p != nil && e.record.Agent == "" {
+		if p := es.pacerOf(key, n, now); p != nil && e.record.Agent == "" {
 			wait := p.Wait(n.countWaiting(priority), now)
 			if opening.Here = p.Member() || wait == 0; !opening.Here {
 				wait = p.Spacing()
@@ -212,41 +204,9 @@
 			first, found = opening, true
 		}
 	}
-	first.Scarce = found && first.Wait == 0 && !unlimited
 	return first, found
 }
 
-// RecordDenied records that the limits of a service's endpoints made a request of the given
-// priority wait, or refused it.
-func (es *Endpoints) RecordDenied(service string, priority int32, now time.Time) {
-	es.mutex.Lock()
-	defer es.mutex.Unlock()
-	if es.denied == nil {
-		es.denied = map[string]map[int32]time.Time{}
-	}
-	if es.denied[service] == nil {
-		es.denied[service] = map[int32]time.Time{}
-	}
-	es.denied[service][priority] = now
-}
-
-// YieldsToUrgent reports whether a request of the given priority leaves what the limits of
-// a service's endpoints allow to more urgent ones, because one was lately denied.
-func (es *Endpoints) YieldsToUrgent(service string, priority int32, now time.Time) bool {
-	es.mutex.Lock()
-	defer es.mutex.Unlock()
-	for denied, at := range es.denied[service] {
-		if now.Sub(at) > urgentWindow {
-			delete(es.denied[service], denied)
-			continue
-		}
-		if denied < priority {
-			return true
-		}
-	}
-	return false
-}
-
 // BeginWait counts a request that waits for an opening; the returned function ends it.
 func (es *Endpoints) BeginWait(opening Opening) func() {
 	if opening.notices == nil {
--- a/entry/view/view.go
+++ b/entry/view/view.go
@@ -68,9 +68,6 @@
 	// softwareSeen holds when an endpoint of a service with a software version was last
 	// announced or removed, by service and version.
 	softwareSeen map[string]map[string]time.Time
-	// denied holds when requests were last denied by the limits of a service's endpoints,
-	// by service and priority.
-	denied map[string]map[int32]time.Time
 	// notices holds what processes said of themselves, also of those that are not
 	// listed.
 	notices map[process]*notices
