--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -232,7 +232,7 @@
 	for _, r := range k.admission.Waiting(now) {
 		t := k.tasks[r]
 		limitWait := k.pacer.Wait(ahead, now)
-		if limitWait > 0 && !r.Spec.AwaitLimit {
+		if limitWait > 0 && now.Sub(r.Arrived)+limitWait > r.Spec.MaxLimitWait.Std() {
 			k.refuse(t, &admit.Reply{Reason: admit.ReasonLimited, Wait: retryDelay(limitWait), LoadPermille: k.admission.Load(now)})
 			continue
 		}
--- a/entry/direct/target.go
+++ b/entry/direct/target.go
@@ -84,7 +84,7 @@
 	}
 	asked, busy := 0, min(preferred, maxBusyEngines)
 	for i, engine := range engines[:min(len(engines), maxEngines+maxLimitedEngines)] {
-		admitted, reply := j.requestAdmission(ctx, engine, busy == 1 || i == len(engines)-1 || asked == maxEngines-1, false)
+		admitted, reply := j.requestAdmission(ctx, engine, busy == 1 || i == len(engines)-1 || asked == maxEngines-1, 0)
 		if admitted != nil {
 			return admitted, nil
 		}
@@ -116,10 +116,12 @@
 		if preferredBusy && key != "" && !v.LikelyResident(engine.Name, key, time.Now()) {
 			continue
 		}
-		admitted, _ := j.requestAdmission(ctx, engine, i == len(engines)-1, true)
+		started := time.Now()
+		admitted, _ := j.requestAdmission(ctx, engine, i == len(engines)-1, max(maxPauseWait-j.waited, 0))
 		if admitted != nil {
 			return admitted, nil
 		}
+		j.waited += time.Since(started)
 		if ctx.Err() != nil {
 			return nil, nil
 		}
@@ -140,12 +142,12 @@
 // agent is unreachable, the engine is used without admission if the adapter is
 // probably resident there.
 //
-// last reports that no further engine is tried, awaitLimit that the request may wait until
-// the engine's limit allows it.
-func (j *job) requestAdmission(ctx context.Context, engine advert.Record, last, awaitLimit bool) (*target, *admit.Reply) {
+// last reports that no further engine is tried. limitWait is how long the request may wait
+// until the engine's limit allows it.
+func (j *job) requestAdmission(ctx context.Context, engine advert.Record, last bool, limitWait time.Duration) (*target, *admit.Reply) {
 	f := j.filter
 	spec := j.newAdmissionRequest(engine)
-	spec.LastCandidate, spec.AwaitLimit = last, awaitLimit
+	spec.LastCandidate, spec.MaxLimitWait = last, span.Duration(limitWait)
 	reply, end, err := j.queryAgent(ctx, engine, spec)
 	if err != nil {
 		f.Host.Meter.Add("agents_unreachable", 1)
@@ -162,7 +164,8 @@
 			f.Endpoints.MarkUnreachable(engine.Name, time.Now())
 		case admit.ReasonLimited:
 			f.Endpoints.MarkLimited(engine.Name, reply.Wait.Std(), time.Now())
-			j.retryAfter = shorterWait(j.retryAfter, reply.Wait.Std())
+			// Spread, so that the refused callers do not come back together.
+			j.retryAfter = shorterWait(j.retryAfter, time.Duration(float64(reply.Wait)*(1+f.random())))
 		case admit.ReasonBusy, admit.ReasonModelMissing:
 			j.retryAfter = shorterWait(j.retryAfter, reply.Wait.Std())
 		}
--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -59,9 +59,9 @@
 	// LastCandidate means that the entry has no other engine to ask. The agent then
 	// refuses the request only if it cannot be served in time.
 	LastCandidate bool `protobuf:"varint,14,opt"`
-	// AwaitLimit means that the request may wait until the engine's limit allows it.
-	// Otherwise the agent refuses it at once while the limit does not.
-	AwaitLimit bool `protobuf:"varint,15,opt"`
+	// MaxLimitWait is how long the request may wait until the engine's limit allows it. The
+	// agent refuses it at once if that would take longer.
+	MaxLimitWait span.Duration `protobuf:"varint,15,opt"`
 	// Limit is what the engine said of its limit to the entry; nil if it named none.
 	Limit *advert.LimitReport `protobuf:"bytes,16,opt"`
 }
