--- a/entry/direct/notice.go
+++ b/entry/direct/notice.go
@@ -78,10 +78,10 @@
 
 // refuseUntil refuses the request until an opening.
 func (j *job) refuseUntil(opening view.Opening) *chain.Refusal {
-	code, message := "endpoints_paused", "no endpoint wants requests now"
+	code, message, counter := "endpoints_paused", "no endpoint wants requests now", "paused_refused"
 	if opening.Limited {
-		code, message = "endpoints_limited", "the endpoints take no more requests now"
+		code, message, counter = "endpoints_limited", "the endpoints take no more requests now", "limited_refused"
 	}
-	j.filter.Host.Meter.Add(code, 1)
+	j.filter.Host.Meter.Add(counter, 1)
 	return chain.Refuse(http.StatusServiceUnavailable, code, message).WithRetryAfter(j.spreadWait(opening))
 }
