entry/hedge: hedge late requests of idempotent routes, off by default

A few slow answers of one endpoint dominate the upper percentiles of requests that may run more than once.

--- a/ctrl/quota/account.go
+++ b/ctrl/quota/account.go
@@ -100,6 +100,11 @@
 // held returns the number of tokens outside the bucket that may still be granted or spent.
 func (a *account) held() int64 { return a.pending + a.reserve + a.outstanding }
 
+// freeShare returns the part of the burst that is neither granted nor spent.
+func (a *account) freeShare() float64 {
+	return float64(a.bucket.Level()+a.pending+a.reserve) / float64(max(a.bucket.Burst(), 1))
+}
+
 // advance accrues tokens up to now. A grant that expires in between frees its capacity in
 // the bucket only from its expiry on.
 func (a *account) advance(now time.Time) {
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/tanagerspindle/tanagerspindle/entry/finder"
 	"github.com/tanagerspindle/tanagerspindle/entry/front"
 	"github.com/tanagerspindle/tanagerspindle/entry/guard"
+	"github.com/tanagerspindle/tanagerspindle/entry/hedge"
 	"github.com/tanagerspindle/tanagerspindle/entry/limit"
 	"github.com/tanagerspindle/tanagerspindle/entry/match"
 	"github.com/tanagerspindle/tanagerspindle/entry/once"
@@ -100,6 +101,9 @@
 	// RetryBudget is the fleet's retry budget per service; zero means budget.Default.
 	// Control must be set to the same budget.
 	RetryBudget budget.Limit
+	// HedgeShare is the largest share of the requests for a service that are hedged, for
+	// services whose configuration sets none; zero hedges none of them.
+	HedgeShare float64
 	// BootTime is the boot clock for clock.SuspendDetector; nil means that a suspension of
 	// the VM is not detected.
 	BootTime func() time.Time
@@ -221,7 +225,8 @@
 	e.view.Position = func() (index, count int) { return e.feed.Position() }
 	e.direct = &direct.Filter{
 		Host: d.Host, Endpoints: e.view, Send: d.Send, Budget: retryBudget, ShutdownTime: e.drain.ExitTime,
-		Agents: &pool.Pool{Dial: d.Host.Dial, DialTimeout: agentDialTimeout},
+		Agents:     &pool.Pool{Dial: d.Host.Dial, DialTimeout: agentDialTimeout},
+		HedgeShare: d.HedgeShare, Hedges: &hedge.Policy{OnThreshold: d.setHedgeThreshold},
 	}
 	e.origins = &finder.Finder{Host: d.Host, Agents: e.direct.Agents, Addresses: e.view.Agents, Needed: e.view.MixesSoftware}
 	e.direct.RecordOrigin, e.direct.FindOrigin = e.origins.Record, e.origins.Find
@@ -252,7 +257,7 @@
 	e.limit = &limit.Limiter{
 		Host: d.Host, Incarnation: incarnation, Config: e.feed.Config, Grant: e.grant, BootTime: d.BootTime, RetryLimit: retryBudget.Limit,
 	}
-	retryBudget.Report, retryBudget.Lease = e.limit.ReportRequest, e.limit.AcquireRetry
+	retryBudget.Report, retryBudget.Lease, retryBudget.LeaseHedge = e.limit.ReportRequest, e.limit.AcquireRetry, e.limit.AcquireHedge
 	if d.Send != nil {
 		e.limit.EntryCount = e.feed.KnownEntries
 	}
@@ -275,6 +280,12 @@
 	})
 }
 
+// setHedgeThreshold shows the time after which requests of a route are hedged, in
+// microseconds; 0 means that it is not known.
+func (d *Daemon) setHedgeThreshold(service, route string, threshold time.Duration) {
+	d.Host.Meter.Set("hedge_threshold_us_"+service+"_"+route, threshold.Microseconds())
+}
+
 // entryCount returns the number of entries that control knows of, 0 while it is not
 // known.
 func (e *entry) entryCount() int { return e.feed.KnownEntries() }
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -69,20 +69,25 @@
 	case verdictBroken:
 		return j.handleBroken(ctx, attemptCtx, t, err)
 	case verdictComplete, verdictFailed:
-		j.filter.Endpoints.RecordAnswer(t.endpoint.Name, time.Since(sent), verdict == verdictFailed, time.Now())
-		if verdict == verdictComplete && j.request.Suspect && j.filter.OnSuspectCleared != nil {
-			j.filter.OnSuspectCleared(j.request.Digest)
-		}
-		if verdict == verdictComplete {
-			j.recordAnswered()
-		}
-		if verdict == verdictComplete && j.adapterKey() != "" {
-			j.filter.Endpoints.MarkResident(t.endpoint.Name, j.adapterKey(), time.Now())
-		}
+		j.recordAnswer(t, verdict, time.Since(sent))
 	}
 	return verdict, err
 }
 
+// recordAnswer records a complete answer of an endpoint, which may be an error answer.
+func (j *job) recordAnswer(t *target, verdict verdict, latency time.Duration) {
+	j.filter.Endpoints.RecordAnswer(t.endpoint.Name, latency, verdict == verdictFailed, time.Now())
+	if verdict == verdictComplete && j.request.Suspect && j.filter.OnSuspectCleared != nil {
+		j.filter.OnSuspectCleared(j.request.Digest)
+	}
+	if verdict == verdictComplete {
+		j.recordAnswered()
+	}
+	if verdict == verdictComplete && j.adapterKey() != "" {
+		j.filter.Endpoints.MarkResident(t.endpoint.Name, j.adapterKey(), time.Now())
+	}
+}
+
 // newCall describes the attempt at the target, with the caller's remaining time
 // and, for a resumed stream, the last event that the caller has received. sent is
 // when the attempt is sent.
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -19,6 +19,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/entry/crash"
+	"github.com/tanagerspindle/tanagerspindle/entry/hedge"
 	"github.com/tanagerspindle/tanagerspindle/entry/pool"
 	"github.com/tanagerspindle/tanagerspindle/entry/retry"
 	"github.com/tanagerspindle/tanagerspindle/entry/shares"
@@ -127,6 +128,10 @@
 	Agents *pool.Pool
 	// Budget limits retries.
 	Budget *retry.Budget
+	// Hedges decides on second attempts of requests whose answers are late; nil makes none.
+	// HedgeShare is the limit on them for services that set none.
+	Hedges     *hedge.Policy
+	HedgeShare float64
 	// Send sends a call and returns the head of the answer. An error is an
 	// *httpc.Error; httpc.KindDial means that nothing was sent.
 	Send func(ctx context.Context, c *Call) (*Answer, error)
@@ -204,6 +209,7 @@
 	}
 	service := f.service(&r.Route)
 	f.Budget.RecordRequest(service)
+	f.recordHedgeable(service, r, time.Now())
 	if f.runsToCompletion(r) {
 		// A request that must not run twice is completed although its caller
 		// has disconnected.
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -56,6 +56,8 @@
 	// known. It has only a service and a software version if another attempt of the caller
 	// brought that event.
 	origin *advert.Record
+	// hedged reports that a hedge of the request was considered.
+	hedged bool
 	// waited is how long the request has waited until an endpoint may get requests again.
 	waited time.Duration
 	// retryAfter is the shortest retry delay that an agent reported, 0 if none
@@ -128,7 +130,16 @@
 			continue
 		}
 		paid = false
-		verdict, err := j.attempt(ctx, target)
+		var (
+			verdict verdict
+			err     error
+		)
+		last := target.endpoint
+		if j.hedgeShares().Enabled() {
+			last, verdict, err = j.race(ctx, target)
+		} else {
+			verdict, err = j.attempt(ctx, target)
+		}
 		target.release()
 		switch verdict {
 		case verdictComplete:
@@ -136,7 +147,7 @@
 		case verdictCallerGone:
 			return chain.Canceled(ctx, j.ran)
 		}
-		j.recordFailure(target.endpoint, verdict, err)
+		j.recordFailure(last, verdict, err)
 		if !j.mayRetry(verdict) {
 			return j.fail(ctx, j.refuse("endpoint_failed", "the request failed at its endpoint", failedRetryAfter))
 		}
--- a/entry/limit/loop.go
+++ b/entry/limit/loop.go
@@ -139,6 +139,7 @@
 // addGrant adds a grant to the share; minTokens is the minimum that was requested.
 func (l *Limiter) addGrant(s *share, sent, now time.Time, grant *plane.Grant, minTokens int64) {
 	s.fleetDemand = grant.DemandRatio
+	s.freeShare, s.freeShareAt = grant.FreeShare, now
 	s.refillAt, s.refillTokens = time.Time{}, 0
 	s.nextRequestAt = now.Add(minPollInterval)
 	if grant.Tokens > 0 {
--- a/entry/limit/retry.go
+++ b/entry/limit/retry.go
@@ -12,6 +12,17 @@
 // a few milliseconds.
 const retryTokenTimeout = 50 * time.Millisecond
 
+const (
+	// minHedgeFreeShare is how much of a retry budget must be free for a hedge. The rest
+	// is for retries after failures, which may come all at once.
+	minHedgeFreeShare = 0.5
+	// freeShareTime is how long control's last statement of the free part is used. While
+	// too little is free, an entry asks for the lease of a hedge once in that time.
+	freeShareTime = 500 * time.Millisecond
+	// hedgeQueueDelay places hedges behind all retries that wait for tokens.
+	hedgeQueueDelay = time.Second
+)
+
 // ReportRequest counts a request to a service, by which the service's retry budget
 // grows at control. It returns false, and counts nothing, while control does not
 // answer.
@@ -40,10 +51,7 @@
 	if cutOff {
 		return false
 	}
-	until := now.Add(retryTokenTimeout)
-	w := &waiter{
-		tokens: budget.TokensPerRetry, class: call.ClassInteractive, queueTime: until, deadline: until, opaque: true, done: make(chan error, 1),
-	}
+	w := retryWaiter(now)
 	reserved, err := l.wait(ctx, budget.Account(service), w)
 	if err != nil {
 		return false
@@ -52,6 +60,53 @@
 	return true
 }
 
+// retryWaiter returns a waiter for one retry.
+func retryWaiter(now time.Time) *waiter {
+	until := now.Add(retryTokenTimeout)
+	return &waiter{
+		tokens: budget.TokensPerRetry, class: call.ClassInteractive, queueTime: until, deadline: until, opaque: true, done: make(chan error, 1),
+	}
+}
+
+// AcquireHedge takes one retry to a service for a hedge, if control states that most of
+// the retry budget is free after it. reached reports whether control answers; while it
+// does not, no hedge is available.
+func (l *Limiter) AcquireHedge(ctx context.Context, service string) (leased, reached bool) {
+	now := time.Now()
+	l.mutex.Lock()
+	if l.isCutOff(now) {
+		l.mutex.Unlock()
+		return false, false
+	}
+	s := l.share(budget.Account(service))
+	known := now.Sub(s.freeShareAt) < freeShareTime
+	if s.isShort(now) || len(s.waiters) > 0 || known && s.freeShare < minHedgeFreeShare {
+		l.mutex.Unlock()
+		return false, true
+	}
+	w := retryWaiter(now)
+	w.queueTime = w.queueTime.Add(hedgeQueueDelay)
+	if !known {
+		// Only a grant tells how much is free, so the tokens held here do not suffice.
+		w.keepFree = s.available(now)
+	}
+	l.mutex.Unlock()
+	reserved, err := l.wait(ctx, budget.Account(service), w)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now = time.Now()
+	if err != nil {
+		return false, !l.isCutOff(now)
+	}
+	if now.Sub(s.freeShareAt) >= freeShareTime || s.freeShare < minHedgeFreeShare {
+		s.giveBack(now, reserved, reserved.total)
+		l.serveWaiters(s, now)
+		return false, true
+	}
+	reserved.use(now, reserved.total)
+	return true, true
+}
+
 // isCutOff reports whether control has left a GrantRequest unanswered for too long. The
 // caller holds the mutex.
 func (l *Limiter) isCutOff(now time.Time) bool {
--- a/entry/limit/share.go
+++ b/entry/limit/share.go
@@ -45,6 +45,9 @@
 	// fleetDemand is the whole fleet's demand for tokens divided by the rate, in
 	// seconds.
 	fleetDemand float64
+	// freeShare is the part of the burst that no entry held as of freeShareAt.
+	freeShare   float64
+	freeShareAt time.Time
 	// recentTokens is the decayed use over recentWindow, as of recentAt.
 	recentTokens float64
 	recentAt     time.Time
--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -36,6 +36,9 @@
 	// Lease takes one retry for a service from the fleet's retry budget at
 	// control and reports whether one was available.
 	Lease func(ctx context.Context, service string) bool
+	// LeaseHedge takes one retry for a hedge, which is available only while most of the
+	// fleet's retry budget is free, and reports whether control answers. Nil leases none.
+	LeaseHedge func(ctx context.Context, service string) (leased, reached bool)
 	// EntryCount returns the number of entries among which Limit is divided
 	// while control is unreachable, or 0 if that is unknown.
 	EntryCount func() int
@@ -59,6 +62,9 @@
 	// SourceLocal is the entry's share of the requests that it received while
 	// control was unreachable.
 	SourceLocal Source = "own"
+	// SourceUnreachable means that a hedge must not be sent because control does not
+	// answer.
+	SourceUnreachable Source = "unreachable"
 )
 
 // RecordRequest counts a request for a service.
@@ -88,3 +94,20 @@
 	b.local[service]--
 	return SourceLocal
 }
+
+// SpendHedge takes one retry for a hedge from the fleet's retry budget and returns its
+// source: SourcePool, or SourceNone or SourceUnreachable if the hedge must not be sent.
+// Hedges have no source without control.
+func (b *Budget) SpendHedge(ctx context.Context, service string) Source {
+	if b.LeaseHedge == nil {
+		return SourceUnreachable
+	}
+	leased, reached := b.LeaseHedge(ctx, service)
+	switch {
+	case leased:
+		return SourcePool
+	case reached:
+		return SourceNone
+	}
+	return SourceUnreachable
+}
--- a/entry/view/view.go
+++ b/entry/view/view.go
@@ -78,6 +78,8 @@
 	record advert.Record
 	// inFlight counts this entry's requests at the endpoint.
 	inFlight int
+	// mean is the moving average of inFlight.
+	mean meanCount
 	// load is the load last reported by the endpoint's agent, in thousandths.
 	load     int64
 	loadTime time.Time
@@ -198,11 +200,11 @@
 	if e == nil {
 		return func() {}
 	}
-	e.inFlight++
+	e.countInFlight(1)
 	return func() {
 		es.mutex.Lock()
 		defer es.mutex.Unlock()
-		e.inFlight--
+		e.countInFlight(-1)
 	}
 }
 
--- a/pkg/conf/check.go
+++ b/pkg/conf/check.go
@@ -44,6 +44,7 @@
 	}
 	for _, name := range sorted(c.Services) {
 		k.checkRecord("services", name)
+		k.checkHedgeShare(c.Services[name].HedgeShare, "services", name, "hedge")
 	}
 	k.checkWeights(c.Weights)
 	k.checkServicePaths()
--- a/pkg/conf/config.go
+++ b/pkg/conf/config.go
@@ -151,6 +151,11 @@
 	// How long callers of an opaque route wait for the first or the next event of a
 	// stream before they disconnect. 0 means as long as the route's timeout.
 	EventTimeout span.Duration `protobuf:"varint,24,opt" json:"silence"`
+	// Maximum share of the requests of an opaque route, over ten seconds, that are
+	// sent to a second endpoint because the first one is slow (hedged). 0 sets no limit
+	// for the route; its requests are then hedged only if their service has a share.
+	// Only for idempotent routes without streams that allow two attempts.
+	HedgeShare float64 `protobuf:"fixed64,25,opt" json:"hedge"`
 }
 
 // TrafficShare is one service's share of the requests of a split route.
@@ -171,6 +176,11 @@
 	MaxConnections int32 `protobuf:"varint,2,opt" json:"conns"`
 	// Description of the service's model engines; nil for a plain service.
 	Engine *Engine `protobuf:"bytes,3,opt" json:"engine"`
+	// Maximum share of the requests for the service, over ten seconds, that are sent to
+	// a second endpoint because the first one is slow (hedged). Applies to idempotent
+	// routes without streams that allow two attempts. 0 sets no limit for the service;
+	// its requests are then hedged only on routes that have a share.
+	HedgeShare float64 `protobuf:"fixed64,4,opt" json:"hedge"`
 }
 
 // Engine describes the model engines of a service.
--- a/pkg/conf/opaque.go
+++ b/pkg/conf/opaque.go
@@ -17,10 +17,21 @@
 		k.fail([]string{"routes", name, "attempts"}, "must be at least 1")
 	}
 	k.checkOpaqueServices(name, r)
+	k.checkHedgeShare(r.HedgeShare, "routes", name, "hedge")
+	if r.HedgeShare > 0 && (!r.Idempotent || r.Stream || r.Attempts < 2) {
+		k.fail([]string{"routes", name, "hedge"}, "only for routes with \"repeat\", without \"stream\" and with \"attempts\" of at least 2")
+	}
 	k.checkAbsent(name, RouteService, map[string]bool{"methods": len(r.Methods) > 0, "once": r.AtMostOnce})
 	k.checkAbsent(name, RouteModel, map[string]bool{"name": r.Name != "", "adapter": r.Adapter != ""})
 }
 
+// checkHedgeShare checks a maximum share of hedged requests.
+func (k *checker) checkHedgeShare(share float64, path ...string) {
+	if !(share >= 0 && share <= 1) {
+		k.fail(path, "must be a share of the requests from 0 to 1, for example 0.05")
+	}
+}
+
 // checkOpaqueServices checks the services that an opaque route leads to.
 func (k *checker) checkOpaqueServices(name string, r Route) {
 	if len(r.Split) == 0 {
--- a/pkg/conf/route.go
+++ b/pkg/conf/route.go
@@ -34,6 +34,7 @@
 	}
 	if r.Kind != RouteOpaque {
 		k.checkRouteWorkspaces(name, r)
+		k.checkAbsent(name, RouteOpaque, map[string]bool{"hedge": r.HedgeShare != 0})
 	}
 	k.checkObjective(r.Objective, "routes", name, "goal")
 	if r.ReplayWindow < 0 || r.ReplayWindow.Std() > maxReplayWindow {
--- a/pkg/event/share.go
+++ b/pkg/event/share.go
@@ -20,9 +20,9 @@
 			return successShare
 		}
 		return refusalShare
-	case isEvent(line, "admitted"), isEvent(line, "engine-ordered"), isEvent(line, "stream-ended"):
+	case isEvent(line, "admitted"), isEvent(line, "engine-ordered"), isEvent(line, "stream-ended"), isEvent(line, "hedge-sent"), isEvent(line, "hedge-ended"):
 		return successShare
-	case isEvent(line, "admission-refused"), isEvent(line, "attempt-failed"), isEvent(line, "agent-unreachable"), isEvent(line, "repeat"), isEvent(line, "prompt-refused"):
+	case isEvent(line, "admission-refused"), isEvent(line, "attempt-failed"), isEvent(line, "agent-unreachable"), isEvent(line, "repeat"), isEvent(line, "prompt-refused"), isEvent(line, "hedge-denied"):
 		return refusalShare
 	}
 	return 1
--- a/pkg/plane/quota.go
+++ b/pkg/plane/quota.go
@@ -77,4 +77,8 @@
 	// rate. If it is far above 1, an entry refuses requests instead of letting them
 	// wait.
 	DemandRatio float64 `protobuf:"fixed64,8,opt"`
+	// FreeShare is the part of the account's burst that no entry holds after this
+	// grant. Hedges are sent only while it is large. A replica that does not state it
+	// leaves it at 0.
+	FreeShare float64 `protobuf:"fixed64,9,opt"`
 }
