--- a/entry/hedge/latency.go
+++ b/entry/hedge/latency.go
@@ -45,7 +45,7 @@
 	case h.current == nil || age >= 2*periodTime:
 		h.current, h.former, h.began = newHistogram(), nil, now
 	case age >= periodTime:
-		h.current, h.former, h.began = newHistogram(), h.current, now
+		h.current, h.former, h.began = newHistogram(), h.current, h.began.Add(periodTime)
 	}
 }
 
