--- a/ctrl/quota/quota_test.go
+++ b/ctrl/quota/quota_test.go
@@ -253,6 +253,24 @@
 	}
 }
 
+// The stated free share is that of the tokens that no entry holds. Hedges stop by it before
+// the pool is empty.
+func TestGrantStatesTheFreeShare(t *testing.T) {
+	runCluster(t, conf.Workspace{Rate: 100, Burst: 200}, 1, func(c *cluster) {
+		seq := uint64(0)
+		request := func(tokens int64) plane.Grant {
+			seq++
+			tokenRequest := plane.TokenRequest{Workspace: budget.Account("desk"), WantedTokens: tokens, MinTokens: tokens}
+			return c.replicas[c.leader].Grant(c.t.Context(), &plane.GrantRequest{Entry: "e", Incarnation: 1, Seq: seq, TokenRequests: []plane.TokenRequest{tokenRequest}}).Grants[0]
+		}
+		require.Zero(c.t, request(1000).FreeShare, "a pool starts empty")
+		time.Sleep(20 * time.Second)
+		for taken := 1; taken <= 6; taken++ {
+			require.InDelta(c.t, 1-float64(taken)/6, request(1000).FreeShare, 0.02)
+		}
+	})
+}
+
 // A retry pool accrues before its first use, starts empty unless a record shows its level,
 // and is removed with its service.
 func TestRetryBudgetPools(t *testing.T) {
--- a/entry/direct/hedge.go
+++ b/entry/direct/hedge.go
@@ -49,6 +49,17 @@
 	// target is the endpoint that gets the hedge; nil if cause says why it gets none.
 	target *target
 	cause  hedge.Cause
+	// settle states whether the repeat that the hedge takes was used.
+	settle func(sent bool)
+}
+
+// drop undoes the preparation of a hedge that is not sent.
+func (p *hedgePlan) drop(policy *hedge.Policy) {
+	policy.GiveBack(&p.question, p.decided)
+	if p.target != nil {
+		p.target.release()
+		p.settle(false)
+	}
 }
 
 // decideHedge decides whether the late request may be sent to a second endpoint. The
@@ -108,9 +119,10 @@
 			return
 		}
 	}
-	switch j.filter.Budget.SpendHedge(ctx, j.service) {
+	source, settle := j.filter.Budget.SpendHedge(ctx, j.service)
+	switch source {
 	case retry.SourcePool:
-		plan.target = target
+		plan.target, plan.settle = target, settle
 		return
 	case retry.SourceNone:
 		plan.cause = hedge.CauseBudget
--- a/entry/direct/race.go
+++ b/entry/direct/race.go
@@ -157,10 +157,7 @@
 		select {
 		case r.plans <- plan:
 		case <-r.over:
-			policy.GiveBack(&plan.question, plan.decided)
-			if plan.target != nil {
-				plan.target.release()
-			}
+			plan.drop(policy)
 		}
 	}()
 }
@@ -178,15 +175,13 @@
 		plan.cause = hedge.CauseEndpoint
 	}
 	if plan.cause != hedge.CauseNone {
-		j.filter.Hedges.GiveBack(&plan.question, plan.decided)
-		if plan.target != nil {
-			plan.target.release()
-		}
+		plan.drop(j.filter.Hedges)
 		j.recordHedgeDenied(r.first, plan)
 		return
 	}
 	// The hedge takes over from the watchdog: the first answer may still come.
 	r.first.watchdog.stop()
+	plan.settle(true)
 	r.second = r.start(plan.target, true)
 	j.recordHedgeSent(r.first, r.second, plan)
 }
--- a/entry/hedge/hedge.go
+++ b/entry/hedge/hedge.go
@@ -25,9 +25,10 @@
 
 const (
 	// quantile is the share of a route's recent answers that are faster than the
-	// threshold, in percent. About one answer in twenty is slower, which is the
-	// extra work that hedging costs if nothing else limits it.
-	quantile = 95
+	// threshold, in percent. While all endpoints are as usual, one request in fifty is
+	// late. With one in twenty, these used up the operators' limit, and there was
+	// nothing left of it for a slow endpoint.
+	quantile = 98
 	// minThreshold is the shortest threshold. Below it, a new connection, the
 	// lease of a repeat from control or a delay in scheduling costs as much as
 	// the answer.
--- a/entry/hedge/latency.go
+++ b/entry/hedge/latency.go
@@ -16,7 +16,7 @@
 	// minAnswers is how many answers of an endpoint must be known for its quantile, and
 	// minRouteAnswers how many of a route for the quantile of all its endpoints, of which
 	// some may be slow.
-	minAnswers      = 40
+	minAnswers      = 50
 	minRouteAnswers = 100
 	// maxEndpoints bounds the endpoints of a route whose latencies are kept apart; answers
 	// of further ones count for the route only. A histogram takes about 2 KB.
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -342,3 +342,152 @@
 		require.False(t, l.AcquireRetry(context.Background(), "desk"), "no overdraft")
 	})
 }
+
+// poolGrant is a fake control with a pool of retries that states how much of it is free.
+type poolGrant struct {
+	mutex        sync.Mutex
+	free, burst  int64
+	unresponsive bool
+	// stateless leaves the free share out, as an earlier version of control does.
+	stateless bool
+}
+
+func (p *poolGrant) set(free int64) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.free = free
+}
+
+func (p *poolGrant) grant(request *plane.GrantRequest) (*plane.GrantReply, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.unresponsive {
+		return nil, context.DeadlineExceeded
+	}
+	reply := &plane.GrantReply{}
+	for _, item := range request.TokenRequests {
+		p.free += item.UnusedTokens
+		given := plane.Grant{Workspace: item.Workspace, LeaseID: 1, Lifetime: span.Duration(300 * time.Millisecond)}
+		switch {
+		case item.WantedTokens == 0:
+		case p.free >= item.MinTokens:
+			given.Tokens = min(item.WantedTokens, p.free)
+			p.free -= given.Tokens
+		default:
+			given.Wait = span.Duration(time.Second)
+		}
+		if !p.stateless {
+			given.FreeShare = float64(p.free) / float64(p.burst)
+		}
+		reply.Grants = append(reply.Grants, given)
+	}
+	return reply, nil
+}
+
+// A hedge gets a retry only while half of the pool stays free after it. Without that, late
+// answers would take the retries that a failure of endpoints needs a moment later. While
+// too little is free, an entry asks at most twice a second.
+func TestHedgesAreLeasedOnlyFromAWellFilledPool(t *testing.T) {
+	pool := &poolGrant{free: 20 * budget.TokensPerRetry, burst: 20 * budget.TokensPerRetry}
+	withLimiter(t, pool.grant, func(l *limit.Limiter, c *fakeControl) {
+		l.RetryLimit = budget.Limit{Ratio: 0.2, Slack: 86, Window: 10 * time.Second}
+		acquired := 0
+		for range 100 {
+			settle, reached := l.AcquireHedge(context.Background(), "desk")
+			require.True(t, reached)
+			if settle != nil {
+				settle(true)
+				acquired++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.InDelta(t, 10, acquired, 1, "half of the pool")
+		for range 9 {
+			require.True(t, l.AcquireRetry(context.Background(), "desk"), "the rest is for retries")
+		}
+		pool.set(0)
+		time.Sleep(time.Second)
+		c.mutex.Lock()
+		before := len(c.requests)
+		c.mutex.Unlock()
+		for range 200 {
+			settle, reached := l.AcquireHedge(context.Background(), "desk")
+			require.Nil(t, settle)
+			require.True(t, reached)
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.mutex.Lock()
+		require.LessOrEqual(t, len(c.requests)-before, 10, "two a second, and what returns and reports tokens")
+		c.mutex.Unlock()
+		pool.set(20 * budget.TokensPerRetry)
+		time.Sleep(600 * time.Millisecond)
+		settle, _ := l.AcquireHedge(context.Background(), "desk")
+		require.NotNil(t, settle, "the pool has filled")
+	})
+}
+
+// The retry of a hedge that is not sent, because the first answer came meanwhile, is
+// returned. Most late answers come soon after the threshold, and each would cost a retry.
+func TestRetryOfAnUnsentHedgeIsReturned(t *testing.T) {
+	pool := &poolGrant{free: 20 * budget.TokensPerRetry, burst: 20 * budget.TokensPerRetry}
+	withLimiter(t, pool.grant, func(l *limit.Limiter, _ *fakeControl) {
+		l.RetryLimit = budget.Limit{Ratio: 0.2, Slack: 86, Window: 10 * time.Second}
+		for range 100 {
+			settle, _ := l.AcquireHedge(context.Background(), "desk")
+			require.NotNil(t, settle)
+			settle(false)
+			time.Sleep(50 * time.Millisecond)
+		}
+		// What was leased in advance returns within two seconds.
+		time.Sleep(2 * time.Second)
+		pool.mutex.Lock()
+		defer pool.mutex.Unlock()
+		require.EqualValues(t, 20*budget.TokensPerRetry, pool.free)
+	})
+}
+
+// A retry that an entry holds does not suffice for a hedge: how much is free may have
+// changed since control granted it. The retry stays for a failure.
+func TestHedgeIsNotTakenFromAHeldRetry(t *testing.T) {
+	pool := &poolGrant{free: 20 * budget.TokensPerRetry, burst: 20 * budget.TokensPerRetry}
+	withLimiter(t, pool.grant, func(l *limit.Limiter, _ *fakeControl) {
+		l.RetryLimit = budget.Limit{Ratio: 0.2, Slack: 86, Window: 10 * time.Second}
+		for range 8 {
+			require.True(t, l.AcquireRetry(context.Background(), "desk"))
+			time.Sleep(20 * time.Millisecond)
+		}
+		pool.set(0)
+		time.Sleep(510 * time.Millisecond)
+		settle, reached := l.AcquireHedge(context.Background(), "desk")
+		require.Nil(t, settle)
+		require.True(t, reached)
+	})
+}
+
+// Without control there is no hedge, and none with a control that does not state how much
+// is free; retries are leased from that as before.
+func TestNoHedgesWithoutControl(t *testing.T) {
+	pool := &poolGrant{free: 20 * budget.TokensPerRetry, burst: 20 * budget.TokensPerRetry, stateless: true}
+	withLimiter(t, pool.grant, func(l *limit.Limiter, c *fakeControl) {
+		l.RetryLimit = budget.Limit{Ratio: 0.2, Slack: 86, Window: 10 * time.Second}
+		settle, reached := l.AcquireHedge(context.Background(), "desk")
+		require.Nil(t, settle)
+		require.True(t, reached)
+		require.True(t, l.AcquireRetry(context.Background(), "desk"))
+		pool.mutex.Lock()
+		pool.unresponsive = true
+		pool.mutex.Unlock()
+		c.entries.Store(1)
+		time.Sleep(2 * time.Second)
+		for range 20 {
+			started := time.Now()
+			settle, _ := l.AcquireHedge(context.Background(), "desk")
+			require.Nil(t, settle)
+			require.LessOrEqual(t, time.Since(started), 50*time.Millisecond)
+			time.Sleep(100 * time.Millisecond)
+		}
+		settle, reached = l.AcquireHedge(context.Background(), "desk")
+		require.Nil(t, settle)
+		require.False(t, reached)
+	})
+}
--- a/entry/limit/retry.go
+++ b/entry/limit/retry.go
@@ -69,20 +69,21 @@
 }
 
 // AcquireHedge takes one retry to a service for a hedge, if control states that most of
-// the retry budget is free after it. reached reports whether control answers; while it
-// does not, no hedge is available.
-func (l *Limiter) AcquireHedge(ctx context.Context, service string) (leased, reached bool) {
+// the retry budget is free after it. The caller states by settle whether it has sent the
+// hedge; settle is nil if no retry is available. reached reports whether control answers;
+// while it does not, none is.
+func (l *Limiter) AcquireHedge(ctx context.Context, service string) (settle func(sent bool), reached bool) {
 	now := time.Now()
 	l.mutex.Lock()
 	if l.isCutOff(now) {
 		l.mutex.Unlock()
-		return false, false
+		return nil, false
 	}
 	s := l.share(budget.Account(service))
 	known := now.Sub(s.freeShareAt) < freeShareTime
 	if s.isShort(now) || len(s.waiters) > 0 || known && s.freeShare < minHedgeFreeShare {
 		l.mutex.Unlock()
-		return false, true
+		return nil, true
 	}
 	w := retryWaiter(now)
 	w.queueTime = w.queueTime.Add(hedgeQueueDelay)
@@ -96,15 +97,27 @@
 	defer l.mutex.Unlock()
 	now = time.Now()
 	if err != nil {
-		return false, !l.isCutOff(now)
+		return nil, !l.isCutOff(now)
 	}
 	if now.Sub(s.freeShareAt) >= freeShareTime || s.freeShare < minHedgeFreeShare {
 		s.giveBack(now, reserved, reserved.total)
 		l.serveWaiters(s, now)
-		return false, true
+		return nil, true
+	}
+	return func(sent bool) { l.settleHedge(reserved, sent) }, true
+}
+
+// settleHedge records the retry of a hedge as used, or returns it if the hedge was not sent.
+func (l *Limiter) settleHedge(reserved *reservation, sent bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := time.Now()
+	if !sent {
+		reserved.share.giveBack(now, reserved, reserved.total)
+		l.serveWaiters(reserved.share, now)
+		return
 	}
 	reserved.use(now, reserved.total)
-	return true, true
 }
 
 // isCutOff reports whether control has left a GrantRequest unanswered for too long. The
--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -37,8 +37,10 @@
 	// control and reports whether one was available.
 	Lease func(ctx context.Context, service string) bool
 	// LeaseHedge takes one retry for a hedge, which is available only while most of the
-	// fleet's retry budget is free, and reports whether control answers. Nil leases none.
-	LeaseHedge func(ctx context.Context, service string) (leased, reached bool)
+	// fleet's retry budget is free, and reports whether control answers. settle states
+	// whether the hedge was sent; it is nil if none is available. A nil LeaseHedge leases
+	// none.
+	LeaseHedge func(ctx context.Context, service string) (settle func(sent bool), reached bool)
 	// EntryCount returns the number of entries among which Limit is divided
 	// while control is unreachable, or 0 if that is unknown.
 	EntryCount func() int
@@ -97,17 +99,18 @@
 
 // SpendHedge takes one retry for a hedge from the fleet's retry budget and returns its
 // source: SourcePool, or SourceNone or SourceUnreachable if the hedge must not be sent.
-// Hedges have no source without control.
-func (b *Budget) SpendHedge(ctx context.Context, service string) Source {
+// Hedges have no source without control. With SourcePool, settle must be called with
+// whether the hedge was sent.
+func (b *Budget) SpendHedge(ctx context.Context, service string) (source Source, settle func(sent bool)) {
 	if b.LeaseHedge == nil {
-		return SourceUnreachable
+		return SourceUnreachable, nil
 	}
-	leased, reached := b.LeaseHedge(ctx, service)
+	settle, reached := b.LeaseHedge(ctx, service)
 	switch {
-	case leased:
-		return SourcePool
+	case settle != nil:
+		return SourcePool, settle
 	case reached:
-		return SourceNone
+		return SourceNone, nil
 	}
-	return SourceUnreachable
+	return SourceUnreachable, nil
 }
--- a/entry/retry/retry_test.go
+++ b/entry/retry/retry_test.go
@@ -189,3 +189,29 @@
 		require.Equal(t, retry.SourceNone, budget.Spend(t.Context(), "s"), "at most one retry is accumulated")
 	}
 }
+
+// A hedge is taken from the pool at control or not at all. A hedge from the entry's own
+// share would use up what a failure needs while control is away.
+func TestHedgesHaveNoLocalBudget(t *testing.T) {
+	b := &retry.Budget{
+		Limit: budget.Default, Report: func(string) bool { return false }, Lease: func(context.Context, string) bool { return false },
+		EntryCount: func() int { return 1 },
+	}
+	settle, reached := func(bool) {}, true
+	spend := func() retry.Source {
+		source, settle := b.SpendHedge(t.Context(), "s")
+		require.Equal(t, source == retry.SourcePool, settle != nil)
+		return source
+	}
+	for range 100 {
+		b.RecordRequest("s")
+	}
+	require.Equal(t, retry.SourceUnreachable, spend())
+	b.LeaseHedge = func(context.Context, string) (func(bool), bool) { return settle, reached }
+	require.Equal(t, retry.SourcePool, spend())
+	settle = nil
+	require.Equal(t, retry.SourceNone, spend())
+	reached = false
+	require.Equal(t, retry.SourceUnreachable, spend())
+	require.Equal(t, retry.SourceLocal, b.Spend(t.Context(), "s"), "a retry is still there")
+}
--- a/entry/view/hedge.go
+++ b/entry/view/hedge.go
@@ -14,6 +14,11 @@
 // that all entries together put on it.
 const meanTime = 2 * time.Second
 
+// slowFactor is how much longer an answer is taken to have needed than the time after which
+// its attempt was cancelled. The attempts that are cancelled are the slow ones, of which
+// the longer they have taken the more is left on average.
+const slowFactor = 2
+
 // meanCount is a moving average of a count over meanTime, as of a time.
 type meanCount struct {
 	mean float64
@@ -100,19 +105,20 @@
 	return busy / slots
 }
 
-// RecordSlowAnswer records an attempt that was cancelled before its answer came. Its
-// latency, the time until then, counts only if it is above the average: the answer would
-// have taken longer.
-func (es *Endpoints) RecordSlowAnswer(name string, latency time.Duration, now time.Time) {
+// RecordSlowAnswer records an attempt that was cancelled after some time, before its answer
+// came. It counts only if that time is above the average. Without it, an endpoint whose
+// slow attempts are cancelled would look fast and get as many requests as before.
+func (es *Endpoints) RecordSlowAnswer(name string, elapsed time.Duration, now time.Time) {
 	es.mutex.Lock()
 	defer es.mutex.Unlock()
 	e := es.byName[name]
-	if e == nil || latency.Seconds() <= e.meanSeconds {
+	if e == nil || elapsed.Seconds() <= e.meanSeconds {
 		return
 	}
+	latency := slowFactor * elapsed.Seconds()
 	if e.meanSeconds == 0 {
-		e.meanSeconds = latency.Seconds()
+		e.meanSeconds = latency
 	}
 	e.lastAnswer = now
-	e.meanSeconds += newestWeight * (latency.Seconds() - e.meanSeconds)
+	e.meanSeconds += newestWeight * (latency - e.meanSeconds)
 }
--- a/pkg/conf/opaque_test.go
+++ b/pkg/conf/opaque_test.go
@@ -1,6 +1,8 @@
 package conf_test
 
 import (
+	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -8,6 +10,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+	"github.com/tanagerspindle/tanagerspindle/pkg/strict"
 )
 
 func opaqueRoute() conf.Route {
@@ -68,3 +71,33 @@
 	require.Empty(t, complete.Source)
 	require.Equal(t, []byte("new"), next.Source)
 }
+
+// A share that is no share, or that stands on a route whose requests are never hedged, is
+// an error with the field's name. Without that, an operator would wait in vain for hedges.
+func TestHedgeShares(t *testing.T) {
+	hedged := func(r *conf.Route) { r.Idempotent, r.Attempts, r.HedgeShare = true, 2, 0.05 }
+	require.NoError(t, configWith(hedged).Check())
+	for name, change := range map[string]func(c *conf.Config, r *conf.Route){
+		"routes.r.hedge: must be a share of the requests from 0 to 1": func(_ *conf.Config, r *conf.Route) { r.HedgeShare = 1.5 },
+		"routes.r.hedge: must be a share":                             func(_ *conf.Config, r *conf.Route) { r.HedgeShare = -0.1 },
+		"routes.r.hedge: must be":                                     func(_ *conf.Config, r *conf.Route) { r.HedgeShare = math.NaN() },
+		`routes.r.hedge: only for routes with "repeat"`:               func(_ *conf.Config, r *conf.Route) { r.Idempotent = false },
+		`routes.r.hedge: only for routes`:                             func(_ *conf.Config, r *conf.Route) { r.Stream = true },
+		`routes.r.hedge: only`:                                        func(_ *conf.Config, r *conf.Route) { r.Attempts = 1 },
+		"services.s.hedge: must be a share of the requests":           func(c *conf.Config, _ *conf.Route) { c.Services["s"] = conf.Service{HedgeShare: 2} },
+		`routes.m.hedge: only for routes of kind "opaque"`: func(c *conf.Config, _ *conf.Route) {
+			c.Workspaces = map[string]conf.Workspace{"w": {Rate: 1, Burst: 1}}
+			c.Routes["m"] = conf.Route{Kind: conf.RouteService, Path: "/m", Service: "s", Workspaces: []string{"w"}, HedgeShare: 0.1}
+		},
+	} {
+		config := configWith(hedged)
+		route := config.Routes["r"]
+		change(config, &route)
+		config.Routes["r"] = route
+		var diagnostics strict.Diagnostics
+		require.ErrorAs(t, config.Check(), &diagnostics, name)
+		require.Len(t, diagnostics, 1, name)
+		require.Contains(t, diagnostics[0].Field+": "+diagnostics.Error(), name[:strings.Index(name, ":")], name)
+		require.Contains(t, diagnostics.Error(), name[strings.Index(name, ": ")+2:], name)
+	}
+}
