--- a/entry/direct/hedge_test.go
+++ b/entry/direct/hedge_test.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -12,11 +16,13 @@
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/entry/crash"
+	"github.com/tanagerspindle/tanagerspindle/entry/direct"
 	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/httpc"
 	"github.com/tanagerspindle/tanagerspindle/pkg/span"
 )
 
@@ -275,3 +281,74 @@
 		})
 	}
 }
+
+// The watchdog cancels a silent first attempt after twice the objective, since another
+// endpoint could take over. Once a hedge has taken over, both attempts go on: cancelled, the
+// first one could not answer any more if the hedge fails.
+func TestWatchdogLeavesAHedgedAttempt(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		r := newRace(3, answer("a", 400*time.Millisecond), answer("b", never))
+		got, err := r.run(t, func(request *chain.Request) {
+			request.Objective = conf.Objective{FirstToken: span.Duration(150 * time.Millisecond)}
+		})
+		require.NoError(t, err)
+		require.Equal(t, "a", got.text)
+	})
+}
+
+// A request is hedged once at most, also if its route allows many attempts: the limits
+// count hedged requests.
+func TestRequestIsHedgedOnce(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		r := newRace(3, failing(reset, 100*time.Millisecond), failing(rejected, time.Millisecond), answer("c", 100*time.Millisecond), answer("d", time.Millisecond))
+		r.filter.Endpoints.Update(endpoints(5))
+		got, err := r.run(t, func(request *chain.Request) { request.Route.Attempts = 5 })
+		require.NoError(t, err)
+		require.Equal(t, "c", got.text)
+		require.Len(t, r.calls, 3)
+	})
+}
+
+func endpoints(count int) map[string][]advert.Record {
+	usable := map[string][]advert.Record{}
+	for i := range count {
+		name := fmt.Sprint("e", i)
+		usable["s"] = append(usable["s"], advert.Record{Name: name, Service: "s", Address: name + ":1", DataCentre: "d", Slots: 4})
+	}
+	return usable
+}
+
+// Replays a grey endpoint: it takes requests and does not answer them. With every loss it
+// is used less. Without that, hedges would hide it, and each third request would be hedged.
+func TestEndpointThatLosesIsUsedLess(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		r := newRace(3)
+		first := map[string]int{}
+		r.filter.Send = func(ctx context.Context, c *direct.Call) (*direct.Answer, error) {
+			if !c.NewConnection {
+				first[c.Endpoint.Name]++
+			}
+			wait := 10 * time.Millisecond
+			if c.Endpoint.Name == "e0" {
+				wait = never
+			}
+			select {
+			case <-ctx.Done():
+				return nil, &httpc.Error{Kind: httpc.KindCancelled, Err: ctx.Err()}
+			case <-time.After(wait):
+				return &direct.Answer{Status: 200, Header: http.Header{}, Authentic: true, Body: io.NopCloser(strings.NewReader("good"))}, nil
+			}
+		}
+		drawn := 0
+		r.filter.Random = func() float64 {
+			drawn++
+			return float64(drawn%10) / 10
+		}
+		for range 90 {
+			_, err := r.run(t, nil)
+			require.NoError(t, err)
+		}
+		require.Positive(t, first["e0"])
+		require.LessOrEqual(t, first["e0"], 10, "a third would be 30")
+	})
+}
--- a/entry/direct/race_test.go
+++ b/entry/direct/race_test.go
@@ -293,6 +293,10 @@
 				request.Write = func(frame *call.Frame) error {
 					// A caller that reads slowly must not keep the loser running.
 					time.Sleep(time.Second)
+					r.mutex.Lock()
+					open := r.open
+					r.mutex.Unlock()
+					require.Equal(t, 1, open, "the loser's answer is dropped before the caller has read the other one")
 					return write(frame)
 				}
 			})
--- a/entry/limit/retry.go
+++ b/entry/limit/retry.go
@@ -16,8 +16,10 @@
 	// minHedgeFreeShare is how much of a retry budget must be free for a hedge. The rest
 	// is for retries after failures, which may come all at once.
 	minHedgeFreeShare = 0.5
-	// freeShareTime is how long control's last statement of the free part is used. While
-	// too little is free, an entry asks for the lease of a hedge once in that time.
+	// freeShareTime is how long a statement of control that too little is free is used, so
+	// that an entry asks for the lease of a hedge at most twice a second while retries
+	// need the budget. It is longer than the life of a lease: what is held here always
+	// comes with a recent statement.
 	freeShareTime = 500 * time.Millisecond
 	// hedgeQueueDelay places hedges behind all retries that wait for tokens.
 	hedgeQueueDelay = time.Second
@@ -87,10 +89,6 @@
 	}
 	w := retryWaiter(now)
 	w.queueTime = w.queueTime.Add(hedgeQueueDelay)
-	if !known {
-		// Only a grant tells how much is free, so the tokens held here do not suffice.
-		w.keepFree = s.available(now)
-	}
 	l.mutex.Unlock()
 	reserved, err := l.wait(ctx, budget.Account(service), w)
 	l.mutex.Lock()
@@ -99,7 +97,7 @@
 	if err != nil {
 		return nil, !l.isCutOff(now)
 	}
-	if now.Sub(s.freeShareAt) >= freeShareTime || s.freeShare < minHedgeFreeShare {
+	if s.freeShare < minHedgeFreeShare {
 		s.giveBack(now, reserved, reserved.total)
 		l.serveWaiters(s, now)
 		return nil, true
