--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -36,6 +36,11 @@
 	// Lease takes one retry for a service from the fleet's retry budget at
 	// control and reports whether one was available.
 	Lease func(ctx context.Context, service string) bool
+	// LeaseHedge takes one retry for a hedge, which is available only while most of the
+	// fleet's retry budget is free, and reports whether control answers. settle states
+	// whether the hedge was sent; it is nil if none is available. A nil LeaseHedge leases
+	// none.
+	LeaseHedge func(ctx context.Context, service string) (settle func(sent bool), reached bool)
 	// EntryCount returns the number of entries among which Limit is divided
 	// while control is unreachable, or 0 if that is unknown.
 	EntryCount func() int
@@ -59,6 +64,9 @@
 	// SourceLocal is the entry's share of the requests that it received while
 	// control was unreachable.
 	SourceLocal Source = "own"
+	// SourceUnreachable means that a hedge must not be sent because control does not
+	// answer.
+	SourceUnreachable Source = "unreachable"
 )
 
 // RecordRequest counts a request for a service.
@@ -88,3 +96,21 @@
 	b.local[service]--
 	return SourceLocal
 }
+
+// SpendHedge takes one retry for a hedge from the fleet's retry budget and returns its
+// source: SourcePool, or SourceNone or SourceUnreachable if the hedge must not be sent.
+// Hedges have no source without control. With SourcePool, settle must be called with
+// whether the hedge was sent.
+func (b *Budget) SpendHedge(ctx context.Context, service string) (source Source, settle func(sent bool)) {
+	if b.LeaseHedge == nil {
+		return SourceUnreachable, nil
+	}
+	settle, reached := b.LeaseHedge(ctx, service)
+	switch {
+	case settle != nil:
+		return SourcePool, settle
+	case reached:
+		return SourceNone, nil
+	}
+	return SourceUnreachable, nil
+}
