Token limits: tokens taken at sending time, burst granted again in each window

With bounds.quota_window_s, requests of opaque routes take their tokens when an attempt is about to be sent, and control's buckets grant the part of the burst beyond one second's rate in each window. Not yet tested beyond the existing tests.

--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -93,6 +93,8 @@
 	// RetryBudget limits the retries to each service over all entries, which use the same
 	// limit; the zero value means budget.Default.
 	RetryBudget budget.Limit
+	// QuotaWindow is quota.Owner.QuotaWindow; zero grants a burst once.
+	QuotaWindow time.Duration
 	// Watch runs alongside the replica and submits the content of the operators' folder with
 	// Fetch and Submit. It must return when ctx ends. Nil disables it.
 	Watch func(ctx context.Context) error
@@ -126,7 +128,7 @@
 		d.machine.OnChange = d.feeds.StateChanged
 		d.quota = &quota.Owner{
 			Host: d.Host, Config: d.committedConfig, CommittedReservation: d.machine.Reservation, Propose: d.commitReservations,
-			BootTime: d.BootTime, RetryLimit: cmp.Or(d.RetryBudget, budget.Default),
+			BootTime: d.BootTime, RetryLimit: cmp.Or(d.RetryBudget, budget.Default), QuotaWindow: d.QuotaWindow,
 		}
 	})
 }
--- a/ctrl/quota/account.go
+++ b/ctrl/quota/account.go
@@ -16,6 +16,16 @@
 type account struct {
 	name   string
 	bucket *bucket.Bucket
+	// refill decides the bucket's limits where the burst is granted again in each window;
+	// otherwise it is nil.
+	refill *refill
+	// basis is the bucket by the limits from which a successor starts; nil while the
+	// account's own bucket has these.
+	basis *basisBucket
+	// blockedUntil is the time until which nothing accrues, since the tokens that the
+	// previous leader's record counts as granted fill the bucket, whatever its capacity
+	// becomes. Zero if they do not.
+	blockedUntil time.Time
 	// pending is the number of tokens taken from the bucket by a record that is not
 	// committed yet.
 	pending int64
@@ -71,21 +81,32 @@
 
 // newAccount returns an account that starts from the committed reservation, which had been
 // appended to the log by the local time appendedBy. All tokens that the reservation holds
-// count as granted. If there is no reservation (known is false), the bucket starts full.
-func newAccount(name string, limits conf.Workspace, reservation state.Reservation, appendedBy time.Time, known bool) *account {
+// count as granted. If there is no reservation (known is false), the bucket starts full. f
+// is the account's refill, or nil.
+func newAccount(name string, limits conf.Workspace, f *refill, reservation state.Reservation, appendedBy time.Time, known bool) *account {
 	now := time.Now()
-	a := &account{name: name, demands: map[string]entryDemand{}, committedLifetime: maxGrantLifetime, proposedLifetime: maxGrantLifetime}
+	a := &account{name: name, refill: f, demands: map[string]entryDemand{}, committedLifetime: maxGrantLifetime, proposedLifetime: maxGrantLifetime}
+	level, from := reservation.Level, appendedBy
 	if !known {
-		a.bucket = bucket.New(limits.Rate, limits.Burst, limits.Burst, now)
-		return a
+		level, from = limits.Burst, now
 	}
-	a.bucket = bucket.New(limits.Rate, limits.Burst, reservation.Level, appendedBy)
-	if reservation.Held > 0 {
+	if f != nil {
+		limits = f.current
+	}
+	a.bucket = bucket.New(limits.Rate, limits.Burst, level, from)
+	if f != nil && f.grown() {
+		a.basis = &basisBucket{bucket: bucket.New(f.basis.Rate, f.basis.Burst, level, from)}
+	}
+	if known && reservation.Held > 0 {
 		ends := reservation.EndsAfter.Std()
 		if ends == 0 {
 			ends = reserveLifetime + maxGrantLifetime
 		}
-		a.addGrant(activeGrant{tokens: reservation.Held, expires: appendedBy.Add(ends + clockDrift)})
+		inherited := activeGrant{tokens: reservation.Held, expires: appendedBy.Add(ends + clockDrift)}
+		a.addGrant(inherited)
+		if f != nil && reservation.Held >= f.basis.Burst {
+			a.blockedUntil = inherited.expires
+		}
 	}
 	return a
 }
@@ -106,12 +127,12 @@
 	for len(a.grants) > 0 && !a.grants[0].expires.After(now) {
 		ended := a.grants[0]
 		a.grants = a.grants[1:]
-		a.bucket.Advance(ended.expires, a.held())
+		a.advanceBuckets(ended.expires)
 		a.outstanding -= ended.tokens
 	}
-	a.bucket.Advance(now, a.held())
+	a.advanceBuckets(now)
 	if a.reserve > 0 && !a.reserveExpires.After(now) {
-		a.bucket.Refund(a.reserve)
+		a.refund(a.reserve)
 		a.reserve = 0
 	}
 	a.settleOverdraft()
@@ -124,7 +145,7 @@
 }
 
 // settleOverdraft takes as much of the overdraft from the bucket as its level allows.
-func (a *account) settleOverdraft() { a.overdraft -= a.bucket.Take(a.overdraft) }
+func (a *account) settleOverdraft() { a.overdraft -= a.take(a.overdraft) }
 
 // grantLifetime returns how long a grant should be valid. Tokens that may still be spent
 // occupy capacity in the bucket, so the lifetime is short when the burst is small.
@@ -260,13 +281,13 @@
 	if (missing <= 0 || !low) && !ending {
 		return state.Reservation{}, false
 	}
-	a.pending = a.bucket.Take(missing)
+	a.pending = a.take(missing)
 	if a.pending == 0 && !ending {
 		return state.Reservation{}, false
 	}
 	a.proposedLifetime = a.grantLifetime()
 	ends := max(reserveLifetime+a.proposedLifetime, a.lastGrantEnd(now))
-	return state.Reservation{Workspace: a.name, Level: a.bucket.Level(), Held: a.held(), EndsAfter: span.Duration(ends)}, true
+	return a.reservation(ends), true
 }
 
 // lastGrantEnd returns how long the grant that expires last may still be spent.
@@ -281,9 +302,9 @@
 // successor starts.
 func (a *account) release(now time.Time) state.Reservation {
 	a.advance(now)
-	a.bucket.Refund(a.reserve + a.pending)
+	a.refund(a.reserve + a.pending)
 	a.reserve, a.pending = 0, 0
-	return state.Reservation{Workspace: a.name, Level: a.bucket.Level(), Held: a.outstanding, EndsAfter: span.Duration(max(a.lastGrantEnd(now), 1))}
+	return a.reservation(max(a.lastGrantEnd(now), 1))
 }
 
 // settle applies the result of a record: on commit the pending tokens become part of the
@@ -292,7 +313,7 @@
 func (a *account) settle(committed bool, proposed time.Time) {
 	if !committed {
 		a.committedLifetime = min(a.committedLifetime, a.proposedLifetime)
-		a.bucket.Refund(a.pending)
+		a.refund(a.pending)
 		a.pending = 0
 		return
 	}
--- a/ctrl/quota/grant.go
+++ b/ctrl/quota/grant.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
-	"github.com/tanagerspindle/tanagerspindle/pkg/budget"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/span"
 )
@@ -160,7 +159,7 @@
 func (o *Owner) creditRequests(name string, requests int64, now time.Time) {
 	o.applyConfig()
 	a := o.loadAccount(name)
-	if _, pool := budget.Service(name); a == nil || !pool {
+	if a == nil || !isPool(name) {
 		return
 	}
 	a.advance(now)
@@ -185,6 +184,7 @@
 			continue
 		}
 		a.advance(now)
+		o.growFor(a, wanted.MinTokens, now)
 		o.lastGrantID++
 		granted, waits := a.grant(o.term<<32|o.lastGrantID&(1<<32-1), request.Entry, wanted, now)
 		reply.Grants[i] = granted
@@ -207,12 +207,13 @@
 		return nil
 	}
 	reservation, appendedBy, known := o.CommittedReservation(name)
-	if _, pool := budget.Service(name); pool && !known {
+	if isPool(name) && !known {
 		// Without a record, the pool starts empty from now on: the previous leader may
 		// just have granted all of it.
 		reservation, appendedBy, known = state.Reservation{}, time.Now(), true
 	}
-	a := newAccount(name, limits, reservation, appendedBy, known)
+	f := o.refillFor(name, limits)
+	a := newAccount(name, limits, f, reservation, appendedBy, known)
 	o.accounts[name] = a
 	return a
 }
--- a/ctrl/quota/quota.go
+++ b/ctrl/quota/quota.go
@@ -76,6 +76,10 @@
 	// RetryLimit limits the retries to each service, and to all endpoints behind agents
 	// together. Retries are granted from pools in the same way as workspaces' tokens.
 	RetryLimit budget.Limit
+	// QuotaWindow is the window in which a workspace may use its rate and its burst: the part
+	// of the burst beyond one second's rate is granted again in each window. Zero grants a
+	// burst once, until the bucket is full again. It is at least a second.
+	QuotaWindow time.Duration
 
 	mutex   sync.Mutex
 	term    uint64
@@ -84,7 +88,9 @@
 	closing bool
 	// accounts are the accounts in use, by workspace name or by the account name of a
 	// service's retry pool.
-	accounts       map[string]*account
+	accounts map[string]*account
+	// refills are the capacities of the workspaces' buckets since the replica leads.
+	refills        map[string]*refill
 	repliesByEntry map[entryKey]*entryReplies
 	// config is the configuration to which the accounts were last updated.
 	config      *conf.Config
@@ -141,6 +147,7 @@
 	}
 	o.term, o.leading = term, leading
 	o.accounts, o.repliesByEntry = map[string]*account{}, map[entryKey]*entryReplies{}
+	o.refills = nil
 	o.endRecord(true)
 }
 
@@ -185,7 +192,7 @@
 	for name, a := range o.accounts {
 		a.advance(now)
 		a.updateUsage()
-		if _, pool := budget.Service(name); !pool && a.idle() {
+		if !isPool(name) && a.idle() {
 			delete(o.accounts, name)
 		}
 	}
@@ -223,8 +230,23 @@
 			continue
 		}
 		a.advance(now)
+		if a.refill != nil {
+			a.refill.setLimits(limits)
+			a.applyRefill(now)
+			continue
+		}
 		a.bucket.SetRate(limits.Rate, limits.Burst)
 	}
+	maps.DeleteFunc(o.refills, func(name string, _ *refill) bool {
+		_, ok := config.Workspaces[name]
+		return !ok
+	})
+}
+
+// isPool reports whether an account is the retry pool of a service.
+func isPool(name string) bool {
+	_, pool := budget.Service(name)
+	return pool
 }
 
 // openPools adds the accounts of all retry pools, so that they accrue before their first
--- a/entry/chain/chain.go
+++ b/entry/chain/chain.go
@@ -146,6 +146,12 @@
 	ReservedTokens int64
 	Extend         func(ctx context.Context) (int64, error)
 
+	// TakeTokens takes the request's tokens from its workspace just before an attempt is sent,
+	// and waits for them for a short time. It returns a function that returns them, to be
+	// called if the attempt provably has not run. Once an attempt may have run, it takes
+	// nothing more. Nil for a request that needs no tokens or has taken them on arrival.
+	TakeTokens func(ctx context.Context) (giveBack func(), err error)
+
 	// Claim is called before an attempt of an at-most-once request is sent, and Void
 	// after an attempt that provably has not run. Both are nil for other requests.
 	Claim func(ctx context.Context, attempt *call.Attempt, agent string) error
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -100,6 +100,9 @@
 	// RetryBudget is the fleet's retry budget per service; zero means budget.Default.
 	// Control must be set to the same budget.
 	RetryBudget budget.Limit
+	// QuotaWindow is limit.Limiter.QuotaWindow; zero takes tokens on arrival. Control must
+	// be set to the same window.
+	QuotaWindow time.Duration
 	// BootTime is the boot clock for clock.SuspendDetector; nil means that a suspension of
 	// the VM is not detected.
 	BootTime func() time.Time
@@ -251,6 +254,7 @@
 	e.direct.QuarantineChanged = func() <-chan struct{} { return e.feed.QuarantineChanged() }
 	e.limit = &limit.Limiter{
 		Host: d.Host, Incarnation: incarnation, Config: e.feed.Config, Grant: e.grant, BootTime: d.BootTime, RetryLimit: retryBudget.Limit,
+		QuotaWindow: d.QuotaWindow,
 	}
 	retryBudget.Report, retryBudget.Lease = e.limit.ReportRequest, e.limit.AcquireRetry
 	if d.Send != nil {
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -61,6 +61,9 @@
 	// retryAfter is the shortest retry delay that an agent reported, 0 if none
 	// did.
 	retryAfter time.Duration
+	// admissionLost is closed when the agent that gave the last admission is lost, and the
+	// admission with it; nil without an admission.
+	admissionLost <-chan struct{}
 }
 
 // verdict classifies the result of an attempt.
@@ -82,8 +85,7 @@
 
 // run makes attempts until one completes, or none may follow.
 func (j *job) run(ctx context.Context) error {
-	// paid reports that the next attempt's retry has been spent.
-	paid := false
+	paid := false // whether the next attempt's retry has been spent
 	if refusal := j.findOrigin(ctx); refusal != nil {
 		return j.fail(ctx, refusal)
 	}
@@ -118,18 +120,27 @@
 				return j.fail(ctx, j.refuse("retry_budget", "too many requests are being repeated", failedRetryAfter))
 			}
 		}
-		// The wait for the admission or the retry may have been long.
+		giveBack, refusal := j.takeTokens(ctx)
+		if giveBack == nil {
+			target.release()
+			if refusal == nil {
+				continue
+			}
+			return j.fail(ctx, refusal)
+		}
+		// The wait for the admission, the retry or the tokens may have been long.
 		if err := j.checkAllowed(ctx); err != nil {
+			giveBack()
 			target.release()
 			return err
 		}
 		if !j.filter.Endpoints.Claim(&target.endpoint, target.admitted, time.Now()) {
+			giveBack()
 			target.release()
 			continue
 		}
 		paid = false
-		verdict, err := j.attempt(ctx, target)
-		target.release()
+		verdict, err := j.attemptOnce(ctx, target, giveBack)
 		switch verdict {
 		case verdictComplete:
 			return nil
@@ -143,6 +154,50 @@
 	}
 }
 
+// attemptOnce makes one attempt and ends its admission. giveBack returns the request's
+// tokens if the attempt provably has not run.
+func (j *job) attemptOnce(ctx context.Context, target *target, giveBack func()) (verdict, error) {
+	delivered := j.delivered
+	verdict, err := j.attempt(ctx, target)
+	target.release()
+	if verdict == verdictNotRun || j.delivered == delivered {
+		giveBack()
+	}
+	return verdict, err
+}
+
+// takeTokens takes the request's tokens for the next attempt, unless they were taken on
+// arrival or by an earlier attempt that may have run. It returns neither a function nor a
+// refusal if the admission was lost in the meantime; the request then needs another one.
+func (j *job) takeTokens(ctx context.Context) (giveBack func(), refusal *chain.Refusal) {
+	if j.request.TakeTokens == nil {
+		return func() {}, nil
+	}
+	waiting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if lost := j.admissionLost; lost != nil {
+		go func() {
+			select {
+			case <-lost:
+				cancel()
+			case <-waiting.Done():
+			}
+		}()
+	}
+	giveBack, err := j.request.TakeTokens(waiting)
+	if err == nil && waiting.Err() == nil {
+		return giveBack, nil
+	}
+	if err == nil {
+		giveBack()
+		err = chain.Canceled(ctx, j.ran)
+	}
+	if ctx.Err() == nil && waiting.Err() != nil {
+		return nil, nil
+	}
+	return nil, chain.RefusalOf(err)
+}
+
 // spendRetry takes one retry from the fleet's retry budget and reports whether
 // one was available.
 func (j *job) spendRetry(ctx context.Context) bool {
--- a/entry/direct/target.go
+++ b/entry/direct/target.go
@@ -187,6 +187,7 @@
 // queryAgent sends the admission request to an engine's agent, unless the agent
 // recently failed to reply.
 func (j *job) queryAgent(ctx context.Context, engine advert.Record, spec *admit.Request) (*admit.Reply, func(), error) {
+	j.admissionLost = nil
 	v := j.filter.Endpoints
 	if !v.AllowAgentQuery(engine.Name, agentTimeout, time.Now()) {
 		return nil, nil, &Error{Op: "query agent", Kind: KindUnreachable}
@@ -232,7 +233,9 @@
 	agents.MarkAlive(session)
 	if reply.Reason != admit.ReasonNone {
 		end()
+		return reply, end, nil
 	}
+	j.admissionLost = session.Done()
 	return reply, end, nil
 }
 
--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -71,6 +71,10 @@
 	BootTime func() time.Time
 	// RetryLimit is the fleet's retry budget per service, which AcquireRetry draws on.
 	RetryLimit budget.Limit
+	// QuotaWindow is the window in which a workspace may use its rate and its burst, as at
+	// control. If it is set, requests of opaque routes take their tokens when an attempt is
+	// about to be sent; with zero, on arrival.
+	QuotaWindow time.Duration
 
 	mutex      sync.Mutex
 	clockWatch clock.SuspendDetector
@@ -109,6 +113,9 @@
 	if need == 0 || l.unlimited(r) {
 		return next(ctx, r)
 	}
+	if l.takesWhenSending(r) {
+		return l.doWhenSending(ctx, r, need, next)
+	}
 	reserved, err := l.reserve(ctx, r, need)
 	if err != nil {
 		return err
@@ -206,7 +213,10 @@
 	defer timer.Stop()
 	select {
 	case err := <-w.done:
-		return w.reservation, err
+		if err != nil {
+			return nil, err
+		}
+		return w.reservation, nil
 	case <-ctx.Done():
 		l.abandon(w)
 		return nil, chain.Canceled(ctx, chain.RanNo)
@@ -238,6 +248,7 @@
 	}
 	l.Host.Log.Write("suspended", "time", slept)
 	for _, s := range l.shares {
+		s.counts.lost += s.leased()
 		s.leases, s.overdraft = nil, nil
 	}
 	l.wake.Set()
@@ -252,11 +263,11 @@
 		w.done <- nil
 		return nil
 	}
-	if s.count(w.class) >= maxWaiters {
-		return refuseLate(s.estimate(now, w, l.rate(s.account)))
+	if s.count(w.class) >= maxWaiters && !s.refuseLessUrgent(w) {
+		return refuseLate(s.estimate(now, w, 0, l.accrual(s.account)))
 	}
 	if s.isShort(now) {
-		if wait := s.estimate(now, w, l.rate(s.account)); now.Add(wait).After(w.deadline) {
+		if wait := s.estimate(now, w, 0, l.accrual(s.account)); now.Add(wait).After(w.latest()) {
 			return refuseLate(wait)
 		}
 	}
--- a/entry/limit/loop.go
+++ b/entry/limit/loop.go
@@ -66,7 +66,9 @@
 	var requests []plane.TokenRequest
 	for workspace, s := range l.shares {
 		l.serveWaiters(s, now)
+		s.confirmSent(now)
 		requests = append(requests, s.nextRequests(now)...)
+		l.report(s, now)
 		if s.isIdle(now) {
 			delete(l.shares, workspace)
 		}
@@ -142,6 +144,7 @@
 	s.refillAt, s.refillTokens = time.Time{}, 0
 	s.nextRequestAt = now.Add(minPollInterval)
 	if grant.Tokens > 0 {
+		s.counts.granted += grant.Tokens
 		s.leases = append(s.leases, &tokenLease{id: grant.LeaseID, remaining: grant.Tokens, expires: sent.Add(grant.Lifetime.Std()), lastTaken: now})
 	}
 	l.serveWaiters(s, now)
@@ -181,12 +184,12 @@
 // refuseHopeless refuses at once the waiters whose tokens will come after their
 // deadline.
 func (l *Limiter) refuseHopeless(s *share, now time.Time) {
-	rate := l.rate(s.account)
+	rate := l.accrual(s.account)
 	for _, w := range slices.Clone(s.waiters) {
 		if w.deadline.IsZero() {
 			continue
 		}
-		if wait := s.estimate(now, w, rate); now.Add(wait).After(w.deadline) {
+		if wait := s.estimate(now, w, 0, rate); now.Add(wait).After(w.latest()) {
 			s.remove(w)
 			w.done <- refuseLate(wait)
 		}
@@ -213,10 +216,12 @@
 	for _, s := range l.shares {
 		for _, lease := range s.leases {
 			if lease.remaining > 0 && time.Now().Before(lease.expires) {
+				s.counts.returned += lease.remaining
 				requests = append(requests, plane.TokenRequest{Workspace: s.account, UnusedTokens: lease.remaining, LeaseID: lease.id})
 			}
 			lease.remaining = 0
 		}
+		l.report(s, time.Now())
 	}
 	l.seq++
 	request := &plane.GrantRequest{Entry: l.Host.VM, Incarnation: l.Incarnation, Seq: l.seq, TokenRequests: requests}
--- a/entry/limit/share.go
+++ b/entry/limit/share.go
@@ -56,6 +56,13 @@
 	// them came at unreportedSince.
 	unreportedRequests int64
 	unreportedSince    time.Time
+	// arrivals are the requests that will take their tokens when they are sent, and
+	// arrivedTokens the sum of those tokens; sending are the reservations of attempts that
+	// are being sent. See sending.go.
+	arrivals      map[*arrival]struct{}
+	arrivedTokens int64
+	sending       []*arrival
+	counts        counts
 }
 
 // tokenLease is a lease of tokens, which must not be used after expires.
@@ -77,11 +84,17 @@
 	// own.
 	keepFree int64
 	class    call.Class
+	// urgency comes before queueTime in the order of the queue. It is zero for requests
+	// whose tokens are taken on arrival.
+	urgency urgency
 	// queueTime orders the queue, earliest first: the deadline, or for a stream's
 	// extension a time shortly before that of a new request.
 	queueTime time.Time
 	// deadline is when the waiter is refused; zero for a stream that has started.
-	deadline    time.Time
+	deadline time.Time
+	// servedBy is the latest time at which the waiter's tokens may be expected while
+	// control answers; zero means the deadline.
+	servedBy    time.Time
 	isExtension bool
 	// opaque means that the request's size is an upper bound set by its caller. A
 	// request whose size exceeds the burst is refused with a time to retry, as for a lack
@@ -133,6 +146,7 @@
 		}
 		part.used += tokens
 		p.used += tokens
+		p.share.counts.run += tokens
 		sum -= tokens
 		if part.lease.unreported == 0 {
 			part.lease.unreportedSince = now
@@ -152,6 +166,8 @@
 		tokens -= returned
 		if now.Before(part.lease.expires) {
 			part.lease.remaining += returned
+		} else {
+			s.counts.lost += returned
 		}
 	}
 }
@@ -171,7 +187,7 @@
 // so the next request to control is sent at once.
 func (s *share) enqueue(now time.Time, w *waiter) {
 	at, _ := slices.BinarySearchFunc(s.waiters, w, func(other, w *waiter) int {
-		if other.queueTime.After(w.queueTime) {
+		if w.before(other) {
 			return 1
 		}
 		return -1
@@ -183,7 +199,7 @@
 }
 
 func (s *share) wouldBeFirst(w *waiter) bool {
-	return len(s.waiters) == 0 || w.queueTime.Before(s.waiters[0].queueTime)
+	return len(s.waiters) == 0 || w.before(s.waiters[0])
 }
 
 func (s *share) remove(w *waiter) bool {
@@ -210,16 +226,17 @@
 
 func (s *share) untilRefill(now time.Time) time.Duration { return max(s.refillAt.Sub(now), 0) }
 
-// estimate returns how long a waiter will wait behind those before it. Tokens beyond
-// refillTokens are expected at this entry's part of the rate.
-func (s *share) estimate(now time.Time, w *waiter, rate float64) time.Duration {
-	ahead, all := w.tokens-s.available(now), w.tokens
+// estimate returns how long a waiter will wait behind those before it, which include
+// requests of arrived tokens that are not in the queue yet. Tokens beyond refillTokens are
+// expected at this entry's part of the rate.
+func (s *share) estimate(now time.Time, w *waiter, arrived int64, rate float64) time.Duration {
+	ahead, all := arrived+w.tokens-s.available(now), arrived+w.tokens
 	for _, other := range s.waiters {
 		if other == w {
 			continue
 		}
 		all += other.tokens
-		if !other.queueTime.After(w.queueTime) {
+		if !w.before(other) {
 			ahead += other.tokens
 		}
 	}
@@ -258,7 +275,7 @@
 		minTokens = max(s.waiters[0].tokens+s.waiters[0].keepFree-available, 0)
 	}
 	if s.fleetDemand <= 1 {
-		ahead := int64(s.recentUse(now) * prefetchTime.Seconds() / recentWindow.Seconds())
+		ahead := s.arrivedDemand(int64(s.recentUse(now) * prefetchTime.Seconds() / recentWindow.Seconds()))
 		if len(s.waiters) > 0 || available < ahead/2 {
 			wantedTokens += ahead
 		}
@@ -275,6 +292,7 @@
 	kept := s.leases[:0]
 	for _, lease := range s.leases {
 		if !now.Before(lease.expires) {
+			s.counts.lost += max(lease.remaining, 0)
 			continue
 		}
 		kept = append(kept, lease)
@@ -282,10 +300,11 @@
 			continue
 		}
 		request := plane.TokenRequest{Workspace: s.account, LeaseID: lease.id}
-		idle := now.Sub(lease.lastTaken) >= returnIdleAfter && len(s.waiters) == 0
+		idle := now.Sub(lease.lastTaken) >= returnIdleAfter && len(s.waiters) == 0 && len(s.arrivals) == 0
 		ending := lease.expires.Sub(now) < returnBeforeExpiry
 		if idle || ending {
 			request.UnusedTokens = lease.remaining
+			s.counts.returned += lease.remaining
 			lease.remaining = 0
 		}
 		if requesting || request.UnusedTokens > 0 || now.Sub(lease.unreportedSince) >= reportInterval {
@@ -303,5 +322,5 @@
 
 // isIdle reports whether the share can be dropped.
 func (s *share) isIdle(now time.Time) bool {
-	return len(s.leases) == 0 && len(s.waiters) == 0 && s.unreportedOverdraft == 0 && s.unreportedRequests == 0 && now.Sub(s.recentAt) > idleShareTimeout
+	return len(s.leases) == 0 && len(s.waiters) == 0 && len(s.arrivals) == 0 && len(s.sending) == 0 && s.unreportedOverdraft == 0 && s.unreportedRequests == 0 && now.Sub(s.recentAt) > idleShareTimeout
 }
