--- a/ctrl/quota/quota_test.go
+++ b/ctrl/quota/quota_test.go
@@ -80,6 +80,11 @@
 }
 
 func runCluster(t *testing.T, limits conf.Workspace, workspaces int, run func(c *cluster)) {
+	runWindowCluster(t, limits, workspaces, 0, run)
+}
+
+// runWindowCluster is runCluster with quota.Owner.QuotaWindow.
+func runWindowCluster(t *testing.T, limits conf.Workspace, workspaces int, window time.Duration, run func(c *cluster)) {
 	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		c := &cluster{t: t, ctx: ctx}
@@ -89,7 +94,7 @@
 		}
 		c.config.Store(config)
 		for i := range c.replicas {
-			r := &replica{Owner: quota.Owner{Host: host.Host{Meter: meter.New()}, RetryLimit: testRetryLimit}}
+			r := &replica{Owner: quota.Owner{Host: host.Host{Meter: meter.New()}, RetryLimit: testRetryLimit, QuotaWindow: window}}
 			r.Config = c.config.Load
 			r.CommittedReservation = r.machine.Reservation
 			r.Propose = func(ctx context.Context, term uint64, reservations []state.Reservation) error {
