--- a/ctrl/quota/account.go
+++ b/ctrl/quota/account.go
@@ -189,6 +189,9 @@
 	life := min(a.committedLifetime, a.proposedLifetime)
 	result = plane.Grant{Workspace: a.name, Lifetime: span.Duration(life)}
 	if request.WantedTokens <= 0 && request.MinTokens <= 0 {
+		if *request == (plane.TokenRequest{Workspace: request.Workspace}) {
+			a.withdraw(entry)
+		}
 		result.DemandRatio = a.demandRatio()
 		return result, false
 	}
@@ -238,6 +241,9 @@
 		wait = max(wait, a.grants[0].expires.Sub(now))
 	}
 	until := now.Add(wait + waiterLifetime)
+	if a.refill != nil {
+		until = now.Add(min(wait, maxPollInterval) + waiterLifetime)
+	}
 	at := slices.IndexFunc(a.waiters, func(w waiter) bool { return w.entry == entry })
 	if at < 0 {
 		a.waiters = append(a.waiters, waiter{entry: entry, minTokens: minTokens, expires: until})
@@ -247,6 +253,13 @@
 	return wait
 }
 
+// withdraw ends the wait of an entry whose requests no longer need tokens, so that those
+// behind it need not wait for its tokens to accrue.
+func (a *account) withdraw(entry string) {
+	a.waiters = slices.DeleteFunc(a.waiters, func(w waiter) bool { return w.entry == entry })
+	delete(a.demands, entry)
+}
+
 // demandRatio returns the sum of the entries' recent demands divided by the rate.
 func (a *account) demandRatio() float64 {
 	sum := int64(0)
--- a/ctrl/quota/quota.go
+++ b/ctrl/quota/quota.go
@@ -44,6 +44,10 @@
 	// waiterLifetime is how long a waiter keeps its position after its next request was
 	// expected.
 	waiterLifetime = time.Second
+	// maxPollInterval is the longest pause between two requests of an entry that waits
+	// (entry/limit). With a quota window, an entry that misses one for waiterLifetime loses
+	// its position: those behind a killed entry would otherwise wait for its tokens to accrue.
+	maxPollInterval = 500 * time.Millisecond
 	// minWait is the minimum waiting time sent to an entry.
 	minWait = 5 * time.Millisecond
 	// grantTimeout limits how long a request waits for a commit.
--- a/entry/limit/loop.go
+++ b/entry/limit/loop.go
@@ -127,6 +127,9 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := time.Now()
+	if l.isCutOff(now) {
+		l.extendWaits(now)
+	}
 	l.unansweredSince = time.Time{}
 	l.endOverdrafts()
 	for _, grant := range reply.Grants {
@@ -143,6 +146,7 @@
 	s.fleetDemand = grant.DemandRatio
 	s.refillAt, s.refillTokens = time.Time{}, 0
 	s.nextRequestAt = now.Add(minPollInterval)
+	s.queuedAtControl = l.QuotaWindow > 0 && grant.Wait > 0
 	if grant.Tokens > 0 {
 		s.counts.granted += grant.Tokens
 		s.leases = append(s.leases, &tokenLease{id: grant.LeaseID, remaining: grant.Tokens, expires: sent.Add(grant.Lifetime.Std()), lastTaken: now})
@@ -192,6 +196,7 @@
 		if wait := s.estimate(now, w, 0, rate); now.Add(wait).After(w.latest()) {
 			s.remove(w)
 			w.done <- refuseLate(wait)
+			l.wake.Set()
 		}
 	}
 }
--- a/entry/limit/sending.go
+++ b/entry/limit/sending.go
@@ -20,6 +20,9 @@
 	// to 0.6 s, and a restart of all replicas about a second more. No other request that
 	// needs tokens could use the place at the endpoint, since none gets any.
 	maxSilentWait = 2 * time.Second
+	// maxRecoveryWait is how long a request that has waited while control did not answer waits
+	// from its first answer on. The tokens of the time without control come in this time.
+	maxRecoveryWait = time.Second
 	// sentAfter is how long after it took tokens an attempt is taken to have reached its
 	// endpoint, so that its tokens are reported as spent and no longer occupy room in
 	// control's bucket. An attempt that is refused a connection fails within milliseconds.
@@ -117,6 +120,18 @@
 	return a.giveBack, nil
 }
 
+// extendWaits lets the requests that have waited for control wait on for maxRecoveryWait at
+// most. The caller holds the mutex.
+func (l *Limiter) extendWaits(now time.Time) {
+	for _, s := range l.shares {
+		for _, w := range s.waiters {
+			if !w.servedBy.IsZero() {
+				w.servedBy = earlier(now.Add(maxRecoveryWait), w.deadline)
+			}
+		}
+	}
+}
+
 // giveBack returns the tokens of an attempt that provably has not run. The request counts as
 // demand again.
 func (a *arrival) giveBack() {
--- a/entry/limit/share.go
+++ b/entry/limit/share.go
@@ -63,6 +63,9 @@
 	arrivedTokens int64
 	sending       []*arrival
 	counts        counts
+	// queuedAtControl means that control keeps a position for this entry, which is withdrawn
+	// when no request waits for tokens any more. It is not set without a quota window.
+	queuedAtControl bool
 }
 
 // tokenLease is a lease of tokens, which must not be used after expires.
@@ -257,6 +260,10 @@
 		requests = append(requests, plane.TokenRequest{Workspace: s.account, ServiceRequests: s.unreportedRequests})
 		s.unreportedRequests = 0
 	}
+	if s.queuedAtControl && len(s.waiters) == 0 && !requesting {
+		s.queuedAtControl = false
+		requests = append(requests, plane.TokenRequest{Workspace: s.account})
+	}
 	if requesting {
 		requests = append(requests, plane.TokenRequest{Workspace: s.account, WantedTokens: wantedTokens, MinTokens: minTokens})
 	}
--- /dev/null
+++ b/stubs/chaos/tokens_test.go
@@ -0,0 +1,348 @@
+package chaos_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/ctrl/quota"
+	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
+	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/entry/limit"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+)
+
+const (
+	// lossAt is when processes are killed, lossTime how long they are away, and
+	// electionTime how long the control replicas then take to elect a leader. The load ends
+	// at loadEnd. A window of the rule passes before the loss and another after it.
+	lossAt       = 12 * time.Second
+	lossTime     = time.Second
+	electionTime = 500 * time.Millisecond
+	loadEnd      = 25 * time.Second
+	// afterLoss is the time after the return whose refusals are counted.
+	afterLoss = 5 * time.Second
+	// admissionTime is the longest wait for an engine's admission, and requestDeadline how
+	// long callers wait in all.
+	admissionTime   = 400 * time.Millisecond
+	requestDeadline = 6 * time.Second
+	// meanTokens is the mean size of a request.
+	meanTokens = 1000
+)
+
+// loss is what is lost in a trial.
+type loss struct {
+	name             string
+	entries, control bool
+	// lateEntry returns 4 s after the others. clockStep is a step of the boot clock of
+	// control and of every second entry, as after a suspension.
+	lateEntry bool
+	clockStep time.Duration
+}
+
+// traffic is the load of one workspace in a trial, and its result.
+type traffic struct {
+	name     string
+	limits   conf.Workspace
+	multiple float64
+	oneEntry bool
+
+	mutex   sync.Mutex
+	arrived []tokenEvent
+	refused []tokenEvent
+}
+
+// tokenEvent is a request that arrived at an endpoint, or was refused for a lack of tokens.
+type tokenEvent struct {
+	at     time.Duration
+	tokens int64
+}
+
+// trial is a fleet of real limiters and a real quota owner, without a network.
+type trial struct {
+	t       *testing.T
+	start   time.Time
+	config  *conf.Config
+	loads   []*traffic
+	entries []atomic.Pointer[limit.Limiter]
+	stop    []func()
+	leader  atomic.Pointer[quota.Owner]
+	log     [][]byte
+	logLock sync.Mutex
+	step    atomic.Int64
+	tasks   sync.WaitGroup
+}
+
+// startControl starts a control replica from the log, as after a restart of all replicas.
+func (r *trial) startControl(ctx context.Context, term uint64) (kill func()) {
+	machine := &state.Machine{}
+	r.logLock.Lock()
+	for _, data := range r.log {
+		machine.Apply(0, 0, time.Now(), data)
+	}
+	r.logLock.Unlock()
+	dead := &atomic.Bool{}
+	owner := &quota.Owner{
+		Host: host.Host{Meter: meter.New()}, Config: func() *conf.Config { return r.config },
+		CommittedReservation: machine.Reservation, QuotaWindow: platformWindow,
+		BootTime: func() time.Time { return time.Now().Add(time.Duration(r.step.Load())) },
+	}
+	owner.Propose = func(_ context.Context, _ uint64, reservations []state.Reservation) error {
+		time.Sleep(2 * time.Millisecond)
+		if dead.Load() {
+			return fmt.Errorf("killed")
+		}
+		data, err := codec.Encode(&state.Command{Reservations: reservations})
+		r.logLock.Lock()
+		defer r.logLock.Unlock()
+		r.log = append(r.log, data)
+		machine.Apply(0, term, time.Now(), data)
+		return err
+	}
+	owner.SetLeadership(term, true)
+	running, stop := context.WithCancel(ctx)
+	r.tasks.Go(func() { owner.Run(running) })
+	r.leader.Store(owner)
+	return func() {
+		dead.Store(true)
+		r.leader.Store(nil)
+		stop()
+	}
+}
+
+func (r *trial) startEntry(ctx context.Context, at int) {
+	running, stop := context.WithCancel(ctx)
+	l := &limit.Limiter{
+		Host: host.Host{VM: fmt.Sprint("e", at), Meter: meter.New()}, Incarnation: rand.Uint64() | 1,
+		Config: func() *conf.Config { return r.config }, EntryCount: func() int { return len(r.entries) },
+		QuotaWindow: platformWindow,
+	}
+	if at%2 == 1 {
+		l.BootTime = func() time.Time { return time.Now().Add(time.Duration(r.step.Load())) }
+	}
+	l.Grant = func(ctx context.Context, request *plane.GrantRequest, reply *plane.GrantReply) error {
+		time.Sleep(3 * time.Millisecond)
+		owner := r.leader.Load()
+		if running.Err() != nil || owner == nil {
+			return fmt.Errorf("connection refused")
+		}
+		*reply = *owner.Grant(ctx, request)
+		return nil
+	}
+	r.entries[at].Store(l)
+	r.stop[at] = func() {
+		r.entries[at].Store(nil)
+		stop()
+	}
+	r.tasks.Go(func() { l.Run(running) })
+}
+
+// send sends the requests of one workspace until the load ends.
+func (r *trial) send(load *traffic) {
+	source := rand.New(rand.NewPCG(1, uint64(load.multiple*10)))
+	gap := float64(time.Second) * meanTokens / (load.multiple * float64(load.limits.Rate))
+	for next := time.Duration(0); next < loadEnd; {
+		next += time.Duration(gap * (0.5 + source.Float64()))
+		time.Sleep(time.Until(r.start.Add(next)))
+		tokens := meanTokens/2 + source.Int64N(meanTokens)
+		wait := time.Duration(source.Int64N(int64(admissionTime)))
+		entry := 0
+		if !load.oneEntry {
+			entry = source.IntN(len(r.entries))
+		}
+		if l := r.entries[entry].Load(); l != nil {
+			r.tasks.Go(func() { r.request(load, entry, l, tokens, wait) })
+		}
+	}
+}
+
+// request passes one request through a limiter. Its tokens arrive at an endpoint if its
+// entry lives until then.
+func (r *trial) request(load *traffic, entry int, l *limit.Limiter, tokens int64, admission time.Duration) {
+	request := &chain.Request{
+		Workspace: load.name, QuotaTokens: tokens, Start: time.Now(), MaxWait: requestDeadline,
+		Route: conf.Route{Kind: conf.RouteOpaque}, Write: func(*call.Frame) error { return nil },
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline())
+	defer cancel()
+	err := l.Do(ctx, request, func(ctx context.Context, request *chain.Request) error {
+		time.Sleep(admission)
+		if request.TakeTokens != nil {
+			if _, err := request.TakeTokens(ctx); err != nil {
+				return err
+			}
+		}
+		if r.entries[entry].Load() == l {
+			load.record(&load.arrived, time.Since(r.start), tokens)
+		}
+		return nil
+	})
+	if err != nil && r.entries[entry].Load() == l {
+		load.record(&load.refused, time.Since(r.start), tokens)
+	}
+}
+
+func (w *traffic) record(events *[]tokenEvent, at time.Duration, tokens int64) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	*events = append(*events, tokenEvent{at: at, tokens: tokens})
+}
+
+// granted is what the rule grants in a window without its tolerance.
+func (w *traffic) granted() int64 {
+	return w.limits.Rate*int64(platformWindow/time.Second) + w.limits.Burst
+}
+
+// inWindow returns the tokens that arrived in the window that ends at a time.
+func (w *traffic) inWindow(end time.Duration) int64 {
+	sum := int64(0)
+	for _, event := range w.arrived {
+		if event.at > end-platformWindow && event.at <= end {
+			sum += event.tokens
+		}
+	}
+	return sum
+}
+
+// worst returns the most tokens that arrived in any window.
+func (w *traffic) worst() int64 {
+	slices.SortFunc(w.arrived, func(a, b tokenEvent) int { return int(a.at - b.at) })
+	sum, most, first := int64(0), int64(0), 0
+	for _, event := range w.arrived {
+		sum += event.tokens
+		for ; event.at-w.arrived[first].at >= platformWindow; first++ {
+			sum -= w.arrived[first].tokens
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// refusedInside returns how many requests in a span were refused although they would have
+// been within what the rule grants, and how many were sent on or refused in it.
+func (w *traffic) refusedInside(from, to time.Duration) (refused, all int) {
+	for _, event := range w.refused {
+		if event.at >= from && event.at < to {
+			all++
+			if w.inWindow(event.at)+event.tokens <= w.granted() {
+				refused++
+			}
+		}
+	}
+	for _, event := range w.arrived {
+		if event.at >= from && event.at < to {
+			all++
+		}
+	}
+	return refused, all
+}
+
+// runTrial runs one fleet under the loads of several workspaces through one loss.
+func runTrial(t *testing.T, entries int, lost loss, loads []*traffic) {
+	bubble.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := &trial{
+			t: t, config: &conf.Config{Number: 1, Workspaces: map[string]conf.Workspace{}},
+			loads: loads, entries: make([]atomic.Pointer[limit.Limiter], entries), stop: make([]func(), entries),
+		}
+		for _, load := range loads {
+			r.config.Workspaces[load.name] = load.limits
+		}
+		killControl := r.startControl(ctx, 1)
+		for i := range entries {
+			r.startEntry(ctx, i)
+		}
+		time.Sleep(platformWindow + time.Second)
+		r.start = time.Now()
+		for _, load := range loads {
+			r.tasks.Go(func() { r.send(load) })
+		}
+		time.Sleep(lossAt)
+		if lost.control {
+			killControl()
+		}
+		for i := range entries {
+			if lost.entries {
+				r.stop[i]()
+			}
+		}
+		time.Sleep(lossTime)
+		r.step.Store(int64(lost.clockStep))
+		for i := range entries {
+			if lost.entries && !(lost.lateEntry && i == 1) {
+				r.startEntry(ctx, i)
+			}
+		}
+		if lost.control {
+			time.Sleep(electionTime)
+			r.startControl(ctx, 2)
+		}
+		if lost.lateEntry {
+			time.Sleep(4 * time.Second)
+			r.startEntry(ctx, 1)
+		}
+		time.Sleep(time.Until(r.start.Add(loadEnd + requestDeadline)))
+		cancel()
+		r.tasks.Wait()
+		time.Sleep(10 * time.Minute)
+	})
+}
+
+// newLoads returns workspaces at several multiples of their rates, with callers on one entry
+// and on all.
+func newLoads(limits conf.Workspace) (loads []*traffic) {
+	for _, multiple := range []float64{0.8, 1, 1.2, 4} {
+		for _, oneEntry := range []bool{false, true} {
+			loads = append(loads, &traffic{name: fmt.Sprintf("w%v-%v", multiple, oneEntry), limits: limits, multiple: multiple, oneEntry: oneEntry})
+		}
+	}
+	return loads
+}
+
+// check compares a workspace's result with the rule and the targets.
+func (w *traffic) check(t *testing.T, trial string) {
+	bound := int64(platformFactor*float64(w.granted())) + platformSlack
+	require.LessOrEqual(t, w.worst(), bound, "%s: the rule is kept", trial)
+	back := lossAt + lossTime
+	before, allBefore := w.refusedInside(lossAt-afterLoss, lossAt)
+	during, allDuring := w.refusedInside(back, back+afterLoss)
+	after, allAfter := w.refusedInside(back+afterLoss, loadEnd)
+	t.Logf("%s: refused inside the rate %d of %d before, %d of %d in 5 s, %d of %d after; tokens in a window of %d: worst %d, before %d, at 5 s %d, last %d",
+		trial, before, allBefore, during, allDuring, after, allAfter,
+		w.granted(), w.worst(), w.inWindow(lossAt), w.inWindow(back+afterLoss), w.inWindow(loadEnd))
+}
+
+// Requests that wait for admission used up the limits of workspaces within their rates after
+// a loss of all entries, and hundreds were refused. No request may be refused at 0.8 times
+// the rate, and under one in a hundred at the rate, while the rule is kept at any load.
+func TestRefusalsAfterLoss(t *testing.T) {
+	limits := conf.Workspace{Rate: 22_782, Burst: 82_015}
+	for _, entries := range []int{8, 23, 380} {
+		for _, lost := range []loss{
+			{name: "entries", entries: true},
+			{name: "control", control: true},
+			{name: "both", entries: true, control: true},
+		} {
+			loads := newLoads(limits)
+			began := time.Now()
+			runTrial(t, entries, lost, loads)
+			t.Logf("%d entries, %s: %v", entries, lost.name, time.Since(began))
+			for _, load := range loads {
+				load.check(t, fmt.Sprintf("%d entries, loss of %s, %s", entries, lost.name, load.name))
+			}
+		}
+	}
+}
