--- a/ctrl/quota/account.go
+++ b/ctrl/quota/account.go
@@ -214,6 +214,11 @@
 	result.Tokens = a.share(minTokens, max(request.WantedTokens, minTokens), a.reserve-ahead, entry)
 	result.LeaseID = id
 	a.reserve -= result.Tokens
+	if a.refill != nil {
+		// Entries estimate by the demand when their requests get tokens: what was granted
+		// is not waited for any more.
+		a.demands[entry] = entryDemand{tokens: max(request.WantedTokens-result.Tokens, 0), at: now}
+	}
 	a.grantedSinceTick += result.Tokens
 	a.addGrant(activeGrant{id: id, entry: entry, tokens: result.Tokens, expires: now.Add(life)})
 	a.waiters = slices.DeleteFunc(a.waiters, func(w waiter) bool { return w.entry == entry })
--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -86,6 +86,9 @@
 	// unansweredSince is when the pending GrantRequest was first sent; zero if none is
 	// pending.
 	unansweredSince time.Time
+	// recoveredAt is when control last answered after it had not for too long, or first
+	// after the start.
+	recoveredAt time.Time
 }
 
 // reservation is the tokens reserved for one request.
@@ -213,10 +216,7 @@
 	defer timer.Stop()
 	select {
 	case err := <-w.done:
-		if err != nil {
-			return nil, err
-		}
-		return w.reservation, nil
+		return w.reservation, err
 	case <-ctx.Done():
 		l.abandon(w)
 		return nil, chain.Canceled(ctx, chain.RanNo)
--- a/entry/limit/loop.go
+++ b/entry/limit/loop.go
@@ -127,7 +127,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := time.Now()
-	if l.isCutOff(now) {
+	if l.isCutOff(now) || l.recoveredAt.IsZero() {
 		l.extendWaits(now)
 	}
 	l.unansweredSince = time.Time{}
--- a/entry/limit/sending.go
+++ b/entry/limit/sending.go
@@ -16,13 +16,18 @@
 	// tokens that control lacks. The admission keeps a place at the endpoint idle meanwhile,
 	// so it is well below the time that answers take.
 	maxShortWait = 500 * time.Millisecond
-	// maxSilentWait is how long it waits while control does not answer. An election takes up
-	// to 0.6 s, and a restart of all replicas about a second more. No other request that
-	// needs tokens could use the place at the endpoint, since none gets any.
-	maxSilentWait = 2 * time.Second
-	// maxRecoveryWait is how long a request that has waited while control did not answer waits
-	// from its first answer on. The tokens of the time without control come in this time.
-	maxRecoveryWait = time.Second
+	// maxSilentWait is how long it waits if control has begun not to answer: an election takes
+	// up to 0.6 s, a restart of all replicas about a second more, and then the tokens of that
+	// time come within maxRecoveryWait. No other request that needs tokens could use the place
+	// at the endpoint, since none gets any. Once control has been silent for this time, a
+	// request waits for maxShortWait only.
+	maxSilentWait = 5 * time.Second
+	// maxRecoveryWait takes the place of maxShortWait for recoveryTime after control answers
+	// again, and from its first answer on for the requests that have waited for it. At the
+	// rate, the tokens of 1.5 s without control come within these times; with waits of 1 s, up
+	// to 35 of 135 requests were refused (stubs/chaos, TestRefusalsAfterLoss).
+	maxRecoveryWait = 3 * time.Second
+	recoveryTime    = 6 * time.Second
 	// sentAfter is how long after it took tokens an attempt is taken to have reached its
 	// endpoint, so that its tokens are reported as spent and no longer occupy room in
 	// control's bucket. An attempt that is refused a connection fails within milliseconds.
@@ -101,8 +106,9 @@
 	deadline := a.request.Deadline()
 	w := &waiter{
 		tokens: a.tokens, class: a.request.Class, opaque: true, urgency: a.urgency, queueTime: deadline, done: make(chan error, 1),
-		deadline: earlier(now.Add(maxSilentWait), deadline), servedBy: earlier(now.Add(maxShortWait), deadline),
 	}
+	short, silent := l.maxWaits(now)
+	w.servedBy, w.deadline = earlier(now.Add(short), deadline), earlier(now.Add(silent), deadline)
 	reserved, err := l.wait(ctx, a.request.Workspace, w)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -123,6 +129,7 @@
 // extendWaits lets the requests that have waited for control wait on for maxRecoveryWait at
 // most. The caller holds the mutex.
 func (l *Limiter) extendWaits(now time.Time) {
+	l.recoveredAt = now
 	for _, s := range l.shares {
 		for _, w := range s.waiters {
 			if !w.servedBy.IsZero() {
@@ -132,6 +139,20 @@
 	}
 }
 
+// maxWaits returns how long a request may wait for tokens that control lacks, and how long
+// while control does not answer.
+func (l *Limiter) maxWaits(now time.Time) (short, silent time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	switch {
+	case !l.unansweredSince.IsZero() && now.Sub(l.unansweredSince) > maxSilentWait:
+		return maxShortWait, maxShortWait
+	case now.Sub(l.recoveredAt) < recoveryTime:
+		return maxRecoveryWait, maxSilentWait
+	}
+	return maxShortWait, maxSilentWait
+}
+
 // giveBack returns the tokens of an attempt that provably has not run. The request counts as
 // demand again.
 func (a *arrival) giveBack() {
