--- a/ctrl/quota/quota.go
+++ b/ctrl/quota/quota.go
@@ -53,7 +53,7 @@
 	// recoveryTime is how long after the beginning of a leadership a lack of tokens may come
 	// from the time without a leader. At the rate, the requests of 1.5 s without one have
 	// their tokens in less (stubs/chaos, TestRefusalsAfterLoss).
-	recoveryTime = 6 * time.Second
+	recoveryTime = 10 * time.Second
 	// grantTimeout limits how long a request waits for a commit.
 	grantTimeout = time.Second
 	// commitTimeout limits committing one record.
@@ -92,7 +92,8 @@
 	mutex   sync.Mutex
 	term    uint64
 	leading bool
-	// ledSince is when the replica began to lead in this term.
+	// ledSince is when the replica began to lead in this term, or to lead on after a
+	// suspension.
 	ledSince time.Time
 	// closing is set once the owner stops and grants nothing more.
 	closing bool
@@ -220,6 +221,7 @@
 	if slept := o.suspendDetector.Suspended(time.Now()); slept > 0 {
 		o.Host.Log.Write("suspended", "time", slept)
 		o.accounts = map[string]*account{}
+		o.ledSince = time.Now()
 	}
 }
 
--- a/entry/limit/loop.go
+++ b/entry/limit/loop.go
@@ -12,7 +12,7 @@
 
 const (
 	// idlePollInterval is the time between two checks for tokens to return while no
-	// request waits.
+	// request waits. An entry that holds none checks each reportInterval.
 	idlePollInterval = 50 * time.Millisecond
 	// exchangeTimeout limits one exchange with control; exchangeRetryDelay is the pause
 	// after a failed one.
@@ -49,8 +49,11 @@
 func (l *Limiter) nextPoll(now time.Time) time.Duration {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	wait := idlePollInterval
+	wait := reportInterval
 	for _, s := range l.shares {
+		if s.holdsAny() {
+			wait = min(wait, idlePollInterval)
+		}
 		if len(s.waiters) > 0 {
 			wait = min(wait, max(s.nextRequestAt.Sub(now), 0))
 		}
--- a/entry/limit/sending.go
+++ b/entry/limit/sending.go
@@ -27,7 +27,7 @@
 	// rate, the tokens of 1.5 s without control come within these times; with waits of 1 s, up
 	// to 35 of 135 requests were refused (stubs/chaos, TestRefusalsAfterLoss).
 	maxRecoveryWait = 3 * time.Second
-	recoveryTime    = 6 * time.Second
+	recoveryTime    = 10 * time.Second
 	// recoveryNotice is how long a reply counts that says that control has led for a short
 	// time only. An entry without requests in the time without control learns it from these.
 	recoveryNotice = time.Second
--- a/entry/limit/share.go
+++ b/entry/limit/share.go
@@ -329,7 +329,12 @@
 	return requests
 }
 
+// holdsAny reports whether the share has leases, requests, or something to report.
+func (s *share) holdsAny() bool {
+	return len(s.leases) > 0 || len(s.waiters) > 0 || len(s.arrivals) > 0 || len(s.sending) > 0 || s.unreportedOverdraft > 0 || s.unreportedRequests > 0
+}
+
 // isIdle reports whether the share can be dropped.
 func (s *share) isIdle(now time.Time) bool {
-	return len(s.leases) == 0 && len(s.waiters) == 0 && len(s.arrivals) == 0 && len(s.sending) == 0 && s.unreportedOverdraft == 0 && s.unreportedRequests == 0 && now.Sub(s.recentAt) > idleShareTimeout
+	return !s.holdsAny() && now.Sub(s.recentAt) > idleShareTimeout
 }
