--- a/stubs/chaos/tokens_test.go
+++ b/stubs/chaos/tokens_test.go
@@ -41,7 +41,7 @@
 	admissionTime   = 400 * time.Millisecond
 	requestDeadline = 6 * time.Second
 	// meanTokens is the mean size of a request.
-	meanTokens = 1000
+	meanTokens = 2000
 )
 
 // loss is what is lost at a time.
