--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -86,8 +86,7 @@
 	// unansweredSince is when the pending GrantRequest was first sent; zero if none is
 	// pending.
 	unansweredSince time.Time
-	// recoveredAt is when control last answered after it had not for too long, or first
-	// after the start.
+	// recoveredAt is when control last answered after it had not for too long.
 	recoveredAt time.Time
 }
 
--- a/entry/limit/loop.go
+++ b/entry/limit/loop.go
@@ -130,7 +130,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := time.Now()
-	if l.isCutOff(now) || l.recoveredAt.IsZero() {
+	if l.isCutOff(now) {
 		l.extendWaits(now)
 	}
 	l.unansweredSince = time.Time{}
--- a/entry/limit/sending.go
+++ b/entry/limit/sending.go
@@ -177,6 +177,7 @@
 	}
 	now := time.Now()
 	a.share.endSending(a)
+	a.share.recordUse(now, -a.reservation.total)
 	a.share.giveBack(now, a.reservation, a.reservation.total)
 	a.reservation = nil
 	a.share.expect(a)
--- a/entry/limit/share.go
+++ b/entry/limit/share.go
@@ -178,7 +178,7 @@
 }
 
 func (s *share) recordUse(now time.Time, tokens int64) {
-	s.recentTokens = s.recentUse(now) + float64(tokens)
+	s.recentTokens = max(s.recentUse(now)+float64(tokens), 0)
 	s.recentAt = now
 }
 
@@ -336,5 +336,5 @@
 
 // isIdle reports whether the share can be dropped.
 func (s *share) isIdle(now time.Time) bool {
-	return !s.holdsAny() && now.Sub(s.recentAt) > idleShareTimeout
+	return !s.holdsAny() && !s.isShort(now) && now.Sub(s.recentAt) > idleShareTimeout
 }
