--- a/entry/limit/sending_test.go
+++ b/entry/limit/sending_test.go
@@ -224,10 +224,10 @@
 		b.set(func(b *fakeBucket) { b.silent = true })
 		time.AfterFunc(1200*time.Millisecond, func() { b.set(func(b *fakeBucket) { b.silent = false }) })
 		time.AfterFunc(2500*time.Millisecond, func() { b.set(func(b *fakeBucket) { b.tokens = 1000 }) })
-		var short error
-		go func() { short = sendOpaque(l, opaque(100, time.Second), 0) }()
+		short := make(chan error, 1)
+		go func() { short <- sendOpaque(l, opaque(100, time.Second), 0) }()
 		require.NoError(t, sendOpaque(l, opaque(600, time.Minute), 0))
-		require.Equal(t, 429, chain.RefusalOf(short).Status, "its deadline has passed")
+		require.Equal(t, 429, chain.RefusalOf(<-short).Status, "its deadline has passed")
 		b.set(func(b *fakeBucket) { b.silent = true })
 		started := time.Now()
 		require.Error(t, sendOpaque(l, opaque(600, time.Minute), 0))
@@ -315,6 +315,8 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		time.Sleep(10 * time.Second)
+		mutex.Lock()
+		defer mutex.Unlock()
 		require.Equal(t, []string{"resumed", "resumed late", "early", "late", "low refused"}, order)
 	})
 }
