--- a/entry/direct/target_test.go
+++ b/entry/direct/target_test.go
@@ -39,13 +39,17 @@
 	unresponsive map[string]bool
 	// admissionTime is how long agents let requests wait.
 	admissionTime time.Duration
+	// afterReply, if set, is called with the stream of each admission that was replied to,
+	// and stops end the agents' processes.
+	afterReply func(stream *wire.Stream)
+	stops      map[string]func()
 }
 
 func inSite(t *testing.T, engines int, test func(t *testing.T, s *site)) {
 	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		network := vnet.New()
-		s := &site{agentReplies: map[string]admit.Reply{}, unresponsive: map[string]bool{}, filter: newFilter(&service{replies: []reply{wholeStream}}, 0)}
+		s := &site{agentReplies: map[string]admit.Reply{}, unresponsive: map[string]bool{}, stops: map[string]func(){}, filter: newFilter(&service{replies: []reply{wholeStream}}, 0)}
 		dial := network.Dialer("entry")
 		s.filter.Agents = &pool.Pool{Dial: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, address) }}
 		config := &conf.Config{Number: 1, Services: map[string]conf.Service{"s": {Engine: &conf.Engine{Slots: 8, AdapterSlots: 4, TokensPerEvent: 1}}}}
@@ -57,8 +61,10 @@
 			usable["s"] = append(usable["s"], advert.Record{Name: name, Service: "s", Address: name + ":1", Agent: name + ":2", DataCentre: "d", Slots: 8})
 			listener, err := network.Listen(name + ":2")
 			require.NoError(t, err)
+			running, stop := context.WithCancel(ctx)
+			s.stops[name] = stop
 			agents.Go(func() {
-				_ = link.Serve(ctx, listener, map[string]link.Handler{admit.Method: func(_ context.Context, stream *wire.Stream) error { return s.answer(name, stream) }})
+				_ = link.Serve(running, listener, map[string]link.Handler{admit.Method: func(_ context.Context, stream *wire.Stream) error { return s.answer(name, stream) }})
 			})
 		}
 		s.filter.Endpoints = &view.Endpoints{DataCentre: "d"}
@@ -84,7 +90,11 @@
 		return stream.Receive(&request)
 	}
 	time.Sleep(s.admissionTime)
-	return stream.Send(&reply)
+	err := stream.Send(&reply)
+	if s.afterReply != nil {
+		s.afterReply(stream)
+	}
+	return err
 }
 
 func model(r *chain.Request) {
--- /dev/null
+++ b/entry/direct/tokens_test.go
@@ -0,0 +1,129 @@
+package direct_test
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/entry/direct"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
+)
+
+// tokens counts how often a request's tokens are taken and returned.
+type tokens struct {
+	taken, returned int
+	// take replaces the answer to the first requests for tokens.
+	take []func(ctx context.Context) error
+}
+
+func (k *tokens) request(r *chain.Request) {
+	r.TakeTokens = func(ctx context.Context) (func(), error) {
+		k.taken++
+		if len(k.take) >= k.taken {
+			if err := k.take[k.taken-1](ctx); err != nil {
+				return nil, err
+			}
+		}
+		return func() { k.returned++ }, nil
+	}
+}
+
+// Tokens of an attempt that was not sent, or that the endpoint provably did not run, were not
+// returned; those of one that may have run must not be.
+func TestTokensOfUnsentAttemptsAreReturned(t *testing.T) {
+	for name, test := range map[string]struct {
+		replies         []reply
+		taken, returned int
+	}{
+		"sent":                      {[]reply{good}, 1, 0},
+		"no connection":             {[]reply{unreached, good}, 2, 1},
+		"not run by the endpoint":   {[]reply{rejected, rejected, good}, 3, 2},
+		"broken, repeated":          {[]reply{reset, good}, 2, 0},
+		"broken, then unreachable":  {[]reply{reset, unreached, good}, 3, 1},
+		"answered with an error":    {[]reply{failed, good}, 2, 0},
+		"no connection to any of 5": {[]reply{unreached}, 5, 5},
+	} {
+		bubble.Test(t, func(t *testing.T) {
+			k := &tokens{}
+			s := &service{replies: test.replies}
+			_, _ = run(t.Context(), newFilter(s, 6), func(r *chain.Request) {
+				retryable(r)
+				r.Route.Attempts = 5
+				k.request(r)
+			})
+			require.Equal(t, []int{test.taken, test.returned}, []int{k.taken, k.returned}, name)
+			require.Len(t, s.calls, test.taken, name)
+		})
+	}
+}
+
+// A request that gets no tokens after its admission must not be sent, must be answered with
+// the limiter's refusal, and must give back its admission at once.
+func TestRequestWithoutTokensIsNotSent(t *testing.T) {
+	inSite(t, 1, func(t *testing.T, s *site) {
+		ended := watchAdmissions(s)
+		k := &tokens{take: []func(ctx context.Context) error{func(context.Context) error {
+			require.EqualValues(t, 0, ended.Load(), "admitted first")
+			require.Len(t, s.received, 1)
+			return chain.Refuse(http.StatusTooManyRequests, "rate_limited", "no tokens").WithRetryAfter(700 * time.Millisecond)
+		}}}
+		s.filter.Send = func(context.Context, *direct.Call) (*direct.Answer, error) {
+			t.Error("sent")
+			return nil, nil
+		}
+		started := time.Now()
+		_, err := run(t.Context(), s.filter, func(r *chain.Request) {
+			model(r)
+			k.request(r)
+		})
+		refusal := chain.RefusalOf(err)
+		require.Equal(t, http.StatusTooManyRequests, refusal.Status)
+		require.Equal(t, chain.RanNo, refusal.Ran)
+		require.Equal(t, 700*time.Millisecond, refusal.RetryAfter)
+		synctest.Wait()
+		require.EqualValues(t, 1, ended.Load(), "the admission has ended")
+		require.Less(t, time.Since(started), 100*time.Millisecond)
+	})
+}
+
+// watchAdmissions counts the admissions that have ended, by the agents.
+func watchAdmissions(s *site) *atomic.Int64 {
+	ended := &atomic.Int64{}
+	s.afterReply = func(stream *wire.Stream) {
+		var none struct{}
+		_ = stream.Receive(&none)
+		ended.Add(1)
+	}
+	return ended
+}
+
+// A request whose agent was lost while it waited for tokens was sent to the engine without an
+// admission; it must go through the selection again.
+func TestAdmissionLostWhileWaitingForTokens(t *testing.T) {
+	inSite(t, 1, func(t *testing.T, s *site) {
+		watchAdmissions(s)
+		k := &tokens{take: []func(ctx context.Context) error{func(ctx context.Context) error {
+			s.stops["e0"]()
+			select {
+			case <-ctx.Done():
+				return chain.Canceled(ctx, chain.RanNo)
+			case <-time.After(5 * time.Second):
+				return nil
+			}
+		}}}
+		_, err := run(t.Context(), s.filter, func(r *chain.Request) {
+			model(r)
+			r.Adapter = ""
+			k.request(r)
+		})
+		require.NoError(t, err)
+		require.Equal(t, []int{2, 0}, []int{k.taken, k.returned}, "taken again for the next admission, or without one at an engine without its agent")
+	})
+}
