--- a/entry/direct/tokens_test.go
+++ b/entry/direct/tokens_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/entry/direct"
+	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
 )
@@ -127,3 +128,20 @@
 		require.Equal(t, []int{2, 0}, []int{k.taken, k.returned}, "taken again for the next admission, or without one at an engine without its agent")
 	})
 }
+
+// Tokens of a request whose endpoint left or asked for a pause after they were taken are
+// returned.
+func TestTokensReturnedWhenTheEndpointLeaves(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := &service{replies: []reply{good}}
+		d := newFilter(s, 1)
+		k := &tokens{take: []func(ctx context.Context) error{func(context.Context) error {
+			d.Endpoints.Update(map[string][]advert.Record{"s": {{Name: "e1", Service: "s", Address: "e1:1", DataCentre: "d", Slots: 4}}})
+			return nil
+		}}}
+		_, err := run(t.Context(), d, k.request)
+		require.NoError(t, err)
+		require.Equal(t, []int{2, 1}, []int{k.taken, k.returned})
+		require.Equal(t, "e1", s.calls[0].Endpoint.Name)
+	})
+}
--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -120,6 +120,7 @@
 	}
 	reserved, err := l.reserve(ctx, r, need)
 	if err != nil {
+		l.countRefused(r.Workspace, err)
 		return err
 	}
 	reserved.answerTokens = answer
@@ -287,7 +288,7 @@
 }
 
 func refuseLate(wait time.Duration) *chain.Refusal {
-	refusal := chain.Refuse(http.StatusTooManyRequests, "rate_limited", "the workspace's tokens will not be there in time")
+	refusal := chain.Refuse(http.StatusTooManyRequests, codeRateLimited, "the workspace's tokens will not be there in time")
 	return refusal.WithRetryAfter(max(wait, minRetryAfter))
 }
 
--- a/entry/limit/loop.go
+++ b/entry/limit/loop.go
@@ -135,6 +135,7 @@
 	}
 	l.unansweredSince = time.Time{}
 	l.endOverdrafts()
+	l.countReturned(request, now.Sub(sent))
 	for _, grant := range reply.Grants {
 		at := slices.IndexFunc(request.TokenRequests, func(a plane.TokenRequest) bool { return a.Workspace == grant.Workspace && a.WantedTokens > 0 })
 		if at < 0 {
--- a/entry/limit/report.go
+++ b/entry/limit/report.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/pkg/budget"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 )
 
 const (
@@ -46,6 +48,34 @@
 	}
 }
 
+// countReturned counts the tokens that a request to control returned, which control answered
+// after a time. Those of a lease that has ended by then are lost. The caller holds the mutex.
+func (l *Limiter) countReturned(request *plane.GrantRequest, after time.Duration) {
+	for i := range request.TokenRequests {
+		returned := &request.TokenRequests[i]
+		if returned.UnusedTokens == 0 {
+			continue
+		}
+		s := l.share(returned.Workspace)
+		if after < returnBeforeExpiry {
+			s.counts.returned += returned.UnusedTokens
+		} else {
+			s.counts.lost += returned.UnusedTokens
+		}
+	}
+}
+
+// countRefused counts a request that gets no tokens on arrival, if tokens are what it lacks.
+func (l *Limiter) countRefused(workspace string, err error) {
+	if chain.RefusalOf(err).Code != codeRateLimited {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	s := l.share(workspace)
+	l.countRefusal(s, &s.counts.refusedOnArrival)
+}
+
 // countRefusal counts a request of a workspace that is refused for a lack of tokens, also in
 // kind. The caller holds the mutex.
 func (l *Limiter) countRefusal(s *share, kind *int64) {
--- a/entry/limit/sending_test.go
+++ b/entry/limit/sending_test.go
@@ -181,9 +181,10 @@
 	})
 }
 
-// Tokens that come back after their lease has ended are lost and counted.
-func TestTokensOfAnEndedLeaseAreLost(t *testing.T) {
-	withBucket(t, 1000, func(l *limit.Limiter, _ *fakeBucket) {
+// Tokens that come back within their lease, as after a connection that was refused at once or
+// soon, can be taken again; those of an ended lease are lost and counted.
+func TestReturnedAndLostTokens(t *testing.T) {
+	withBucket(t, 1000, func(l *limit.Limiter, b *fakeBucket) {
 		require.NoError(t, l.Do(context.Background(), opaque(600, 10*time.Second), func(ctx context.Context, r *chain.Request) error {
 			time.Sleep(50 * time.Millisecond)
 			giveBack, err := r.TakeTokens(ctx)
@@ -193,8 +194,30 @@
 			_, err = r.TakeTokens(ctx)
 			return err
 		}))
-		time.Sleep(time.Second)
+		time.Sleep(2 * time.Second)
 		require.EqualValues(t, 600, l.Host.Meter.Value("tokens_run_w"), "returned within the lease")
+		require.Zero(t, l.Host.Meter.Value("tokens_lost_w"))
+		_ = l.Do(context.Background(), opaque(300, time.Second), func(context.Context, *chain.Request) error {
+			time.Sleep(100 * time.Millisecond)
+			b.set(func(b *fakeBucket) { b.silent = true })
+			time.Sleep(time.Second)
+			return chain.Refuse(503, "engines_busy", "busy")
+		})
+		b.set(func(b *fakeBucket) { b.silent = false })
+		time.Sleep(2 * time.Second)
+		m := l.Host.Meter
+		require.Positive(t, m.Value("tokens_lost_w"), "leased in advance, and not returned in time")
+		require.Equal(t, m.Value("tokens_granted_w"), m.Value("tokens_run_w")+m.Value("tokens_returned_w")+m.Value("tokens_lost_w"))
+	})
+}
+
+// Refusals for a lack of tokens are counted by workspace also where tokens are taken on
+// arrival.
+func TestRefusalsAreCountedByWorkspace(t *testing.T) {
+	withBucket(t, 0, func(l *limit.Limiter, _ *fakeBucket) {
+		l.QuotaWindow = 0
+		require.Error(t, l.Do(context.Background(), opaque(600, 100*time.Millisecond), nil))
+		require.EqualValues(t, 1, l.Host.Meter.Value("rate_limited_w"))
 	})
 }
 
--- a/entry/limit/share.go
+++ b/entry/limit/share.go
@@ -313,7 +313,6 @@
 		ending := lease.expires.Sub(now) < returnBeforeExpiry
 		if idle || ending {
 			request.UnusedTokens = lease.remaining
-			s.counts.returned += lease.remaining
 			lease.remaining = 0
 		}
 		if requesting || request.UnusedTokens > 0 || now.Sub(lease.unreportedSince) >= reportInterval {
