--- a/entry/limit/sending.go
+++ b/entry/limit/sending.go
@@ -21,12 +21,12 @@
 	// time come within maxRecoveryWait. No other request that needs tokens could use the place
 	// at the endpoint, since none gets any. Once control has been silent for this time, a
 	// request waits for maxShortWait only.
-	maxSilentWait = 5 * time.Second
+	maxSilentWait = 6 * time.Second
 	// maxRecoveryWait takes the place of maxShortWait for recoveryTime after control answers
 	// again, and from its first answer on for the requests that have waited for it. At the
 	// rate, the tokens of 1.5 s without control come within these times; with waits of 1 s, up
 	// to 35 of 135 requests were refused (stubs/chaos, TestRefusalsAfterLoss).
-	maxRecoveryWait = 3 * time.Second
+	maxRecoveryWait = 4 * time.Second
 	recoveryTime    = 10 * time.Second
 	// recoveryNotice is how long a reply counts that says that control has led for a short
 	// time only. An entry without requests in the time without control learns it from these.
