--- a/stubs/chaos/tokens_test.go
+++ b/stubs/chaos/tokens_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -40,6 +41,11 @@
 	// long callers wait in all.
 	admissionTime   = 400 * time.Millisecond
 	requestDeadline = 6 * time.Second
+	// busyTime is how long engines are busy after a loss of all entries: each request is
+	// refused by them busyTries times, after a wait of up to busyAdmission, and sent again.
+	busyTime      = 2500 * time.Millisecond
+	busyTries     = 2
+	busyAdmission = 600 * time.Millisecond
 	// meanTokens is the mean size of a request.
 	meanTokens = 2000
 )
@@ -84,7 +90,9 @@
 	logLock sync.Mutex
 	step    atomic.Int64
 	loadEnd time.Duration
-	tasks   sync.WaitGroup
+	// busyUntil is the time, in nanoseconds since start, until which engines are busy.
+	busyUntil atomic.Int64
+	tasks     sync.WaitGroup
 }
 
 // startControl starts a control replica from the log, as after a restart of all replicas.
@@ -165,21 +173,26 @@
 			entry = source.IntN(len(r.entries))
 		}
 		if l := r.entries[entry].Load(); l != nil {
-			r.tasks.Go(func() { r.request(load, entry, l, tokens, wait) })
+			r.tasks.Go(func() { r.request(load, entry, l, tokens, wait, 0) })
 		}
 	}
 }
 
 // request passes one request through a limiter. Its tokens arrive at an endpoint if its
-// entry lives until then.
-func (r *trial) request(load *traffic, entry int, l *limit.Limiter, tokens int64, admission time.Duration) {
+// entry lives until then. A request that busy engines refuse is sent again.
+func (r *trial) request(load *traffic, entry int, l *limit.Limiter, tokens int64, admission time.Duration, try int) {
 	request := &chain.Request{
 		Workspace: load.name, QuotaTokens: tokens, Start: time.Now(), MaxWait: requestDeadline,
 		Route: conf.Route{Kind: conf.RouteOpaque}, Write: func(*call.Frame) error { return nil },
 	}
+	busy := try < busyTries && time.Since(r.start) < time.Duration(r.busyUntil.Load())
 	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline())
 	defer cancel()
 	err := l.Do(ctx, request, func(ctx context.Context, request *chain.Request) error {
+		if busy {
+			time.Sleep(busyAdmission)
+			return chain.Refuse(http.StatusServiceUnavailable, "engines_busy", "busy")
+		}
 		time.Sleep(admission)
 		if request.TakeTokens != nil {
 			if _, err := request.TakeTokens(ctx); err != nil {
@@ -191,8 +204,12 @@
 		}
 		return nil
 	})
-	if err != nil && r.entries[entry].Load() == l {
+	switch {
+	case err == nil || r.entries[entry].Load() != l:
+	case chain.RefusalOf(err).Code == "rate_limited":
 		load.record(&load.refused, time.Since(r.start), tokens)
+	case chain.RefusalOf(err).Code == "engines_busy":
+		r.request(load, entry, l, tokens, admission, try+1)
 	}
 }
 
@@ -298,6 +315,9 @@
 		}
 	}
 	time.Sleep(lossTime)
+	if lost.entries {
+		r.busyUntil.Store(int64(time.Since(r.start) + busyTime))
+	}
 	r.step.Add(int64(lost.clockStep))
 	for i := range r.entries {
 		if lost.entries && !(lost.lateEntry && i == 1) {
