--- a/stubs/chaos/overdraft_test.go
+++ b/stubs/chaos/overdraft_test.go
@@ -35,14 +35,26 @@
 	// groupEntries is the number of entries, requestTokens the cost of a request.
 	groupEntries  = 8
 	requestTokens = 1500
-	// workspaceRate is the rate of a large workspace in tokens per second. Its burst
-	// is the tokens of one second.
+	// workspaceRate is the rate of a large workspace in tokens per second.
 	workspaceRate = 60_000
-	// maxWindowTokens is the maximum number of tokens that the platform allows the
-	// workspace in a window.
-	maxWindowTokens = int(platformFactor*workspaceRate*(float64(platformWindow/time.Second)+1)) + platformSlack
 )
 
+// groupLimits are the burst of an entryGroup's workspace and its quota window.
+type groupLimits struct {
+	burst  int64
+	window time.Duration
+}
+
+// allGroupLimits are a burst of one second's rate, which is granted once, and one of three
+// seconds' that is granted again in each window.
+var allGroupLimits = []groupLimits{{burst: workspaceRate}, {burst: 3 * workspaceRate, window: platformWindow}}
+
+// maxWindowTokens is the maximum number of tokens that the platform allows the workspace in a
+// window.
+func (g groupLimits) maxWindowTokens() int {
+	return int(platformFactor*(workspaceRate*platformWindow.Seconds()+float64(g.burst))) + platformSlack
+}
+
 // entryGroup is a group of entry limiters that get their tokens from one quota
 // owner. Each entry can be isolated from the owner.
 type entryGroup struct {
@@ -59,13 +71,14 @@
 }
 
 // withEntryGroup runs a test with a started group inside a synctest bubble.
-func withEntryGroup(t *testing.T, test func(g *entryGroup)) {
+func withEntryGroup(t *testing.T, limits groupLimits, test func(g *entryGroup)) {
 	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		config := &conf.Config{Number: 1, Workspaces: map[string]conf.Workspace{"w": {Rate: workspaceRate, Burst: workspaceRate}}}
+		config := &conf.Config{Number: 1, Workspaces: map[string]conf.Workspace{"w": {Rate: workspaceRate, Burst: limits.burst}}}
 		g := &entryGroup{}
 		var machine state.Machine
 		g.owner.Host = host.Host{Meter: meter.New()}
+		g.owner.QuotaWindow = limits.window
 		g.owner.Config = func() *conf.Config { return config }
 		g.owner.CommittedReservation = machine.Reservation
 		g.owner.Propose = func(_ context.Context, term uint64, horizons []state.Reservation) error {
@@ -80,7 +93,7 @@
 			running, stop := context.WithCancel(ctx)
 			l := &limit.Limiter{
 				Host: host.Host{VM: fmt.Sprint("e", entry), Meter: meter.New()}, Incarnation: rand.Uint64() | 1,
-				Config: func() *conf.Config { return config }, EntryCount: func() int { return groupEntries },
+				Config: func() *conf.Config { return config }, EntryCount: func() int { return groupEntries }, QuotaWindow: limits.window,
 			}
 			l.Grant = func(ctx context.Context, request *plane.GrantRequest, reply *plane.GrantReply) error {
 				if g.isolated[entry].Load() || running.Err() != nil {
@@ -135,7 +148,12 @@
 		Workspace: "w", QuotaTokens: requestTokens, Start: time.Now(), MaxWait: 500 * time.Millisecond,
 		Route: conf.Route{Kind: conf.RouteOpaque}, Write: func(*call.Frame) error { return nil },
 	}
-	_ = l.Do(context.Background(), r, func(context.Context, *chain.Request) error {
+	_ = l.Do(context.Background(), r, func(ctx context.Context, r *chain.Request) error {
+		if r.TakeTokens != nil {
+			if _, err := r.TakeTokens(ctx); err != nil {
+				return err
+			}
+		}
 		g.mutex.Lock()
 		defer g.mutex.Unlock()
 		g.spentAt = append(g.spentAt, time.Now())
@@ -160,17 +178,19 @@
 // connected ones may use all of it. The sum must stay within the platform's bound
 // for any number of isolated entries, duration of isolation and demand.
 func TestOverdraftsOfIsolatedEntriesStayWithinBound(t *testing.T) {
-	for _, multiple := range []float64{1, 1.7, 3, 6} {
-		for cut := range groupEntries + 1 {
-			for _, gap := range []time.Duration{0, 1300 * time.Millisecond} {
-				withEntryGroup(t, func(g *entryGroup) {
-					go func() {
-						time.Sleep(3 * time.Second)
-						g.isolate(cut, gap)
-					}()
-					g.sendLoad(multiple, 15*time.Second)
-					require.LessOrEqual(t, g.maxSpent(), maxWindowTokens, "%v times the rate, %d entries isolated, connected again after %v", multiple, cut, gap)
-				})
+	for _, limits := range allGroupLimits {
+		for _, multiple := range []float64{1, 1.7, 3, 6} {
+			for cut := range groupEntries + 1 {
+				for _, gap := range []time.Duration{0, 1300 * time.Millisecond} {
+					withEntryGroup(t, limits, func(g *entryGroup) {
+						go func() {
+							time.Sleep(3 * time.Second)
+							g.isolate(cut, gap)
+						}()
+						g.sendLoad(multiple, 15*time.Second)
+						require.LessOrEqual(t, g.maxSpent(), limits.maxWindowTokens(), "%v times the rate, %d entries isolated, connected again after %v", multiple, cut, gap)
+					})
+				}
 			}
 		}
 	}
@@ -198,19 +218,21 @@
 // Isolated entries whose processes restart repeatedly must not spend overdrafts in
 // addition to the tokens that control grants the connected entries.
 func TestOverdraftsOfRestartedEntriesStayWithinBound(t *testing.T) {
-	withEntryGroup(t, func(g *entryGroup) {
-		for i := range groupEntries - 1 {
-			g.isolated[i].Store(true)
-		}
-		go func() {
-			for range 8 {
-				time.Sleep(1500 * time.Millisecond)
-				for i := range groupEntries - 1 {
-					g.start(i)
-				}
+	for _, limits := range allGroupLimits {
+		withEntryGroup(t, limits, func(g *entryGroup) {
+			for i := range groupEntries - 1 {
+				g.isolated[i].Store(true)
 			}
-		}()
-		g.sendLoad(12, 16*time.Second)
-		require.LessOrEqual(t, g.maxSpent(), maxWindowTokens)
-	})
+			go func() {
+				for range 8 {
+					time.Sleep(1500 * time.Millisecond)
+					for i := range groupEntries - 1 {
+						g.start(i)
+					}
+				}
+			}()
+			g.sendLoad(12, 16*time.Second)
+			require.LessOrEqual(t, g.maxSpent(), limits.maxWindowTokens())
+		})
+	}
 }
