--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -86,7 +86,8 @@
 	// unansweredSince is when the pending GrantRequest was first sent; zero if none is
 	// pending.
 	unansweredSince time.Time
-	// recoveredAt is when control last answered after it had not for too long.
+	// recoveredAt is when control last answered after it had not for too long, or when Run
+	// started: callers of lost entries come back together.
 	recoveredAt time.Time
 }
 
--- a/entry/limit/loop.go
+++ b/entry/limit/loop.go
@@ -26,7 +26,7 @@
 // Run exchanges tokens with control until ctx ends, then returns the remaining tokens.
 func (l *Limiter) Run(ctx context.Context) {
 	l.mutex.Lock()
-	l.startedAt = time.Now()
+	l.startedAt, l.recoveredAt = time.Now(), time.Now()
 	l.mutex.Unlock()
 	go l.runOverdrafts(ctx)
 	l.wake.Set()
