--- a/entry/limit/sending.go
+++ b/entry/limit/sending.go
@@ -31,6 +31,9 @@
 	// recoveryNotice is how long a reply counts that says that control has led for a short
 	// time only. An entry without requests in the time without control learns it from these.
 	recoveryNotice = time.Second
+	// silentRetryAfter is the least Retry-After while control does not answer: a caller that
+	// came back sooner would take a place at an endpoint again in vain.
+	silentRetryAfter = time.Second
 	// sentAfter is how long after it took tokens an attempt is taken to have reached its
 	// endpoint, so that its tokens are reported as spent and no longer occupy room in
 	// control's bucket. An attempt that is refused a connection fails within milliseconds.
@@ -57,7 +60,8 @@
 }
 
 // doWhenSending runs a request that takes its tokens when an attempt is about to be sent.
-// It is refused only if control is known to lack tokens until the request's deadline.
+// It is refused only if control is known to lack tokens until the request's deadline, or if
+// it needs more than the workspace's burst.
 func (l *Limiter) doWhenSending(ctx context.Context, r *chain.Request, need int64, next chain.Next) error {
 	a := &arrival{limiter: l, request: r, tokens: need, urgency: l.urgencyOf(r)}
 	if refusal := l.arrive(a); refusal != nil {
@@ -77,6 +81,10 @@
 	now := time.Now()
 	l.dropLeasesAfterSuspend(now)
 	a.share = l.share(a.request.Workspace)
+	if limits, ok := l.Config().Workspaces[a.request.Workspace]; ok && a.tokens > limits.Burst {
+		l.countRefusal(a.share, &a.share.counts.refusedOnArrival)
+		return refuseLate(overBurstRetryAfter)
+	}
 	if a.share.isShort(now) {
 		w := &waiter{tokens: a.tokens, urgency: a.urgency, queueTime: a.request.Deadline()}
 		wait := a.share.estimate(now, w, a.share.arrivedBefore(w), l.accrual(a.share.account))
@@ -117,7 +125,10 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if err != nil {
-		if chain.RefusalOf(err).Code == codeRateLimited {
+		if refusal := chain.RefusalOf(err); refusal.Code == codeRateLimited {
+			if l.isCutOff(time.Now()) {
+				err = refusal.WithRetryAfter(max(refusal.RetryAfter, silentRetryAfter))
+			}
 			l.countRefusal(a.share, &a.share.counts.refusedWhenSending)
 		} else {
 			a.share.expect(a)
--- a/entry/limit/sending_test.go
+++ b/entry/limit/sending_test.go
@@ -259,6 +259,7 @@
 		started = time.Now()
 		require.Error(t, sendOpaque(l, opaque(600, time.Minute), 0))
 		require.LessOrEqual(t, time.Since(started), 600*time.Millisecond, "control has been silent for long")
+		require.GreaterOrEqual(t, chain.RefusalOf(sendOpaque(l, opaque(600, time.Minute), 0)).RetryAfter, time.Second)
 	})
 }
 
@@ -299,6 +300,8 @@
 		require.Error(t, sendOpaque(l, opaque(600, time.Minute), 0))
 		require.Equal(t, "rate_limited", chain.RefusalOf(arrive(10*time.Second)).Code)
 		require.NoError(t, arrive(40*time.Second), "the tokens come before its deadline")
+		larger := l.Do(context.Background(), opaque(10_001, time.Minute), nil)
+		require.Equal(t, 429, chain.RefusalOf(larger).Status, "larger than the burst")
 	})
 }
 
