--- a/ctrl/quota/refill.go
+++ b/ctrl/quota/refill.go
@@ -164,8 +164,12 @@
 	}
 }
 
-// reportCapacity reports capacity and accrual rate of a workspace's bucket.
+// reportCapacity reports capacity and accrual rate of a workspace's bucket, and logs them if
+// they are not its burst and rate.
 func (o *Owner) reportCapacity(name string, f *refill) {
 	o.Host.Meter.Set("quota_capacity_"+name, f.current.Burst)
+	if f.current.Burst == f.limits.Burst && f.current.Rate == f.limits.Rate && !f.grown() {
+		return
+	}
 	o.Host.Log.Write("quota-capacity", "workspace", name, "capacity", f.current.Burst, "accrual", f.current.Rate, "largest", f.largest)
 }
--- a/stubs/chaos/tokens_test.go
+++ b/stubs/chaos/tokens_test.go
@@ -44,7 +44,7 @@
 	busyTries     = 2
 	busyAdmission = 600 * time.Millisecond
 	// meanTokens is the mean size of a request.
-	meanTokens = 2000
+	meanTokens = 2500
 )
 
 // loss is what is lost at a time.
