--- a/stubs/chaos/tokens_test.go
+++ b/stubs/chaos/tokens_test.go
@@ -21,6 +21,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
 )
 
 const (
@@ -38,6 +39,7 @@
 	// long callers wait in all.
 	admissionTime   = 400 * time.Millisecond
 	requestDeadline = 6 * time.Second
+	firstToken      = span.Duration(2 * time.Second)
 	// busyTime is how long engines are busy after a loss of all entries: each request is
 	// refused by them busyTries times, after a wait of up to busyAdmission, and sent again.
 	busyTime      = 2500 * time.Millisecond
@@ -180,7 +182,8 @@
 func (r *trial) request(load *traffic, entry int, l *limit.Limiter, tokens int64, admission time.Duration, try int) {
 	request := &chain.Request{
 		Workspace: load.name, QuotaTokens: tokens, Start: time.Now(), MaxWait: requestDeadline,
-		Route: conf.Route{Kind: conf.RouteOpaque}, Write: func(*call.Frame) error { return nil },
+		Route: conf.Route{Kind: conf.RouteOpaque}, Objective: conf.Objective{FirstToken: firstToken},
+		Write: func(*call.Frame) error { return nil },
 	}
 	busy := try < busyTries && time.Since(r.start) < time.Duration(r.busyUntil.Load())
 	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline())
