--- a/ctrl/quota/quota.go
+++ b/ctrl/quota/quota.go
@@ -44,8 +44,16 @@
 	// waiterLifetime is how long a waiter keeps its position after its next request was
 	// expected.
 	waiterLifetime = time.Second
+	// maxPollInterval is the longest pause between two requests of an entry that waits
+	// (entry/limit). With a quota window, an entry that misses one for waiterLifetime loses
+	// its position: those behind a killed entry would otherwise wait for its tokens to accrue.
+	maxPollInterval = 500 * time.Millisecond
 	// minWait is the minimum waiting time sent to an entry.
 	minWait = 5 * time.Millisecond
+	// recoveryTime is how long after the beginning of a leadership a lack of tokens may come
+	// from the time without a leader. At the rate, the requests of 1.5 s without one have
+	// their tokens in less (stubs/chaos, TestRefusalsAfterLoss).
+	recoveryTime = 10 * time.Second
 	// grantTimeout limits how long a request waits for a commit.
 	grantTimeout = time.Second
 	// commitTimeout limits committing one record.
@@ -76,15 +84,24 @@
 	// RetryLimit limits the retries to each service, and to all endpoints behind agents
 	// together. Retries are granted from pools in the same way as workspaces' tokens.
 	RetryLimit budget.Limit
+	// QuotaWindow is the window in which a workspace may use its rate and its burst: the part
+	// of the burst beyond one second's rate is granted again in each window. Zero grants a
+	// burst once, until the bucket is full again. It is at least a second.
+	QuotaWindow time.Duration
 
 	mutex   sync.Mutex
 	term    uint64
 	leading bool
+	// ledSince is when the replica began to lead in this term, or to lead on after a
+	// suspension.
+	ledSince time.Time
 	// closing is set once the owner stops and grants nothing more.
 	closing bool
 	// accounts are the accounts in use, by workspace name or by the account name of a
 	// service's retry pool.
-	accounts       map[string]*account
+	accounts map[string]*account
+	// refills are the capacities of the workspaces' buckets since the replica leads.
+	refills        map[string]*refill
 	repliesByEntry map[entryKey]*entryReplies
 	// config is the configuration to which the accounts were last updated.
 	config      *conf.Config
@@ -141,6 +158,7 @@
 	}
 	o.term, o.leading = term, leading
 	o.accounts, o.repliesByEntry = map[string]*account{}, map[entryKey]*entryReplies{}
+	o.refills, o.ledSince = nil, time.Now()
 	o.endRecord(true)
 }
 
@@ -185,7 +203,7 @@
 	for name, a := range o.accounts {
 		a.advance(now)
 		a.updateUsage()
-		if _, pool := budget.Service(name); !pool && a.idle() {
+		if !isPool(name) && a.idle() {
 			delete(o.accounts, name)
 		}
 	}
@@ -203,6 +221,7 @@
 	if slept := o.suspendDetector.Suspended(time.Now()); slept > 0 {
 		o.Host.Log.Write("suspended", "time", slept)
 		o.accounts = map[string]*account{}
+		o.ledSince = time.Now()
 	}
 }
 
@@ -223,8 +242,23 @@
 			continue
 		}
 		a.advance(now)
+		if a.refill != nil {
+			a.refill.setLimits(limits)
+			a.applyRefill(now)
+			continue
+		}
 		a.bucket.SetRate(limits.Rate, limits.Burst)
 	}
+	maps.DeleteFunc(o.refills, func(name string, _ *refill) bool {
+		_, ok := config.Workspaces[name]
+		return !ok
+	})
+}
+
+// isPool reports whether an account is the retry pool of a service.
+func isPool(name string) bool {
+	_, pool := budget.Service(name)
+	return pool
 }
 
 // openPools adds the accounts of all retry pools, so that they accrue before their first
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -104,6 +104,9 @@
 	// HedgeShare is the largest share of the requests for a service that are hedged, for
 	// services whose configuration sets none; zero hedges none of them.
 	HedgeShare float64
+	// QuotaWindow is limit.Limiter.QuotaWindow; zero takes tokens on arrival. Control must
+	// be set to the same window.
+	QuotaWindow time.Duration
 	// BootTime is the boot clock for clock.SuspendDetector; nil means that a suspension of
 	// the VM is not detected.
 	BootTime func() time.Time
@@ -256,6 +259,7 @@
 	e.direct.QuarantineChanged = func() <-chan struct{} { return e.feed.QuarantineChanged() }
 	e.limit = &limit.Limiter{
 		Host: d.Host, Incarnation: incarnation, Config: e.feed.Config, Grant: e.grant, BootTime: d.BootTime, RetryLimit: retryBudget.Limit,
+		QuotaWindow: d.QuotaWindow,
 	}
 	retryBudget.Report, retryBudget.Lease, retryBudget.LeaseHedge = e.limit.ReportRequest, e.limit.AcquireRetry, e.limit.AcquireHedge
 	if d.Send != nil {
--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -71,6 +71,10 @@
 	BootTime func() time.Time
 	// RetryLimit is the fleet's retry budget per service, which AcquireRetry draws on.
 	RetryLimit budget.Limit
+	// QuotaWindow is the window in which a workspace may use its rate and its burst, as at
+	// control. If it is set, requests of opaque routes take their tokens when an attempt is
+	// about to be sent; with zero, on arrival.
+	QuotaWindow time.Duration
 
 	mutex      sync.Mutex
 	clockWatch clock.SuspendDetector
@@ -82,6 +86,9 @@
 	// unansweredSince is when the pending GrantRequest was first sent; zero if none is
 	// pending.
 	unansweredSince time.Time
+	// recoveredAt is when control last answered after it had not for too long, or when Run
+	// started: callers of lost entries come back together.
+	recoveredAt time.Time
 }
 
 // reservation is the tokens reserved for one request.
@@ -109,8 +116,12 @@
 	if need == 0 || l.unlimited(r) {
 		return next(ctx, r)
 	}
+	if l.takesWhenSending(r) {
+		return l.doWhenSending(ctx, r, need, next)
+	}
 	reserved, err := l.reserve(ctx, r, need)
 	if err != nil {
+		l.countRefused(r.Workspace, err)
 		return err
 	}
 	reserved.answerTokens = answer
@@ -238,6 +249,7 @@
 	}
 	l.Host.Log.Write("suspended", "time", slept)
 	for _, s := range l.shares {
+		s.counts.lost += s.leased()
 		s.leases, s.overdraft = nil, nil
 	}
 	l.wake.Set()
@@ -252,11 +264,11 @@
 		w.done <- nil
 		return nil
 	}
-	if s.count(w.class) >= maxWaiters {
-		return refuseLate(s.estimate(now, w, l.rate(s.account)))
+	if s.count(w.class) >= maxWaiters && !s.refuseLessUrgent(w) {
+		return refuseLate(s.estimate(now, w, 0, l.accrual(s.account)))
 	}
 	if s.isShort(now) {
-		if wait := s.estimate(now, w, l.rate(s.account)); now.Add(wait).After(w.deadline) {
+		if wait := s.estimate(now, w, 0, l.accrual(s.account)); now.Add(wait).After(w.latest()) {
 			return refuseLate(wait)
 		}
 	}
@@ -277,7 +289,7 @@
 }
 
 func refuseLate(wait time.Duration) *chain.Refusal {
-	refusal := chain.Refuse(http.StatusTooManyRequests, "rate_limited", "the workspace's tokens will not be there in time")
+	refusal := chain.Refuse(http.StatusTooManyRequests, codeRateLimited, "the workspace's tokens will not be there in time")
 	return refusal.WithRetryAfter(max(wait, minRetryAfter))
 }
 
--- a/entry/limit/loop.go
+++ b/entry/limit/loop.go
@@ -12,7 +12,7 @@
 
 const (
 	// idlePollInterval is the time between two checks for tokens to return while no
-	// request waits.
+	// request waits. An entry that holds none checks each reportInterval.
 	idlePollInterval = 50 * time.Millisecond
 	// exchangeTimeout limits one exchange with control; exchangeRetryDelay is the pause
 	// after a failed one.
@@ -26,7 +26,7 @@
 // Run exchanges tokens with control until ctx ends, then returns the remaining tokens.
 func (l *Limiter) Run(ctx context.Context) {
 	l.mutex.Lock()
-	l.startedAt = time.Now()
+	l.startedAt, l.recoveredAt = time.Now(), time.Now()
 	l.mutex.Unlock()
 	go l.runOverdrafts(ctx)
 	l.wake.Set()
@@ -49,8 +49,11 @@
 func (l *Limiter) nextPoll(now time.Time) time.Duration {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	wait := idlePollInterval
+	wait := reportInterval
 	for _, s := range l.shares {
+		if s.holdsAny() {
+			wait = min(wait, idlePollInterval)
+		}
 		if len(s.waiters) > 0 {
 			wait = min(wait, max(s.nextRequestAt.Sub(now), 0))
 		}
@@ -66,7 +69,9 @@
 	var requests []plane.TokenRequest
 	for workspace, s := range l.shares {
 		l.serveWaiters(s, now)
+		s.confirmSent(now)
 		requests = append(requests, s.nextRequests(now)...)
+		l.report(s, now)
 		if s.isIdle(now) {
 			delete(l.shares, workspace)
 		}
@@ -125,8 +130,12 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := time.Now()
+	if l.isCutOff(now) {
+		l.extendWaits(now)
+	}
 	l.unansweredSince = time.Time{}
 	l.endOverdrafts()
+	l.countReturned(request, now.Sub(sent))
 	for _, grant := range reply.Grants {
 		at := slices.IndexFunc(request.TokenRequests, func(a plane.TokenRequest) bool { return a.Workspace == grant.Workspace && a.WantedTokens > 0 })
 		if at < 0 {
@@ -142,7 +151,13 @@
 	s.freeShare, s.freeShareAt = grant.FreeShare, now
 	s.refillAt, s.refillTokens = time.Time{}, 0
 	s.nextRequestAt = now.Add(minPollInterval)
+	s.queuedAtControl = l.QuotaWindow > 0 && grant.Wait > 0
+	if grant.Recovering {
+		l.recoveredAt = later(l.recoveredAt, now.Add(recoveryNotice-recoveryTime))
+		s.extendWaits()
+	}
 	if grant.Tokens > 0 {
+		s.counts.granted += grant.Tokens
 		s.leases = append(s.leases, &tokenLease{id: grant.LeaseID, remaining: grant.Tokens, expires: sent.Add(grant.Lifetime.Std()), lastTaken: now})
 	}
 	l.serveWaiters(s, now)
@@ -182,14 +197,15 @@
 // refuseHopeless refuses at once the waiters whose tokens will come after their
 // deadline.
 func (l *Limiter) refuseHopeless(s *share, now time.Time) {
-	rate := l.rate(s.account)
+	rate := l.accrual(s.account)
 	for _, w := range slices.Clone(s.waiters) {
 		if w.deadline.IsZero() {
 			continue
 		}
-		if wait := s.estimate(now, w, rate); now.Add(wait).After(w.deadline) {
+		if wait := s.estimate(now, w, 0, rate); now.Add(wait).After(w.latest()) {
 			s.remove(w)
 			w.done <- refuseLate(wait)
+			l.wake.Set()
 		}
 	}
 }
@@ -214,10 +230,12 @@
 	for _, s := range l.shares {
 		for _, lease := range s.leases {
 			if lease.remaining > 0 && time.Now().Before(lease.expires) {
+				s.counts.returned += lease.remaining
 				requests = append(requests, plane.TokenRequest{Workspace: s.account, UnusedTokens: lease.remaining, LeaseID: lease.id})
 			}
 			lease.remaining = 0
 		}
+		l.report(s, time.Now())
 	}
 	l.seq++
 	request := &plane.GrantRequest{Entry: l.Host.VM, Incarnation: l.Incarnation, Seq: l.seq, TokenRequests: requests}
--- a/entry/limit/share.go
+++ b/entry/limit/share.go
@@ -59,6 +59,16 @@
 	// them came at unreportedSince.
 	unreportedRequests int64
 	unreportedSince    time.Time
+	// arrivals are the requests that will take their tokens when they are sent, and
+	// arrivedTokens the sum of those tokens; sending are the reservations of attempts that
+	// are being sent. See sending.go.
+	arrivals      map[*arrival]struct{}
+	arrivedTokens int64
+	sending       []*arrival
+	counts        counts
+	// queuedAtControl means that control keeps a position for this entry, which is withdrawn
+	// when no request waits for tokens any more. It is not set without a quota window.
+	queuedAtControl bool
 }
 
 // tokenLease is a lease of tokens, which must not be used after expires.
@@ -80,11 +90,19 @@
 	// own.
 	keepFree int64
 	class    call.Class
+	// urgency comes before queueTime in the order of the queue. It is zero for requests
+	// whose tokens are taken on arrival.
+	urgency urgency
 	// queueTime orders the queue, earliest first: the deadline, or for a stream's
 	// extension a time shortly before that of a new request.
 	queueTime time.Time
 	// deadline is when the waiter is refused; zero for a stream that has started.
-	deadline    time.Time
+	deadline time.Time
+	// servedBy is the latest time at which the waiter's tokens may be expected while
+	// control answers; zero means the deadline.
+	servedBy time.Time
+	// since is when the waiter began to wait, set together with servedBy.
+	since       time.Time
 	isExtension bool
 	// opaque means that the request's size is an upper bound set by its caller. A
 	// request whose size exceeds the burst is refused with a time to retry, as for a lack
@@ -136,6 +154,7 @@
 		}
 		part.used += tokens
 		p.used += tokens
+		p.share.counts.run += tokens
 		sum -= tokens
 		if part.lease.unreported == 0 {
 			part.lease.unreportedSince = now
@@ -155,12 +174,14 @@
 		tokens -= returned
 		if now.Before(part.lease.expires) {
 			part.lease.remaining += returned
+		} else {
+			s.counts.lost += returned
 		}
 	}
 }
 
 func (s *share) recordUse(now time.Time, tokens int64) {
-	s.recentTokens = s.recentUse(now) + float64(tokens)
+	s.recentTokens = max(s.recentUse(now)+float64(tokens), 0)
 	s.recentAt = now
 }
 
@@ -174,7 +195,7 @@
 // so the next request to control is sent at once.
 func (s *share) enqueue(now time.Time, w *waiter) {
 	at, _ := slices.BinarySearchFunc(s.waiters, w, func(other, w *waiter) int {
-		if other.queueTime.After(w.queueTime) {
+		if w.before(other) {
 			return 1
 		}
 		return -1
@@ -186,7 +207,7 @@
 }
 
 func (s *share) wouldBeFirst(w *waiter) bool {
-	return len(s.waiters) == 0 || w.queueTime.Before(s.waiters[0].queueTime)
+	return len(s.waiters) == 0 || w.before(s.waiters[0])
 }
 
 func (s *share) remove(w *waiter) bool {
@@ -213,16 +234,17 @@
 
 func (s *share) untilRefill(now time.Time) time.Duration { return max(s.refillAt.Sub(now), 0) }
 
-// estimate returns how long a waiter will wait behind those before it. Tokens beyond
-// refillTokens are expected at this entry's part of the rate.
-func (s *share) estimate(now time.Time, w *waiter, rate float64) time.Duration {
-	ahead, all := w.tokens-s.available(now), w.tokens
+// estimate returns how long a waiter will wait behind those before it, which include
+// requests of arrived tokens that are not in the queue yet. Tokens beyond refillTokens are
+// expected at this entry's part of the rate.
+func (s *share) estimate(now time.Time, w *waiter, arrived int64, rate float64) time.Duration {
+	ahead, all := arrived+w.tokens-s.available(now), arrived+w.tokens
 	for _, other := range s.waiters {
 		if other == w {
 			continue
 		}
 		all += other.tokens
-		if !other.queueTime.After(w.queueTime) {
+		if !w.before(other) {
 			ahead += other.tokens
 		}
 	}
@@ -243,6 +265,10 @@
 		requests = append(requests, plane.TokenRequest{Workspace: s.account, ServiceRequests: s.unreportedRequests})
 		s.unreportedRequests = 0
 	}
+	if s.queuedAtControl && len(s.waiters) == 0 && !requesting {
+		s.queuedAtControl = false
+		requests = append(requests, plane.TokenRequest{Workspace: s.account})
+	}
 	if requesting {
 		requests = append(requests, plane.TokenRequest{Workspace: s.account, WantedTokens: wantedTokens, MinTokens: minTokens})
 	}
@@ -261,7 +287,7 @@
 		minTokens = max(s.waiters[0].tokens+s.waiters[0].keepFree-available, 0)
 	}
 	if s.fleetDemand <= 1 {
-		ahead := int64(s.recentUse(now) * prefetchTime.Seconds() / recentWindow.Seconds())
+		ahead := s.arrivedDemand(int64(s.recentUse(now) * prefetchTime.Seconds() / recentWindow.Seconds()))
 		if len(s.waiters) > 0 || available < ahead/2 {
 			wantedTokens += ahead
 		}
@@ -278,6 +304,7 @@
 	kept := s.leases[:0]
 	for _, lease := range s.leases {
 		if !now.Before(lease.expires) {
+			s.counts.lost += max(lease.remaining, 0)
 			continue
 		}
 		kept = append(kept, lease)
@@ -285,7 +312,7 @@
 			continue
 		}
 		request := plane.TokenRequest{Workspace: s.account, LeaseID: lease.id}
-		idle := now.Sub(lease.lastTaken) >= returnIdleAfter && len(s.waiters) == 0
+		idle := now.Sub(lease.lastTaken) >= returnIdleAfter && len(s.waiters) == 0 && len(s.arrivals) == 0
 		ending := lease.expires.Sub(now) < returnBeforeExpiry
 		if idle || ending {
 			request.UnusedTokens = lease.remaining
@@ -304,7 +331,12 @@
 	return requests
 }
 
+// holdsAny reports whether the share has leases, requests, or something to report.
+func (s *share) holdsAny() bool {
+	return len(s.leases) > 0 || len(s.waiters) > 0 || len(s.arrivals) > 0 || len(s.sending) > 0 || s.unreportedOverdraft > 0 || s.unreportedRequests > 0
+}
+
 // isIdle reports whether the share can be dropped.
 func (s *share) isIdle(now time.Time) bool {
-	return len(s.leases) == 0 && len(s.waiters) == 0 && s.unreportedOverdraft == 0 && s.unreportedRequests == 0 && now.Sub(s.recentAt) > idleShareTimeout
+	return !s.holdsAny() && !s.isShort(now) && now.Sub(s.recentAt) > idleShareTimeout
 }
--- a/pkg/plane/quota.go
+++ b/pkg/plane/quota.go
@@ -81,4 +81,7 @@
 	// grant. Hedges are sent only while it is large. A replica that does not state it
 	// leaves it at 0.
 	FreeShare float64 `protobuf:"fixed64,9,opt"`
+	// Recovering means that the leader has led for a short time only, so that a lack of
+	// tokens may come from the time without a leader. It is set with a quota window only.
+	Recovering bool `protobuf:"varint,10,opt"`
 }
