ctrl/state, pkg/advert: a daemon that starts learns of all versions that may have begun streams

Control told a starting daemon of the 64 last removed endpoints, of whatever age: in a larger release these all had one version, and the version whose endpoints had left first was unknown. A version replaced under an endpoint's own name left no trace at all. Now one tombstone a version is sent, and a record keeps the other versions announced under its name.

Versions that ended longer ago than streams are kept are no longer sent: before, a daemon that started took the versions of all releases ever made for recent and refused streams of unknown origin. A replica knows by its monotonic clock how old a change is at least, and the leader commits it for the replicas that start later (one small command a second while changes age).

--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -249,18 +249,23 @@
 	}
 }
 
-// commitExpiries commits an empty command whenever a claim or ban is due to expire: the commit
-// advances the committed time, by which the state machine expires them. It also reports the size
-// of the claim ledger.
+// commitExpiries commits a command whenever a claim or ban is due to expire: the commit advances
+// the committed time, by which the state machine expires them. The same command tells a later
+// leader, which cannot know it, which changes of endpoints are too old to matter to streams. It
+// also reports the size of the claim ledger.
 func (d *Daemon) commitExpiries(ctx context.Context) {
 	pause.Every(ctx, expiryInterval, func() {
 		claims, size := d.machine.Claims()
 		d.Host.Meter.Set("claims", int64(claims))
 		d.Host.Meter.Set("claims_bytes", size)
-		if !d.node.Status().Leading || !d.machine.Due(d.node.Now()) {
+		if !d.node.Status().Leading {
 			return
 		}
-		if _, err := d.propose(ctx, &state.Command{}); err != nil {
+		aged, due := d.machine.AgedEndpoints(time.Now())
+		if !due && !d.machine.Due(d.node.Now()) {
+			return
+		}
+		if _, err := d.propose(ctx, &state.Command{AgedRevision: aged}); err != nil {
 			d.Host.Log.Write("expiry-not-committed", "err", err)
 		}
 	})
--- a/ctrl/state/command.go
+++ b/ctrl/state/command.go
@@ -41,6 +41,9 @@
 	Departures    []Departure     `protobuf:"bytes,11,rep"`
 	// Release is the version of an adapter that new requests run on.
 	Release *plane.Release `protobuf:"bytes,12,opt"`
+	// AgedRevision states that all changes of endpoints up to this revision were made at
+	// least origin.Retention ago.
+	AgedRevision uint64 `protobuf:"varint,14,opt"`
 }
 
 // Departure reports that an endpoint has left.
@@ -130,4 +133,5 @@
 	Endpoints         []advert.Record `protobuf:"bytes,10,rep"`
 	Releases          []plane.Release `protobuf:"bytes,11,rep"`
 	PromptParts       *poison.Table   `protobuf:"bytes,12,opt"`
+	AgedRevision      uint64          `protobuf:"varint,13,opt"`
 }
--- a/ctrl/state/endpoints.go
+++ b/ctrl/state/endpoints.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
@@ -29,6 +30,7 @@
 			m.endpointsRevision++
 		}
 	}
+	m.agedRevision = max(m.agedRevision, command.AgedRevision)
 	if command.Release != nil {
 		m.setRelease(*command.Release)
 	}
@@ -85,6 +87,8 @@
 func (m *Machine) restoreOpaqueRoutes(stored *image) {
 	m.endpointsRevision = stored.EndpointsRevision
 	m.endpoints.Restore(stored.Endpoints)
+	m.agedRevision = stored.AgedRevision
+	m.ages.reset(m.endpointsRevision, time.Now())
 	m.releases = map[adapterKey]plane.Release{}
 	for _, release := range stored.Releases {
 		m.releases[adapterKey{release.Model, release.Adapter}] = release
@@ -98,23 +102,34 @@
 	return m.endpointsRevision
 }
 
-// maxRemovedAtStart is how many removed endpoints a daemon learns of that has just started:
-// their streams may still go on, if an endpoint with the same software is left.
-const maxRemovedAtStart = 64
-
 // EndpointsSince returns the endpoints and releases that changed after a
-// revision, and the current revision. For revision 0 it includes the last endpoints that
-// were removed.
+// revision, and the current revision. For revision 0 it includes removed endpoints that show
+// which software versions may have begun the streams that still go on.
 func (m *Machine) EndpointsSince(revision uint64) (endpoints []advert.Record, releases []plane.Release, now uint64) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	aged := max(m.agedRevision, m.ages.aged(time.Now()))
 	endpoints = m.endpoints.ChangedSince(revision)
 	if revision == 0 {
-		endpoints = append(endpoints, m.endpoints.RecentlyRemoved(maxRemovedAtStart)...)
+		endpoints = append(endpoints, m.endpoints.RemovedSoftware(aged)...)
+	}
+	for i := range endpoints {
+		if endpoints[i].FormerRevision <= aged {
+			endpoints[i].FormerSoftware, endpoints[i].FormerRevision = nil, 0
+		}
 	}
 	return endpoints, m.releasesSince(revision), m.endpointsRevision
 }
 
+// AgedEndpoints returns the AgedRevision that a command may state, and false if the replicas
+// have agreed on it already.
+func (m *Machine) AgedEndpoints(now time.Time) (revision uint64, due bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	revision = m.ages.aged(now)
+	return revision, revision > m.agedRevision
+}
+
 // AcceptsAnnouncement reports whether an announcement would change the table
 // of endpoints.
 func (m *Machine) AcceptsAnnouncement(record *advert.Record) bool {
--- a/ctrl/state/machine.go
+++ b/ctrl/state/machine.go
@@ -62,7 +62,11 @@
 	// endpointsRevision counts the changes to endpoints and releases.
 	endpointsRevision uint64
 	endpoints         advert.Table
-	releases          map[adapterKey]plane.Release
+	// agedRevision is the highest Command.AgedRevision, and ages tells the same by this
+	// replica's own clock.
+	agedRevision uint64
+	ages         revisionAges
+	releases     map[adapterKey]plane.Release
 }
 
 // timedReservation is a Reservation with a local time by which it had been
@@ -127,6 +131,7 @@
 	}
 	m.applyBans(command, result)
 	m.applyOpaqueRoutes(command, result)
+	m.ages.observe(m.endpointsRevision, appendedBy)
 	m.ledger.Expire(m.time)
 	changed := number != m.number() || bansRevision != m.bansRevision() || lastFence != m.lastFence || endpointsRevision != m.endpointsRevision
 	return result, changed
@@ -167,6 +172,7 @@
 		Time: m.time, Config: m.config, History: slices.Clone(m.history), Claims: m.ledger.Snapshot(),
 		LastFence: m.lastFence, Bans: m.bans.Snapshot(), PromptParts: m.promptParts.Snapshot(),
 		EndpointsRevision: m.endpointsRevision, Endpoints: m.endpoints.Snapshot(), Releases: m.releasesSince(0),
+		AgedRevision: m.agedRevision,
 	}
 	for _, reservation := range m.reservations {
 		stored.Reservations = append(stored.Reservations, reservation.Reservation)
--- a/pkg/advert/advert.go
+++ b/pkg/advert/advert.go
@@ -77,7 +77,9 @@
 	if holder := t.records[t.nameByAddress[report.Address]]; holder != nil && holder.Name != report.Name {
 		t.markRemoved(holder, revision)
 	}
-	if former := t.records[report.Name]; former != nil {
+	former := t.records[report.Name]
+	report.inheritSoftware(former, revision)
+	if former != nil {
 		t.deleteRecord(former)
 	}
 	report.Removed, report.Revision = false, revision
@@ -155,24 +157,39 @@
 			changed = append(changed, *record)
 		}
 	}
-	slices.SortFunc(changed, func(a, b Record) int {
-		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Name, b.Name))
-	})
+	slices.SortFunc(changed, compareRevisions)
 	return changed
 }
 
-// RecentlyRemoved returns the tombstones with the newest revisions, at most limit.
-func (t *Table) RecentlyRemoved(limit int) []Record {
+// RemovedSoftware returns the tombstones with a revision above after that show which software
+// versions may have begun streams: the newest one of each version of a service, and all under
+// whose names several versions were announced. They are ordered by revision.
+func (t *Table) RemovedSoftware(after uint64) []Record {
+	newest := map[[2]string]Record{}
 	var removed []Record
 	for _, record := range t.records {
-		if record.Removed {
+		if !record.Removed || record.Revision <= after {
+			continue
+		}
+		if len(record.FormerSoftware) > 0 {
 			removed = append(removed, *record)
+			continue
 		}
+		key := [2]string{record.Service, record.SoftwareVersion}
+		if known, ok := newest[key]; !ok || record.Revision > known.Revision {
+			newest[key] = *record
+		}
+	}
+	for _, record := range newest {
+		removed = append(removed, record)
 	}
-	slices.SortFunc(removed, func(a, b Record) int {
-		return cmp.Or(cmp.Compare(b.Revision, a.Revision), cmp.Compare(a.Name, b.Name))
-	})
-	return removed[:min(len(removed), limit)]
+	slices.SortFunc(removed, compareRevisions)
+	return removed
+}
+
+// compareRevisions orders records by revision, then by name.
+func compareRevisions(a, b Record) int {
+	return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Name, b.Name))
 }
 
 // Get returns the record of an endpoint, which may be a tombstone.
--- a/pkg/advert/record.go
+++ b/pkg/advert/record.go
@@ -1,5 +1,7 @@
 package advert
 
+import "slices"
+
 // Record describes one endpoint that announces itself to control.
 type Record struct {
 	// Name identifies the endpoint. A restarted process usually has a new name.
@@ -30,6 +32,34 @@
 	// SoftwareVersion is the version of the process's software, not of its weights; empty
 	// if it is unknown. Streams do not go on at a process of another version.
 	SoftwareVersion string `protobuf:"bytes,12,opt" json:"software,omitempty"`
+	// FormerSoftware are the other versions that processes of this name have announced,
+	// oldest first, and FormerRevision is the table's revision at which the last of them was
+	// replaced. The table sets both. Streams that were begun under the name may be of any of
+	// these versions.
+	FormerSoftware []string `protobuf:"bytes,13,rep" json:"former_software,omitempty"`
+	FormerRevision uint64   `protobuf:"varint,14,opt" json:"former_revision,omitempty"`
+}
+
+// maxFormerSoftware bounds the versions remembered for a name; the oldest are dropped.
+// Within the time that streams take, an endpoint is replaced once or twice.
+const maxFormerSoftware = 4
+
+// inheritSoftware sets the former versions of a record from the record that it replaces, nil
+// if there is none.
+func (r *Record) inheritSoftware(former *Record, revision uint64) {
+	r.FormerSoftware, r.FormerRevision = nil, 0
+	if former == nil {
+		return
+	}
+	r.FormerSoftware, r.FormerRevision = former.FormerSoftware, former.FormerRevision
+	if former.SoftwareVersion == r.SoftwareVersion {
+		return
+	}
+	versions := slices.DeleteFunc(slices.Clone(former.FormerSoftware), func(version string) bool {
+		return version == r.SoftwareVersion || version == former.SoftwareVersion
+	})
+	versions = append(versions, former.SoftwareVersion)
+	r.FormerSoftware, r.FormerRevision = versions[max(len(versions)-maxFormerSoftware, 0):], revision
 }
 
 // Check reports the first invalid field.
