entry, pkg: streams of unknown origin are decided by what control knows, origins outlive the agents that leave

An entry took the one software version that it knew for the only one that can have begun a stream, although it may not have heard of an endpoint yet at which another entry began it.

Records name the process that wrote the first event; if another version has taken its name since, the origin is unknown.

Records were sent one after the other when a release began, and not again when the agents that held them left with their endpoints; entries that started did not ask these agents. Records are now sent 16 at a time, and again if fewer than two of the agents that are asked hold them.

The agent learns that a caller came back (admit.Request.Resumed) and whether the stream's record was found (OriginKnown). The log names the known versions, and event=request the continued stream.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -227,6 +227,7 @@
 	e.direct.RecordOrigin, e.direct.FindOrigin = e.origins.Record, e.origins.Find
 	e.direct.OnNoticeChanged = func() { e.feed.ReportLimits() }
 	e.direct.Current = func() bool { return e.feed.Valid() }
+	e.direct.Confirm = func(ctx context.Context) bool { return e.feed.Confirm(ctx) }
 	e.feed = &feed.Feed{
 		Host:        d.Host,
 		Incarnation: incarnation,
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -155,10 +155,14 @@
 	RecordOrigin func(record origin.Record)
 	FindOrigin   func(ctx context.Context, attempt string) origin.Record
 	Current      func() bool
+	// Confirm waits until Endpoints holds all that control had committed when Confirm was
+	// called, and reports whether that happened before ctx ended. Nil means that it does.
+	Confirm func(ctx context.Context) bool
 	// Random returns a number between 0 and 1; nil uses the global generator.
 	Random func() float64
 
 	popularity shares.Estimator
+	anew       anewSpread
 	// malformedLog limits the lines about malformed notices.
 	malformedLog     rate.Sometimes
 	malformedLogOnce sync.Once
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -24,6 +24,9 @@
 	// failedRetryAfter is the retry delay of callers after rejected attempts
 	// when no agent reported a delay.
 	failedRetryAfter = 250 * time.Millisecond
+	// resumedSpread is the part of a retry delay by which those of resumed streams differ at
+	// most. Delays are only lengthened, so that none ends before an engine can begin.
+	resumedSpread = 0.5
 )
 
 // job is one request with the state of its attempts.
@@ -53,9 +56,10 @@
 	// succeeds.
 	failure *bufferedAnswer
 	// origin is the endpoint that wrote the first event of the stream; nil before it is
-	// known. It has only a service and a software version if another attempt of the caller
-	// brought that event.
-	origin *advert.Record
+	// known. It lacks what is not known of it if another attempt of the caller brought that
+	// event. originSource tells how it is known; it is empty for a new stream.
+	origin       *advert.Record
+	originSource string
 	// waited is how long the request has waited until an endpoint may get requests again.
 	waited time.Duration
 	// retryAfter is the shortest retry delay that an agent reported, 0 if none
@@ -235,6 +239,10 @@
 	if j.retryAfter > 0 {
 		wait = j.retryAfter
 	}
+	if resumed, _ := j.resumes(); resumed {
+		// The streams of a lost entry come back together; they must not do so again.
+		wait += time.Duration(float64(wait) * resumedSpread * j.filter.random())
+	}
 	return chain.Refuse(http.StatusServiceUnavailable, code, message).WithRetryAfter(wait)
 }
 
--- a/entry/direct/software.go
+++ b/entry/direct/software.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
@@ -11,9 +12,21 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/origin"
 )
 
-// beginAnewRetryAfter is the retry delay of a caller whose stream cannot go on. It is
-// minimal, since the caller can begin a new stream at once.
-const beginAnewRetryAfter = 10 * time.Millisecond
+// confirmTimeout bounds the wait for what control knows of the endpoints of a stream whose
+// origin is unknown. Control answers within 200 ms, and elects a leader within a second after
+// a restart; callers leave after four seconds without data.
+const confirmTimeout = time.Second
+
+// The ways in which the origin of a stream can be known.
+const (
+	// sourceRecord means that this entry or an agent holds the stream's record, and
+	// sourceOnlyVersion that a single software version can have begun the stream.
+	sourceRecord      = "record"
+	sourceOnlyVersion = "only-version"
+	// sourceAnswer means that the stream began in the same answer.
+	sourceAnswer = "answer"
+	sourceNone   = "none"
+)
 
 // findOrigin finds where the stream began that the request continues. Its caller may come
 // from another entry. It refuses the request if more than one software version, or more than
@@ -27,15 +40,17 @@
 	if f.FindOrigin != nil && r.FirstAttempt != "" {
 		found = f.FindOrigin(ctx, r.FirstAttempt)
 	}
-	source := "record"
+	j.originSource = sourceRecord
+	if !found.Known {
+		found = j.onlyOrigin(ctx)
+		j.originSource = sourceOnlyVersion
+	}
 	if !found.Known {
-		source = "only-version"
-		found.Service = j.service
-		found.SoftwareVersion, found.Known = f.Endpoints.OnlySoftware(j.service, time.Now())
-		found.Known = found.Known && len(r.Route.Split) < 2 && (f.Current == nil || f.Current())
+		j.originSource = sourceNone
 	}
+	f.Host.Meter.Add("streams_returned_"+j.originSource, 1)
 	f.Host.Log.Write("stream-continued", "request", r.ID, "first", r.FirstAttempt, "after", r.LastEventID,
-		"known", found.Known, "source", source, "service", found.Service, "software", found.SoftwareVersion)
+		"known", found.Known, "source", j.originSource, "service", found.Service, "software", found.SoftwareVersion, "endpoint", found.Endpoint)
 	switch {
 	case !found.Known:
 		return j.refuseContinuation("software_unknown")
@@ -43,10 +58,35 @@
 		return j.refuseContinuation("service_changed")
 	}
 	j.service = found.Service
-	j.origin = &advert.Record{Service: found.Service, SoftwareVersion: found.SoftwareVersion}
+	j.origin = &advert.Record{
+		Name: found.Endpoint, Service: found.Service, SoftwareVersion: found.SoftwareVersion, StartedMillis: found.StartedMillis,
+	}
 	return nil
 }
 
+// onlyOrigin returns the origin of a stream without a record; its field Known is false unless
+// a single software version can have begun the stream. An entry may not have heard yet of
+// endpoints that other entries use, so it decides only by what control knows once the caller
+// has come back.
+func (j *job) onlyOrigin(ctx context.Context) origin.Record {
+	f, unknown := j.filter, origin.Record{Service: j.service}
+	if len(j.request.Route.Split) > 1 || f.Current != nil && !f.Current() {
+		return unknown
+	}
+	if _, only := f.Endpoints.OnlySoftware(j.service, time.Now()); !only {
+		return unknown
+	}
+	if f.Confirm != nil {
+		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+		defer cancel()
+		if !f.Confirm(ctx) {
+			return unknown
+		}
+	}
+	version, only := f.Endpoints.OnlySoftware(j.service, time.Now())
+	return origin.Record{Service: j.service, SoftwareVersion: version, Known: only}
+}
+
 // serves reports whether a route sends requests to a service.
 func serves(route *conf.Route, service string) bool {
 	if len(route.Split) == 0 {
@@ -67,9 +107,24 @@
 		return
 	}
 	j.origin = &endpoint
-	if r.Route.Resume && j.filter.RecordOrigin != nil && !j.filter.Endpoints.SoftwareReplaced(&endpoint) {
-		j.filter.RecordOrigin(origin.Record{Attempt: r.ID, Service: j.service, SoftwareVersion: endpoint.SoftwareVersion, Known: true})
+	j.originSource = sourceAnswer
+	if r.Route.Resume && j.filter.RecordOrigin != nil && !j.filter.Endpoints.SoftwareReplaced(&endpoint, time.Now()) {
+		j.filter.RecordOrigin(origin.Record{
+			Attempt: r.ID, Service: j.service, SoftwareVersion: endpoint.SoftwareVersion, Known: true,
+			Endpoint: endpoint.Name, StartedMillis: endpoint.StartedMillis,
+		})
+	}
+}
+
+// resumes reports whether the caller has a part of the stream already, and whether it is
+// known where the stream began; the first alone may be the caller's claim only.
+func (j *job) resumes() (resumed, originKnown bool) {
+	if j.cutter.EventCount > 0 {
+		return true, true
 	}
+	route := &j.request.Route
+	resumed = route.Stream && route.Resume && j.request.LastEventID != ""
+	return resumed, resumed && j.originSource == sourceRecord
 }
 
 // keepSoftware excludes the endpoints at which the stream may not go on, because their
@@ -81,7 +136,7 @@
 	}
 	v, began := j.filter.Endpoints, j.origin
 	code := "software_gone"
-	if began.Name != "" && v.SoftwareReplaced(began) {
+	if began.Name != "" && v.SoftwareReplaced(began, time.Now()) {
 		code = "software_unknown"
 	} else if v.ExcludeOtherSoftware(j.service, began.SoftwareVersion, j.excluded) > 0 {
 		return nil
@@ -91,12 +146,17 @@
 
 // refuseContinuation refuses to continue a stream; the caller may begin a new one.
 func (j *job) refuseContinuation(code string) *chain.Refusal {
-	j.filter.Host.Meter.Add("streams_not_continued", 1)
+	f := j.filter
+	f.Host.Meter.Add("streams_not_continued", 1)
+	f.Host.Meter.Add("streams_not_continued_"+code, 1)
 	software := ""
 	if j.origin != nil {
 		software = j.origin.SoftwareVersion
 	}
-	j.filter.Host.Log.Write("stream-not-continued", "request", j.request.ID, "first", j.request.FirstAttempt, "events", j.cutter.EventCount,
-		"software", software, "reason", code)
-	return chain.Refuse(http.StatusServiceUnavailable, code, "no endpoint can continue the stream").WithRetryAfter(beginAnewRetryAfter)
+	now := time.Now()
+	wait := f.anew.delay(f.random(), now)
+	f.Host.Log.Write("stream-not-continued", "request", j.request.ID, "first", j.request.FirstAttempt, "events", j.cutter.EventCount,
+		"software", software, "reason", code, "source", j.originSource, "service", j.service,
+		"versions", strings.Join(f.Endpoints.SoftwareVersions(j.service, now), ","), "current", f.Current == nil || f.Current(), "retry", wait)
+	return chain.Refuse(http.StatusServiceUnavailable, code, "no endpoint can continue the stream").WithRetryAfter(wait)
 }
--- a/entry/direct/software_test.go
+++ b/entry/direct/software_test.go
@@ -220,7 +220,7 @@
 			r.Route.Attempts = 3
 		})
 		require.NoError(t, err)
-		require.Equal(t, []origin.Record{{Attempt: "r", Service: "s", SoftwareVersion: s.calls[1].Endpoint.SoftwareVersion, Known: true}}, recorded)
+		require.Equal(t, []origin.Record{{Attempt: "r", Service: "s", SoftwareVersion: s.calls[1].Endpoint.SoftwareVersion, Known: true, Endpoint: s.calls[1].Endpoint.Name, StartedMillis: s.calls[1].Endpoint.StartedMillis}}, recorded)
 	})
 }
 
--- a/entry/direct/target.go
+++ b/entry/direct/target.go
@@ -263,8 +263,8 @@
 		PromptTokens: r.PromptTokens, MaxAnswerTokens: j.remainingTokens(r.MaxTokens), ExpectedAnswerTokens: j.remainingTokens(r.ExpectedTokens),
 		FirstTokenRemaining: span.Duration(r.Start.Add(r.Objective.FirstToken.Std()).Sub(now)),
 		Remaining:           span.Duration(j.callerDeadline().Sub(now)),
-		Resumed:             j.cutter.EventCount > 0,
 	}
+	spec.Resumed, spec.OriginKnown = j.resumes()
 	if limit, ok := j.filter.Endpoints.Limit(engine.Name); ok {
 		report := advert.NewLimitReport(engine.Name, engine.StartedMillis, &limit, now)
 		spec.Limit = &report
--- a/entry/finder/bench_test.go
+++ b/entry/finder/bench_test.go
@@ -56,7 +56,9 @@
 	}
 	first, second := newEntry(), newEntry()
 	named := func(i int) origin.Record {
-		return origin.Record{Attempt: fmt.Sprintf("%016x", i), Service: "recon-models", SoftwareVersion: "v1.1", Known: true}
+		return origin.Record{
+			Attempt: fmt.Sprintf("%016x", i), Service: "recon-models", SoftwareVersion: "v1.1", Known: true, Endpoint: "i-fac6dab7dc", StartedMillis: 1_790_000_000_000,
+		}
 	}
 	b.Run("record", func(b *testing.B) {
 		for i := range b.N {
@@ -72,3 +74,17 @@
 		b.ReportMetric(float64(bytes.Swap(0))/float64(b.N), "wire-B/op")
 	})
 }
+
+// BenchmarkPass measures the choice of agents in one pass over held records at target size: 435
+// streams within the time that records are held, and 600 agents.
+func BenchmarkPass(b *testing.B) {
+	var addresses []string
+	for i := range 600 {
+		addresses = append(addresses, fmt.Sprintf("10.1.%d.%d:27601", i/250, i%250))
+	}
+	for range b.N {
+		for i := range 435 {
+			finder.Choose(fmt.Sprintf("%016x", i), addresses)
+		}
+	}
+}
--- /dev/null
+++ b/entry/finder/export_test.go
@@ -0,0 +1,4 @@
+package finder
+
+// Choose returns the agents for a stream.
+var Choose = choose
--- a/entry/finder/finder.go
+++ b/entry/finder/finder.go
@@ -35,10 +35,18 @@
 	exchangeTimeout = 250 * time.Millisecond
 	// maxRecording bounds the streams that are being recorded at the same time.
 	maxRecording = 128
-	// heldTime is how long a record is held that agents need not know yet: longer than most
-	// streams take. maxHeld bounds their number.
+	// heldTime is how long this entry sends a record again if agents that hold it leave, or
+	// agents need not know it yet: longer than most streams take. maxHeld bounds their number.
 	heldTime = 30 * time.Second
 	maxHeld  = 4096
+	// maxKeyBytes is the room for the usual keys of rendezvous hashes; longer ones are slower.
+	maxKeyBytes = 128
+	// maxResending bounds the held records that are sent at the same time.
+	maxResending = 16
+	// minPassPause is the least time between two passes over the held records, and passPauses
+	// how many times as long as the search of a pass: endpoints may change many times a second.
+	minPassPause = 20 * time.Millisecond
+	passPauses   = 20
 )
 
 // Finder finds the origins of streams. Its exported fields are set before use; it is
@@ -58,14 +66,18 @@
 	local     origin.Store
 	mutex     sync.Mutex
 	recording int
-	// held are the records that agents do not know, oldest first.
-	held  []heldRecord
-	group tasks.Group
+	// held are the records of the streams that began here lately, oldest first.
+	held []*heldRecord
+	// passing reports that a pass over held is under way, and passDue that another one follows.
+	passing, passDue bool
+	group            tasks.Group
 }
 
 type heldRecord struct {
 	record origin.Record
 	at     time.Time
+	// holders are the agents that have confirmed the record.
+	holders []string
 }
 
 // Record stores where a stream began, here at once and at agents soon after, if other entries
@@ -73,8 +85,8 @@
 func (f *Finder) Record(record origin.Record) {
 	now := time.Now()
 	f.local.Put(record, now)
+	held := f.hold(record, now)
 	if f.Needed != nil && !f.Needed(record.Service) {
-		f.hold(record, now)
 		return
 	}
 	if !f.begin() {
@@ -83,49 +95,92 @@
 	}
 	f.group.Go(func() {
 		defer f.end()
-		f.distribute(record)
+		f.distribute(held)
 	})
 }
 
-func (f *Finder) hold(record origin.Record, now time.Time) {
+func (f *Finder) hold(record origin.Record, now time.Time) *heldRecord {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	expired := 0
 	for expired < len(f.held) && (now.Sub(f.held[expired].at) > heldTime || len(f.held)-expired >= maxHeld) {
 		expired++
 	}
-	f.held = append(slices.Delete(f.held, 0, expired), heldRecord{record: record, at: now})
+	held := &heldRecord{record: record, at: now}
+	f.held = append(slices.Delete(f.held, 0, expired), held)
+	return held
 }
 
-// Update sends the held records that other entries need to know from now on. It is called
-// after the endpoints have changed.
+// Update sends the held records that other entries need to know from now on, or that too few
+// of the agents hold that are left. It is called after the endpoints have changed.
 func (f *Finder) Update() {
-	now := time.Now()
 	f.mutex.Lock()
-	var needed []origin.Record
-	kept := f.held[:0]
-	for _, h := range f.held {
-		switch {
-		case now.Sub(h.at) > heldTime:
-		case f.Needed == nil || f.Needed(h.record.Service):
-			needed = append(needed, h.record)
-		default:
-			kept = append(kept, h)
+	defer f.mutex.Unlock()
+	f.passDue = true
+	if f.passing {
+		return
+	}
+	f.passing = true
+	f.group.Go(f.pass)
+}
+
+// pass sends held records until no further pass is due.
+func (f *Finder) pass() {
+	for f.takePass() {
+		started := time.Now()
+		missing := f.missingRecords(started)
+		pause := max(passPauses*time.Since(started), minPassPause)
+		var sending sync.WaitGroup
+		limit := make(chan struct{}, maxResending)
+		for _, held := range missing {
+			limit <- struct{}{}
+			sending.Go(func() {
+				defer func() { <-limit }()
+				f.distribute(held)
+			})
 		}
+		sending.Wait()
+		time.Sleep(pause)
 	}
-	clear(f.held[len(kept):])
-	f.held = kept
+}
+
+// takePass reports whether a pass is due; if not, the passes end.
+func (f *Finder) takePass() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.passing, f.passDue = f.passDue, false
+	return f.passing
+}
+
+// missingRecords returns the held records that other entries need to know and that too few of
+// the agents hold that they ask.
+func (f *Finder) missingRecords(now time.Time) []*heldRecord {
+	f.mutex.Lock()
+	held := slices.Clone(f.held)
 	f.mutex.Unlock()
-	if len(needed) == 0 {
-		return
-	}
-	f.group.Go(func() {
-		for _, record := range needed {
-			f.distribute(record)
+	needed := map[string]bool{}
+	agents := f.Addresses()
+	return slices.DeleteFunc(held, func(h *heldRecord) bool {
+		service := h.record.Service
+		if _, asked := needed[service]; !asked {
+			needed[service] = f.Needed == nil || f.Needed(service)
 		}
+		return now.Sub(h.at) > heldTime || !needed[service] || f.confirmed(h, choose(h.record.Attempt, agents)) >= copies
 	})
 }
 
+// confirmed returns how many of the agents hold a record.
+func (f *Finder) confirmed(held *heldRecord, agents []string) (count int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, address := range agents {
+		if slices.Contains(held.holders, address) {
+			count++
+		}
+	}
+	return count
+}
+
 func (f *Finder) begin() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -142,16 +197,25 @@
 	f.recording--
 }
 
-// distribute sends a record to the first agents for its stream that confirm it.
-func (f *Finder) distribute(record origin.Record) {
-	stored := 0
-	for _, address := range f.holders(record.Attempt) {
-		if stored == copies {
+// distribute sends a record to the first agents for its stream that confirm it, unless enough
+// of those that are asked for it hold it.
+func (f *Finder) distribute(held *heldRecord) {
+	holders := f.holders(held.record.Attempt)
+	stored := f.confirmed(held, holders)
+	for _, address := range holders {
+		if stored >= copies {
 			return
 		}
-		if _, err := f.exchange(context.Background(), address, origin.MethodRecord, &record); err == nil {
-			stored++
+		if f.confirmed(held, []string{address}) > 0 {
+			continue
 		}
+		if _, err := f.exchange(context.Background(), address, origin.MethodRecord, &held.record); err != nil {
+			continue
+		}
+		stored++
+		f.mutex.Lock()
+		held.holders = append(held.holders, address)
+		f.mutex.Unlock()
 	}
 	if stored < copies {
 		f.Host.Meter.Add("origins_with_few_copies", 1)
@@ -215,19 +279,31 @@
 	return answer, nil
 }
 
-// holders returns the agents for a stream in the order of their rendezvous hashes.
-func (f *Finder) holders(attempt string) []string {
+// holders returns the agents for a stream.
+func (f *Finder) holders(attempt string) []string { return choose(attempt, f.Addresses()) }
+
+// choose returns the first agents for a stream in the order of their rendezvous hashes.
+func choose(attempt string, agents []string) []string {
 	type holder struct {
 		address string
 		hash    uint64
 	}
-	var order []holder
-	for _, address := range f.Addresses() {
-		order = append(order, holder{address: address, hash: xxhash.Sum64String(attempt + "\x00" + address)})
+	// A pass over held records calls this for each, so the agents are not sorted.
+	first := make([]holder, 0, maxAsked+1)
+	compare := func(a, b holder) int { return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.address, b.address)) }
+	key := append(make([]byte, 0, maxKeyBytes), attempt...)
+	key = append(key, 0)
+	for _, address := range agents {
+		next := holder{address: address, hash: xxhash.Sum64(append(key, address...))}
+		if len(first) == maxAsked && compare(next, first[maxAsked-1]) >= 0 {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(first, next, compare)
+		first = slices.Insert(first, at, next)
+		first = first[:min(len(first), maxAsked)]
 	}
-	slices.SortFunc(order, func(a, b holder) int { return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.address, b.address)) })
-	addresses := make([]string, 0, maxAsked)
-	for _, h := range order[:min(len(order), maxAsked)] {
+	addresses := make([]string, 0, len(first))
+	for _, h := range first {
 		addresses = append(addresses, h.address)
 	}
 	return addresses
--- a/entry/finder/finder_test.go
+++ b/entry/finder/finder_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,8 @@
 	stop   []func()
 	mutex  sync.Mutex
 	silent map[int]bool
+	// latency is how long agents take to answer.
+	latency time.Duration
 }
 
 func inFleet(t *testing.T, agents int, test func(t *testing.T, f *fleet)) {
@@ -41,8 +44,9 @@
 			for method, handler := range handlers {
 				handlers[method] = func(ctx context.Context, stream *wire.Stream) error {
 					f.mutex.Lock()
-					silent := f.silent[i]
+					silent, latency := f.silent[i], f.latency
 					f.mutex.Unlock()
+					time.Sleep(latency)
 					if silent {
 						<-ctx.Done()
 						return ctx.Err()
@@ -207,3 +211,72 @@
 		require.Equal(t, 2*(51+4096), stored(), "held records are bounded")
 	})
 }
+
+// The agents that held the origins left with their endpoints in a release; an entry that
+// started afterwards did not ask them, and streams that could go on were refused.
+func TestOriginsOutliveTheAgentsThatLeave(t *testing.T) {
+	const agents, streams = 12, 200
+	inFleet(t, agents, func(t *testing.T, f *fleet) {
+		first := f.entry(t, "first", 0, agents-1)
+		var left atomic.Int32
+		left.Store(agents)
+		first.Addresses = func() (addresses []string) {
+			for i := agents - int(left.Load()); i < agents; i++ {
+				addresses = append(addresses, agentAddress(i))
+			}
+			return addresses
+		}
+		for i := range streams {
+			first.Record(record(i))
+		}
+		first.Wait()
+		for left.Load() > 2 {
+			left.Add(-1)
+			first.Update()
+			time.Sleep(50 * time.Millisecond)
+		}
+		first.Wait()
+		second := f.entry(t, "second", agents-2, agents-1)
+		for i := range streams {
+			require.Equal(t, record(i), second.Find(t.Context(), record(i).Attempt))
+		}
+		stored := 0
+		for _, store := range f.stores {
+			stored += store.Len()
+		}
+		require.LessOrEqual(t, stored, streams*agents/2, "not all agents are told")
+		before := first.Host.Meter.Value("origins_with_few_copies")
+		first.Update()
+		first.Wait()
+		require.Equal(t, before, first.Host.Meter.Value("origins_with_few_copies"), "nothing is sent again without need")
+	})
+}
+
+// The record of a stream was held at its entry, because one version alone served, when a
+// release began and the entry was killed soon after: most records were still waiting for
+// their turn to be sent.
+func TestHeldOriginsAreSentBeforeTheirEntryIsKilled(t *testing.T) {
+	const streams = 400
+	inFleet(t, 12, func(t *testing.T, f *fleet) {
+		first, second := f.entry(t, "first", 0, 11), f.entry(t, "second", 0, 11)
+		var mixed atomic.Bool
+		first.Needed = func(string) bool { return mixed.Load() }
+		for i := range streams {
+			first.Record(record(i))
+		}
+		f.mutex.Lock()
+		f.latency = 2 * time.Millisecond
+		f.mutex.Unlock()
+		mixed.Store(true)
+		first.Update()
+		time.Sleep(200 * time.Millisecond)
+		found := 0
+		for i := range streams {
+			if second.Find(t.Context(), record(i).Attempt).Known {
+				found++
+			}
+		}
+		require.Equal(t, streams, found)
+		first.Wait()
+	})
+}
--- a/entry/trace/trace.go
+++ b/entry/trace/trace.go
@@ -23,6 +23,9 @@
 // idSize is the length of a request ID in bytes.
 const idSize = 12
 
+// maxContinued bounds the callers' text in the log, in bytes; attempts are named by shorter IDs.
+const maxContinued = 64
+
 // Tracer is the first filter of the chain.
 type Tracer struct {
 	// Host is the daemon's host.
@@ -84,9 +87,19 @@
 		"request", "id", r.ID, "workspace", r.Workspace, "route", r.RouteName, "adapter", r.Adapter, "version", r.Version,
 		"class", r.Class, "status", status, "code", code, "retry", retry, "tokens", r.SentTokens, "cost", r.QuotaTokens, "endpoint", r.Endpoint, "tries", r.FailedAttempts,
 		"waited", r.AdmissionWait, "first", first, "pause", r.MaxGap, "time", time.Since(r.Start),
+		"continued", continued(r),
 	)
 }
 
+// continued returns the attempt that began the stream which the request continues, "unnamed"
+// if its caller names none, and nothing for a request that continues no stream.
+func continued(r *chain.Request) string {
+	if r.FirstAttempt == "" && r.LastEventID != "" {
+		return "unnamed"
+	}
+	return r.FirstAttempt[:min(len(r.FirstAttempt), maxContinued)]
+}
+
 // countObjective counts the request for its objective, unless it failed because of its caller.
 func (t *Tracer) countObjective(r *chain.Request, status int) {
 	if t.CountObjective == nil || r.Workspace == "" || (r.Objective.FirstToken == 0 && r.Objective.TokenGap == 0) {
--- a/entry/view/view.go
+++ b/entry/view/view.go
@@ -68,6 +68,8 @@
 	// softwareSeen holds when an endpoint of a service with a software version was last
 	// announced or removed, by service and version.
 	softwareSeen map[string]map[string]time.Time
+	// reusedNames holds the names that processes of several software versions have used.
+	reusedNames map[string]reusedName
 	// notices holds what processes said of themselves, also of those that are not
 	// listed.
 	notices map[process]*notices
@@ -105,6 +107,11 @@
 	for service, records := range usable {
 		for _, record := range records {
 			known := former[record.Name]
+			if known != nil && known.record.SoftwareVersion != record.SoftwareVersion {
+				now := time.Now()
+				es.recordSoftware(service, known.record.SoftwareVersion, now)
+				es.recordReuse(&record, true, now)
+			}
 			if known == nil || known.record.StartedMillis != record.StartedMillis || known.record.Address != record.Address {
 				known = &endpoint{resident: map[string]time.Time{}}
 			}
--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -54,7 +54,8 @@
 	// until the caller's deadline.
 	FirstTokenRemaining span.Duration `protobuf:"varint,11,opt"`
 	Remaining           span.Duration `protobuf:"varint,12,opt"`
-	// Resumed means that the caller has already received a part of the answer.
+	// Resumed means that the caller has already received a part of the answer, from this
+	// attempt or, by its own statement, from an earlier one.
 	Resumed bool `protobuf:"varint,13,opt"`
 	// LastCandidate means that the entry has no other engine to ask. The agent then
 	// refuses the request only if it cannot be served in time.
@@ -64,6 +65,10 @@
 	MaxLimitWait span.Duration `protobuf:"varint,15,opt"`
 	// Limit is what the engine said of its limit to the entry; nil if it named none.
 	Limit *advert.LimitReport `protobuf:"bytes,16,opt"`
+	// OriginKnown means that the entry knows where the stream began whose part the caller has:
+	// in this answer, or by a record that an entry made then. Otherwise Resumed is only what
+	// the caller claims. Entries built before this field leave it unset.
+	OriginKnown bool `protobuf:"varint,18,opt"`
 }
 
 // Check reports the first invalid field.
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -106,6 +106,7 @@
 	quarantineChanged chan struct{}
 	burn              burnCounter
 	suspectReports    suspectReports
+	confirmations     confirmations
 	heartbeatDue      notify.Signal
 }
 
@@ -256,7 +257,7 @@
 		return err
 	}
 	f.lease.Reset()
-	s := &session{feed: f, stream: stream, renewed: make(chan uint64, 1), failed: make(chan error, 1)}
+	s := &session{feed: f, stream: stream, sentBefore: f.confirmations.begin(), renewed: make(chan uint64, 1), failed: make(chan error, 1)}
 	go s.receive()
 	defer f.burn.restore()
 	defer f.suspectReports.restore()
@@ -300,8 +301,9 @@
 type session struct {
 	feed   *Feed
 	stream *wire.Stream
-	// seq is the number of the last heartbeat sent.
-	seq uint64
+	// seq is the number of the last heartbeat sent, and sentBefore the number of those that
+	// earlier streams carried.
+	seq, sentBefore uint64
 	// renewed receives the number of a heartbeat for which the lease was renewed, and
 	// failed the error that ended the receiving of updates.
 	renewed chan uint64
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -227,3 +227,54 @@
 		require.Empty(t, last.ClearedSuspects)
 	})
 }
+
+// A daemon took the endpoints that it knew for all that serve, although a change had been
+// committed that had not reached it yet.
+func TestConfirmationFollowsTheCall(t *testing.T) {
+	r := &replica{}
+	r.answer = func(*plane.Heartbeat) *plane.Update { return renewal(5, completeDelta(5)) }
+	withFeed(t, r, func(f *feed.Feed, _ <-chan error) {
+		confirm := func(limit time.Duration) (bool, time.Duration) {
+			started := time.Now()
+			ctx, cancel := context.WithTimeout(context.Background(), limit)
+			defer cancel()
+			return f.Confirm(ctx), time.Since(started)
+		}
+		sent := func() int {
+			r.mutex.Lock()
+			defer r.mutex.Unlock()
+			return len(r.heartbeats)
+		}
+		time.Sleep(500 * time.Millisecond)
+		before := sent()
+		confirmed, waited := confirm(time.Second)
+		require.True(t, confirmed)
+		require.LessOrEqual(t, waited, 200*time.Millisecond, "does not wait for the next regular heartbeat")
+		require.Equal(t, before+1, sent(), "an answer to an earlier heartbeat is not enough")
+
+		before = sent()
+		var group sync.WaitGroup
+		for range 500 {
+			group.Go(func() {
+				confirmed, _ := confirm(time.Second)
+				require.True(t, confirmed)
+			})
+		}
+		group.Wait()
+		require.LessOrEqual(t, sent(), before+2, "calls share a heartbeat")
+
+		r.mutex.Lock()
+		r.answer = func(*plane.Heartbeat) *plane.Update { return &plane.Update{ConfigNumber: 5} }
+		r.mutex.Unlock()
+		confirmed, waited = confirm(250 * time.Millisecond)
+		require.False(t, confirmed, "an answer without a lease did not ask the other replicas")
+		require.Equal(t, 250*time.Millisecond, waited)
+		time.Sleep(5 * time.Second)
+		r.mutex.Lock()
+		r.answer = func(*plane.Heartbeat) *plane.Update { return renewal(5, nil) }
+		r.mutex.Unlock()
+		time.Sleep(2 * time.Second)
+		confirmed, _ = confirm(time.Second)
+		require.True(t, confirmed, "over another stream")
+	})
+}
--- a/pkg/feed/session.go
+++ b/pkg/feed/session.go
@@ -56,6 +56,7 @@
 	}
 	f.suspectReports.attach(heartbeat)
 	f.lease.Sent(s.seq)
+	f.confirmations.send()
 	return s.stream.Send(heartbeat)
 }
 
@@ -129,6 +130,7 @@
 	f.suspectReports.confirm(update.Seq)
 	if update.Lease > 0 && f.configNumber() >= update.ConfigNumber {
 		f.lease.Renew(update.Seq, update.Lease.Std())
+		f.confirmations.confirm(s.sentBefore + update.Seq)
 		s.signalRenewed(update.Seq)
 	}
 	if update.Lease == 0 && f.configNumber() >= update.ConfigNumber {
--- a/pkg/origin/bench_test.go
+++ b/pkg/origin/bench_test.go
@@ -19,7 +19,9 @@
 	s := &origin.Store{}
 	var record origin.Record
 	for i := range b.N {
-		record = origin.Record{Attempt: fmt.Sprintf("%016x", i), Service: "recon-models", SoftwareVersion: "v1.1", Known: true}
+		record = origin.Record{
+			Attempt: fmt.Sprintf("%016x", i), Service: "recon-models", SoftwareVersion: "v1.1", Known: true, Endpoint: "i-fac6dab7dc", StartedMillis: 1_790_000_000_000,
+		}
 		s.Put(record, now)
 	}
 	runtime.GC()
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -27,7 +27,7 @@
 
 // Method names of streams to an agent.
 const (
-	// MethodRecord carries one Record to the agent, which sends it back as a confirmation.
+	// MethodRecord carries one Record to the agent, which confirms it with one that has only the ID.
 	MethodRecord = "origin-record"
 	// MethodFind exchanges a Record with only an ID for the stored one.
 	MethodFind = "origin-find"
@@ -55,11 +55,16 @@
 	// Known reports whether the origin is known. It is not if two streams of different
 	// origins began under the same ID.
 	Known bool `protobuf:"varint,4,opt"`
+	// Endpoint is the name of the endpoint, and StartedMillis when its process had started by
+	// its announcement. If another process has taken the name since, it is uncertain which of
+	// the two wrote the event.
+	Endpoint      string `protobuf:"bytes,5,opt"`
+	StartedMillis int64  `protobuf:"varint,6,opt"`
 }
 
 // Check reports the first invalid field.
 func (r *Record) Check() error {
-	if r.Attempt == "" || max(len(r.Attempt), len(r.Service), len(r.SoftwareVersion)) > maxFieldBytes {
+	if r.Attempt == "" || max(len(r.Attempt), len(r.Service), len(r.SoftwareVersion), len(r.Endpoint)) > maxFieldBytes {
 		return &Error{Op: "check stream", Kind: KindField}
 	}
 	if r.Known && r.Service == "" {
@@ -151,7 +156,7 @@
 		return err
 	}
 	s.Put(*record, time.Now())
-	return stream.Send(record)
+	return stream.Send(&Record{Attempt: record.Attempt})
 }
 
 func (s *Store) serveFind(_ context.Context, stream *wire.Stream) error {
