entry/buffer: bound of the memory held for callers and endpoints, and a buffer for each answer

Cause: a caller that reads slowly left its endpoint's answer unread, and nothing bounded the bodies and answers that an entry holds. Not measured yet.

--- a/entry/chain/body.go
+++ b/entry/chain/body.go
@@ -3,8 +3,25 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/buffer"
+)
+
+const (
+	// minBodySpace is the space for the first bytes of a body; it doubles as more arrive.
+	minBodySpace = 4 << 10
+	// memoryRetryAfter is the least retry delay of a request that was refused for want of
+	// memory: an answer takes about that long. Callers are spread over as much again.
+	memoryRetryAfter = time.Second
+	// unreadBodyTimeout is how long the rest of a refused body may take to arrive. Until
+	// then it is read and dropped, since a connection that is closed with unread bytes may
+	// lose the refusal.
+	unreadBodyTimeout = time.Second
+	// CodeMemory is the code of requests refused for want of memory.
+	CodeMemory = "memory_full"
 )
 
 // ReadBody reads a request's complete body of at most maxBytes, which must arrive
@@ -14,12 +31,94 @@
 	_ = control.SetReadDeadline(time.Now().Add(timeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
 	_ = control.SetReadDeadline(time.Time{})
+	if err != nil {
+		return nil, bodyRefusal(err)
+	}
+	return body, nil
+}
+
+// bodyRefusal returns the refusal of a request whose body failed with err.
+func bodyRefusal(err error) error {
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
-		return nil, Refuse(http.StatusRequestEntityTooLarge, "body_too_large", "the request body is too large")
+		return Refuse(http.StatusRequestEntityTooLarge, "body_too_large", "the request body is too large")
 	}
-	if err != nil {
-		return nil, Refuse(http.StatusBadRequest, "body_unreadable", "the request body could not be read")
+	return Refuse(http.StatusBadRequest, "body_unreadable", "the request body could not be read")
+}
+
+// BodyLimits bound one request body.
+type BodyLimits struct {
+	// MaxBytes is the largest size, Timeout the time in which the body must arrive, and
+	// GapTimeout the longest time in which nothing of it arrives; 0 means no limit.
+	MaxBytes            int64
+	Timeout, GapTimeout time.Duration
+}
+
+// ReadBodyInto reads a request's complete body and counts it in hold as it arrives. If
+// there is no memory for the body, it refuses the request, if possible before it reads
+// anything. Its error is a Refusal.
+func ReadBodyInto(hold *buffer.Hold, w http.ResponseWriter, r *http.Request, limits BodyLimits) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
 	}
-	return body, nil
+	if r.ContentLength > limits.MaxBytes {
+		return nil, refuseUnread(w, bodyRefusal(&http.MaxBytesError{Limit: limits.MaxBytes}))
+	}
+	now := time.Now()
+	if !hold.Admit(r.ContentLength, now) {
+		return nil, refuseUnread(w, memoryFull())
+	}
+	control := http.NewResponseController(w)
+	end := now.Add(limits.Timeout)
+	reader := http.MaxBytesReader(w, r.Body, limits.MaxBytes)
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			grown := bodySpace(int64(cap(body)), r.ContentLength, limits.MaxBytes)
+			if !hold.Grow(grown-int64(cap(body)), now) {
+				return nil, refuseUnread(w, memoryFull())
+			}
+			body = append(make([]byte, 0, grown), body...)
+		}
+		deadline := end
+		if limits.GapTimeout > 0 && now.Add(limits.GapTimeout).Before(end) {
+			deadline = now.Add(limits.GapTimeout)
+		}
+		_ = control.SetReadDeadline(deadline)
+		n, err := reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err != nil && !errors.Is(err, io.EOF) {
+			return nil, refuseUnread(w, bodyRefusal(err))
+		}
+		if err != nil {
+			_ = control.SetReadDeadline(time.Time{})
+			return body, nil
+		}
+		now = time.Now()
+	}
+}
+
+// bodySpace returns the next larger space for a body of a stated length, which is negative
+// if it is unknown. One byte beyond the largest body reveals larger ones.
+func bodySpace(space, length, maxBytes int64) int64 {
+	most := maxBytes + 1
+	if length >= 0 && space < length {
+		most = length
+	}
+	return min(max(2*space, minBodySpace), max(most, space+1))
+}
+
+// memoryFull returns the refusal of a request for want of memory.
+func memoryFull() error {
+	wait := memoryRetryAfter + rand.N(memoryRetryAfter)
+	return Refuse(http.StatusServiceUnavailable, CodeMemory, "this entry holds too much for other requests").WithRetryAfter(wait)
+}
+
+// refuseUnread prepares the connection for a refusal that is sent before the body has been
+// read, and returns the refusal. Without the close, the server reads the rest of the body
+// before it answers.
+func refuseUnread(w http.ResponseWriter, refusal error) error {
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	return refusal
 }
--- a/entry/chain/chain.go
+++ b/entry/chain/chain.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/entry/buffer"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
@@ -155,6 +156,11 @@
 	// any more.
 	Check func() error
 
+	// Memory is the memory that the request holds in the process. It is nil where memory is
+	// not bounded; otherwise Write takes the answer into a buffer and blocks only while that
+	// is full.
+	Memory *buffer.Hold
+
 	// Write takes the frames of the answer in order: one FrameHead, any number of
 	// FramePart and one FrameEnd. Filters may wrap it. An error means that the caller has
 	// disconnected.
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -38,9 +38,21 @@
 	defer cancel(nil)
 	watchdog := j.startWatchdog(&t.endpoint, cancel)
 	defer watchdog.stop()
+	if j.request.Memory != nil {
+		j.watchdog = watchdog
+	}
+	bodySent, ok := j.request.Memory.BeginSend(t.endpoint.Name, int64(len(j.request.Body)))
+	if !ok {
+		return verdictNotRun, &Error{Op: "send", Kind: KindBacklog}
+	}
+	defer bodySent()
 	sent := time.Now()
 	j.request.Endpoint, j.request.FailedAttempts, j.request.AdmissionWait = t.endpoint.Name, j.tries, t.waited
-	answer, err := j.filter.Send(attemptCtx, j.newCall(t, sent))
+	c := j.newCall(t, sent)
+	if j.request.Memory != nil {
+		c.OnSent = bodySent
+	}
+	answer, err := j.filter.Send(attemptCtx, c)
 	if err != nil {
 		return j.handleSendError(ctx, attemptCtx, t, err)
 	}
@@ -157,6 +169,15 @@
 		return verdictBroken, err
 	}
 	buffered := &bufferedAnswer{status: answer.Status, header: fields(answer.Header), body: body}
+	j.request.Memory.Take(int64(len(body)))
+	if j.failure == nil {
+		// An error answer is kept, so that its memory counts until the request ends.
+		defer func() {
+			if j.failure == nil {
+				j.request.Memory.Take(-int64(len(body)))
+			}
+		}()
+	}
 	if len(body) > maxBuffered {
 		return j.forwardLarge(answer, buffered)
 	}
@@ -276,6 +297,11 @@
 	if err := j.sendHead(answer); err != nil {
 		return err
 	}
+	if j.watchdog == nil {
+		return j.request.Write(&call.Frame{Type: call.FramePart, Data: events})
+	}
+	j.watchdog.beginWrite()
+	defer j.watchdog.endWrite()
 	return j.request.Write(&call.Frame{Type: call.FramePart, Data: events})
 }
 
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -48,6 +48,9 @@
 	// KindUnreachable reports an agent that is not queried because it recently
 	// failed to reply.
 	KindUnreachable Kind = "agent recently failed to reply"
+	// KindBacklog reports an endpoint that gets no further body because it does not read
+	// those that it has.
+	KindBacklog Kind = "endpoint does not read its request bodies"
 )
 
 // Error is this package's error type.
@@ -87,6 +90,9 @@
 	// OnNotice is called with what the endpoint says of itself in each answer,
 	// also in one to another request. It may be nil.
 	OnNotice func(notice advert.Notice)
+	// OnSent is called when nothing of the body will be sent any more; it may be nil and
+	// may be called more than once.
+	OnSent func()
 }
 
 // Answer is an endpoint's answer to a Call.
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -47,6 +47,9 @@
 	// streaming whether it was that of a stream.
 	headSent, streaming bool
 	cutter              stream.Splitter
+	// watchdog is that of the current attempt if the answer is buffered for the caller,
+	// otherwise nil.
+	watchdog *watchdog
 	// lastReceived is when complete events of a stream last arrived.
 	lastReceived time.Time
 	// failure is an endpoint's error answer, forwarded if no further attempt
--- a/entry/direct/watchdog.go
+++ b/entry/direct/watchdog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
@@ -17,6 +18,26 @@
 	// supervision, and so does the header of an answer that is no stream.
 	first, gap time.Duration
 	stream     bool
+	// phase tells whether an event is being written to the caller, which may take long if
+	// the caller reads slowly. The endpoint is not to blame for that time.
+	phase atomic.Int32
+}
+
+// The values of watchdog.phase.
+const (
+	phaseReading int32 = iota
+	phaseWriting
+	// phaseExpired means that the timer expired while an event was written.
+	phaseExpired
+)
+
+// beginWrite and endWrite surround a write to the caller, in which the timer has no effect.
+func (w *watchdog) beginWrite() { w.phase.Store(phaseWriting) }
+
+func (w *watchdog) endWrite() {
+	if w.phase.Swap(phaseReading) == phaseExpired && w.gap > 0 {
+		w.timer.Reset(w.gap)
+	}
 }
 
 // startWatchdog starts the watchdog of an attempt. The watchdog never expires
@@ -26,8 +47,13 @@
 	if first == 0 {
 		return &watchdog{}
 	}
-	expire := func() { cancel(&Error{Op: "wait for endpoint", Kind: KindUnresponsive}) }
-	return &watchdog{timer: time.AfterFunc(first, expire), first: first, gap: gap, stream: j.request.Route.Stream && j.request.Route.Resume}
+	w := &watchdog{first: first, gap: gap, stream: j.request.Route.Stream && j.request.Route.Resume}
+	w.timer = time.AfterFunc(first, func() {
+		if !w.phase.CompareAndSwap(phaseWriting, phaseExpired) {
+			cancel(&Error{Op: "wait for endpoint", Kind: KindUnresponsive})
+		}
+	})
+	return w
 }
 
 // silenceLimits returns how long the endpoint may send no event before the first one
