--- a/entry/buffer/hold.go
+++ b/entry/buffer/hold.go
@@ -30,7 +30,7 @@
 	}
 	h.pool.mutex.Lock()
 	defer h.pool.mutex.Unlock()
-	if h.pool.fits(max(length, 1), int64(float64(h.pool.Bound)*newBodyShare), now) {
+	if h.pool.fits(max(length, 1), newBodyShare, now) {
 		return true
 	}
 	h.pool.counts.BodiesRefused++
@@ -44,7 +44,7 @@
 	}
 	h.pool.mutex.Lock()
 	defer h.pool.mutex.Unlock()
-	if !h.pool.fits(bytes, h.pool.Bound, now) {
+	if !h.pool.fits(bytes, 1, now) {
 		h.pool.counts.BodiesRefused++
 		return false
 	}
--- a/entry/buffer/pool.go
+++ b/entry/buffer/pool.go
@@ -34,6 +34,10 @@
 	// newBodyShare is the share of the bound up to which new bodies are accepted. The rest
 	// is for bodies that have begun to arrive and for answers.
 	newBodyShare = 0.875
+	// answersShare is the share of the bound that the answers may have which callers have
+	// yet to take. It is below newBodyShare, so that callers that read slowly do not cause
+	// the refusal of bodies.
+	answersShare = 0.625
 	// maxStreamBytes bounds the buffer of one answer, in bytes: some 2,000 events, more than
 	// the longest usual answer has. streamShare is the share of the bound that one answer
 	// may have at most, which applies to small processes.
@@ -65,7 +69,9 @@
 	mutex sync.Mutex
 	// held is the sum over all holds and streams.
 	held, peak int64
-	streams    map[*Stream]struct{}
+	// inStreams is the part of held that is in streams.
+	inStreams int64
+	streams   map[*Stream]struct{}
 	// unsent is the number of bytes of request bodies that an endpoint has not read, by
 	// the endpoint's name.
 	unsent map[string]int64
@@ -90,10 +96,22 @@
 	}
 }
 
-// fits reports whether the pool can hold more bytes up to a bound. If it cannot, fits
-// first aborts answers whose callers have taken nothing for long.
-func (p *Pool) fits(bytes, bound int64, now time.Time) bool {
-	for p.held+bytes > bound {
+// fits reports whether the pool can hold more bytes of bodies up to a share of the bound.
+func (p *Pool) fits(bytes int64, share float64, now time.Time) bool {
+	return p.makeRoom(now, func() bool { return p.held+bytes <= int64(float64(p.Bound)*share) })
+}
+
+// fitsAnswer reports whether the pool can hold more bytes of answers.
+func (p *Pool) fitsAnswer(bytes int64, now time.Time) bool {
+	return p.makeRoom(now, func() bool {
+		return p.held+bytes <= p.Bound && p.inStreams+bytes <= int64(float64(p.Bound)*answersShare)
+	})
+}
+
+// makeRoom aborts answers whose callers have taken nothing for long until there is room. It
+// returns false if there is none.
+func (p *Pool) makeRoom(now time.Time, room func() bool) bool {
+	for !room() {
 		victim := p.longestStalled(now)
 		if victim == nil {
 			return false
--- a/entry/buffer/stream.go
+++ b/entry/buffer/stream.go
@@ -76,7 +76,7 @@
 	switch {
 	case s.held == 0:
 		s.progress = now
-	case s.held+cost > s.pool.StreamBound || cost > 0 && !s.pool.fits(cost, s.pool.Bound, now):
+	case s.held+cost > s.pool.StreamBound || cost > 0 && !s.pool.fitsAnswer(cost, now):
 		// Aborting for want of memory may have hit this stream.
 		if s.aborted {
 			return Aborted
@@ -94,8 +94,7 @@
 	if len(rest) > 0 {
 		s.queue = append(s.queue, append(newChunk(len(rest)), rest...))
 	}
-	s.held += cost
-	s.pool.add(cost)
+	s.add(cost)
 	return Accepted
 }
 
@@ -157,12 +156,17 @@
 }
 
 func (s *Stream) free(chunk []byte) {
-	cost := int64(cap(chunk))
-	s.held -= cost
-	s.pool.add(-cost)
+	s.add(-int64(cap(chunk)))
 	freeChunk(chunk)
 }
 
+// add changes the number of bytes held.
+func (s *Stream) add(bytes int64) {
+	s.held += bytes
+	s.pool.inStreams += bytes
+	s.pool.add(bytes)
+}
+
 // End marks the answer as complete: what is left is delivered.
 func (s *Stream) End() {
 	s.pool.mutex.Lock()
