--- a/pkg/event/share.go
+++ b/pkg/event/share.go
@@ -22,7 +22,8 @@
 		return refusalShare
 	case isEvent(line, "admitted"), isEvent(line, "engine-ordered"), isEvent(line, "stream-ended"):
 		return successShare
-	case isEvent(line, "admission-refused"), isEvent(line, "attempt-failed"), isEvent(line, "agent-unreachable"), isEvent(line, "repeat"), isEvent(line, "prompt-refused"):
+	case isEvent(line, "admission-refused"), isEvent(line, "attempt-failed"), isEvent(line, "agent-unreachable"), isEvent(line, "repeat"), isEvent(line, "prompt-refused"),
+		isEvent(line, "body-refused"), isEvent(line, "answer-aborted"):
 		return refusalShare
 	}
 	return 1
--- a/spindle/story/cause.go
+++ b/spindle/story/cause.go
@@ -32,6 +32,7 @@
 	"retry_budget":     "it failed at an endpoint, and the fleet's share of repeats was used up; repeat lines tell the counts that decided it",
 	"timeout":          "its caller's time, or its route's, was over",
 	"caller_gone":      "its caller left before the answer was whole",
+	"caller_slow":      "its caller read the answer too slowly; `answer-aborted` and `memory-short` lines tell when",
 	"stopping":         "its entry was stopping and could not have finished it",
 	"starting":         "its entry had no configuration yet",
 	"no_authority":     "its entry had no configuration yet",
