--- a/entry/buffer/writer.go
+++ b/entry/buffer/writer.go
@@ -8,8 +8,9 @@
 
 const (
 	// maxPause is how long the entry may leave an endpoint's answer unread because the
-	// buffer is full. Endpoints cut off an answer that remains unread for two seconds.
-	maxPause = 1800 * time.Millisecond
+	// buffer is full. Endpoints cut off an answer that remains unread for two seconds; the
+	// rest is for the delays of a busy machine.
+	maxPause = 1500 * time.Millisecond
 	// recheckInterval is the time between two checks whether the pool has room again, which
 	// other requests make.
 	recheckInterval = 50 * time.Millisecond
