--- a/pkg/event/share.go
+++ b/pkg/event/share.go
@@ -22,7 +22,8 @@
 		return refusalShare
 	case isEvent(line, "admitted"), isEvent(line, "engine-ordered"), isEvent(line, "stream-ended"), isEvent(line, "hedge-sent"), isEvent(line, "hedge-ended"):
 		return successShare
-	case isEvent(line, "admission-refused"), isEvent(line, "attempt-failed"), isEvent(line, "agent-unreachable"), isEvent(line, "repeat"), isEvent(line, "prompt-refused"), isEvent(line, "hedge-denied"):
+	case isEvent(line, "admission-refused"), isEvent(line, "attempt-failed"), isEvent(line, "agent-unreachable"), isEvent(line, "repeat"), isEvent(line, "prompt-refused"), isEvent(line, "hedge-denied"),
+		isEvent(line, "body-refused"), isEvent(line, "answer-aborted"):
 		return refusalShare
 	}
 	return 1
