agent/turns: fair shares between workspaces at a full engine; agent/gate: preemption foreseen

One workspace with many times its usual load delayed all others of its priority, because the order of admission did not know workspaces. admit.Request gets ResumedKnown (field 18).

--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -79,10 +79,14 @@
 	// It decays exponentially and is stated as of recentPrefillAt.
 	recentPrefill   float64
 	recentPrefillAt time.Time
+	fair            fairOrder
 }
 
 // Add queues a request.
-func (c *Controller) Add(r *Request) { c.waiting = append(c.waiting, r) }
+func (c *Controller) Add(r *Request) {
+	c.waiting = append(c.waiting, r)
+	c.offer(r)
+}
 
 // Remove removes a waiting request and reports whether it was waiting.
 func (c *Controller) Remove(r *Request) bool {
@@ -105,6 +109,7 @@
 		}
 		return 0
 	})
+	c.arrange(now)
 	return slices.Clone(c.waiting)
 }
 
@@ -126,6 +131,7 @@
 // Start moves a request from waiting to running.
 func (c *Controller) Start(r *Request, now time.Time) {
 	c.Remove(r)
+	c.charge(r, now)
 	if c.running == nil {
 		c.running = map[*Request]struct{}{}
 	}
@@ -177,9 +183,9 @@
 // precede it and not before its adapter is loaded, which takes the time load.
 func (c *Controller) EstimateWait(r *Request, load time.Duration, now time.Time) time.Duration {
 	backlog := max(c.prefillEnd.Sub(now), 0)
-	tokens, ahead := c.usedTokens+r.expectedTokens(), 0
+	tokens, ahead := c.usedTokens+r.expectedTokens()+c.excessTokens(r, now), 0
 	for _, other := range c.waiting {
-		if other == r || !other.before(r, now) {
+		if other == r || !c.precedes(other, r, now) {
 			continue
 		}
 		ahead++
@@ -193,7 +199,7 @@
 	if over := len(c.running) + ahead + 1 - c.Slots; over > 0 && len(c.running) > 0 {
 		wait = max(wait, c.estimateRelease(int64(over)*c.meanRunTokens()))
 	}
-	return max(wait, load)
+	return max(c.delayed(r, wait, now), load)
 }
 
 // estimateRelease estimates how long it takes until running requests release a number of
@@ -226,7 +232,7 @@
 	if wait+minServiceTime > remaining {
 		return true
 	}
-	if r.Spec.Resumed || c.MeetsObjective(r, wait, now) {
+	if c.countsAsResumed(r) || c.MeetsObjective(r, wait, now) {
 		return false
 	}
 	return !r.Spec.LastCandidate || wait > remaining/lateWaitDivisor
--- /dev/null
+++ b/agent/gate/memory.go
@@ -0,0 +1,59 @@
+package gate
+
+import "time"
+
+// overrunMargin is the expected final length of an answer relative to its present one once it
+// has exceeded its estimate.
+const overrunMargin = 1.25
+
+// MayStart reports whether a request may go to the engine now. When requests of several
+// workspaces share the engine, it admits no request whose memory would make the engine preempt
+// a more urgent one.
+func (c *Controller) MayStart(r *Request, now time.Time) bool {
+	if !c.Fits(r, now) {
+		return false
+	}
+	if len(c.running) > 0 && c.usedTokens+r.expectedTokens()+c.excessTokens(r, now) > c.usableTokens() {
+		r.held = true
+		return false
+	}
+	return true
+}
+
+// excessTokens returns the memory that is expected to be needed beyond the estimates of the
+// running requests and of a request that is to start; 0 if all belong to one workspace.
+//
+// The estimate of a running request is exceeded if its answer is longer. The request that is to
+// start counts with its longest answer if the engine would preempt a more urgent request before
+// it: the engine knows the priority and preempts the newest of the least urgent requests, but
+// it does not know that a stream was resumed.
+func (c *Controller) excessTokens(r *Request, now time.Time) int64 {
+	several, endangers, excess := false, false, int64(0)
+	for other := range c.running {
+		several = several || other.Spec.Workspace != r.Spec.Workspace
+		endangers = endangers || other.Spec.Resumed && !r.Spec.Resumed && other.Spec.Priority > r.Spec.Priority
+		excess += other.overrun(now)
+	}
+	if !several {
+		return 0
+	}
+	if endangers {
+		excess += max(r.Spec.MemoryTokens()-r.expectedTokens(), 0)
+	}
+	return excess
+}
+
+// overrun returns by how many tokens a running request is expected to exceed expectedTokens.
+// Its present length follows from the time for which it has run, since the engine does not
+// report it to this package.
+func (r *Request) overrun(now time.Time) int64 {
+	estimated, usual := r.expectedTokens()-r.Spec.PromptTokens, r.EstimateRunTime()
+	if usual <= 0 {
+		return 0
+	}
+	present := float64(estimated) * now.Sub(r.started).Seconds() / usual.Seconds()
+	if present <= float64(estimated) {
+		return 0
+	}
+	return max(min(int64(present*overrunMargin), r.Spec.MaxAnswerTokens)-estimated, 0)
+}
--- a/agent/gate/request.go
+++ b/agent/gate/request.go
@@ -12,6 +12,11 @@
 	Spec *admit.Request
 	// Arrived is when the message arrived.
 	Arrived time.Time
+
+	// started is when the request was admitted. held means that it had to wait for memory that
+	// more urgent requests may need.
+	started time.Time
+	held    bool
 }
 
 // objective returns when the first token is due.
--- a/agent/keeper/task.go
+++ b/agent/keeper/task.go
@@ -24,6 +24,8 @@
 	reply chan *admit.Reply
 	// started is when the request was admitted; zero while the request waits.
 	started time.Time
+	// order is how the order treated the request, set before the decision is sent to reply.
+	order gate.Decision
 }
 
 // Admit serves one stream of an entry: it receives an admit.Request, sends the
@@ -92,6 +94,7 @@
 	k.Host.Meter.Add("admissions", 1)
 	waited := time.Since(t.request.Arrived)
 	k.Host.Meter.Observe("admission", waited)
+	k.countOrder(t.order, reply.Reason)
 	if reply.Reason == admit.ReasonNone {
 		reply.Wait = span.Duration(waited)
 		k.Host.Log.Write("admitted", "request", t.request.Spec.ID, "adapter", t.request.Spec.Adapter, "version", reply.Version,
@@ -100,7 +103,8 @@
 	}
 	k.Host.Meter.Add("refused_"+string(reply.Reason), 1)
 	k.Host.Log.Write("admission-refused", "request", t.request.Spec.ID, "adapter", t.request.Spec.Adapter, "reason", reply.Reason,
-		"wait", reply.Wait, "load", reply.LoadPermille, "goal", t.request.Spec.FirstTokenRemaining, "left", t.request.Spec.Remaining, "last", t.request.Spec.LastCandidate)
+		"wait", reply.Wait, "load", reply.LoadPermille, "goal", t.request.Spec.FirstTokenRemaining, "left", t.request.Spec.Remaining, "last", t.request.Spec.LastCandidate,
+		"workspace", t.request.Spec.Workspace, "resumed", t.order.Resumed, "share", t.order.Share)
 }
 
 // register queues a request. It returns false when the agent is stopping.
@@ -125,6 +129,7 @@
 
 // start admits a request.
 func (k *Keeper) start(t *task, version int64, now time.Time) {
+	t.order = k.admission.Explain(t.request, now)
 	k.admission.Start(t.request, now)
 	t.started = now
 	if t.adapter.Adapter != "" {
@@ -135,6 +140,7 @@
 
 // refuse refuses a waiting request.
 func (k *Keeper) refuse(t *task, reply *admit.Reply) {
+	t.order = k.admission.Explain(t.request, time.Now())
 	k.admission.Remove(t.request)
 	delete(k.tasks, t.request)
 	t.reply <- reply
--- a/entry/direct/target.go
+++ b/entry/direct/target.go
@@ -264,6 +264,7 @@
 		FirstTokenRemaining: span.Duration(r.Start.Add(r.Objective.FirstToken.Std()).Sub(now)),
 		Remaining:           span.Duration(j.callerDeadline().Sub(now)),
 		Resumed:             j.cutter.EventCount > 0,
+		ResumedKnown:        j.cutter.EventCount > 0,
 	}
 	if limit, ok := j.filter.Endpoints.Limit(engine.Name); ok {
 		report := advert.NewLimitReport(engine.Name, engine.StartedMillis, &limit, now)
--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -64,6 +64,9 @@
 	MaxLimitWait span.Duration `protobuf:"varint,15,opt"`
 	// Limit is what the engine said of its limit to the entry; nil if it named none.
 	Limit *advert.LimitReport `protobuf:"bytes,16,opt"`
+	// ResumedKnown means that the record of the resumed stream was found, so that Resumed is
+	// more than the caller's claim.
+	ResumedKnown bool `protobuf:"varint,18,opt"`
 }
 
 // Check reports the first invalid field.
