--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -196,7 +196,7 @@
 	if over := tokens - c.usableTokens(); over > 0 && len(c.running) > 0 {
 		wait = max(wait, c.estimateRelease(over))
 	}
-	if over := len(c.running) + ahead + 1 - c.Slots; over > 0 && len(c.running) > 0 {
+	if over := len(c.running) + ahead + 1 + c.reservedSlots(r, now) - c.Slots; over > 0 && len(c.running) > 0 {
 		wait = max(wait, c.estimateRelease(int64(over)*c.meanRunTokens()))
 	}
 	return max(c.delayed(r, wait, now), load)
--- a/agent/gate/memory.go
+++ b/agent/gate/memory.go
@@ -1,16 +1,23 @@
 package gate
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // overrunMargin is the expected final length of an answer relative to its present one once it
 // has exceeded its estimate.
 const overrunMargin = 1.25
 
+// minReserveSlots is from how many slots on a slot is reserved, so that the reserve of a small
+// engine does not take much of it.
+const minReserveSlots = 8
+
 // MayStart reports whether a request may go to the engine now. When requests of several
 // workspaces share the engine, it admits no request whose memory would make the engine preempt
-// a more urgent one.
+// a more urgent one, and a workspace that uses much more than its share leaves a reserve.
 func (c *Controller) MayStart(r *Request, now time.Time) bool {
-	if !c.Fits(r, now) {
+	if !c.Fits(r, now) || len(c.running) > 0 && len(c.running)+c.reservedSlots(r, now) >= c.Slots {
 		return false
 	}
 	if len(c.running) > 0 && c.usedTokens+r.expectedTokens()+c.excessTokens(r, now) > c.usableTokens() {
@@ -20,15 +27,22 @@
 	return true
 }
 
+// reservedSlots returns how many slots a request has to leave to other workspaces.
+func (c *Controller) reservedSlots(r *Request, now time.Time) int {
+	return min(int(math.Ceil(c.fair.book.Reserve(r.Spec.Workspace, now)*float64(c.Slots))), c.Slots/minReserveSlots)
+}
+
 // excessTokens returns the memory that is expected to be needed beyond the estimates of the
-// running requests and of a request that is to start; 0 if all belong to one workspace.
+// running requests and of a request that is to start, and the reserve for other workspaces; 0 if
+// all belong to one workspace.
 //
 // The estimate of a running request is exceeded if its answer is longer. The request that is to
 // start counts with its longest answer if the engine would preempt a more urgent request before
 // it: the engine knows the priority and preempts the newest of the least urgent requests, but
 // it does not know that a stream was resumed.
 func (c *Controller) excessTokens(r *Request, now time.Time) int64 {
-	several, endangers, excess := false, false, int64(0)
+	several, endangers := false, false
+	excess := int64(c.fair.book.Reserve(r.Spec.Workspace, now) * float64(c.usableTokens()))
 	for other := range c.running {
 		several = several || other.Spec.Workspace != r.Spec.Workspace
 		endangers = endangers || other.Spec.Resumed && !r.Spec.Resumed && other.Spec.Priority > r.Spec.Priority
--- a/agent/gate/order.go
+++ b/agent/gate/order.go
@@ -105,7 +105,11 @@
 	if !ok || p.Resumed || p.SmallShare {
 		return wait
 	}
-	return time.Duration(math.Min(float64(wait)*c.fair.book.Delay(r.entry(now), now), float64(max(wait, maxDelayedWait))))
+	delayed := time.Duration(math.Min(float64(wait)*c.fair.book.Delay(r.entry(now), now), float64(max(wait, maxDelayedWait))))
+	if p.Low {
+		return min(delayed, p.LowWait)
+	}
+	return delayed
 }
 
 // countsAsResumed reports whether a request has the rights of a resumed stream. When several
--- a/agent/turns/plan.go
+++ b/agent/turns/plan.go
@@ -50,6 +50,9 @@
 	small, unknown float64
 	// resumed states which entries count as resumed.
 	resumed []bool
+	// lowWaits holds, by entry, after which time it gets its turn by the small share; 0 if it is
+	// of the most urgent class or may not precede it.
+	lowWaits []time.Duration
 	// queues are the entries that are not placed yet, most urgent class first.
 	queues []*queue
 }
@@ -59,7 +62,6 @@
 	class class
 	// flows holds the entries' indices by workspace, the earliest objective first.
 	flows map[string][]int
-	work  float64
 }
 
 // Order returns the order in which the entries are admitted.
@@ -69,8 +71,14 @@
 	p.markResumed()
 	p.fillQueues()
 	places := make([]Place, 0, len(entries))
+	if len(entries) == 0 {
+		return places
+	}
+	p.estimateLow()
 	for range entries {
-		places = append(places, p.next())
+		place := p.next()
+		place.Low, place.LowWait = p.lowWaits[place.Index] > 0, p.lowWaits[place.Index]
+		places = append(places, place)
 	}
 	return places
 }
@@ -79,7 +87,7 @@
 	p := &plan{
 		entries: entries, summary: b.summarize(now), tags: maps.Clone(b.tags), virtual: b.virtual,
 		admitted: map[class]float64{}, offered: map[int32]float64{}, served: map[int32]float64{},
-		small: b.small.read(shareWindow, now), unknown: b.unknown.read(shareWindow, now), resumed: make([]bool, len(entries)),
+		small: b.small.read(shareWindow, now), unknown: b.unknown.read(shareWindow, now), resumed: make([]bool, len(entries)), lowWaits: make([]time.Duration, len(entries)),
 	}
 	p.credit = p.summary.credit()
 	for key, a := range b.classes {
@@ -149,7 +157,6 @@
 			p.queues = append(p.queues, q)
 		}
 		q.flows[e.Workspace] = append(q.flows[e.Workspace], i)
-		q.work += e.Work
 	}
 	slices.SortFunc(p.queues, func(a, b *queue) int { return a.class.compare(b.class) })
 	for _, q := range p.queues {
@@ -159,6 +166,41 @@
 	}
 }
 
+// estimateLow computes lowWaits. The classes below the most urgent one divide the small share
+// equally, and an entry does not precede entries that have waited longer.
+func (p *plan) estimateLow() {
+	rate := smallShare * p.summary.rate() / float64(max(len(p.queues)-1, 1))
+	if rate == 0 {
+		return
+	}
+	oldest := p.entries[p.head(p.queues[0])].Arrived
+	debt := max(p.small-smallShare*p.summary.total, 0)
+	for _, q := range p.queues[1:] {
+		ahead := debt
+		for _, i := range q.byObjective(p.entries) {
+			e := &p.entries[i]
+			if !p.mayPrecede(e) {
+				continue
+			}
+			wait := time.Duration(ahead / rate * float64(time.Second))
+			p.lowWaits[i] = max(wait, e.Arrived.Sub(oldest), time.Nanosecond)
+			ahead += e.Work
+		}
+	}
+}
+
+// byObjective returns all entries of a class, the earliest objective first.
+func (q *queue) byObjective(entries []Entry) []int {
+	var all []int
+	for _, indices := range q.flows {
+		all = append(all, indices...)
+	}
+	slices.SortFunc(all, func(i, j int) int {
+		return cmp.Or(entries[i].Objective.Compare(entries[j].Objective), cmp.Compare(i, j))
+	})
+	return all
+}
+
 // next places one entry.
 func (p *plan) next() Place {
 	q, index, small := p.queues[0], p.head(p.queues[0]), false
@@ -202,20 +244,22 @@
 	return cmp.Or(a.Objective.Compare(b.Objective), cmp.Compare(a.Workspace, b.Workspace)) < 0
 }
 
-// mostNeglected returns the class, and its next entry, that has got the smallest part of its
-// work among those that may precede the most urgent class by the small share; nil if there is
-// none. An entry may precede only an entry that has waited no longer, and only if its priority
-// is not served a larger part of its work than a more urgent one.
+// mostNeglected returns the class, and its next entry, that has got the least work recently
+// among those that may precede the most urgent class by the small share; nil if there is
+// none. An entry may precede only an entry that has waited no longer, of a workspace that is not
+// further behind its share, and only if its priority is not served a larger part of its work
+// than a more urgent one.
 func (p *plan) mostNeglected(top int) (*queue, int) {
 	var chosen *queue
-	index, least := 0, 0.0
+	index, least, first := 0, 0.0, &p.entries[top]
 	for _, q := range p.queues[1:] {
 		i := p.head(q)
-		if p.entries[i].Arrived.After(p.entries[top].Arrived) || !p.mayPrecede(&p.entries[i]) {
+		e := &p.entries[i]
+		if e.Arrived.After(first.Arrived) || p.start(e.Workspace) > p.start(first.Workspace) || !p.mayPrecede(e) {
 			continue
 		}
-		if part := p.admitted[q.class] / (p.admitted[q.class] + q.work); chosen == nil || part < least {
-			chosen, index, least = q, i, part
+		if chosen == nil || p.admitted[q.class] < least {
+			chosen, index, least = q, i, p.admitted[q.class]
 		}
 	}
 	return chosen, index
@@ -235,7 +279,6 @@
 
 func (p *plan) remove(q *queue, index int) {
 	e := &p.entries[index]
-	q.work -= e.Work
 	if q.flows[e.Workspace] = q.flows[e.Workspace][1:]; len(q.flows[e.Workspace]) == 0 {
 		delete(q.flows, e.Workspace)
 	}
--- a/agent/turns/returns.go
+++ b/agent/turns/returns.go
@@ -5,7 +5,7 @@
 // maxReturn bounds the return time that the work of earlier refused callers gives. A workspace
 // that is refused more than its share of this time cannot serve all of its callers, and a later
 // time would hold no better.
-const maxReturn = 5 * time.Second
+const maxReturn = 10 * time.Second
 
 // Return returns after how long the caller of a refused request may come back, where wait is
 // the time after which the request could start if no other caller came back. Callers refused
--- a/agent/turns/turns.go
+++ b/agent/turns/turns.go
@@ -26,10 +26,12 @@
 	// measured. It is longer than shareWindow so that a priority with few requests a minute
 	// gets its turn as well.
 	ratioWindow = time.Minute
-	// maxCredit is for how long a workspace keeps the unused part of its share. Between two
-	// workspaces, the one that has used the engine alone waits half of this time at most when
-	// the other one comes back.
-	maxCredit = time.Second
+	// maxCredit is how much of the engine's time a workspace may save up from the unused part of
+	// its share, so that a short burst of a workspace below its share does not wait for the
+	// requests of others. maxCredits bounds the sum over all workspaces, and thereby the time
+	// for which a workspace gets no turn when all others come back at once.
+	maxCredit  = 250 * time.Millisecond
+	maxCredits = 4 * time.Second
 	// smallShare is the part of the engine's work that is kept for tiers and priorities that
 	// are not the most urgent ones waiting.
 	smallShare = 0.1
@@ -39,6 +41,12 @@
 	// lightUse is the part of a workspace's use up to which another workspace is expected to
 	// continue to precede it.
 	lightUse = 0.5
+	// A workspace that uses overUse of the engine more than an equal part leaves a reserve to the
+	// others: reservePart of what they use. Without it, each request of the others waits until a
+	// running request ends. A smaller overUse would also hold for small workspaces that happen
+	// to send a few requests more than usual.
+	overUse     = 0.1
+	reservePart = 0.125
 	// minActiveShare is the part of the recent work from which a workspace counts as using the
 	// engine.
 	minActiveShare = 0.002
@@ -74,6 +82,10 @@
 	Resumed bool
 	// SmallShare means that the request precedes more urgent ones by the small share.
 	SmallShare bool
+	// Low means that the request is not of the most urgent class waiting, but may get a turn by
+	// the small share. LowWait is then the time after which that is its turn.
+	Low     bool
+	LowWait time.Duration
 }
 
 // flow is the part of a workspace's requests that have the same priority.
@@ -100,6 +112,9 @@
 	virtual float64
 	// returns is, by workspace, until when the work of its refused callers takes its share.
 	returns map[string]time.Time
+	// recent is the last result of summarize, valid as of recentAt until the next Admit.
+	recent   *summary
+	recentAt time.Time
 	// pruned is when unused accounts were last removed.
 	pruned time.Time
 }
@@ -129,6 +144,7 @@
 	b.prepare()
 	b.prune(now)
 	s := b.summarize(now)
+	b.recent = nil
 	start := max(b.tags[e.Workspace], b.virtual-s.credit())
 	b.tags[e.Workspace] = start + e.Work
 	b.virtual = max(b.virtual, start)
@@ -197,7 +213,11 @@
 	active int
 }
 
+// summarize returns the recent work. Its result must not be modified.
 func (b *Book) summarize(now time.Time) summary {
+	if b.recent != nil && b.recentAt.Equal(now) {
+		return *b.recent
+	}
 	s := summary{use: map[string]float64{}}
 	for key, a := range b.flows {
 		work := a.read(shareWindow, now)
@@ -210,12 +230,16 @@
 		}
 	}
 	s.active = max(s.active, 1)
+	b.recent, b.recentAt = &s, now
 	return s
 }
 
+// rate returns the work that the engine does in a second.
+func (s summary) rate() float64 { return s.total / shareWindow.Seconds() }
+
 // credit returns the work that a workspace may be behind the others and still catch up.
 func (s summary) credit() float64 {
-	return s.total / shareWindow.Seconds() * maxCredit.Seconds() / float64(s.active)
+	return s.rate() * min(maxCredit, maxCredits/time.Duration(s.active)).Seconds()
 }
 
 // Share returns a workspace's part of the recent work, and whether that is more than an equal
@@ -246,3 +270,20 @@
 	}
 	return 1 / max(1-ahead/s.total, smallShare)
 }
+
+// Reserve returns which part of the engine a workspace has to leave to the others: 0 unless it
+// uses much more than an equal part.
+func (b *Book) Reserve(workspace string, now time.Time) float64 {
+	s := b.summarize(now)
+	limit := (overUse + 1/float64(s.active)) * s.total
+	if s.use[workspace] <= limit {
+		return 0
+	}
+	others := 0.0
+	for _, work := range s.use {
+		if work <= limit {
+			others += work
+		}
+	}
+	return reservePart * others / s.total
+}
