--- a/agent/turns/turns.go
+++ b/agent/turns/turns.go
@@ -174,7 +174,7 @@
 		return
 	}
 	b.pruned = now
-	credit := b.summarize(now).credit()
+	s := b.summarize(now)
 	for key, a := range b.flows {
 		if a.read(shareWindow, now) < 1 {
 			delete(b.flows, key)
@@ -193,7 +193,7 @@
 		}
 	}
 	for workspace, tag := range b.tags {
-		if tag <= b.virtual-credit {
+		if tag <= b.virtual-s.credit() || s.use[workspace] < 1 {
 			delete(b.tags, workspace)
 		}
 	}
@@ -202,6 +202,7 @@
 			delete(b.returns, workspace)
 		}
 	}
+	b.recent = nil
 }
 
 // summary is the recent work of an engine at one time.
