--- a/agent/gate/memory.go
+++ b/agent/gate/memory.go
@@ -41,22 +41,52 @@
 // it: the engine knows the priority and preempts the newest of the least urgent requests, but
 // it does not know that a stream was resumed.
 func (c *Controller) excessTokens(r *Request, now time.Time) int64 {
-	several, endangers := false, false
-	excess := int64(c.fair.book.Reserve(r.Spec.Workspace, now) * float64(c.usableTokens()))
-	for other := range c.running {
-		several = several || other.Spec.Workspace != r.Spec.Workspace
-		endangers = endangers || other.Spec.Resumed && !r.Spec.Resumed && other.Spec.Priority > r.Spec.Priority
-		excess += other.overrun(now)
-	}
-	if !several {
+	state := c.runningMemory(now)
+	if !state.mixed && (len(c.running) == 0 || state.workspace == r.Spec.Workspace) {
 		return 0
 	}
-	if endangers {
+	excess := state.overrun + int64(c.fair.book.Reserve(r.Spec.Workspace, now)*float64(c.usableTokens()))
+	if state.resumed && !r.Spec.Resumed && state.leastUrgent > r.Spec.Priority {
 		excess += max(r.Spec.MemoryTokens()-r.expectedTokens(), 0)
 	}
 	return excess
 }
 
+// runningMemory describes the running requests at one time.
+type runningMemory struct {
+	at    time.Time
+	count int
+	// workspace is that of a running request; mixed means that there are others.
+	workspace string
+	mixed     bool
+	// resumed means that a resumed stream runs, leastUrgent is the highest Priority of these.
+	resumed     bool
+	leastUrgent int32
+	// overrun is by how many tokens the requests are expected to exceed their estimates.
+	overrun int64
+}
+
+// runningMemory is computed once for each time and set of running requests; charge resets it.
+func (c *Controller) runningMemory(now time.Time) runningMemory {
+	if c.fair.memory.at.Equal(now) && c.fair.memory.count == len(c.running) {
+		return c.fair.memory
+	}
+	state := runningMemory{at: now, count: len(c.running)}
+	first := true
+	for r := range c.running {
+		if first {
+			state.workspace, first = r.Spec.Workspace, false
+		}
+		state.mixed = state.mixed || r.Spec.Workspace != state.workspace
+		if r.Spec.Resumed && (!state.resumed || r.Spec.Priority > state.leastUrgent) {
+			state.resumed, state.leastUrgent = true, r.Spec.Priority
+		}
+		state.overrun += r.overrun(now)
+	}
+	c.fair.memory = state
+	return state
+}
+
 // overrun returns by how many tokens a running request is expected to exceed expectedTokens.
 // Its present length follows from the time for which it has run, since the engine does not
 // report it to this package.
--- a/agent/gate/order.go
+++ b/agent/gate/order.go
@@ -22,6 +22,7 @@
 	// places holds, by waiting request, its place in the order determined by the last call of
 	// Controller.Waiting; nil if that call found no workspaces that compete for a full engine.
 	places map[*Request]place
+	memory runningMemory
 }
 
 // place is a request's place in the order.
@@ -129,7 +130,7 @@
 	if !ok {
 		p.Resumed = r.Spec.Resumed
 	}
-	r.started = now
+	r.started, c.fair.memory = now, runningMemory{}
 	c.fair.book.Admit(r.entry(now), p.Place, now)
 	delete(c.fair.places, r)
 }
