--- a/agent/keeper/order_test.go
+++ b/agent/keeper/order_test.go
@@ -35,8 +35,7 @@
 // was refused, or waited as long as the other one's requests.
 func TestWorkspaceOverItsShareIsRefusedFirst(t *testing.T) {
 	var log bytes.Buffer
-	run(t, func(f *fixture) {
-		f.keeper.Host.Log = event.New(&log, "agent")
+	runWith(t, func(e *engine) { e.log = event.New(&log, "agent") }, func(f *fixture) {
 		var group sync.WaitGroup
 		var mutex sync.Mutex
 		var refusals []time.Duration
