--- a/agent/gate/order.go
+++ b/agent/gate/order.go
@@ -108,6 +108,9 @@
 	}
 	delayed := time.Duration(math.Min(float64(wait)*c.fair.book.Delay(r.entry(now), now), float64(max(wait, maxDelayedWait))))
 	if p.Low {
+		if now.Before(r.objective()) {
+			return min(delayed, max(wait, p.LowWait))
+		}
 		return min(delayed, p.LowWait)
 	}
 	return delayed
--- a/agent/turns/plan.go
+++ b/agent/turns/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -227,18 +228,23 @@
 func (p *plan) start(workspace string) float64 { return max(p.tags[workspace], p.virtual-p.credit) }
 
 // head returns the next entry of a class: that of the workspace furthest behind its share.
+// Workspaces that are behind by nearly the same are taken for equal, and the earliest objective
+// goes first: small differences are due to the sizes and the moments of single requests.
 func (p *plan) head(q *queue) int {
-	best, bestStart := -1, 0.0
+	limit := math.Inf(1)
+	for workspace := range q.flows {
+		limit = min(limit, p.start(workspace)+tieShare*p.credit)
+	}
+	best := -1
 	for workspace, indices := range q.flows {
-		i, start := indices[0], p.start(workspace)
-		if best < 0 || start < bestStart || start == bestStart && p.dueBefore(i, best) {
-			best, bestStart = i, start
+		if i := indices[0]; p.start(workspace) <= limit && (best < 0 || p.dueBefore(i, best)) {
+			best = i
 		}
 	}
 	return best
 }
 
-// dueBefore orders entries of workspaces that are equally far behind.
+// dueBefore orders entries of workspaces that are about equally far behind.
 func (p *plan) dueBefore(i, j int) bool {
 	a, b := &p.entries[i], &p.entries[j]
 	return cmp.Or(a.Objective.Compare(b.Objective), cmp.Compare(a.Workspace, b.Workspace)) < 0
--- a/agent/turns/turns.go
+++ b/agent/turns/turns.go
@@ -32,9 +32,13 @@
 	// for which a workspace gets no turn when all others come back at once.
 	maxCredit  = 250 * time.Millisecond
 	maxCredits = 4 * time.Second
+	// tieShare is the part of the credit by which two workspaces may differ and still count as
+	// equally far behind.
+	tieShare = 0.5
 	// smallShare is the part of the engine's work that is kept for tiers and priorities that
-	// are not the most urgent ones waiting.
-	smallShare = 0.1
+	// are not the most urgent ones waiting. It is small because a late request that is served
+	// takes the time of one that would be on time.
+	smallShare = 0.05
 	// unknownShare is the part of the engine's work that may go to claimed resumptions before
 	// other requests. It bounds what a caller gains that marks every request as resumed.
 	unknownShare = 0.1
