--- a/entry/chain/chain.go
+++ b/entry/chain/chain.go
@@ -147,10 +147,11 @@
 	ReservedTokens int64
 	Extend         func(ctx context.Context) (int64, error)
 
-	// TakeTokens takes the request's tokens from its workspace just before an attempt is sent,
-	// and waits for them for a short time. It returns a function that returns them, to be
-	// called if the attempt provably has not run and no other one of the request may have.
-	// Once an attempt may have run, it takes nothing more. Nil for a request that needs no tokens or has taken them on arrival.
+	// TakeTokens takes the request's tokens from its workspace before an attempt is sent, and
+	// waits for them for a limited time. It returns a function that returns them, to be called
+	// if the attempt provably has not run and no other one of the request may have. Once an
+	// attempt may have run, it takes nothing more. It is nil for a request that needs no tokens
+	// or has taken them on arrival.
 	TakeTokens func(ctx context.Context) (giveBack func(), err error)
 
 	// Claim is called before an attempt of an at-most-once request is sent, and Void
