entry/limit: small requests pass a large one that lacks tokens

Change: a request of at most a fifth of the first waiter's tokens passes it, up to the first one's own tokens.

--- a/entry/limit/limit.go
+++ b/entry/limit/limit.go
@@ -260,7 +260,7 @@
 func (l *Limiter) admit(s *share, w *waiter) error {
 	now := time.Now()
 	l.dropLeasesAfterSuspend(now)
-	if s.wouldBeFirst(w) && s.reserve(now, w) {
+	if s.wouldBeFirst(w) && s.reserve(now, w) || s.passFirst(now, w) {
 		w.done <- nil
 		return nil
 	}
--- a/entry/limit/loop.go
+++ b/entry/limit/loop.go
@@ -187,11 +187,12 @@
 	for len(s.waiters) > 0 {
 		w := s.waiters[0]
 		if !s.reserve(now, w) {
-			return
+			break
 		}
 		s.waiters = slices.Delete(s.waiters, 0, 1)
 		w.done <- nil
 	}
+	s.serveSmallWaiters(now)
 }
 
 // refuseHopeless refuses at once the waiters whose tokens will come after their
--- a/entry/limit/share.go
+++ b/entry/limit/share.go
@@ -110,6 +110,9 @@
 	opaque      bool
 	reservation *reservation
 	done        chan error
+	// passedTokens is the number of tokens that small requests have taken ahead of the waiter
+	// while it was the first one.
+	passedTokens int64
 }
 
 // reserve reserves all tokens of a waiter, or none if there are too few.
@@ -285,6 +288,7 @@
 	}
 	if len(s.waiters) > 0 {
 		minTokens = max(s.waiters[0].tokens+s.waiters[0].keepFree-available, 0)
+		minTokens = min(minTokens, max(s.smallestPassing(minTokens+available)-available, 0))
 	}
 	if s.fleetDemand <= 1 {
 		ahead := s.arrivedDemand(int64(s.recentUse(now) * prefetchTime.Seconds() / recentWindow.Seconds()))
