--- a/agent/gate/fair_test.go
+++ b/agent/gate/fair_test.go
@@ -49,6 +49,23 @@
 	})
 }
 
+// The same for each seed alone. The shares of an engine are held over seconds, so that in single
+// runs a few requests of the others are late in the first moments of the overload.
+func TestOneWorkspaceOverItsShareCostsOthersNothingInAnyRun(t *testing.T) {
+	const until = 40 * time.Second
+	forKinds(t, func(t *testing.T, prompt, answer int64, capacity float64) {
+		for seed := range uint64(8) {
+			alone := neighbours(100*seed, prompt, answer, capacity, until)
+			replay(alone, until)
+			load := neighbours(100*seed, prompt, answer, capacity, until)
+			load = append(load, traffic{workspace: "heavy", perSecond: capacity / 2, prompt: prompt, answer: answer}.arrivals(seed, 0, until)...)
+			replay(load, until)
+			with, without := count(load, notOf("heavy")), count(alone, notOf("heavy"))
+			require.GreaterOrEqual(t, float64(with.onTime), 0.99*float64(without.onTime), "seed %d", seed)
+		}
+	})
+}
+
 // Equal shares are counted in work: a workspace with fewer, larger requests gets as much of the
 // engine as the others.
 func TestEqualWorkspacesGetEqualShares(t *testing.T) {
