--- a/entry/direct/tokens.go
+++ b/entry/direct/tokens.go
@@ -67,6 +67,8 @@
 	if err != nil {
 		return nil, chain.RefusalOf(err)
 	}
+	held.mutex.Lock()
+	defer held.mutex.Unlock()
 	held.giveBack = giveBack
 	held.timer = time.AfterFunc(maxTokenHold, held.drop)
 	return held, nil
