--- a/entry/direct/tokens_test.go
+++ b/entry/direct/tokens_test.go
@@ -19,20 +19,19 @@
 
 // tokens counts how often a request's tokens are taken and returned.
 type tokens struct {
-	taken, returned int
+	taken, returned atomic.Int64
 	// take replaces the answer to the first requests for tokens.
 	take []func(ctx context.Context) error
 }
 
 func (k *tokens) request(r *chain.Request) {
 	r.TakeTokens = func(ctx context.Context) (func(), error) {
-		k.taken++
-		if len(k.take) >= k.taken {
-			if err := k.take[k.taken-1](ctx); err != nil {
+		if at := int(k.taken.Add(1)); len(k.take) >= at {
+			if err := k.take[at-1](ctx); err != nil {
 				return nil, err
 			}
 		}
-		return func() { k.returned++ }, nil
+		return func() { k.returned.Add(1) }, nil
 	}
 }
 
@@ -59,7 +58,7 @@
 				r.Route.Attempts = 5
 				k.request(r)
 			})
-			require.Equal(t, []int{test.taken, test.returned}, []int{k.taken, k.returned}, name)
+			require.Equal(t, []int{test.taken, test.returned}, []int{int(k.taken.Load()), int(k.returned.Load())}, name)
 			require.Len(t, s.calls, test.taken, name)
 		})
 	}
@@ -102,7 +101,7 @@
 			k.request(r)
 		})
 		require.NoError(t, err)
-		require.Equal(t, []int{2, 1}, []int{k.taken, k.returned})
+		require.Equal(t, []int{2, 1}, []int{int(k.taken.Load()), int(k.returned.Load())})
 	})
 }
 
@@ -133,7 +132,7 @@
 		})
 		require.NoError(t, err)
 		require.EqualValues(t, 1, endedAtRetry, "the admission has ended before the next wait for tokens")
-		require.Equal(t, []int{3, 1}, []int{k.taken, k.returned})
+		require.Equal(t, []int{3, 1}, []int{int(k.taken.Load()), int(k.returned.Load())})
 		require.Less(t, time.Since(started), 500*time.Millisecond)
 	})
 }
@@ -173,7 +172,7 @@
 			k.request(r)
 		})
 		require.NoError(t, err)
-		require.Equal(t, []int{3, 1}, []int{k.taken, k.returned}, "taken again for the next admission, or without one at an engine without its agent")
+		require.Equal(t, []int{3, 1}, []int{int(k.taken.Load()), int(k.returned.Load())}, "taken again for the next admission, or without one at an engine without its agent")
 	})
 }
 
@@ -187,14 +186,14 @@
 		_, err := run(t.Context(), d, func(r *chain.Request) {
 			k.request(r)
 			r.Check = func() error {
-				if k.taken == 1 {
+				if k.taken.Load() == 1 {
 					d.Endpoints.Update(map[string][]advert.Record{"s": {{Name: "e1", Service: "s", Address: "e1:1", DataCentre: "d", Slots: 4}}})
 				}
 				return nil
 			}
 		})
 		require.NoError(t, err)
-		require.Equal(t, []int{2, 1}, []int{k.taken, k.returned})
+		require.Equal(t, []int{2, 1}, []int{int(k.taken.Load()), int(k.returned.Load())})
 		require.Equal(t, "e1", s.calls[0].Endpoint.Name)
 	})
 }
