--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -97,14 +97,10 @@
 	// It decays exponentially and is stated as of recentPrefillAt.
 	recentPrefill   float64
 	recentPrefillAt time.Time
-	fair            fairOrder
 }
 
 // Add queues a request.
-func (c *Controller) Add(r *Request) {
-	c.waiting = append(c.waiting, r)
-	c.offer(r)
-}
+func (c *Controller) Add(r *Request) { c.waiting = append(c.waiting, r) }
 
 // Remove removes a waiting request and reports whether it was waiting.
 func (c *Controller) Remove(r *Request) bool {
@@ -127,7 +123,6 @@
 		}
 		return 0
 	})
-	c.arrange(now)
 	return slices.Clone(c.waiting)
 }
 
@@ -149,7 +144,6 @@
 // Start moves a request from waiting to running.
 func (c *Controller) Start(r *Request, now time.Time) {
 	c.Remove(r)
-	c.charge(r, now)
 	if c.running == nil {
 		c.running = map[*Request]struct{}{}
 	}
@@ -195,9 +189,9 @@
 // precede it and not before its adapter is loaded, which takes the time load.
 func (c *Controller) EstimateWait(r *Request, load time.Duration, now time.Time) time.Duration {
 	backlog := c.prefillBacklog(now)
-	tokens, ahead := c.usedTokens+r.expectedTokens()+c.excessTokens(r, now), 0
+	tokens, ahead := c.usedTokens+r.expectedTokens(), 0
 	for _, other := range c.waiting {
-		if other == r || !c.precedes(other, r, now) {
+		if other == r || !other.before(r, now) {
 			continue
 		}
 		ahead++
@@ -208,10 +202,10 @@
 	if over := tokens - c.usableTokens(); over > 0 && len(c.running) > 0 {
 		wait = max(wait, c.estimateRelease(over))
 	}
-	if over := len(c.running) + ahead + 1 + c.reservedSlots(r, now) - c.Slots; over > 0 && len(c.running) > 0 {
+	if over := len(c.running) + ahead + 1 - c.Slots; over > 0 && len(c.running) > 0 {
 		wait = max(wait, c.estimateRelease(int64(over)*c.meanRunTokens()))
 	}
-	return max(c.delayed(r, wait, now), load)
+	return max(wait, load)
 }
 
 // estimateRelease estimates how long it takes until running requests release a number of
@@ -244,7 +238,7 @@
 	if wait+minServiceTime > remaining {
 		return true
 	}
-	if c.countsAsResumed(r) || c.MeetsObjective(r, wait, now) {
+	if r.Spec.Resumed || c.MeetsObjective(r, wait, now) {
 		return false
 	}
 	return !r.Spec.LastCandidate || wait > remaining/lateWaitDivisor
--- a/agent/gate/request.go
+++ b/agent/gate/request.go
@@ -15,10 +15,6 @@
 
 	// stalled is when the request first waited for a slow moment of the engine to pass.
 	stalled time.Time
-	// started is when the request was admitted. held means that it had to wait for memory that
-	// more urgent requests may need.
-	started time.Time
-	held    bool
 }
 
 // objective returns when the first token is due.
--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -124,8 +124,6 @@
 	permit             *lease.Lease
 	permitFailingSince time.Time
 	nextPermitRequest  time.Time
-	// contentionLogged is when the last line about competing workspaces was logged.
-	contentionLogged time.Time
 	// changed triggers a step, pollSoon an early request for a report.
 	changed    notify.Signal
 	pollSoon   notify.Signal
@@ -244,9 +242,7 @@
 	var wanted []lora.Key
 	full, ahead := false, 0
 	k.applyLimit(now)
-	waiting := k.admission.Waiting(now)
-	k.logContention(now)
-	for _, r := range waiting {
+	for _, r := range k.admission.Waiting(now) {
 		t := k.tasks[r]
 		limitWait := k.pacer.Wait(ahead, now)
 		if limitWait > 0 && now.Sub(r.Arrived)+limitWait > r.Spec.MaxLimitWait.Std() {
@@ -265,7 +261,7 @@
 		if r.Spec.Adapter != "" {
 			version, ready = k.adapters.Ready(t.adapter, r.Spec.MinVersion)
 		}
-		if ready && !full && limitWait == 0 && k.admission.MayStart(r, now) && k.pacer.Take(now) {
+		if ready && !full && limitWait == 0 && k.admission.Fits(r, now) && k.pacer.Take(now) {
 			k.start(t, version, now)
 			ahead--
 			continue
@@ -318,7 +314,6 @@
 	if !k.admission.ShouldRefuse(t.request, wait, now) {
 		return false
 	}
-	wait = k.admission.ReturnTime(t.request, wait, now)
 	k.refuse(t, &admit.Reply{Reason: admit.ReasonBusy, Wait: retryDelay(wait), LoadPermille: k.admission.Load(now)})
 	return true
 }
--- a/agent/keeper/keeper_test.go
+++ b/agent/keeper/keeper_test.go
@@ -17,7 +17,6 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
-	"github.com/tanagerspindle/tanagerspindle/pkg/event"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
@@ -55,8 +54,6 @@
 	lostOrders    []keeper.Order
 	orderCount    int
 	reportCount   int
-	// log receives the agent's events.
-	log event.Log
 }
 
 const adapterSlots = 3
@@ -154,7 +151,7 @@
 		prepare(e)
 		configured := &conf.Engine{Slots: 8, MemoryTokens: 20_000, AdapterSlots: adapterSlots, Models: []conf.Model{{Name: "m", LoadTime: span.Duration(time.Second)}}}
 		k := &keeper.Keeper{
-			Host: host.Host{VM: "agent", Log: e.log, Meter: meter.New(), Listen: network.Listen}, ListenAddress: "agent:1",
+			Host: host.Host{VM: "agent", Meter: meter.New(), Listen: network.Listen}, ListenAddress: "agent:1",
 			FetchReport: e.report, SendOrder: e.order,
 			EngineConfig: func() *conf.Engine {
 				e.mutex.Lock()
--- a/agent/keeper/task.go
+++ b/agent/keeper/task.go
@@ -26,8 +26,6 @@
 	reply chan *admit.Reply
 	// started is when the request was admitted; zero while the request waits.
 	started time.Time
-	// order is how the order treated the request, set before the decision is sent to reply.
-	order gate.Decision
 }
 
 // Admit serves one stream of an entry: it receives an admit.Request, sends the
@@ -97,7 +95,6 @@
 	waited := time.Since(t.request.Arrived)
 	k.Host.Meter.Observe("admission", waited)
 	present := k.pace()
-	k.countOrder(t.order, reply.Reason)
 	if reply.Reason == admit.ReasonNone {
 		reply.Wait = span.Duration(waited)
 		k.Host.Log.Write("admitted", "request", t.request.Spec.ID, "adapter", t.request.Spec.Adapter, "version", reply.Version,
@@ -106,8 +103,7 @@
 	}
 	k.Host.Meter.Add("refused_"+string(reply.Reason), 1)
 	k.Host.Log.Write("admission-refused", "request", t.request.Spec.ID, "adapter", t.request.Spec.Adapter, "reason", reply.Reason,
-		"wait", reply.Wait, "load", reply.LoadPermille, "goal", t.request.Spec.FirstTokenRemaining, "left", t.request.Spec.Remaining, "last", t.request.Spec.LastCandidate,
-		"workspace", t.request.Spec.Workspace, "resumed", t.order.Resumed, "share", t.order.Share)
+		"wait", reply.Wait, "load", reply.LoadPermille, "goal", t.request.Spec.FirstTokenRemaining, "left", t.request.Spec.Remaining, "last", t.request.Spec.LastCandidate)
 }
 
 // pace returns the engine's present pace.
@@ -139,7 +135,6 @@
 
 // start admits a request.
 func (k *Keeper) start(t *task, version int64, now time.Time) {
-	t.order = k.admission.Explain(t.request, now)
 	k.admission.Start(t.request, now)
 	k.enginePace.Admit(t.request.Spec.ID, t.request.Spec.PromptTokens, now)
 	t.started = now
@@ -151,7 +146,6 @@
 
 // refuse refuses a waiting request.
 func (k *Keeper) refuse(t *task, reply *admit.Reply) {
-	t.order = k.admission.Explain(t.request, time.Now())
 	k.admission.Remove(t.request)
 	delete(k.tasks, t.request)
 	t.reply <- reply
