--- a/entry/limit/sending.go
+++ b/entry/limit/sending.go
@@ -12,15 +12,13 @@
 )
 
 const (
-	// maxShortWait is how long a request that has been admitted by an endpoint waits for
-	// tokens that control lacks. The admission keeps a place at the endpoint idle meanwhile,
-	// so it is well below the time that answers take.
+	// maxShortWait is how long a request waits for tokens that control lacks: a part of the
+	// time in which its caller expects the first event, so that it can still be admitted.
 	maxShortWait = 500 * time.Millisecond
 	// maxSilentWait is how long it waits if control has begun not to answer: an election takes
 	// up to 0.6 s, a restart of all replicas about a second more, and then the tokens of that
-	// time come within maxRecoveryWait. No other request that needs tokens could use the place
-	// at the endpoint, since none gets any. Once control has been silent for this time, a
-	// request waits for maxShortWait only.
+	// time come within maxRecoveryWait. Once control has been silent for this time, a request
+	// waits for maxShortWait only.
 	maxSilentWait = 6 * time.Second
 	// maxRecoveryWait takes the place of maxShortWait for recoveryTime after control answers
 	// again, and from its first answer on for the requests that have waited for it. At the
