--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -84,6 +84,9 @@
 
 	waiting []*Request
 	running map[*Request]struct{}
+	// shortestGap is the shortest required gap between two events of the running streams, 0 if
+	// none runs.
+	shortestGap time.Duration
 	// usedTokens is the expected memory of all running requests.
 	usedTokens int64
 	// prefillTokens is the number of admitted prompt tokens that the engine has yet to process,
@@ -148,6 +151,7 @@
 		c.running = map[*Request]struct{}{}
 	}
 	c.running[r] = struct{}{}
+	c.updateShortestGap()
 	c.usedTokens += r.expectedTokens()
 	c.prefillTokens = c.remainingPrefill(now) + float64(r.Spec.PromptTokens)
 	c.prefillAt = now
@@ -167,6 +171,7 @@
 		return
 	}
 	delete(c.running, r)
+	c.updateShortestGap()
 	c.usedTokens -= r.expectedTokens()
 }
 
--- a/agent/gate/speed.go
+++ b/agent/gate/speed.go
@@ -42,7 +42,7 @@
 // the events of the running streams while it is slower than usual by a factor.
 func (c *Controller) prefillBudget(slowdown float64) int64 {
 	usual := c.usualPace()
-	free := gapMargin*millis(c.tokenGap())/slowdown - millis(usual.StepTime)*float64(c.stepsPerEvent())
+	free := gapMargin*pace.Millis(c.tokenGap())/slowdown - pace.Millis(usual.StepTime)*float64(c.stepsPerEvent())
 	return int64(max(free, 0) * usual.PrefillTokensPerMs)
 }
 
@@ -63,7 +63,7 @@
 // remainingPrefill returns the number of admitted prompt tokens that the engine has yet to
 // process.
 func (c *Controller) remainingPrefill(now time.Time) float64 {
-	processed := millis(now.Sub(c.prefillAt)) * c.prefillTokensPerMs() * c.prefillShare()
+	processed := pace.Millis(now.Sub(c.prefillAt)) * c.prefillTokensPerMs() * c.prefillShare()
 	return max(c.prefillTokens-max(processed, 0), 0)
 }
 
@@ -76,16 +76,21 @@
 
 // tokenGap returns the shortest required gap between two events of the running streams.
 func (c *Controller) tokenGap() time.Duration {
-	shortest := time.Duration(0)
+	if c.shortestGap == 0 {
+		return defaultTokenGap
+	}
+	return c.shortestGap
+}
+
+// updateShortestGap is called after each change of running. The gap is kept because each
+// estimate of a wait uses it once for each waiting request.
+func (c *Controller) updateShortestGap() {
+	c.shortestGap = 0
 	for r := range c.running {
-		if gap := r.tokenGap(); shortest == 0 || gap < shortest {
-			shortest = gap
+		if gap := r.tokenGap(); c.shortestGap == 0 || gap < c.shortestGap {
+			c.shortestGap = gap
 		}
 	}
-	if shortest == 0 {
-		return defaultTokenGap
-	}
-	return shortest
 }
 
 // eventTime returns how long the engine takes at present for the steps of one event.
@@ -125,5 +130,3 @@
 func (c *Controller) EstimateRunTime(r *Request) time.Duration {
 	return time.Duration(r.expectedTokens()-r.Spec.PromptTokens) * c.stepTime()
 }
-
-func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/agent/keeper/task.go
+++ b/agent/keeper/task.go
@@ -94,8 +94,8 @@
 	k.Host.Meter.Add("admissions", 1)
 	waited := time.Since(t.request.Arrived)
 	k.Host.Meter.Observe("admission", waited)
-	present := k.pace()
 	if reply.Reason == admit.ReasonNone {
+		present := k.pace()
 		reply.Wait = span.Duration(waited)
 		k.Host.Log.Write("admitted", "request", t.request.Spec.ID, "adapter", t.request.Spec.Adapter, "version", reply.Version,
 			"waited", waited, "load", reply.LoadPermille, "prefill_tokens_per_ms", math.Round(present.PrefillTokensPerMs*10)/10, "slowdown", math.Round(present.Slowdown*10)/10)
--- a/agent/pace/pace.go
+++ b/agent/pace/pace.go
@@ -212,7 +212,7 @@
 		return
 	}
 	e.slowdown, e.slowdownAt, e.calm = max(overall, e.moments), next.at, 0
-	if lasting := e.lastingSlowdown(next.at); lasting > 0 && e.slowdown > 1 {
+	if lasting := e.lastingSlowdown(next.at); lasting > 0 {
 		e.slowdown = lasting
 	}
 	e.slowdown = min(e.slowdown, maxSlowdown)
@@ -267,14 +267,14 @@
 		prefill += float64(o.ended)
 	}
 	prefillMillis := prefill / usual.PrefillTokensPerMs
-	if millis(length)-prefillMillis < millis(minRecent) {
+	if Millis(length)-prefillMillis < Millis(minRecent) {
 		return 0, 0, false
 	}
 	// A stream's tokens are reported in whole events; on average half of an event is made and
 	// not reported, at both ends. The mean over several streams is more exact.
 	unseen := 1 / math.Sqrt(float64(runs))
-	stepMillis := (steps + unseen) * millis(usual.StepTime)
-	return (millis(length) - prefillMillis) / stepMillis, millis(length) / (prefillMillis + stepMillis), true
+	stepMillis := (steps + unseen) * Millis(usual.StepTime)
+	return (Millis(length) - prefillMillis) / stepMillis, Millis(length) / (prefillMillis + stepMillis), true
 }
 
 // prefillSlowdown returns the slowdown by how long the prefill of the oldest prompt takes; it is
@@ -290,8 +290,8 @@
 	}
 	usual := e.usualPace()
 	// Each chunk of the prompt also takes a step.
-	expected := float64(next.current.tokens)/usual.PrefillTokensPerMs + 2*millis(usual.StepTime)
-	return millis(next.at.Sub(began)-reportDelay) / expected
+	expected := float64(next.current.tokens)/usual.PrefillTokensPerMs + 2*Millis(usual.StepTime)
+	return Millis(next.at.Sub(began)-reportDelay) / expected
 }
 
 // Pace returns the engine's pace.
--- a/agent/pace/sample.go
+++ b/agent/pace/sample.go
@@ -13,8 +13,7 @@
 	// maxWindow is the longest time over which a sample is taken, so that a sample covers few
 	// changes of speed.
 	maxWindow = 1500 * time.Millisecond
-	// minSamples is how many samples are needed before the present speed is compared with the
-	// usual one.
+	// minSamples is how many samples are needed before a lasting change of speed is looked for.
 	minSamples = 6
 	// changeWindow is how long an engine has to be faster than usual, or slower by less than it is
 	// in slow moments, in each third of that time, until the new speed counts as the usual one.
@@ -51,7 +50,7 @@
 
 // expectedMillis returns how long the work of the sample takes at a pace.
 func (s *sample) expectedMillis(p Pace) float64 {
-	return s.steps*millis(p.StepTime) + s.prefills/p.PrefillTokensPerMs
+	return s.steps*Millis(p.StepTime) + s.prefills/p.PrefillTokensPerMs
 }
 
 // takeSample ends the current sample if the observation allows it. Samples begin and end
@@ -67,7 +66,7 @@
 		}
 		steps, runs := progress(e.base, next)
 		if runs > 0 && steps > 0 && length <= maxWindow {
-			e.addSample(sample{at: next.at, millis: millis(length), steps: steps, prefills: float64(e.prefilled)})
+			e.addSample(sample{at: next.at, millis: Millis(length), steps: steps, prefills: float64(e.prefilled)})
 		}
 	}
 	e.base, e.prefilled = next, 0
@@ -134,7 +133,7 @@
 // takes n times the step time and m divided by the prefill speed. Deviations count relative to
 // the length of the sample; samples that deviate much lose weight.
 func fit(samples []sample) Pace {
-	defaultStep, defaultPerToken := millis(DefaultStepTime), 1/DefaultPrefillTokensPerMs
+	defaultStep, defaultPerToken := Millis(DefaultStepTime), 1/DefaultPrefillTokensPerMs
 	step, perToken := defaultStep, defaultPerToken
 	for range iterations {
 		// The sums of the normal equations, which begin with a sample of decoding and one of
@@ -162,4 +161,5 @@
 	return Pace{PrefillTokensPerMs: 1 / perToken, StepTime: time.Duration(step * float64(time.Millisecond)), Slowdown: 1, SlowMoments: 1}
 }
 
-func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+// Millis returns a duration in milliseconds.
+func Millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/entry/limit/sending.go
+++ b/entry/limit/sending.go
@@ -30,7 +30,7 @@
 	// time only. An entry without requests in the time without control learns it from these.
 	recoveryNotice = time.Second
 	// silentRetryAfter is the least Retry-After while control does not answer: a caller that
-	// came back sooner would take a place at an endpoint again in vain.
+	// came back sooner would wait for tokens again in vain.
 	silentRetryAfter = time.Second
 	// sentAfter is how long after it took tokens an attempt is taken to have reached its
 	// endpoint, so that its tokens are reported as spent and no longer occupy room in
