entry/trace, entry/direct: aborted answers and silent attempts in the log

An answer that the entry broke off had the same request line as a refusal of the same code, and no line told that a watchdog had ended an attempt or on what it relied. A request line now has aborted=true for such answers (counter answers_aborted_CODE, own columns in spindle losses, named in the cause of spindle trace). attempt-silent is written when a watchdog ends an attempt: how long nothing has arrived from the endpoint at this entry, the endpoints that could continue the request, and how old that count is. No decision changes.

--- a/entry/chain/chain.go
+++ b/entry/chain/chain.go
@@ -180,6 +180,8 @@
 	LastTokenAt  time.Time
 	// MaxGap is the longest time between two parts of the answer.
 	MaxGap time.Duration
+	// AnswerBegun reports that the head of an answer was passed to Write.
+	AnswerBegun bool
 	// Endpoint is the target of the last attempt, AdmissionWait the time the request
 	// waited to be admitted there, and FailedAttempts the number of attempts that
 	// failed before. They are set for opaque routes only.
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -239,6 +239,7 @@
 				j.recordOrigin(endpoint)
 			}
 			j.lastReceived = time.Now()
+			j.filter.Endpoints.RecordHeard(endpoint.Name, j.lastReceived)
 			if !hadID || j.cutter.LastID != formerID {
 				watchdog.eventReceived()
 			}
--- a/entry/direct/watchdog.go
+++ b/entry/direct/watchdog.go
@@ -43,13 +43,19 @@
 // startWatchdog starts the watchdog of an attempt. The watchdog never expires
 // when no other endpoint could take the request.
 func (j *job) startWatchdog(endpoint *advert.Record, cancel context.CancelCauseFunc) *watchdog {
-	first, gap := j.silenceLimits(endpoint)
+	others, sameSoftware := j.filter.Endpoints.CountOthers(endpoint, j.excluded)
+	first, gap := j.silenceLimits(others, sameSoftware)
 	if first == 0 {
 		return &watchdog{}
 	}
+	counted, name := time.Now(), endpoint.Name
 	w := &watchdog{first: first, gap: gap, stream: j.request.Route.Stream && j.request.Route.Resume}
 	w.timer = time.AfterFunc(first, func() {
 		if !w.phase.CompareAndSwap(phaseWriting, phaseExpired) {
+			now := time.Now()
+			j.filter.Host.Meter.Add("attempts_silent", 1)
+			j.filter.Host.Log.Write("attempt-silent", "request", j.request.ID, "endpoint", name, "heard", j.filter.Endpoints.Silence(name, now),
+				"others", others, "same_software", sameSoftware, "age", now.Sub(counted))
 			cancel(&Error{Op: "wait for endpoint", Kind: KindUnresponsive})
 		}
 	})
@@ -57,11 +63,11 @@
 }
 
 // silenceLimits returns how long the endpoint may send no event before the first one
-// and between later ones; 0 means no limit. A stream can go on only at an endpoint of the
-// same software version.
-func (j *job) silenceLimits(endpoint *advert.Record) (first, gap time.Duration) {
+// and between later ones; 0 means no limit. others and sameSoftware count the other
+// endpoints, of all software versions and of the same: a stream can continue only at one of
+// the same version.
+func (j *job) silenceLimits(others, sameSoftware int) (first, gap time.Duration) {
 	route := &j.request.Route
-	others, sameSoftware := j.filter.Endpoints.CountOthers(endpoint, j.excluded)
 	if others == 0 || j.tries+1 >= maxTries || j.possibleRuns+1 >= int(route.Attempts) {
 		return 0, 0
 	}
--- a/entry/trace/trace.go
+++ b/entry/trace/trace.go
@@ -53,6 +53,7 @@
 }
 
 func recordFrame(r *chain.Request, frame *call.Frame) {
+	r.AnswerBegun = r.AnswerBegun || frame.Type == call.FrameHead
 	if frame.Type != call.FramePart {
 		return
 	}
@@ -78,6 +79,10 @@
 		status, code, retry = refusal.Status, refusal.Code, refusal.RetryAfter
 		t.Host.Meter.Add("refused_"+code, 1)
 	}
+	aborted := err != nil && r.AnswerBegun && status != chain.StatusClientClosed
+	if aborted {
+		t.Host.Meter.Add("answers_aborted_"+code, 1)
+	}
 	t.countObjective(r, status)
 	first := time.Duration(0)
 	if !r.FirstTokenAt.IsZero() {
@@ -87,7 +92,7 @@
 		"request", "id", r.ID, "workspace", r.Workspace, "route", r.RouteName, "adapter", r.Adapter, "version", r.Version,
 		"class", r.Class, "status", status, "code", code, "retry", retry, "tokens", r.SentTokens, "cost", r.QuotaTokens, "endpoint", r.Endpoint, "tries", r.FailedAttempts,
 		"waited", r.AdmissionWait, "first", first, "pause", r.MaxGap, "time", time.Since(r.Start),
-		"continued", continued(r),
+		"continued", continued(r), "aborted", aborted,
 	)
 }
 
--- a/entry/view/view.go
+++ b/entry/view/view.go
@@ -95,6 +95,8 @@
 	// lastAnswer.
 	failureRate, meanSeconds float64
 	lastAnswer               time.Time
+	// lastHeard is when a part of an answer last arrived; zero before the first.
+	lastHeard time.Time
 	// resident are the recently used adapters with the time of their last use.
 	resident map[string]time.Time
 }
--- a/spindle/losses/losses.go
+++ b/spindle/losses/losses.go
@@ -97,11 +97,13 @@
 	return w
 }
 
-// outcomeOf returns answered, or the code of the refusal or failure, or the status
-// of an endpoint's own error answer.
+// outcomeOf returns answered, or the code of the refusal or failure, marked if the answer
+// had begun, or the status of an endpoint's own error answer.
 func outcomeOf(line *story.Line) string {
 	status, code := line.Get("status"), line.Get("code")
 	switch {
+	case code != "" && line.Get("aborted") == "true":
+		return "aborted " + code
 	case code != "":
 		return code
 	case strings.HasPrefix(status, "2"):
--- a/spindle/story/cause.go
+++ b/spindle/story/cause.go
@@ -64,6 +64,9 @@
 		if !known {
 			meaning = "see the code in the operators' pages"
 		}
+		if line.Get("aborted") == "true" {
+			return fmt.Sprintf("%d %s, after the answer had begun, so that its connection was aborted: %s", status, code, meaning)
+		}
 		return fmt.Sprintf("%d %s: %s", status, code, meaning)
 	}
 	if status >= http.StatusBadRequest {
