--- /dev/null
+++ b/entry/direct/silence_test.go
@@ -0,0 +1,119 @@
+package direct_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
+	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+)
+
+// callerPatience is how long the callers of these tests wait without data.
+const callerPatience = 4 * time.Second
+
+// silentAt returns an answer whose endpoint sends nothing for a time after the given events
+// and then continues.
+func silentAt(events int, silence time.Duration) reply {
+	parts := []string{completeStream[:15], completeStream[15:30], completeStream[30:]}
+	r := reply{status: 200, authentic: true, pieces: parts[events:], firstPause: silence, pause: 10 * time.Millisecond}
+	for _, part := range parts[:events] {
+		r.body += part
+	}
+	return r
+}
+
+func patient(r *chain.Request) {
+	model(r)
+	r.Route.EventTimeout = span.Duration(callerPatience)
+}
+
+// An entry cancelled an attempt whose endpoint was silent before another endpoint had admitted
+// the request, and broke off the answer when none did.
+func TestSilentAnswerIsNotAbandonedForOneThatIsRefused(t *testing.T) {
+	for name, test := range map[string]struct {
+		events  int
+		silence time.Duration
+		busy    bool
+		retries int
+	}{
+		"no retry left, between events":        {1, 1700 * time.Millisecond, false, 0},
+		"no retry left, before the first":      {0, 2600 * time.Millisecond, false, 0},
+		"no retry left, for most of the wait":  {2, 3700 * time.Millisecond, false, 0},
+		"engines busy, between events":         {1, 1700 * time.Millisecond, true, 100},
+		"engines busy, before the first":       {0, 2600 * time.Millisecond, true, 100},
+		"engines busy, before the last events": {2, 2300 * time.Millisecond, true, 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inSite(t, 3, func(t *testing.T, s *site) {
+				service := &service{replies: []reply{silentAt(test.events, test.silence), wholeStream}}
+				s.filter.Send = service.send
+				s.filter.Budget.Lease = limitedRetries(test.retries)
+				if test.busy {
+					s.refuseElsewhere = admit.ReasonBusy
+				}
+				got, err := run(t.Context(), s.filter, patient)
+				require.NoError(t, err)
+				require.True(t, got.ended)
+				require.Equal(t, completeStream, got.text)
+				require.Len(t, service.calls, 1)
+			})
+		})
+	}
+}
+
+// The same for a plain answer that may be repeated, on routes with hedges and without.
+func TestSilentPlainAnswerIsNotAbandonedForOneThatIsRefused(t *testing.T) {
+	for name, share := range map[string]float64{"without hedges": 0, "with hedges that are denied": 0.5} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				test := newRace(3, answer("a", 900*ms), answer("b", 10*ms))
+				test.config.Services["s"] = conf.Service{HedgeShare: share}
+				test.leased, test.reached = false, true
+				test.filter.Budget.Lease = limitedRetries(0)
+				got, err := test.run(t, func(r *chain.Request) { r.Objective.FirstToken = span.Duration(150 * ms) })
+				require.NoError(t, err)
+				require.Equal(t, "a", got.text)
+				require.Len(t, test.calls, 1)
+			})
+		})
+	}
+}
+
+// An endpoint that stays silent is left as soon as another one admits the request, though the
+// others were busy when the silence was noticed.
+func TestStreamOfDeadEndpointContinuesOnceAnotherAdmitsIt(t *testing.T) {
+	inSite(t, 3, func(t *testing.T, s *site) {
+		service := &service{replies: []reply{silentAt(1, time.Hour), {status: 200, authentic: true, body: completeStream[15:]}}}
+		s.filter.Send = service.send
+		s.refuseElsewhere = admit.ReasonBusy
+		started := time.Now()
+		time.AfterFunc(2500*ms, func() { s.setRefusal(admit.ReasonNone) })
+		got, err := run(t.Context(), s.filter, patient)
+		require.NoError(t, err)
+		require.Equal(t, completeStream, got.text)
+		require.Len(t, service.calls, 2)
+		require.EqualValues(t, 1, *service.calls[1].LastEventID)
+		require.Less(t, time.Since(started), 3500*ms)
+	})
+}
+
+// An endpoint that continues while another one is being secured keeps its stream; the admission
+// and the retry are returned.
+func TestStreamThatResumesKeepsItsEndpoint(t *testing.T) {
+	inSite(t, 3, func(t *testing.T, s *site) {
+		service := &service{replies: []reply{silentAt(1, 2300*ms), wholeStream}}
+		s.filter.Send = service.send
+		s.slowElsewhere = 600 * ms
+		got, err := run(t.Context(), s.filter, patient)
+		require.NoError(t, err)
+		require.Equal(t, completeStream, got.text)
+		require.Len(t, service.calls, 1)
+		time.Sleep(time.Second)
+		require.Zero(t, s.held(), "admissions that no request uses")
+	})
+}
--- a/entry/direct/target_test.go
+++ b/entry/direct/target_test.go
@@ -43,6 +43,47 @@
 	// and stops end the agents' processes.
 	afterReply func(stream *wire.Stream)
 	stops      map[string]func()
+	// admitted is the engine of the first admission. refuseElsewhere is the reason with which
+	// the agents of the others then refuse, and slowElsewhere how long they take to admit.
+	admitted        string
+	refuseElsewhere admit.Reason
+	slowElsewhere   time.Duration
+	// holding counts the admissions that have not ended.
+	holding int
+}
+
+func (s *site) countHolding(change int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.holding += change
+}
+
+// setRefusal changes refuseElsewhere.
+func (s *site) setRefusal(reason admit.Reason) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.refuseElsewhere = reason
+}
+
+// held returns the number of admissions that have not ended.
+func (s *site) held() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.holding
+}
+
+// replyOf returns an agent's reply to an admission request and how long it takes.
+func (s *site) replyOf(name string) (admit.Reply, time.Duration) {
+	if s.admitted == "" {
+		s.admitted = name
+	}
+	if s.admitted == name {
+		return s.agentReplies[name], s.admissionTime
+	}
+	if s.refuseElsewhere != admit.ReasonNone {
+		return admit.Reply{Reason: s.refuseElsewhere, Wait: span.Duration(400 * time.Millisecond)}, 0
+	}
+	return s.agentReplies[name], s.admissionTime + s.slowElsewhere
 }
 
 func inSite(t *testing.T, engines int, test func(t *testing.T, s *site)) {
@@ -84,13 +125,23 @@
 	}
 	s.mutex.Lock()
 	s.received = append(s.received, request)
-	reply, unresponsive := s.agentReplies[name], s.unresponsive[name]
+	reply, wait := s.replyOf(name)
+	unresponsive := s.unresponsive[name]
 	s.mutex.Unlock()
 	if unresponsive {
 		return stream.Receive(&request)
 	}
-	time.Sleep(s.admissionTime)
+	if wait > 0 && s.slowElsewhere > 0 {
+		_ = stream.Send(&admit.Reply{Reason: admit.ReasonQueued})
+	}
+	time.Sleep(wait)
 	err := stream.Send(&reply)
+	s.countHolding(1)
+	defer s.countHolding(-1)
+	if s.slowElsewhere > 0 {
+		// The stream ends with the admission.
+		_ = stream.Receive(&request)
+	}
 	if s.afterReply != nil {
 		s.afterReply(stream)
 	}
