entry/direct: a silent attempt continues until another endpoint is secured

Cause: the watchdog of an attempt cancelled it after 1.2 s without an event as soon as another endpoint existed. Admission, tokens and a retry were requested only then, and what had been cancelled could not be had again: engines_busy and retry_budget broke the answer off, although its endpoint would have continued 0.05 s later. The class of the fault: a resource is released before its replacement is acquired.

Now the watchdog has a takeover secured beside the attempt (admission by an agent that replies, a retry that can be returned, the endpoint's limit) and cancels the attempt only then. An event ends the search and returns what it holds; without success the attempt goes on, and the search is repeated. It begins after half of the time that callers wait without data, so that a silence of about a second moves nothing. A silent endpoint is avoided until something arrives from it, rather than counted as failed; if only one of its requests is silent, that one counts as failed. The pause of a caller that reads slowly is no longer taken for silence where memory is not bounded.

--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -21,8 +21,9 @@
 	// streamBufferSize is the size of one read from a stream, in bytes.
 	streamBufferSize = 4 << 10
 	// maxFirstDelay and maxEventGap are how long an engine may send nothing
-	// before the first event and between two events, when another engine can
-	// continue the stream. Callers disconnect after four seconds without data.
+	// before the first event and between two events until another engine is sought
+	// that can continue the stream, on routes that do not state how long callers wait
+	// without data.
 	maxFirstDelay = 2 * time.Second
 	maxEventGap   = 1200 * time.Millisecond
 	// retryObjectives is the multiple of the objective for the time to the first
@@ -37,10 +38,8 @@
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := j.startWatchdog(&t.endpoint, cancel)
-	defer watchdog.stop()
-	if j.request.Memory != nil {
-		j.watchdog = watchdog
-	}
+	defer func() { j.secured = watchdog.stop() }()
+	j.watchdog = watchdog
 	bodySent, ok := j.request.Memory.BeginSend(t.endpoint.Name, int64(len(j.request.Body)))
 	if !ok {
 		return verdictNotRun, &Error{Op: "send", Kind: KindBacklog}
@@ -147,7 +146,7 @@
 	if cause == nil && j.filter.OnConnectionLost != nil && j.cutter.EventCount == 0 && connectionLost(err) {
 		j.filter.OnConnectionLost(t.endpoint, crash.Request{Digest: j.request.Digest, Parts: j.parts}, time.Now())
 	}
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !errors.Is(err, &Error{Kind: KindUnresponsive}) {
 		j.filter.Endpoints.MarkUnreachable(t.endpoint.Name, time.Now())
 		j.filter.Endpoints.RecordAnswer(t.endpoint.Name, 0, true, time.Now())
 	}
@@ -241,7 +240,7 @@
 			j.lastReceived = time.Now()
 			j.filter.Endpoints.RecordHeard(endpoint.Name, j.lastReceived)
 			if !hadID || j.cutter.LastID != formerID {
-				watchdog.eventReceived()
+				watchdog.eventReceived(j.progress())
 			}
 		}
 		if err != nil && !errors.Is(err, io.EOF) {
@@ -303,9 +302,6 @@
 	if err := j.sendHead(answer); err != nil {
 		return err
 	}
-	if j.watchdog == nil {
-		return j.request.Write(&call.Frame{Type: call.FramePart, Data: events})
-	}
 	j.watchdog.beginWrite()
 	defer j.watchdog.endWrite()
 	return j.request.Write(&call.Frame{Type: call.FramePart, Data: events})
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -45,14 +45,18 @@
 	// delivered counts the attempts that may have reached an endpoint,
 	// possibleRuns those that may have run there. ran states whether any did.
 	delivered, possibleRuns int
-	ran                     chain.Ran
+	// retryPaid reports that a retry was taken from the fleet's retry budget that has not
+	// reached an endpoint.
+	retryPaid bool
+	ran       chain.Ran
 	// headSent reports whether the caller has received the head of the answer,
 	// streaming whether it was that of a stream.
 	headSent, streaming bool
 	cutter              stream.Splitter
-	// watchdog is that of the current attempt if the answer is buffered for the caller,
-	// otherwise nil.
+	// watchdog is that of the current attempt; secured is the endpoint that it secured before
+	// it cancelled the attempt, nil if it did not.
 	watchdog *watchdog
+	secured  *takeover
 	// lastReceived is when complete events of a stream last arrived.
 	lastReceived time.Time
 	// failure is an endpoint's error answer, forwarded if no further attempt
@@ -94,7 +98,6 @@
 
 // run makes attempts until one completes, or none may follow.
 func (j *job) run(ctx context.Context) error {
-	paid := false // whether the next attempt's retry has been spent
 	if refusal := j.findOrigin(ctx); refusal != nil {
 		return j.fail(ctx, refusal)
 	}
@@ -103,6 +106,12 @@
 		j.engine = configured.Engine
 	}
 	for {
+		if next := j.takeSecured(); next != nil {
+			if done, err := j.attemptSecured(ctx, next); done {
+				return err
+			}
+			continue
+		}
 		if allowed, err := j.checkAllowed(ctx); !allowed {
 			return err
 		}
@@ -121,12 +130,10 @@
 		if target == nil {
 			return j.fail(ctx, refusal)
 		}
-		if j.delivered > 0 && !paid {
-			if paid = j.spendRetry(ctx); !paid {
-				giveBack()
-				target.release()
-				return j.fail(ctx, j.refuse("retry_budget", "too many requests are being repeated", failedRetryAfter))
-			}
+		if j.delivered > 0 && !j.retryPaid && !j.spendRetry(ctx) {
+			giveBack()
+			target.release()
+			return j.fail(ctx, j.refuse("retry_budget", "too many requests are being repeated", failedRetryAfter))
 		}
 		// The wait for the admission, the retry or the tokens may have been long.
 		if allowed, err := j.checkAllowed(ctx); !allowed {
@@ -139,21 +146,50 @@
 			target.release()
 			continue
 		}
-		paid = false
-		last, verdict, err := j.attemptOnce(ctx, target, giveBack)
-		switch verdict {
-		case verdictComplete:
-			return nil
-		case verdictCallerGone:
-			return chain.Canceled(ctx, j.ran)
-		}
-		j.recordFailure(last, verdict, err)
-		if !j.mayRetry(verdict) {
-			return j.fail(ctx, j.refuse("endpoint_failed", "the request failed at its endpoint", failedRetryAfter))
+		if done, err := j.attemptTarget(ctx, target, giveBack); done {
+			return err
 		}
 	}
 }
 
+// attemptTarget makes an attempt and reports whether the request has ended with it, and how.
+func (j *job) attemptTarget(ctx context.Context, target *target, giveBack func()) (done bool, result error) {
+	last, verdict, err := j.attemptOnce(ctx, target, giveBack)
+	j.retryPaid = false
+	switch verdict {
+	case verdictComplete:
+		j.takeSecured().drop()
+		return true, nil
+	case verdictCallerGone:
+		j.takeSecured().drop()
+		return true, chain.Canceled(ctx, j.ran)
+	}
+	j.recordFailure(last, verdict, err)
+	if !j.mayRetry(verdict) {
+		j.takeSecured().drop()
+		return true, j.fail(ctx, j.refuse("endpoint_failed", "the request failed at its endpoint", failedRetryAfter))
+	}
+	return false, nil
+}
+
+// attemptSecured is attemptTarget for an endpoint that was secured while the attempt before was
+// in progress.
+func (j *job) attemptSecured(ctx context.Context, next *takeover) (done bool, result error) {
+	if allowed, err := j.checkAllowed(ctx); !allowed {
+		next.drop()
+		return true, err
+	}
+	j.retryPaid = true
+	return j.attemptTarget(ctx, next.use(), func() {})
+}
+
+// takeSecured returns the endpoint that was secured for the request, nil if there is none.
+func (j *job) takeSecured() *takeover {
+	next := j.secured
+	j.secured = nil
+	return next
+}
+
 // attemptOnce makes one attempt, beside which there may be a hedge, and ends its admission. It
 // returns the endpoint of the attempt that ended last. giveBack returns the request's tokens if
 // no attempt may have run.
@@ -180,7 +216,8 @@
 	j.filter.Host.Meter.Add("repeats_"+string(source)+"_"+j.service, 1)
 	j.filter.Host.Log.Write("repeat", "request", j.request.ID, "service", j.service, "source", source,
 		"arrived", j.delivered, "waited", time.Since(started))
-	return source != retry.SourceNone
+	j.retryPaid = source != retry.SourceNone
+	return j.retryPaid
 }
 
 // checkAllowed reports whether a further attempt may be made. If not, it ends the request and
--- a/entry/direct/race.go
+++ b/entry/direct/race.go
@@ -77,6 +77,11 @@
 		case l := <-r.results:
 			r.running--
 			verdict, err := r.settle(l)
+			if secured := l.watchdog.stop(); r.second == nil {
+				j.secured = secured
+			} else {
+				secured.drop()
+			}
 			l.close()
 			if verdict == verdictComplete || r.running == 0 {
 				return l.target.endpoint, verdict, r.end(l, verdict, err)
@@ -115,7 +120,7 @@
 
 // fetch sends the call and reads the answer as far as it is buffered.
 func (l *leg) fetch(send func(ctx context.Context, c *Call) (*Answer, error)) {
-	defer l.watchdog.stop()
+	defer l.watchdog.endSupervision()
 	defer func() { l.ended = time.Now() }()
 	if l.answer, l.err = send(l.ctx, l.call); l.err != nil {
 		l.answer = nil
@@ -135,7 +140,7 @@
 // close ends the attempt and what it holds.
 func (l *leg) close() {
 	l.cancel(nil)
-	l.watchdog.stop()
+	l.watchdog.stop().drop()
 	if l.answer != nil {
 		_ = l.answer.Body.Close()
 	}
@@ -180,7 +185,7 @@
 		return
 	}
 	// The hedge takes over from the watchdog: the first answer may still come.
-	r.first.watchdog.stop()
+	r.first.watchdog.stop().drop()
 	plan.settle(true)
 	r.second = r.start(plan.target, true)
 	j.recordHedgeSent(r.first, r.second, plan)
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -384,6 +384,22 @@
 	return reply, nil
 }
 
+// A retry for a request that continued where it was is there for another one.
+func TestUnsentRetryIsAvailableAgain(t *testing.T) {
+	pool := &poolGrant{free: budget.TokensPerRetry, burst: budget.TokensPerRetry}
+	withLimiter(t, pool.grant, func(l *limit.Limiter, _ *fakeControl) {
+		l.RetryLimit = budget.Limit{Ratio: 0.2, Slack: 86, Window: 10 * time.Second}
+		settle := l.ReserveRetry(context.Background(), "desk")
+		require.NotNil(t, settle)
+		require.Nil(t, l.ReserveRetry(context.Background(), "desk"))
+		settle(false)
+		settle = l.ReserveRetry(context.Background(), "desk")
+		require.NotNil(t, settle)
+		settle(true)
+		require.False(t, l.AcquireRetry(context.Background(), "desk"))
+	})
+}
+
 // A hedge gets a retry only while half of the pool stays free after it. Without that, late
 // answers would take the retries that a failure of endpoints needs a moment later. While
 // too little is free, an entry asks at most twice a second.
--- a/entry/limit/retry.go
+++ b/entry/limit/retry.go
@@ -46,20 +46,39 @@
 // AcquireRetry takes one retry to a service out of the fleet's retry budget and reports
 // whether one was available. None is available while control does not answer.
 func (l *Limiter) AcquireRetry(ctx context.Context, service string) bool {
+	reserved := l.reserveRetry(ctx, service)
+	if reserved == nil {
+		return false
+	}
+	l.useAll(reserved)
+	return true
+}
+
+// ReserveRetry is AcquireRetry with a retry that may be returned: the caller states by settle
+// whether it has sent the retry. settle is nil if no retry is available.
+func (l *Limiter) ReserveRetry(ctx context.Context, service string) (settle func(sent bool)) {
+	reserved := l.reserveRetry(ctx, service)
+	if reserved == nil {
+		return nil
+	}
+	return func(sent bool) { l.settleRetry(reserved, sent) }
+}
+
+// reserveRetry takes one retry to a service out of the fleet's retry budget; nil means that
+// none was available.
+func (l *Limiter) reserveRetry(ctx context.Context, service string) *reservation {
 	now := time.Now()
 	l.mutex.Lock()
 	cutOff := l.isCutOff(now)
 	l.mutex.Unlock()
 	if cutOff {
-		return false
+		return nil
 	}
-	w := retryWaiter(now)
-	reserved, err := l.wait(ctx, budget.Account(service), w)
+	reserved, err := l.wait(ctx, budget.Account(service), retryWaiter(now))
 	if err != nil {
-		return false
+		return nil
 	}
-	l.useAll(reserved)
-	return true
+	return reserved
 }
 
 // retryWaiter returns a waiter for one retry.
@@ -102,11 +121,11 @@
 		l.serveWaiters(s, now)
 		return nil, true
 	}
-	return func(sent bool) { l.settleHedge(reserved, sent) }, true
+	return func(sent bool) { l.settleRetry(reserved, sent) }, true
 }
 
-// settleHedge records the retry of a hedge as used, or returns it if the hedge was not sent.
-func (l *Limiter) settleHedge(reserved *reservation, sent bool) {
+// settleRetry records a retry as used, or returns it if it was not sent.
+func (l *Limiter) settleRetry(reserved *reservation, sent bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := time.Now()
--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -36,6 +36,9 @@
 	// Lease takes one retry for a service from the fleet's retry budget at
 	// control and reports whether one was available.
 	Lease func(ctx context.Context, service string) bool
+	// Reserve is Lease with a retry that may be returned: settle states whether the retry was
+	// sent; it is nil if none is available. A nil Reserve leases by Lease.
+	Reserve func(ctx context.Context, service string) (settle func(sent bool))
 	// LeaseHedge takes one retry for a hedge, which is available only while most of the
 	// fleet's retry budget is free, and reports whether control answers. settle states
 	// whether the hedge was sent; it is nil if none is available. A nil LeaseHedge leases
@@ -88,13 +91,48 @@
 	if b.Lease(ctx, service) {
 		return SourcePool
 	}
+	if !b.spendLocal(service) {
+		return SourceNone
+	}
+	return SourceLocal
+}
+
+// SpendReturnable is Spend with a retry that may be returned: unless the source is SourceNone,
+// settle must be called with whether the retry was sent.
+func (b *Budget) SpendReturnable(ctx context.Context, service string) (source Source, settle func(sent bool)) {
+	if b.Reserve != nil {
+		if settle := b.Reserve(ctx, service); settle != nil {
+			return SourcePool, settle
+		}
+	} else if b.Lease(ctx, service) {
+		return SourcePool, func(bool) {}
+	}
+	if !b.spendLocal(service) {
+		return SourceNone, nil
+	}
+	return SourceLocal, func(sent bool) {
+		if !sent {
+			b.returnLocal(service)
+		}
+	}
+}
+
+// spendLocal takes one retry of those accumulated while control was unreachable, and reports
+// whether one was available.
+func (b *Budget) spendLocal(service string) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if b.local[service] < 1 || !b.Limit.AllowsLocal(b.EntryCount()) {
-		return SourceNone
+		return false
 	}
 	b.local[service]--
-	return SourceLocal
+	return true
+}
+
+func (b *Budget) returnLocal(service string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.local[service] = min(b.local[service]+1, maxLocal)
 }
 
 // SpendHedge takes one retry for a hedge from the fleet's retry budget and returns its
--- a/entry/retry/retry_test.go
+++ b/entry/retry/retry_test.go
@@ -215,3 +215,44 @@
 	require.Equal(t, retry.SourceUnreachable, spend())
 	require.Equal(t, retry.SourceLocal, b.Spend(t.Context(), "s"), "a retry is still there")
 }
+
+// A retry that is not sent goes back to where it came from.
+func TestUnsentRetryIsReturned(t *testing.T) {
+	inPool := 1
+	b := &retry.Budget{
+		Limit: budget.Default, Report: func(string) bool { return false }, EntryCount: func() int { return 1 },
+		Reserve: func(context.Context, string) func(bool) {
+			if inPool == 0 {
+				return nil
+			}
+			inPool--
+			return func(sent bool) {
+				if !sent {
+					inPool++
+				}
+			}
+		},
+	}
+	spend := func() (retry.Source, func(bool)) { return b.SpendReturnable(t.Context(), "s") }
+	source, settle := spend()
+	require.Equal(t, retry.SourcePool, source)
+	settle(false)
+	require.Equal(t, 1, inPool)
+	_, settle = spend()
+	settle(true)
+	source, settle = spend()
+	require.Equal(t, retry.SourceNone, source)
+	require.Nil(t, settle)
+
+	for range 100 {
+		b.RecordRequest("s")
+	}
+	source, settle = spend()
+	require.Equal(t, retry.SourceLocal, source)
+	settle(false)
+	source, settle = spend()
+	require.Equal(t, retry.SourceLocal, source)
+	settle(true)
+	source, _ = spend()
+	require.Equal(t, retry.SourceNone, source)
+}
--- a/entry/view/view.go
+++ b/entry/view/view.go
@@ -97,6 +97,9 @@
 	lastAnswer               time.Time
 	// lastHeard is when a part of an answer last arrived; zero before the first.
 	lastHeard time.Time
+	// silent reports that connection is a pause because of silence, which the next part of an
+	// answer ends.
+	silent bool
 	// resident are the recently used adapters with the time of their last use.
 	resident map[string]time.Time
 }
@@ -235,19 +238,12 @@
 	if e == nil {
 		return
 	}
-	e.connection = backoff{}
-	recovery := e.recovery(now)
-	e.lastAnswer = now
-	sample := 0.0
-	if failed {
-		sample = 1
-	} else {
-		e.failureRate *= recovery
-	}
-	e.failureRate += newestWeight * (sample - e.failureRate)
+	e.connection, e.silent = backoff{}, false
+	recovery := e.recordResult(failed, now)
 	if latency == 0 {
 		return
 	}
+	e.lastHeard = now
 	if e.meanSeconds == 0 {
 		e.meanSeconds = latency.Seconds()
 	}
@@ -257,15 +253,31 @@
 	e.meanSeconds += newestWeight * (latency.Seconds() - e.meanSeconds)
 }
 
+// recordResult records whether an answer was a failure, and returns the factor by which the
+// averages had decreased. The mutex must be held.
+func (e *endpoint) recordResult(failed bool, now time.Time) (recovery float64) {
+	recovery = e.recovery(now)
+	e.lastAnswer = now
+	sample := 0.0
+	if failed {
+		sample = 1
+	} else {
+		e.failureRate *= recovery
+	}
+	e.failureRate += newestWeight * (sample - e.failureRate)
+	return recovery
+}
+
 // MarkUnreachable records a failed connection to an endpoint, or a connection
 // that broke without an answer.
 func (es *Endpoints) MarkUnreachable(name string, now time.Time) {
 	es.mutex.Lock()
 	defer es.mutex.Unlock()
 	e := es.byName[name]
-	if e == nil || e.connection.active(now) {
+	if e == nil || e.connection.active(now) && !e.silent {
 		return
 	}
+	e.silent = false
 	e.connection.fail(now, maxPause)
 	clear(e.resident)
 }
