entry/direct: a retry that reached no endpoint is kept for the next attempt

Callers saw: a stream broken off with retry_budget although an engine had admitted it and its retry had been taken. Evidence: TestRetryThatReachedNoEndpointIsNotTakenAgain failed before ("refused 502 retry_budget") and passes now. The budget counts arrivals, and the retry is spent with the first attempt that arrives.

--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -154,8 +154,9 @@
 
 // attemptTarget makes an attempt and reports whether the request has ended with it, and how.
 func (j *job) attemptTarget(ctx context.Context, target *target, giveBack func()) (done bool, result error) {
+	delivered := j.delivered
 	last, verdict, err := j.attemptOnce(ctx, target, giveBack)
-	j.retryPaid = false
+	j.retryPaid = j.retryPaid && j.delivered == delivered
 	switch verdict {
 	case verdictComplete:
 		j.takeSecured().drop()
--- a/entry/direct/silence_test.go
+++ b/entry/direct/silence_test.go
@@ -117,3 +117,17 @@
 		require.Zero(t, s.held(), "admissions that no request uses")
 	})
 }
+
+// A retry was taken from the budget again for each further endpoint to which no connection could
+// be made, until none was left for a stream that another engine had admitted.
+func TestRetryThatReachedNoEndpointIsNotTakenAgain(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := &service{replies: []reply{reset, unreached, unreached, good}}
+		d := newFilter(s, 5)
+		d.Budget.Lease = limitedRetries(1)
+		got, err := run(t.Context(), d, retryable)
+		require.NoError(t, err)
+		require.Equal(t, "good", got.text)
+		require.Len(t, s.calls, 4)
+	})
+}
