agent/keeper: an engine that does not answer for a second is silent, not down

What callers saw: requests that waited at the agent of an engine that answered nothing for 1 to 1.7 s were refused (engine-down), and the entries marked the engine unreachable for it, although it went on and could have served them in time. Others were sent to the silent engine for up to 0.95 s, where they could be neither refused nor moved.

Cause: each failed request for a report counted alike, and two of them (0.4 s each, 0.15 s between) made the engine count as down. A timeout says only that the state of the engine is unknown.

Why the fix works: refused and broken connections still count as down after two in a row. While a report is overdue nothing is admitted and no order is sent; requests keep waiting as long as they would be served in time if the engine continued after about a second, and are refused as busy otherwise, which marks nothing unreachable. An engine that has answered nothing for 2 s counts as down, so that callers (4 s without data) have half of their time left.

--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -35,6 +35,7 @@
 const (
 	KindListen Kind = "cannot listen"
 	KindServe  Kind = "cannot serve entries"
+	KindSilent Kind = "the engine does not answer"
 )
 
 // Error is this package's error type.
@@ -54,7 +55,8 @@
 	slowRetention      = 10 * time.Second
 	// reportTimeout bounds the request for a report; the engine is on the same VM.
 	reportTimeout = 400 * time.Millisecond
-	// maxFailedReports is how many reports in a row may fail before the engine counts as down.
+	// maxFailedReports is how many requests for a report in a row may be refused or broken off
+	// before the engine counts as down.
 	maxFailedReports = 2
 	// maxStepInterval is the longest time between two passes over the waiting requests. Their
 	// estimates change as time passes, even if nothing happens.
@@ -94,11 +96,15 @@
 	adapters  lora.Cache
 	// tasks holds the waiting and the running requests.
 	tasks map[*gate.Request]*task
-	// lastReport is nil before the first report and while the engine counts as down.
-	// failedReports is the number of failed requests for a report in a row.
-	lastReport    *Report
-	failedReports int
-	stopping      bool
+	// lastReport is nil before the first report. failedReports is the number of requests for a
+	// report in a row that failed other than by a timeout. unansweredSince is when the first of
+	// the requests was sent that the engine has not answered; zero if there is none.
+	lastReport      *Report
+	failedReports   int
+	unansweredSince time.Time
+	// down is set while the engine counts as down.
+	down     bool
+	stopping bool
 	// notices is what the engine said of itself in its answers to this agent.
 	notices advert.Notices
 	// pacer keeps the engine's limit.
@@ -204,10 +210,15 @@
 	defer k.mutex.Unlock()
 	configured := k.applyConfiguration()
 	k.admission.ApplyPace(k.enginePace.Pace(now), k.enginePace.Outstanding(), now)
+	silence := k.silence(now)
+	if silence > maxSilence {
+		k.markDown(&Error{Op: "request a report", Kind: KindSilent})
+	}
+	if k.down {
+		k.refuseAll(admit.ReasonEngineDown)
+		return len(k.tasks) > 0
+	}
 	if k.lastReport == nil {
-		if k.failedReports >= maxFailedReports {
-			k.refuseAll(admit.ReasonEngineDown)
-		}
 		return len(k.tasks) > 0
 	}
 	if k.lastReport.Draining || k.notices.Leaving() {
@@ -215,10 +226,14 @@
 		return false
 	}
 	var wanted []lora.Key
-	if configured {
-		wanted = k.admitWaiting(now)
-	} else {
+	switch {
+	case !configured:
 		k.refuseAll(admit.ReasonModelMissing)
+	case silence > maxReportDelay:
+		k.holdWaiting(now)
+		return len(k.tasks) > 0
+	default:
+		wanted = k.admitWaiting(now)
 	}
 	k.startNextOrder(wanted, now)
 	return len(k.tasks) > 0
--- a/agent/keeper/keeper_test.go
+++ b/agent/keeper/keeper_test.go
@@ -35,6 +35,8 @@
 	newest  int64
 	seq     uint64
 	model   bool
+	// started is when the engine's process started; 0 stands for 1.
+	started int64
 	// modelLoadTime is how long a base model takes to load, modelLoadEnd when the load in
 	// progress ends.
 	modelLoadTime time.Duration
@@ -46,9 +48,12 @@
 	unconfigured, controlDown bool
 	// inUse holds the adapters of running requests, replacing the adapter whose replacement
 	// waits for them. The engine accepts no other order meanwhile.
-	inUse         map[string]bool
-	replacing     string
-	down          bool
+	inUse     map[string]bool
+	replacing string
+	down      bool
+	// silentUntil is until when the engine answers nothing. It carries out the orders of that
+	// time afterwards.
+	silentUntil   time.Time
 	leaving       bool
 	loseNextOrder bool
 	lostOrders    []keeper.Order
@@ -71,7 +76,27 @@
 	}
 }
 
-func (e *engine) report(context.Context) (*keeper.Report, error) {
+// awaitSilence returns once the engine answers again, with an error if ctx ends before.
+func (e *engine) awaitSilence(ctx context.Context) error {
+	for {
+		e.mutex.Lock()
+		left := time.Until(e.silentUntil)
+		e.mutex.Unlock()
+		if left <= 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(left):
+		}
+	}
+}
+
+func (e *engine) report(ctx context.Context) (*keeper.Report, error) {
+	if err := e.awaitSilence(ctx); err != nil {
+		return nil, err
+	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.advance()
@@ -79,7 +104,7 @@
 	if e.down {
 		return nil, fmt.Errorf("refused")
 	}
-	report := &keeper.Report{StartedMillis: 1, Seq: e.seq, Draining: e.leaving, Busy: !e.modelLoadEnd.IsZero()}
+	report := &keeper.Report{StartedMillis: max(e.started, 1), Seq: e.seq, Draining: e.leaving, Busy: !e.modelLoadEnd.IsZero()}
 	if e.model {
 		report.Models = []string{"m"}
 	}
@@ -96,6 +121,18 @@
 }
 
 func (e *engine) order(ctx context.Context, o *keeper.Order) (keeper.Outcome, error) {
+	if err := e.awaitSilence(ctx); err != nil {
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		e.orderCount++
+		time.AfterFunc(time.Until(e.silentUntil), func() {
+			e.mutex.Lock()
+			defer e.mutex.Unlock()
+			e.advance()
+			e.execute(o)
+		})
+		return "", err
+	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.advance()
--- a/agent/keeper/notice.go
+++ b/agent/keeper/notice.go
@@ -49,7 +49,7 @@
 	if stated == nil {
 		return
 	}
-	if r := k.lastReport; r != nil && r.StartedMillis != 0 && stated.StartedMillis != r.StartedMillis {
+	if r := k.lastReport; r != nil && !k.down && r.StartedMillis != 0 && stated.StartedMillis != r.StartedMillis {
 		// Another process of the engine said so.
 		return
 	}
--- a/agent/keeper/orders.go
+++ b/agent/keeper/orders.go
@@ -38,6 +38,7 @@
 	for ctx.Err() == nil {
 		limited, cancel := context.WithTimeout(ctx, reportTimeout)
 		requested := time.Now()
+		k.reportRequested(requested)
 		report, err := k.FetchReport(limited)
 		cancel()
 		if ctx.Err() != nil {
@@ -63,21 +64,25 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	now := time.Now()
+	if isUnanswered(err) {
+		return busyReportInterval
+	}
+	silence := k.silence(now)
+	k.unansweredSince = time.Time{}
 	if err != nil {
 		k.failedReports++
-		if k.failedReports == maxFailedReports {
-			k.Host.Log.Write("engine-down", "err", err)
-			k.lastReport = nil
-			k.adapters.Clear()
-			// The next answer may come from another process.
-			k.notices.LeavingSince = time.Time{}
+		if k.failedReports >= maxFailedReports {
+			k.markDown(err)
 		}
 		return idleReportInterval
 	}
-	if k.failedReports >= maxFailedReports {
+	if silence > maxReportDelay {
+		k.Host.Log.Write("engine-continued", "silence", silence)
+	}
+	if k.down {
 		k.Host.Log.Write("engine-up", "born", report.StartedMillis, "models", len(report.Models), "adapters", len(report.Adapters))
 	}
-	k.failedReports = 0
+	k.failedReports, k.down = 0, false
 	if k.lastReport != nil && (report.StartedMillis != k.lastReport.StartedMillis || report.Seq < k.lastReport.Seq) {
 		k.Host.Log.Write("engine-restarted", "born", report.StartedMillis, "seq", report.Seq, "former_born", k.lastReport.StartedMillis, "former_seq", k.lastReport.Seq)
 		k.adapters.Clear()
--- /dev/null
+++ b/agent/keeper/silence_test.go
@@ -0,0 +1,93 @@
+package keeper_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+)
+
+// silence makes the engine answer nothing for a time.
+func (f *fixture) silence(length time.Duration) {
+	f.engine.mutex.Lock()
+	defer f.engine.mutex.Unlock()
+	f.engine.silentUntil = time.Now().Add(length)
+}
+
+// patient changes a request to one whose caller waits four seconds at the last engine left to it.
+func patient(a *admit.Request) {
+	a.LastCandidate, a.Remaining = true, span.Duration(4*time.Second)
+	a.FirstTokenRemaining = span.Duration(2 * time.Second)
+}
+
+// An engine that answered nothing for a second and then went on counted as down: its agent
+// refused the requests that waited, although they could be served in time.
+func TestRequestsOutliveTheSilenceOfTheirEngine(t *testing.T) {
+	for _, silence := range []time.Duration{900 * time.Millisecond, 1300 * time.Millisecond, 1700 * time.Millisecond} {
+		for _, after := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, 850 * time.Millisecond} {
+			t.Run(fmt.Sprint(silence, " after ", after), func(t *testing.T) {
+				run(t, func(f *fixture) {
+					f.silence(silence)
+					end := time.Now().Add(silence)
+					time.Sleep(after)
+					reply, _ := f.requestAdmission("a", patient)
+					require.Equal(t, admit.ReasonNone, reply.Reason)
+					require.Greater(t, time.Until(end), -700*time.Millisecond, "a report and the load of the adapter")
+				})
+			})
+		}
+	}
+}
+
+// Requests were sent to an engine that had answered nothing for a second, where they could be
+// neither refused nor served by another engine.
+func TestNothingIsAdmittedWhileTheEngineIsSilent(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.silence(1300 * time.Millisecond)
+		end := time.Now().Add(1300 * time.Millisecond)
+		time.Sleep(450 * time.Millisecond)
+		reply, _ := f.requestAdmission("", patient)
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+		require.False(t, time.Now().Before(end))
+		require.Less(t, time.Since(end), 100*time.Millisecond)
+	})
+}
+
+// A request that another engine can serve in time does not wait for a silent one beyond its
+// objective, and no request waits for an engine that stays silent.
+func TestRequestsLeaveAnEngineThatStaysSilent(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.silence(time.Minute)
+		time.Sleep(500 * time.Millisecond)
+		began := time.Now()
+		reply, _ := f.requestAdmission("", func(a *admit.Request) { a.Remaining = span.Duration(4 * time.Second) })
+		require.Equal(t, admit.ReasonBusy, reply.Reason, "the engine may go on")
+		require.Less(t, time.Since(began), time.Second, "its objective")
+		reply, _ = f.requestAdmission("", patient)
+		require.NotEqual(t, admit.ReasonNone, reply.Reason)
+		require.Less(t, time.Since(began), 2*time.Second, "half of the time that callers wait")
+		time.Sleep(time.Second)
+		began = time.Now()
+		reply, _ = f.requestAdmission("", patient)
+		require.Equal(t, admit.ReasonEngineDown, reply.Reason)
+		require.Less(t, time.Since(began), 50*time.Millisecond)
+	})
+}
+
+// An engine whose connections are refused has ended, which needs no waiting.
+func TestRefusedConnectionsShowAtOnceThatAnEngineIsDown(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.engine.mutex.Lock()
+		f.engine.down = true
+		f.engine.mutex.Unlock()
+		time.Sleep(350 * time.Millisecond)
+		began := time.Now()
+		reply, _ := f.requestAdmission("", patient)
+		require.Equal(t, admit.ReasonEngineDown, reply.Reason)
+		require.Less(t, time.Since(began), 50*time.Millisecond)
+	})
+}
