agent/keeper: a restart of an engine that counted as down is noticed

What callers saw: an engine that ended while it loaded its base model came back empty and refused all requests (model-missing) until 12 s after the order for the load.

Cause: the report of the former process was dropped as the engine counted as down, so that the first report of the next process was not compared with it: the load stayed in progress, and the pace of the former process was kept.

Before: TestEngineThatEndedDuringTheLoadOfItsBaseModelLoadsItAgain/refuses_connections, /silent: silence_test.go:117 Should be true (the engine holds no model 2 s after its return)

Why the fix works: the last report is kept and only marked as outdated, so that the start time and the number of orders show the restart.

--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -96,9 +96,10 @@
 	adapters  lora.Cache
 	// tasks holds the waiting and the running requests.
 	tasks map[*gate.Request]*task
-	// lastReport is nil before the first report. failedReports is the number of requests for a
-	// report in a row that failed other than by a timeout. unansweredSince is when the first of
-	// the requests was sent that the engine has not answered; zero if there is none.
+	// lastReport is nil before the first report, and kept while the engine counts as down.
+	// failedReports is the number of requests for a report in a row that failed other than by a
+	// timeout. unansweredSince is when the first of the requests was sent that the engine has
+	// not answered; zero if there is none.
 	lastReport      *Report
 	failedReports   int
 	unansweredSince time.Time
--- a/agent/keeper/silence.go
+++ b/agent/keeper/silence.go
@@ -72,7 +72,6 @@
 	}
 	k.down = true
 	k.Host.Log.Write("engine-down", "err", err)
-	k.lastReport = nil
 	k.adapters.Clear()
 	// The next answer may come from another process.
 	k.notices.LeavingSince = time.Time{}
--- a/agent/keeper/silence_test.go
+++ b/agent/keeper/silence_test.go
@@ -91,3 +91,31 @@
 		require.Less(t, time.Since(began), 50*time.Millisecond)
 	})
 }
+
+// An engine that ended while it loaded its base model came back empty and was not ordered to
+// load the model until the former order had expired, 12 s after it was sent.
+func TestEngineThatEndedDuringTheLoadOfItsBaseModelLoadsItAgain(t *testing.T) {
+	for name, outage := range map[string]func(f *fixture){
+		"refuses connections": func(f *fixture) {
+			f.engine.mutex.Lock()
+			f.engine.down = true
+			f.engine.mutex.Unlock()
+		},
+		"silent": func(f *fixture) { f.silence(3100 * time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			empty := func(e *engine) { e.model, e.modelLoadTime = false, 8*time.Second }
+			runWith(t, empty, func(f *fixture) {
+				outage(f)
+				time.Sleep(3 * time.Second)
+				f.engine.mutex.Lock()
+				f.engine.down, f.engine.seq, f.engine.modelLoadEnd, f.engine.modelLoadTime, f.engine.started = false, 0, time.Time{}, time.Second, 2
+				f.engine.mutex.Unlock()
+				time.Sleep(2 * time.Second)
+				f.engine.mutex.Lock()
+				defer f.engine.mutex.Unlock()
+				require.True(t, f.engine.model)
+			})
+		})
+	}
+}
