agent/pace: a silence of the engine is no measurement of its speed

What callers saw: after an engine had been silent for a second and had continued, its agent let in one prompt after another for up to 10 s; requests that the engine could serve in time were refused as busy.

Cause: the first report after the silence was compared with the last one before it. The engine seemed to be three times slower than usual (SlowMoments, kept for 10 s), and prompts sent more than a second before counted as lost, so that they were no longer outstanding.

Why the fix works: two reports that are further apart than unanswered requests for them would explain are not compared, and that time does not count for the outstanding prompts. A prompt that did not arrive is still dropped a second of reports later.

--- a/agent/pace/pace.go
+++ b/agent/pace/pace.go
@@ -53,6 +53,11 @@
 	// maxPrefillWait is how long an admitted request may take until its first event before it
 	// is assumed not to have arrived at the engine.
 	maxPrefillWait = time.Second
+	// maxObservationGap is the longest time between two observations that are compared. An
+	// engine that answers no request for a report may not work meanwhile, which says nothing
+	// about its speed. Reports are otherwise requested at least every 150 ms and take 400 ms at
+	// most.
+	maxObservationGap = 550 * time.Millisecond
 )
 
 // Run is the progress of one request as the engine reports it.
@@ -87,6 +92,8 @@
 	outstanding map[string]prompt
 	// base is the first observation of the sample that is being taken; nil before it.
 	base *observation
+	// observedAt is when the last observation was made; zero before the first one.
+	observedAt time.Time
 	// prefilled is the number of prompt tokens whose prefill has ended since base.
 	prefilled int64
 	// recent are the last observations, oldest first.
@@ -140,6 +147,10 @@
 
 // Observe takes in the runs of a report.
 func (e *Estimator) Observe(runs []Run, now time.Time) {
+	if gap := now.Sub(e.observedAt); gap > maxObservationGap && !e.observedAt.IsZero() {
+		e.skip(gap, now)
+	}
+	e.observedAt = now
 	next := observation{at: now, runs: make(map[string]Run, len(runs))}
 	for _, run := range runs {
 		if run.Events == 0 {
@@ -169,6 +180,18 @@
 	e.measureSlowdown(next)
 }
 
+// skip excludes a time without observations from all measurements.
+func (e *Estimator) skip(gap time.Duration, now time.Time) {
+	e.base, e.prefilled, e.recent = nil, 0, nil
+	for id, known := range e.outstanding {
+		known.admitted = known.admitted.Add(gap)
+		if known.admitted.After(now) {
+			known.admitted = now
+		}
+		e.outstanding[id] = known
+	}
+}
+
 // progress returns the mean number of tokens that the streams of both observations have made
 // between them, and the number of those streams.
 func progress(former, next *observation) (tokens float64, runs int) {
