agent/gate: prompts sent before a silence are still outstanding after it

What callers saw: when a silent engine continued, all requests that had waited were sent to it at once, behind prompts that it had not processed during the silence; running streams stalled.

Cause: the gate counts admitted prompts as processed by the clock.

Before (go test -count=1 ./agent/keeper): TestPromptsBeforeASilenceAreStillOutstandingAfterIt: "0s" is not greater than "100ms"

Why the fix works: while a report is overdue, the backlog is at least the prompts whose prefill the reports have not shown to have ended.

--- a/agent/gate/speed.go
+++ b/agent/gate/speed.go
@@ -14,6 +14,12 @@
 	c.Pace, c.outstanding = p, outstanding
 }
 
+// HoldPrefill records that the engine may not be working at present: the prompts that were sent
+// to it and whose prefill is not seen to have ended are still to be processed.
+func (c *Controller) HoldPrefill(now time.Time) {
+	c.prefillTokens, c.prefillAt = max(c.remainingPrefill(now), float64(c.outstanding)), now
+}
+
 // wouldStall reports whether the prompt of a request would delay the events of a running
 // stream beyond its required gap because the engine is slow at present. The prompt then waits
 // for the moment to pass. A prompt that is too long at the engine's usual speed does not wait.
--- a/agent/keeper/silence.go
+++ b/agent/keeper/silence.go
@@ -51,6 +51,7 @@
 // could not be served in time afterwards. A request sent to a silent engine could no longer be
 // moved to another one.
 func (k *Keeper) holdWaiting(now time.Time) {
+	k.admission.HoldPrefill(now)
 	var wanted []lora.Key
 	remaining := max(typicalSilence-k.silence(now), minSilenceRemaining)
 	for _, r := range k.admission.Waiting(now) {
--- a/agent/keeper/silence_test.go
+++ b/agent/keeper/silence_test.go
@@ -57,6 +57,24 @@
 	})
 }
 
+// Prompts that were sent to an engine before its silence counted as processed at its end, so that
+// all requests that waited were sent at once and delayed its running streams.
+func TestPromptsBeforeASilenceAreStillOutstandingAfterIt(t *testing.T) {
+	run(t, func(f *fixture) {
+		// The prompt takes at least 120 ms at 25 tokens per millisecond.
+		long := func(a *admit.Request) { a.PromptTokens = 3000 }
+		reply, _ := f.requestAdmission("", long)
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+		f.silence(1300 * time.Millisecond)
+		end := time.Now().Add(1300 * time.Millisecond)
+		time.Sleep(700 * time.Millisecond)
+		reply, _ = f.requestAdmission("", patient)
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+		require.Greater(t, time.Since(end), 100*time.Millisecond)
+		require.Less(t, time.Since(end), 400*time.Millisecond)
+	})
+}
+
 // A request that another engine can serve in time does not wait for a silent one beyond its
 // objective, and no request waits for an engine that stays silent.
 func TestRequestsLeaveAnEngineThatStaysSilent(t *testing.T) {
