agent/lora: loads during a silence of the engine are not measured

What callers saw: after a silence, requests for adapters that the engine did not hold were refused as busy although a load took no longer than before.

Cause: loads that ended behind the silence counted as slow ones of an overloaded weight store: the mean load time doubled and fewer loads were allowed at once. Pending orders expired by the clock of the wall as well.

Before (go test -count=1 ./agent/keeper): TestLoadsBesideASilenceAreNotSlow: expected: "" actual: "busy"

Why the fix works: when the engine continues, loads in progress are not measured and pending orders expire later by the time of the silence. An agent that starts beside a silent engine refuses requests that could not be served in time, like any other.

--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -220,6 +220,9 @@
 		return len(k.tasks) > 0
 	}
 	if k.lastReport == nil {
+		if silence > maxReportDelay {
+			k.holdWaiting(now)
+		}
 		return len(k.tasks) > 0
 	}
 	if k.lastReport.Draining || k.notices.Leaving() {
--- a/agent/keeper/orders.go
+++ b/agent/keeper/orders.go
@@ -78,6 +78,7 @@
 	}
 	if silence > maxReportDelay {
 		k.Host.Log.Write("engine-continued", "silence", silence)
+		k.adapters.Skip(silence, now)
 	}
 	if k.down {
 		k.Host.Log.Write("engine-up", "born", report.StartedMillis, "models", len(report.Models), "adapters", len(report.Adapters))
--- a/agent/keeper/silence_test.go
+++ b/agent/keeper/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -75,6 +76,26 @@
 	})
 }
 
+// Loads during which the engine was silent counted as slow ones of an overloaded store, so that
+// requests for further adapters were refused although a load took no longer than before.
+func TestLoadsBesideASilenceAreNotSlow(t *testing.T) {
+	run(t, func(f *fixture) {
+		var group sync.WaitGroup
+		for _, adapter := range []string{"a", "b"} {
+			group.Go(func() {
+				reply, stream := f.requestAdmission(adapter, patient)
+				require.Equal(t, admit.ReasonNone, reply.Reason)
+				require.NoError(t, stream.Close())
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		f.silence(1300 * time.Millisecond)
+		group.Wait()
+		reply, _ := f.requestAdmission("c", func(a *admit.Request) { a.FirstTokenRemaining = span.Duration(400 * time.Millisecond) })
+		require.Equal(t, admit.ReasonNone, reply.Reason, "a load takes 250 ms")
+	})
+}
+
 // A request that another engine can serve in time does not wait for a silent one beyond its
 // objective, and no request waits for an engine that stays silent.
 func TestRequestsLeaveAnEngineThatStaysSilent(t *testing.T) {
--- a/agent/lora/cache.go
+++ b/agent/lora/cache.go
@@ -143,6 +143,16 @@
 	c.residents, c.unconfirmed = map[Key]*resident{}, map[Key]pendingOrder{}
 }
 
+// Skip excludes a time without reports that has just ended: the loads under way meanwhile are
+// not measured, and the pending orders expire later.
+func (c *Cache) Skip(silence time.Duration, now time.Time) {
+	c.window.forgetLoads()
+	for key, p := range c.unconfirmed {
+		p.sent, p.expires = now, p.expires.Add(silence)
+		c.unconfirmed[key] = p
+	}
+}
+
 // RequireVersion raises the lowest version of an adapter that new requests accept.
 func (c *Cache) RequireVersion(key Key, version int64) {
 	c.prepare()
--- a/agent/lora/window.go
+++ b/agent/lora/window.go
@@ -52,6 +52,9 @@
 	return int(w.size)
 }
 
+// forgetLoads ends the measurement of the loads in progress.
+func (w *window) forgetLoads() { clear(w.started) }
+
 // trackLoad records the start of a load.
 func (c *Cache) trackLoad(key Key, sent time.Time) {
 	if c.window.started == nil {
