agent/keeper: a suspended agent does not take its engine for down

An agent that was suspended together with its engine for over two seconds would refuse all waiting requests as it continued, although the engine had no time to answer.

Cause: the silence was measured by the clock.

Before (go test -count=1 ./agent/keeper): TestAgentThatWasSuspendedBesideItsEngineRefusesNothing: expected: "" actual: "engine-down"

Why the fix works: requests for a report that timed out are counted, of which a suspension adds one; five of them take about two seconds. Measurements are skipped after one that timed out.

--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -35,7 +35,6 @@
 const (
 	KindListen Kind = "cannot listen"
 	KindServe  Kind = "cannot serve entries"
-	KindSilent Kind = "the engine does not answer"
 )
 
 // Error is this package's error type.
@@ -98,11 +97,12 @@
 	tasks map[*gate.Request]*task
 	// lastReport is nil before the first report, and kept while the engine counts as down.
 	// failedReports is the number of requests for a report in a row that failed other than by a
-	// timeout. unansweredSince is when the first of the requests was sent that the engine has
-	// not answered; zero if there is none.
-	lastReport      *Report
-	failedReports   int
-	unansweredSince time.Time
+	// timeout, and unansweredReports that of those that timed out. unansweredSince is when the
+	// first of the requests was sent that the engine has not answered; zero if there is none.
+	lastReport        *Report
+	failedReports     int
+	unansweredReports int
+	unansweredSince   time.Time
 	// down is set while the engine counts as down.
 	down     bool
 	stopping bool
@@ -211,14 +211,11 @@
 	defer k.mutex.Unlock()
 	configured := k.applyConfiguration()
 	k.admission.ApplyPace(k.enginePace.Pace(now), k.enginePace.Outstanding(), now)
-	silence := k.silence(now)
-	if silence > maxSilence {
-		k.markDown(&Error{Op: "request a report", Kind: KindSilent})
-	}
 	if k.down {
 		k.refuseAll(admit.ReasonEngineDown)
 		return len(k.tasks) > 0
 	}
+	silence := k.silence(now)
 	if k.lastReport == nil {
 		if silence > maxReportDelay {
 			k.holdWaiting(now)
--- a/agent/keeper/keeper_test.go
+++ b/agent/keeper/keeper_test.go
@@ -53,12 +53,14 @@
 	down      bool
 	// silentUntil is until when the engine answers nothing. It carries out the orders of that
 	// time afterwards.
-	silentUntil   time.Time
-	leaving       bool
-	loseNextOrder bool
-	lostOrders    []keeper.Order
-	orderCount    int
-	reportCount   int
+	silentUntil time.Time
+	// agentSuspended is set while timers of the agent expire late: after the silence.
+	agentSuspended bool
+	leaving        bool
+	loseNextOrder  bool
+	lostOrders     []keeper.Order
+	orderCount     int
+	reportCount    int
 }
 
 const adapterSlots = 3
@@ -80,11 +82,15 @@
 func (e *engine) awaitSilence(ctx context.Context) error {
 	for {
 		e.mutex.Lock()
-		left := time.Until(e.silentUntil)
+		left, suspended := time.Until(e.silentUntil), e.agentSuspended
 		e.mutex.Unlock()
 		if left <= 0 {
 			return nil
 		}
+		if suspended {
+			time.Sleep(left)
+			return ctx.Err()
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/agent/keeper/orders.go
+++ b/agent/keeper/orders.go
@@ -65,10 +65,14 @@
 	defer k.mutex.Unlock()
 	now := time.Now()
 	if isUnanswered(err) {
+		k.unansweredReports++
+		if k.unansweredReports >= maxUnansweredReports {
+			k.markDown(err)
+		}
 		return busyReportInterval
 	}
 	silence := k.silence(now)
-	k.unansweredSince = time.Time{}
+	k.unansweredReports, k.unansweredSince = 0, time.Time{}
 	if err != nil {
 		k.failedReports++
 		if k.failedReports >= maxFailedReports {
@@ -76,7 +80,7 @@
 		}
 		return idleReportInterval
 	}
-	if silence > maxReportDelay {
+	if silence > reportTimeout {
 		k.Host.Log.Write("engine-continued", "silence", silence)
 		k.adapters.Skip(silence, now)
 	}
--- a/agent/keeper/silence.go
+++ b/agent/keeper/silence.go
@@ -17,9 +17,11 @@
 	// minSilenceRemaining is how much of a silence is always assumed to remain, because it may
 	// take longer than typicalSilence.
 	minSilenceRemaining = typicalSilence / 4
-	// maxSilence is how long an engine may be silent before it counts as down. Callers wait four
-	// seconds for data, of which half remains for another engine.
-	maxSilence = 2 * time.Second
+	// maxUnansweredReports is how many requests for a report in a row may time out before the
+	// engine counts as down: two seconds of reportTimeout. Callers wait four seconds for data, of
+	// which half remains for another engine. The timeouts are counted because an agent that was
+	// suspended beside its engine also finds its request overdue.
+	maxUnansweredReports = 5
 )
 
 // isUnanswered reports whether an exchange failed because nothing arrived in time. Such an
--- a/agent/keeper/silence_test.go
+++ b/agent/keeper/silence_test.go
@@ -96,6 +96,22 @@
 	})
 }
 
+// An agent that is suspended together with its engine finds its requests for a report overdue by
+// seconds afterwards, although the engine had no time to answer.
+func TestAgentThatWasSuspendedBesideItsEngineRefusesNothing(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.engine.mutex.Lock()
+		f.engine.agentSuspended = true
+		f.engine.mutex.Unlock()
+		f.silence(2500 * time.Millisecond)
+		reply, _ := f.requestAdmission("a", func(a *admit.Request) {
+			patient(a)
+			a.FirstTokenRemaining = a.Remaining
+		})
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+	})
+}
+
 // A request that another engine can serve in time does not wait for a silent one beyond its
 // objective, and no request waits for an engine that stays silent.
 func TestRequestsLeaveAnEngineThatStaysSilent(t *testing.T) {
