agent/keeper: a test of what outlives a silence after which the engine counted as down

No fault found: the running requests keep their places and adapters, and the adapters are known again from the first report without an order.

--- a/agent/keeper/silence_test.go
+++ b/agent/keeper/silence_test.go
@@ -133,6 +133,30 @@
 	})
 }
 
+// An engine that continues after it counted as down still runs its requests and holds its
+// adapters.
+func TestStateOutlivesALongSilence(t *testing.T) {
+	run(t, func(f *fixture) {
+		for i := range adapterSlots {
+			reply, _ := f.requestAdmission(fmt.Sprint("a", i), nil)
+			require.Equal(t, admit.ReasonNone, reply.Reason)
+		}
+		f.silence(3 * time.Second)
+		time.Sleep(2500 * time.Millisecond)
+		reply, _ := f.requestAdmission("a0", nil)
+		require.Equal(t, admit.ReasonEngineDown, reply.Reason)
+		time.Sleep(700 * time.Millisecond)
+		reply, _ = f.requestAdmission("a0", nil)
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+		require.Less(t, reply.Wait.Std(), 50*time.Millisecond)
+		reply, _ = f.requestAdmission("b", func(a *admit.Request) { a.Remaining = span.Duration(time.Second) })
+		require.Equal(t, admit.ReasonBusy, reply.Reason, "all adapters are in use")
+		f.engine.mutex.Lock()
+		defer f.engine.mutex.Unlock()
+		require.Equal(t, adapterSlots, f.engine.orderCount)
+	})
+}
+
 // An engine whose connections are refused has ended, which needs no waiting.
 func TestRefusedConnectionsShowAtOnceThatAnEngineIsDown(t *testing.T) {
 	run(t, func(f *fixture) {
