--- /dev/null
+++ b/agent/keeper/silence_test.go
@@ -0,0 +1,200 @@
+package keeper_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
+	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+)
+
+// silence makes the engine answer nothing for a time.
+func (f *fixture) silence(length time.Duration) {
+	f.engine.mutex.Lock()
+	defer f.engine.mutex.Unlock()
+	f.engine.silentUntil = time.Now().Add(length)
+}
+
+// patient changes a request to one whose caller waits four seconds at the last engine left to it.
+func patient(a *admit.Request) {
+	a.LastCandidate, a.Remaining = true, span.Duration(4*time.Second)
+	a.FirstTokenRemaining = span.Duration(2 * time.Second)
+}
+
+// An engine that answered nothing for a second and then went on counted as down: its agent
+// refused the requests that waited, although they could be served in time.
+func TestRequestsOutliveTheSilenceOfTheirEngine(t *testing.T) {
+	for _, silence := range []time.Duration{900 * time.Millisecond, 1300 * time.Millisecond, 1700 * time.Millisecond} {
+		for _, after := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, 850 * time.Millisecond} {
+			t.Run(fmt.Sprint(silence, " after ", after), func(t *testing.T) {
+				run(t, func(f *fixture) {
+					f.silence(silence)
+					end := time.Now().Add(silence)
+					time.Sleep(after)
+					reply, _ := f.requestAdmission("a", patient)
+					require.Equal(t, admit.ReasonNone, reply.Reason)
+					require.Greater(t, time.Until(end), -700*time.Millisecond, "a report and the load of the adapter")
+				})
+			})
+		}
+	}
+}
+
+// Requests were sent to an engine that had answered nothing for a second, where they could be
+// neither refused nor served by another engine.
+func TestNothingIsAdmittedWhileTheEngineIsSilent(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.silence(1300 * time.Millisecond)
+		end := time.Now().Add(1300 * time.Millisecond)
+		time.Sleep(450 * time.Millisecond)
+		reply, _ := f.requestAdmission("", patient)
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+		require.False(t, time.Now().Before(end))
+		require.Less(t, time.Since(end), 100*time.Millisecond)
+	})
+}
+
+// Prompts that were sent to an engine before its silence counted as processed at its end, so that
+// all requests that waited were sent at once and delayed its running streams.
+func TestPromptsBeforeASilenceAreStillOutstandingAfterIt(t *testing.T) {
+	run(t, func(f *fixture) {
+		// The prompt takes at least 120 ms at 25 tokens per millisecond.
+		long := func(a *admit.Request) { a.PromptTokens = 3000 }
+		reply, _ := f.requestAdmission("", long)
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+		f.silence(1300 * time.Millisecond)
+		end := time.Now().Add(1300 * time.Millisecond)
+		time.Sleep(700 * time.Millisecond)
+		reply, _ = f.requestAdmission("", patient)
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+		require.Greater(t, time.Since(end), 100*time.Millisecond)
+		require.Less(t, time.Since(end), 400*time.Millisecond)
+	})
+}
+
+// Loads during which the engine was silent counted as slow ones of an overloaded store, so that
+// requests for further adapters were refused although a load took no longer than before.
+func TestLoadsBesideASilenceAreNotSlow(t *testing.T) {
+	run(t, func(f *fixture) {
+		var group sync.WaitGroup
+		for _, adapter := range []string{"a", "b"} {
+			group.Go(func() {
+				reply, stream := f.requestAdmission(adapter, patient)
+				require.Equal(t, admit.ReasonNone, reply.Reason)
+				require.NoError(t, stream.Close())
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		f.silence(1300 * time.Millisecond)
+		group.Wait()
+		reply, _ := f.requestAdmission("c", func(a *admit.Request) { a.FirstTokenRemaining = span.Duration(400 * time.Millisecond) })
+		require.Equal(t, admit.ReasonNone, reply.Reason, "a load takes 250 ms")
+	})
+}
+
+// An agent that is suspended together with its engine finds its requests for a report overdue by
+// seconds afterwards, although the engine had no time to answer.
+func TestAgentThatWasSuspendedBesideItsEngineRefusesNothing(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.engine.mutex.Lock()
+		f.engine.agentSuspended = true
+		f.engine.mutex.Unlock()
+		f.silence(2500 * time.Millisecond)
+		reply, _ := f.requestAdmission("a", func(a *admit.Request) {
+			patient(a)
+			a.FirstTokenRemaining = a.Remaining
+		})
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+	})
+}
+
+// A request that another engine can serve in time does not wait for a silent one beyond its
+// objective, and no request waits for an engine that stays silent.
+func TestRequestsLeaveAnEngineThatStaysSilent(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.silence(time.Minute)
+		time.Sleep(500 * time.Millisecond)
+		began := time.Now()
+		reply, _ := f.requestAdmission("", func(a *admit.Request) { a.Remaining = span.Duration(4 * time.Second) })
+		require.Equal(t, admit.ReasonBusy, reply.Reason, "the engine may go on")
+		require.Less(t, time.Since(began), time.Second, "its objective")
+		reply, _ = f.requestAdmission("", patient)
+		require.NotEqual(t, admit.ReasonNone, reply.Reason)
+		require.Less(t, time.Since(began), 2*time.Second, "half of the time that callers wait")
+		time.Sleep(time.Second)
+		began = time.Now()
+		reply, _ = f.requestAdmission("", patient)
+		require.Equal(t, admit.ReasonEngineDown, reply.Reason)
+		require.Less(t, time.Since(began), 50*time.Millisecond)
+	})
+}
+
+// An engine that continues after it counted as down still runs its requests and holds its
+// adapters.
+func TestStateOutlivesALongSilence(t *testing.T) {
+	run(t, func(f *fixture) {
+		for i := range adapterSlots {
+			reply, _ := f.requestAdmission(fmt.Sprint("a", i), nil)
+			require.Equal(t, admit.ReasonNone, reply.Reason)
+		}
+		f.silence(3 * time.Second)
+		time.Sleep(2500 * time.Millisecond)
+		reply, _ := f.requestAdmission("a0", nil)
+		require.Equal(t, admit.ReasonEngineDown, reply.Reason)
+		time.Sleep(700 * time.Millisecond)
+		reply, _ = f.requestAdmission("a0", nil)
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+		require.Less(t, reply.Wait.Std(), 50*time.Millisecond)
+		reply, _ = f.requestAdmission("b", func(a *admit.Request) { a.Remaining = span.Duration(time.Second) })
+		require.Equal(t, admit.ReasonBusy, reply.Reason, "all adapters are in use")
+		f.engine.mutex.Lock()
+		defer f.engine.mutex.Unlock()
+		require.Equal(t, adapterSlots, f.engine.orderCount)
+	})
+}
+
+// An engine whose connections are refused has ended, which needs no waiting.
+func TestRefusedConnectionsShowAtOnceThatAnEngineIsDown(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.engine.mutex.Lock()
+		f.engine.down = true
+		f.engine.mutex.Unlock()
+		time.Sleep(350 * time.Millisecond)
+		began := time.Now()
+		reply, _ := f.requestAdmission("", patient)
+		require.Equal(t, admit.ReasonEngineDown, reply.Reason)
+		require.Less(t, time.Since(began), 50*time.Millisecond)
+	})
+}
+
+// An engine that ended while it loaded its base model came back empty and was not ordered to
+// load the model until the former order had expired, 12 s after it was sent.
+func TestEngineThatEndedDuringTheLoadOfItsBaseModelLoadsItAgain(t *testing.T) {
+	for name, outage := range map[string]func(f *fixture){
+		"refuses connections": func(f *fixture) {
+			f.engine.mutex.Lock()
+			f.engine.down = true
+			f.engine.mutex.Unlock()
+		},
+		"silent": func(f *fixture) { f.silence(3100 * time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			empty := func(e *engine) { e.model, e.modelLoadTime = false, 8*time.Second }
+			runWith(t, empty, func(f *fixture) {
+				outage(f)
+				time.Sleep(3 * time.Second)
+				f.engine.mutex.Lock()
+				f.engine.down, f.engine.seq, f.engine.modelLoadEnd, f.engine.modelLoadTime, f.engine.started = false, 0, time.Time{}, time.Second, 2
+				f.engine.mutex.Unlock()
+				time.Sleep(2 * time.Second)
+				f.engine.mutex.Lock()
+				defer f.engine.mutex.Unlock()
+				require.True(t, f.engine.model)
+			})
+		})
+	}
+}
