--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -108,7 +108,7 @@
 	ReasonLimited Reason = "limited"
 	// ReasonOtherEngine means that the agent now serves an engine of another name.
 	ReasonOtherEngine Reason = "other-engine"
-	// ReasonEngineDown means that the engine does not respond.
+	// ReasonEngineDown means that the engine has ended or has not responded for seconds.
 	ReasonEngineDown Reason = "engine-down"
 	// ReasonModelMissing means that the engine does not have the model loaded.
 	ReasonModelMissing Reason = "model-missing"
