--- a/agent/daemon/silence_test.go
+++ b/agent/daemon/silence_test.go
@@ -14,6 +14,18 @@
 // An endpoint that is silent for a second or two and then continues is neither dead nor gone:
 // requests that run or wait there meanwhile are answered.
 func TestRequestsOutliveTheSilenceOfAnEndpoint(t *testing.T) {
+	requireOutlived(t, func(f *fixture) { f.network.Cut("vm", "vm") }, func(f *fixture) { f.network.Heal("vm", "vm") })
+}
+
+// The same while control answers the heartbeats of the agent a second or two late.
+func TestRequestsOutliveTheSilenceOfControl(t *testing.T) {
+	requireOutlived(t, func(f *fixture) { f.control.setUnresponsive(true) }, func(f *fixture) { f.control.setUnresponsive(false) })
+}
+
+// requireOutlived requires that requests are answered that run or wait at an agent between begin
+// and end, which are a second or two apart.
+func requireOutlived(t *testing.T, begin, end func(f *fixture)) {
+	t.Helper()
 	for _, silence := range []time.Duration{900 * time.Millisecond, 1300 * time.Millisecond, 1700 * time.Millisecond} {
 		for _, phase := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond} {
 			t.Run(fmt.Sprint(silence, " phase ", phase), func(t *testing.T) {
@@ -32,12 +44,12 @@
 						send("alpha")
 					}
 					time.Sleep(500 * time.Millisecond)
-					f.network.Cut("vm", "vm")
+					begin(f)
 					time.Sleep(silence / 2)
 					send("alpha")
 					send("beta")
 					time.Sleep(silence - silence/2)
-					f.network.Heal("vm", "vm")
+					end(f)
 					require.True(t, f.control.lastRecord().Ready)
 					for i, ended := range results {
 						requireComplete(t, attempts[i], <-ended)
