entry/drain: a request on a connection accepted before a stop gets its answer

A caller that opened its connection while a stopping entry still accepted them and sent its first request after that got nothing: the entry read the request whole and closed the connection.

Cause: http.Server.Shutdown leaves new connections open for five seconds, but once it has begun the server drops each request that it reads (conn.serve returns on shuttingDown).

Before the fix, TestRequestOnConnectionAcceptedBeforeStopIsAnswered failed with stop_test.go:31: Received unexpected error: unexpected EOF ... a request that was read has an answer

The entry now closes its listener, disables keep-alive, which closes the idle connections as Shutdown did, and waits for the connections that have a request or may send their first, which it does for 500 ms. Connections are counted by ConnState, since the end of an answer is written after its handler has returned.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -66,6 +66,9 @@
 	// defaultLinger is used if Daemon.Linger is zero. A load balancer needs about this
 	// long to notice a failing health check.
 	defaultLinger = 3 * time.Second
+	// maxFirstRequestDelay is how long a stopping entry waits for the first request on a
+	// connection that it has accepted. Callers send it as soon as the connection is open.
+	maxFirstRequestDelay = 500 * time.Millisecond
 )
 
 // Daemon is one entry. Its fields are set before Run.
@@ -169,7 +172,7 @@
 	d.Host.Log.Write("entry-started", "listen", d.ListenAddress)
 	result := e.wait(ctx, served, failed)
 	if result == nil {
-		e.drainAndStop()
+		e.drainAndStop(listener, served)
 	}
 	stop()
 	group.Wait()
@@ -203,15 +206,21 @@
 }
 
 // drainAndStop accepts requests until the load balancer sends no more, then waits for
-// the running ones to end.
-func (e *entry) drainAndStop() {
+// the running ones to end. served receives the end of the listener's server.
+func (e *entry) drainAndStop(listener net.Listener, served <-chan error) {
 	linger := e.daemon.Linger
 	if linger == 0 {
 		linger = defaultLinger
 	}
 	e.daemon.Host.Log.Write("entry-draining", "linger", linger)
 	e.drain.Begin(linger)
-	_ = e.server.Shutdown(context.Background())
+	_ = listener.Close()
+	<-served
+	// http.Server.Shutdown would read further requests and drop them. This closes the idle
+	// connections, and each of the others after its next answer.
+	e.server.SetKeepAlivesEnabled(false)
+	timer := time.AfterFunc(maxFirstRequestDelay, e.drain.CloseUnused)
+	defer timer.Stop()
 	_ = e.drain.Wait(context.Background())
 }
 
@@ -270,6 +279,7 @@
 		Handler:           e.handler(endpointPicker),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
+		ConnState:         e.drain.TrackConnection,
 	}
 	return e
 }
--- /dev/null
+++ b/entry/daemon/stop_test.go
@@ -0,0 +1,68 @@
+package daemon_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// harnessLinger is the time for which a stopping entry of the harness accepts connections.
+const harnessLinger = time.Second
+
+// firstRequestDelay is the time for which it then waits for a connection's first request.
+const firstRequestDelay = 500 * time.Millisecond
+
+// lookup is a whole request on a connection that the caller keeps.
+const lookup = "GET /lookup/1 HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer " + keyAnand + "\r\n\r\n"
+
+// dial opens a caller's connection to the entry.
+func (h *harness) dial() (net.Conn, *bufio.Reader) {
+	conn, err := h.network.Dialer("caller")(context.Background(), "entry:80")
+	require.NoError(h.t, err)
+	return conn, bufio.NewReader(conn)
+}
+
+// readAnswer reads one answer from a caller's connection.
+func readAnswer(t *testing.T, reader *bufio.Reader) *http.Response {
+	answer, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err, "a request that was read has an answer")
+	body, err := io.ReadAll(answer.Body)
+	require.NoError(t, err)
+	require.NotEmpty(t, body)
+	return answer
+}
+
+// A stopping entry read the first request of a connection that it had accepted before, and
+// closed the connection without an answer.
+func TestRequestOnConnectionAcceptedBeforeStopIsAnswered(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.stop()
+		time.Sleep(harnessLinger - 100*time.Millisecond)
+		conn, reader := h.dial()
+		time.Sleep(200 * time.Millisecond)
+		_, err := io.WriteString(conn, lookup)
+		require.NoError(t, err)
+		answer := readAnswer(t, reader)
+		require.Equal(t, http.StatusOK, answer.StatusCode)
+		require.True(t, answer.Close, "the connection is not used again")
+	})
+}
+
+// A connection on which its caller sends nothing does not hold up a stop.
+func TestConnectionWithoutRequestDelaysStopBriefly(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		conn, reader := h.dial()
+		defer func() { _ = conn.Close() }()
+		h.stop()
+		stopped := time.Now()
+		_, err := reader.ReadByte()
+		require.Equal(t, io.EOF, err)
+		require.Equal(t, harnessLinger+firstRequestDelay, time.Since(stopped).Round(10*time.Millisecond))
+	})
+}
--- a/entry/drain/drain.go
+++ b/entry/drain/drain.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -18,7 +20,8 @@
 // Error is this package's error type.
 type Error = fault.Error[Kind]
 
-// Drain counts running requests. The zero value is ready for use.
+// Drain counts running requests and the connections of callers that await an answer or
+// have yet to send a request. The zero value is ready for use.
 type Drain struct {
 	// Grace is the longest time that the process may run after Begin; zero means no
 	// limit. It is set before Begin.
@@ -29,6 +32,8 @@
 	draining bool
 	exitTime time.Time
 	idle     chan struct{}
+	// connections holds the connections in the states http.StateNew and http.StateActive.
+	connections map[net.Conn]http.ConnState
 }
 
 // Enter counts a request as running until the returned function is called.
@@ -43,12 +48,45 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.running--
-	if d.running == 0 && d.idle != nil {
+	d.signalIdle()
+}
+
+// signalIdle ends Wait if nothing is left to wait for. The caller holds the mutex.
+func (d *Drain) signalIdle() {
+	if d.running == 0 && len(d.connections) == 0 && d.idle != nil {
 		close(d.idle)
 		d.idle = nil
 	}
 }
 
+// TrackConnection is the ConnState of the server for callers. An answer is written out only
+// when its connection becomes idle or closes, which is after the request has left.
+func (d *Drain) TrackConnection(conn net.Conn, state http.ConnState) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	switch state {
+	case http.StateNew, http.StateActive:
+		if d.connections == nil {
+			d.connections = map[net.Conn]http.ConnState{}
+		}
+		d.connections[conn] = state
+	default:
+		delete(d.connections, conn)
+		d.signalIdle()
+	}
+}
+
+// CloseUnused closes the connections on which no request has arrived.
+func (d *Drain) CloseUnused() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for conn, state := range d.connections {
+		if state == http.StateNew {
+			_ = conn.Close()
+		}
+	}
+}
+
 // Draining reports whether Begin was called. The health check then fails, and
 // connections are closed after each answer.
 func (d *Drain) Draining() bool {
@@ -77,8 +115,8 @@
 	time.Sleep(linger)
 }
 
-// Wait returns when no request is running, or an error of KindRunning when ctx ends
-// first.
+// Wait returns when no request is running and no connection awaits an answer or its first
+// request, or an error of KindRunning when ctx ends first.
 func (d *Drain) Wait(ctx context.Context) error {
 	for {
 		idle := d.idleChan()
@@ -93,12 +131,12 @@
 	}
 }
 
-// idleChan returns a channel that is closed when no request is running, or nil if none
-// is running now.
+// idleChan returns a channel that is closed when nothing is left to wait for, or nil if
+// that is so now.
 func (d *Drain) idleChan() <-chan struct{} {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if d.running == 0 {
+	if d.running == 0 && len(d.connections) == 0 {
 		return nil
 	}
 	if d.idle == nil {
