ctrl/wlog: what a replica reads when it opens its log is on disk before it counts

What callers saw: nothing in a test of real processes yet. A replica that is killed between the write of a record and its sync reads the record from the page cache when it starts again, and acknowledges it to the leader without another sync. A configuration that the leader then acknowledges is on the leader's disk only; if that disk is lost as all VMs lose power, the configuration is gone. The same holds for a vote, and for a record whose sync failed: ctrl/reopen opens the log again after a second, and on Linux no later sync stores that record. Records appended after it made the log damaged ("corrupt record with complete records after it"), so that a replica whose disk had failed one sync was lost for good after the next loss of power.

Cause: Open took the readable content for the stored content.

A record whose sync fails is cut off at once; nobody was told of it. Not covered: a kill between a failed sync and that cut.

disk.Memory gets Kill (the process ends, unsynced data stays readable) and FailSync (data stays readable, is never stored).

--- a/ctrl/disk/memory.go
+++ b/ctrl/disk/memory.go
@@ -17,6 +17,10 @@
 	// CrashBeforeSync, unless nil, is called before each sync of a file or of the
 	// folder. If it returns true, the folder crashes before the sync.
 	CrashBeforeSync func() bool
+	// FailSync, unless nil, is called before each sync of a file. If it returns true,
+	// the sync fails: as on Linux, the data can still be read, but no later sync
+	// stores it.
+	FailSync func() bool
 	// Syncs counts the file syncs.
 	Syncs int
 
@@ -24,15 +28,32 @@
 	// names are the files as the process sees them, durable the files that remain
 	// after a crash.
 	names, durable map[string]*memoryFile
-	// generation is the number of crashes; it tells the sessions from before the last
-	// crash from the current one.
+	// generation is the number of crashes and kills; it tells the sessions from before
+	// the last of them from the current one.
 	generation int
 }
 
-// memoryFile is the content of one file; its first synced bytes survive a crash.
+// memoryFile is the content of one file. A process reads data; the stored bytes and
+// those after the first synced bytes of data remain after a crash, the latter in part.
 type memoryFile struct {
-	data   []byte
-	synced int
+	data, stored []byte
+	synced       int
+}
+
+// syncedFile returns a file whose content is stored.
+func syncedFile(data []byte) *memoryFile {
+	return &memoryFile{data: data, stored: bytes.Clone(data), synced: len(data)}
+}
+
+// sync stores the bytes that no sync has covered yet. A failed sync covers them too,
+// but stores zeros.
+func (f *memoryFile) sync(failed bool) {
+	pending := f.data[f.synced:]
+	if failed {
+		pending = make([]byte, len(pending))
+	}
+	f.stored = append(f.stored, pending...)
+	f.synced = len(f.data)
 }
 
 // Crash drops unsynced data. Every Disk that was returned before fails from then on.
@@ -47,11 +68,19 @@
 		if lost := len(file.data) - file.synced; lost > 0 && m.KeepUnsynced != nil {
 			kept = m.KeepUnsynced(lost)
 		}
-		m.names[name] = &memoryFile{data: bytes.Clone(file.data[:file.synced+kept]), synced: file.synced + kept}
+		m.names[name] = syncedFile(slices.Concat(file.stored, file.data[file.synced:file.synced+kept]))
 	}
 	m.durable = maps.Clone(m.names)
 }
 
+// Kill makes every Disk that was returned before fail, as the end of the process
+// does. Unsynced data remains until the next Crash.
+func (m *Memory) Kill() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.generation++
+}
+
 // Wipe crashes the folder and drops all files, as the replacement of a VM by an empty
 // one does.
 func (m *Memory) Wipe() {
@@ -67,7 +96,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	data := change(bytes.Clone(m.names[name].data))
-	file := &memoryFile{data: data, synced: len(data)}
+	file := syncedFile(data)
 	m.names[name] = file
 	m.durable[name] = file
 }
@@ -88,13 +117,14 @@
 	}
 }
 
-// session is the use of the folder by one process, from Disk to the next Crash.
+// session is the use of the folder by one process, from Disk to the next Crash or Kill.
 type session struct {
 	memory     *Memory
 	generation int
 }
 
-// lock locks the folder, or fails if the folder has crashed since the session began.
+// lock locks the folder, or fails if the folder has crashed or its process was killed
+// since the session began.
 func (s *session) lock() error {
 	s.memory.mutex.Lock()
 	if s.generation != s.memory.generation {
@@ -174,7 +204,11 @@
 				return err
 			}
 			defer s.unlock()
-			file.synced = len(file.data)
+			if s.memory.FailSync != nil && s.memory.FailSync() {
+				file.sync(true)
+				return &Error{Op: "sync file", Kind: KindFolder}
+			}
+			file.sync(false)
 			s.memory.Syncs++
 			return nil
 		},
@@ -192,7 +226,9 @@
 		return err
 	}
 	file.data = file.data[:size]
-	file.synced = int(size)
+	file.synced = min(file.synced, int(size))
+	file.stored = file.stored[:file.synced]
+	file.sync(false)
 	return nil
 }
 
--- a/ctrl/wlog/reader.go
+++ b/ctrl/wlog/reader.go
@@ -10,7 +10,11 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/codec"
 )
 
-const suffix = ".log"
+const (
+	suffix = ".log"
+	// tempSuffix is appended by disk.Replace to the name of its temporary file.
+	tempSuffix = ".tmp"
+)
 
 // reader replays the segments of a folder when a log is opened.
 type reader struct {
@@ -32,6 +36,12 @@
 	}
 	var numbers []uint64
 	for _, name := range names {
+		if strings.HasSuffix(name, suffix+tempSuffix) {
+			if err := r.disk.Remove(name); err != nil {
+				return &Error{Op: "remove " + name, Kind: KindWrite, Err: err}
+			}
+			continue
+		}
 		stem, ok := strings.CutSuffix(name, suffix)
 		if !ok {
 			continue
--- a/ctrl/wlog/wlog.go
+++ b/ctrl/wlog/wlog.go
@@ -3,6 +3,7 @@
 package wlog
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/disk"
@@ -109,12 +110,46 @@
 		return l, content, nil
 	}
 	content.Entries = entries
-	file, err := d.Open(l.segments[len(l.segments)-1].name())
+	if err := l.continueSegment(); err != nil {
+		return nil, Content{}, err
+	}
+	return l, content, nil
+}
+
+// continueSegment opens the newest segment for appending. If a process was killed
+// before a sync, the last record is only in the page cache, and the segment's name may
+// not be stored. The content that was read counts as stored from now on, so both are
+// synced. A failed sync is not repeated, because it would not store the data; the file
+// is rewritten.
+func (l *Log) continueSegment() error {
+	name := l.segments[len(l.segments)-1].name()
+	file, err := l.disk.Open(name)
 	if err != nil {
-		return nil, Content{}, &Error{Op: "open segment", Kind: KindRead, Err: err}
+		return &Error{Op: "open segment", Kind: KindRead, Err: err}
+	}
+	if err := file.Sync(); err != nil {
+		_ = file.Close()
+		if file, err = l.rewrite(name); err != nil {
+			return &Error{Op: "rewrite " + name, Kind: KindWrite, Err: err}
+		}
 	}
 	l.file = file
-	return l, content, nil
+	if err := l.disk.Sync(); err != nil {
+		return &Error{Op: "sync folder", Kind: KindWrite, Err: err}
+	}
+	return nil
+}
+
+// rewrite replaces a file by a copy and opens the copy for appending.
+func (l *Log) rewrite(name string) (*disk.File, error) {
+	data, err := l.disk.Read(name)
+	if err != nil {
+		return nil, err
+	}
+	if err := l.disk.Replace(name, data); err != nil {
+		return nil, err
+	}
+	return l.disk.Open(name)
 }
 
 // Append writes entries and, if hard is not nil, a new hard state, and returns once
@@ -234,7 +269,9 @@
 		return l.markFailed("write record", err)
 	}
 	if err := l.file.Sync(); err != nil {
-		return l.markFailed("sync record", err)
+		// The record can still be read, but no later sync would store it.
+		name := l.segments[len(l.segments)-1].name()
+		return l.markFailed("sync record", errors.Join(err, l.disk.Truncate(name, l.size)))
 	}
 	l.size += int64(len(framed))
 	l.WrittenBytes += int64(len(framed))
--- a/ctrl/wlog/wlog_test.go
+++ b/ctrl/wlog/wlog_test.go
@@ -143,3 +143,62 @@
 	_, _, err := wlog.Open((&disk.Memory{}).Disk(), raft.Snapshot{Index: 4, Term: 1})
 	require.ErrorIs(t, err, &wlog.Error{Kind: wlog.KindDamaged})
 }
+
+// A process is killed between the write of a record and its sync, or the sync fails.
+// The next process reads the record from the page cache and counts it as stored, so it
+// must still be there after a loss of power.
+func TestRecordsReadAtOpeningSurviveALossOfPower(t *testing.T) {
+	entries := func(count uint64) (all []raft.Entry) {
+		for i := range count {
+			all = append(all, entry(i+1, 1))
+		}
+		return all
+	}
+	for name, interrupt := range map[string]func(memory *disk.Memory){
+		"killed":      func(memory *disk.Memory) { memory.CrashBeforeSync = func() bool { memory.Kill(); return false } },
+		"failed sync": func(memory *disk.Memory) { memory.FailSync = func() bool { return true } },
+	} {
+		for _, newSegment := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", new segment ", newSegment), func(t *testing.T) {
+				memory := &disk.Memory{}
+				fill(t, memory, 3)
+				log, _ := open(t, memory)
+				if newSegment {
+					log.SegmentBytes = 1
+				}
+				interrupt(memory)
+				require.Error(t, log.Append(&raft.HardState{Term: 1, Vote: 5}, entries(4)[3:]))
+				memory.CrashBeforeSync, memory.FailSync = nil, nil
+				_, read := open(t, memory)
+				require.GreaterOrEqual(t, len(read.Entries), 3)
+				memory.Crash()
+				_, stored := open(t, memory)
+				require.Equal(t, read.Hard, stored.Hard)
+				require.Equal(t, read.Entries, stored.Entries)
+			})
+		}
+	}
+}
+
+// The name of a new segment is not synced when its process is killed. The next process
+// appends to the segment, which must not vanish with the power.
+func TestSegmentOfAKilledProcessSurvivesALossOfPower(t *testing.T) {
+	memory := &disk.Memory{}
+	fill(t, memory, 3)
+	log, _ := open(t, memory)
+	syncs := 0
+	memory.CrashBeforeSync = func() bool {
+		syncs++
+		if syncs == 2 {
+			memory.Kill()
+		}
+		return false
+	}
+	require.Error(t, log.Compact(2))
+	memory.CrashBeforeSync = nil
+	log, _ = open(t, memory)
+	require.NoError(t, log.Append(nil, []raft.Entry{entry(4, 1)}))
+	memory.Crash()
+	_, content := open(t, memory)
+	require.Len(t, content.Entries, 4)
+}
