agent/keeper: a silent engine without the model refuses at once

Requests waited for a silent engine that did not hold their base model, although another engine could begin them at once.

Before: TestSilentEngineWithoutTheModelRefusesAtOnce: expected: "model-missing" actual: "busy"

Why the fix works: while the engine is silent, its last report decides as before.

--- a/agent/keeper/silence.go
+++ b/agent/keeper/silence.go
@@ -58,6 +58,9 @@
 	remaining := max(typicalSilence-k.silence(now), minSilenceRemaining)
 	for _, r := range k.admission.Waiting(now) {
 		t, wait := k.tasks[r], remaining
+		if k.lastReport != nil && !k.lastReport.hasModel(r.Spec.Model) && k.refuseWithoutModel(t, now) {
+			continue
+		}
 		if r.Spec.Adapter != "" {
 			if _, ready := k.adapters.Ready(t.adapter, r.Spec.MinVersion); !ready {
 				wait += k.adapters.EstimateWait(t.adapter, wanted, now)
--- a/agent/keeper/silence_test.go
+++ b/agent/keeper/silence_test.go
@@ -133,6 +133,20 @@
 	})
 }
 
+// Requests waited for a silent engine that did not hold their base model, although another engine
+// could begin them at once.
+func TestSilentEngineWithoutTheModelRefusesAtOnce(t *testing.T) {
+	empty := func(e *engine) { e.model, e.controlDown = false, true }
+	runWith(t, empty, func(f *fixture) {
+		f.silence(1300 * time.Millisecond)
+		time.Sleep(450 * time.Millisecond)
+		began := time.Now()
+		reply, _ := f.requestAdmission("a", nil)
+		require.Equal(t, admit.ReasonModelMissing, reply.Reason)
+		require.Less(t, time.Since(began), 50*time.Millisecond)
+	})
+}
+
 // An engine that continues after it counted as down still runs its requests and holds its
 // adapters.
 func TestStateOutlivesALongSilence(t *testing.T) {
