ctrl/raft, ctrl/member: a dead voter is replaced in one change

What callers saw: after a loss of power and of as many disks as are tolerated, control never came back: no leader, every read of the configuration and every change 503, for ever. It happened if a voter had been down for 1.5 s while a spare replica was there (or came back with an empty disk), and the power was lost within the half second in which it was replaced.

Cause: the repair removed the dead voter and made the learner a voter half a second later. Between the two, a group of three had two voters, and the acknowledged configuration was on both; without one of their disks there is no majority. The dead voter's disk and the learner's held the configuration too, and neither counted.

Fix: OperationReplace changes both in one entry. Until it is committed and its completion is appended (at once, by the core), votes, commits, read rounds and the quorum need a majority of the voters before and of those after the replacement (raft's joint consensus, for one voter). In the other order (promote, then remove) the loss of the new replica would stop the two healthy ones; with both majorities it does not. A new leader completes the replacement; if it is the voter that was to be replaced, it undoes it. Replicas of before this change read the new field as nothing and count four voters of three: any three of these four are a majority of both groups, so that the two builds agree. A group with more voters than its limit still only removes the dead one.

TestRepairRemovesBeforeItPromotes required the order that is the fault. It is replaced by TestRepairReplacesDeadVoters (the same cases, and which voter is replaced) and TestVotersBeyondTheLimitAreNotReplaced. The schedules of ctrl/raft make replacements too; their condition for a lost disk counts both majorities.

--- a/ctrl/member/member_test.go
+++ b/ctrl/member/member_test.go
@@ -74,7 +74,7 @@
 	}
 }
 
-func TestRepairRemovesBeforeItPromotes(t *testing.T) {
+func TestRepairReplacesDeadVoters(t *testing.T) {
 	repair := member.RepairPolicy{Names: []string{"a", "b", "c"}, DeadTicks: 200, AliveTicks: 20}
 	standing := func(id uint64, name string, voter bool, match uint64, silent int) raft.MemberStatus {
 		return raft.MemberStatus{Member: raft.Member{ID: id, Name: name, Voter: voter}, Match: match, SilentTicks: silent}
@@ -90,10 +90,10 @@
 		id        uint64
 	}{
 		"nothing to do":                 {[]raft.MemberStatus{a, b, alive}, nil, "", 0},
-		"old voter dead":                {[]raft.MemberStatus{a, b, dead, ready}, nil, raft.OperationRemove, 3},
+		"old voter dead":                {[]raft.MemberStatus{a, b, dead, ready}, nil, raft.OperationReplace, 4},
 		"old voter removed":             {[]raft.MemberStatus{a, b, ready}, nil, raft.OperationPromote, 4},
 		"old voter briefly silent":      {[]raft.MemberStatus{a, b, silent, ready}, nil, "", 0},
-		"ordered":                       {[]raft.MemberStatus{a, b, silent, ready}, requested, raft.OperationRemove, 3},
+		"ordered":                       {[]raft.MemberStatus{a, b, silent, ready}, requested, raft.OperationReplace, 4},
 		"not synced yet":                {[]raft.MemberStatus{a, b, dead, behind}, requested, "", 0},
 		"learner unresponsive":          {[]raft.MemberStatus{a, b, unresponsive}, requested, "", 0},
 		"unknown name":                  {[]raft.MemberStatus{a, b, standing(5, "d", false, 9, 0)}, nil, "", 0},
@@ -105,5 +105,25 @@
 		require.Equal(t, test.want != "", ok, name)
 		require.Equal(t, test.want, change.Operation, name)
 		require.Equal(t, test.id, change.Member.ID, name)
+		if test.want == raft.OperationReplace {
+			require.Equal(t, uint64(3), change.ReplacedID, name)
+		}
+	}
+}
+
+func TestVotersBeyondTheLimitAreNotReplaced(t *testing.T) {
+	voter := func(id uint64, name string, silent int) raft.MemberStatus {
+		return raft.MemberStatus{Member: raft.Member{ID: id, Name: name, Voter: true}, Match: 9, SilentTicks: silent}
+	}
+	members := []raft.MemberStatus{voter(1, "a", 0), voter(2, "b", 1), voter(3, "c", 201), {Member: raft.Member{ID: 4, Name: "d"}, Match: 9}}
+	for limit, want := range map[int]raft.Change{
+		2: {Operation: raft.OperationRemove, Member: members[2].Member},
+		3: {Operation: raft.OperationReplace, Member: members[3].Member, ReplacedID: 3},
+		4: {Operation: raft.OperationPromote, Member: members[3].Member},
+	} {
+		repair := member.RepairPolicy{DeadTicks: 200, AliveTicks: 20, TargetVoters: limit}
+		change, ok := repair.Next(raft.Status{ID: 1, Commit: 9, Members: members}, nil)
+		require.True(t, ok)
+		require.Equal(t, want, change, "limit %d", limit)
 	}
 }
--- a/ctrl/member/repair.go
+++ b/ctrl/member/repair.go
@@ -25,10 +25,9 @@
 // Next returns the next membership change that the leader should make, if any.
 // Replicas whose names are in requested are replaced without waiting for DeadTicks.
 //
-// The old replica is removed before the new one becomes a voter. In the other order, a
-// group of three grows to four voters with a majority of three while one of them is
-// dead, so that losing the new replica would stop the two healthy ones. This order
-// never needs more live replicas than before.
+// The new replica takes the place of the old one in one change. If the old one were
+// removed first, the group could lose one disk less until the new one is a voter. If it
+// were removed last, the loss of the new one could stop the others.
 func (r RepairPolicy) Next(status raft.Status, requested map[string]bool) (raft.Change, bool) {
 	for _, learner := range status.Members {
 		if learner.Voter || learner.Match < status.Commit || learner.SilentTicks > r.AliveTicks {
@@ -42,7 +41,8 @@
 }
 
 // nextStep returns the next step towards making an up-to-date learner a voter: its
-// promotion, or first the removal of the voter that it replaces.
+// promotion, or the replacement of a dead voter. A group with more voters than
+// TargetVoters only loses the dead one.
 func (r RepairPolicy) nextStep(status raft.Status, learner raft.MemberStatus, requested map[string]bool) (raft.Change, bool) {
 	promote := raft.Change{Operation: raft.OperationPromote, Member: learner.Member}
 	old, found := voterNamed(status, learner.Name)
@@ -54,7 +54,9 @@
 		if !found {
 			return raft.Change{}, false
 		}
-		return raft.Change{Operation: raft.OperationRemove, Member: old.Member}, r.hasMajorityWithout(status, old.ID)
+		if countVoters(status) > r.TargetVoters {
+			return raft.Change{Operation: raft.OperationRemove, Member: old.Member}, r.hasMajorityWithout(status, old.ID)
+		}
 	}
 	if !found {
 		return promote, requested[learner.Name] || slices.Contains(r.Names, learner.Name)
@@ -62,7 +64,8 @@
 	if old.ID == status.ID || (!requested[learner.Name] && old.SilentTicks < r.DeadTicks) {
 		return raft.Change{}, false
 	}
-	return raft.Change{Operation: raft.OperationRemove, Member: old.Member}, r.hasMajorityWithout(status, old.ID)
+	replace := raft.Change{Operation: raft.OperationReplace, Member: learner.Member, ReplacedID: old.ID}
+	return replace, r.hasMajorityWithout(status, old.ID)
 }
 
 func countVoters(status raft.Status) int {
--- a/ctrl/node/group_test.go
+++ b/ctrl/node/group_test.go
@@ -153,10 +153,16 @@
 
 // crash stops a replica as a power loss would: nothing more reaches its disk or the
 // network.
-func (g *group) crash(name string) {
+func (g *group) crash(name string) { g.end(name, g.disks[name].Crash) }
+
+// kill stops a replica as the end of its process would: what it wrote without a sync
+// can be read until the next crash.
+func (g *group) kill(name string) { g.end(name, g.disks[name].Kill) }
+
+func (g *group) end(name string, endDisk func()) {
 	r := g.removeReplica(name)
 	r.crashed.Store(true)
-	g.disks[name].Crash()
+	endDisk()
 	g.network.Crash(name)
 	r.cancel()
 }
--- a/ctrl/raft/check_test.go
+++ b/ctrl/raft/check_test.go
@@ -121,12 +121,31 @@
 	return s.survives(r.group, 0, id)
 }
 
+// replaceable reports whether majorities before, during and after a replacement have
+// intact disks.
+func (s *sim) replaceable(r *replica, id, replaced uint64) bool {
+	var group []raft.Member
+	for _, member := range r.group {
+		if member.ID == id {
+			member.Voter = true
+		}
+		group = append(group, member)
+	}
+	return s.survives(r.group, 0, 0) && s.survives(group, 0, replaced)
+}
+
 // survives reports whether a majority of the voters other than removed has an
-// intact disk when the disk of lost fails.
+// intact disk when the disk of lost fails. During a replacement, it reports so for
+// the voters before and after it.
 func (s *sim) survives(group []raft.Member, lost, removed uint64) bool {
+	return s.survivesWithout(raft.TransitionJoining, group, lost, removed) &&
+		s.survivesWithout(raft.TransitionLeaving, group, lost, removed)
+}
+
+func (s *sim) survivesWithout(excluded raft.Transition, group []raft.Member, lost, removed uint64) bool {
 	voters, intact := 0, 0
 	for _, member := range group {
-		if !member.Voter || member.ID == removed {
+		if !member.Voter || member.ID == removed || member.Transition == excluded {
 			continue
 		}
 		voters++
--- a/ctrl/raft/leader.go
+++ b/ctrl/raft/leader.go
@@ -269,7 +269,7 @@
 	peer.inflight = max(peer.inflight-1, 0)
 	peer.next = max(peer.next, peer.match+1)
 	c.advanceCommit()
-	if c.role != roleLeader {
+	if c.role != roleLeader || c.peers[id] == nil {
 		return
 	}
 	c.replicateTo(id)
@@ -308,6 +308,7 @@
 		c.commit = index
 		c.broadcastCommit()
 		c.completeReadRounds()
+		c.completeReplacement()
 		return
 	}
 }
--- a/ctrl/raft/members.go
+++ b/ctrl/raft/members.go
@@ -30,11 +30,17 @@
 	return ok && member.Voter
 }
 
-// majority reports whether holds is true for more than half of the voters.
+// majority reports whether holds is true for more than half of the voters, during a
+// replacement for more than half of the voters before and after it.
 func (c *Core) majority(holds func(id uint64) bool) bool {
+	return c.majorityWithout(TransitionJoining, holds) && c.majorityWithout(TransitionLeaving, holds)
+}
+
+// majorityWithout is majority without the voters in a transition.
+func (c *Core) majorityWithout(excluded Transition, holds func(id uint64) bool) bool {
 	voters, yes := 0, 0
 	for _, member := range c.members() {
-		if !member.Voter {
+		if !member.Voter || member.Transition == excluded {
 			continue
 		}
 		voters++
@@ -45,6 +51,31 @@
 	return yes > voters/2
 }
 
+// completeReplacement ends a committed replacement. A leader that is to be replaced
+// undoes it instead: it is alive.
+func (c *Core) completeReplacement() {
+	if !c.hasCommittedInTerm() || c.memberships[len(c.memberships)-1].index > c.commit {
+		return
+	}
+	own, _ := c.member(c.config.ID)
+	var members []Member
+	for _, member := range c.members() {
+		switch {
+		case member.Transition == TransitionLeaving && own.Transition != TransitionLeaving:
+			continue
+		case member.Transition == TransitionJoining && own.Transition == TransitionLeaving:
+			member.Voter = false
+		}
+		member.Transition = TransitionNone
+		members = append(members, member)
+	}
+	if slices.Equal(members, c.members()) {
+		return
+	}
+	c.appendMembers(members)
+	c.replicate()
+}
+
 // applyMembership makes the membership of an appended entry the current one.
 func (c *Core) applyMembership(entry Entry) error {
 	if entry.Kind != EntryMembership {
@@ -120,6 +151,16 @@
 			return nil, KindBehind
 		}
 		members[at].Voter = true
+	case OperationReplace:
+		old := slices.IndexFunc(members, func(m Member) bool { return m.ID == change.ReplacedID })
+		if at < 0 || members[at].Voter || old < 0 || !members[old].Voter || change.ReplacedID == c.config.ID {
+			return nil, KindInvalidMember
+		}
+		if c.peers[change.Member.ID].match < c.commit {
+			return nil, KindBehind
+		}
+		members[at].Voter, members[at].Transition = true, TransitionJoining
+		members[old].Transition = TransitionLeaving
 	case OperationRemove:
 		if at < 0 || change.Member.ID == c.config.ID {
 			return nil, KindInvalidMember
--- a/ctrl/raft/raft_test.go
+++ b/ctrl/raft/raft_test.go
@@ -119,7 +119,7 @@
 	if !r.core.Status().Leading {
 		return
 	}
-	operation := []raft.Operation{raft.OperationLearn, raft.OperationPromote, raft.OperationRemove}[s.random.IntN(3)]
+	operation := []raft.Operation{raft.OperationLearn, raft.OperationPromote, raft.OperationRemove, raft.OperationReplace}[s.random.IntN(4)]
 	target := raft.Member{ID: other, Name: fmt.Sprint(other), Address: "a"}
 	if operation == raft.OperationLearn && len(s.order) < 9 {
 		target.ID = s.add().id
@@ -131,7 +131,11 @@
 	if operation == raft.OperationRemove && !s.removable(r, target.ID) {
 		return
 	}
-	s.step(r, raft.Input{Change: &raft.Change{Operation: operation, Member: target}})
+	replaced := s.order[s.random.IntN(len(s.order))]
+	if operation == raft.OperationReplace && !s.replaceable(r, target.ID, replaced) {
+		return
+	}
+	s.step(r, raft.Input{Change: &raft.Change{Operation: operation, Member: target, ReplacedID: replaced}})
 	if s.chance(300) {
 		s.step(r, raft.Input{Transfer: other})
 	}
--- a/ctrl/raft/types.go
+++ b/ctrl/raft/types.go
@@ -68,8 +68,22 @@
 	Address string `protobuf:"bytes,3,opt"`
 	// Voter is false for a learner.
 	Voter bool `protobuf:"varint,4,opt"`
+	// Transition is set while one voter replaces another.
+	Transition Transition `protobuf:"varint,5,opt"`
 }
 
+// Transition is a voter's part in a replacement. Until it is complete, a majority is
+// one of the voters without the joining one and also one of those without the leaving
+// one, so that the replacement needs no more disks than the group did before.
+type Transition uint32
+
+// The transitions.
+const (
+	TransitionNone Transition = iota
+	TransitionJoining
+	TransitionLeaving
+)
+
 // Membership is the data of an EntryMembership; its members are ordered by ID.
 type Membership struct {
 	Members []Member `protobuf:"bytes,1,rep"`
@@ -176,7 +190,7 @@
 // Operation is a kind of membership change.
 type Operation string
 
-// The membership changes. Each changes at most one voter.
+// The membership changes. Each adds or removes at most one voter, or replaces one.
 const (
 	// OperationLearn adds a learner and removes any learner of the same name.
 	OperationLearn Operation = "learn"
@@ -184,6 +198,9 @@
 	OperationPromote Operation = "promote"
 	// OperationRemove removes a member.
 	OperationRemove Operation = "remove"
+	// OperationReplace makes a learner a voter in place of another one. The leader
+	// completes it by a second change as soon as the first one is committed.
+	OperationReplace Operation = "replace"
 )
 
 // Change is a request to change the membership by one replica.
@@ -192,6 +209,8 @@
 	// Member is the replica. Fields other than ID are used by OperationLearn
 	// only.
 	Member Member
+	// ReplacedID is the voter that OperationReplace removes.
+	ReplacedID uint64
 }
 
 // Synced reports that the log is on disk up to the entry with this index and
