entry/direct: a request that may run once only is answered before its entry exits

Callers saw: an unsafe request at a silent endpoint got no answer when its entry was stopped and killed at the end of its grace time. The refusal at the exit time cancels requests, but those of opaque routes that must not run twice were detached from their context altogether, so that only the process's end ended them. They are detached from their callers only now: a refusal of the entry itself ends them, with 502, since they may have run.

--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -221,9 +221,9 @@
 	f.Budget.RecordRequest(service)
 	f.recordHedgeable(service, r, time.Now())
 	if f.runsToCompletion(r) {
-		// A request that must not run twice is completed although its caller
-		// has disconnected.
-		ctx = context.WithoutCancel(ctx)
+		detached, stop := detachFromCaller(ctx)
+		defer stop()
+		ctx = detached
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline())
 	defer cancel()
@@ -231,6 +231,21 @@
 	return j.run(ctx)
 }
 
+// detachFromCaller returns a context for a request that is completed although its caller has
+// disconnected, because it must not run twice. It ends if the entry itself ends the request.
+func detachFromCaller(ctx context.Context) (detached context.Context, stop func()) {
+	detached, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	unregister := context.AfterFunc(ctx, func() {
+		if refusal := chain.Canceled(ctx, chain.RanUnknown); refusal.Status != chain.StatusClientClosed {
+			cancel(context.Cause(ctx))
+		}
+	})
+	return detached, func() {
+		unregister()
+		cancel(nil)
+	}
+}
+
 // refuseLongStream refuses a stream at a stopping entry when the process would
 // probably exit before the end of the answer; another entry can serve it
 // completely.
