entry/drain: a connection is not closed while a request is read from it

Cause: http.Server takes a connection for idle until the whole header has been read, and SetKeepAlivesEnabled closes it in that time.

With a close that does not look at what was read, TestConnectionIsNotClosedWhileItsRequestIsRead fails with conn_test.go:65: Received unexpected error: unexpected EOF ... a request whose start was read has an answer

The drain now closes the connections itself, each under a lock that its reads take too: once a byte of a request has been read, the request is served; a request that arrives after the close is not read.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -159,7 +159,7 @@
 	}
 	e := d.build()
 	served := make(chan error, 1)
-	go func() { served <- e.server.Serve(listener) }()
+	go func() { served <- e.server.Serve(e.drain.Track(listener)) }()
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group tasks.Group
@@ -216,10 +216,9 @@
 	e.drain.Begin(linger)
 	_ = listener.Close()
 	<-served
-	// http.Server.Shutdown would read further requests and drop them. This closes the idle
-	// connections, and each of the others after its next answer.
-	e.server.SetKeepAlivesEnabled(false)
-	timer := time.AfterFunc(maxFirstRequestDelay, e.drain.CloseUnused)
+	// http.Server.Shutdown would read further requests and drop them.
+	e.drain.CloseIdle()
+	timer := time.AfterFunc(maxFirstRequestDelay, e.drain.CloseUnread)
 	defer timer.Stop()
 	_ = e.drain.Wait(context.Background())
 }
--- a/entry/drain/drain.go
+++ b/entry/drain/drain.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -14,14 +13,18 @@
 // Kind classifies the failures of this package.
 type Kind string
 
-// KindRunning means that requests were still running.
-const KindRunning Kind = "requests are running"
+// The kinds of failure.
+const (
+	// KindRunning means that requests were still running.
+	KindRunning Kind = "requests are running"
+	// KindUnsupported means that a connection lacks an option of TCP.
+	KindUnsupported Kind = "not supported by the connection"
+)
 
 // Error is this package's error type.
 type Error = fault.Error[Kind]
 
-// Drain counts running requests and the connections of callers that await an answer or
-// have yet to send a request. The zero value is ready for use.
+// Drain counts running requests and callers' connections. The zero value is ready for use.
 type Drain struct {
 	// Grace is the longest time that the process may run after Begin; zero means no
 	// limit. It is set before the first request.
@@ -32,8 +35,9 @@
 	draining bool
 	exitTime time.Time
 	idle     chan struct{}
-	// connections holds the connections in the states http.StateNew and http.StateActive.
-	connections map[net.Conn]http.ConnState
+	// connections holds the open connections; closing is set once they are being closed.
+	connections map[*callerConn]http.ConnState
+	closing     bool
 	pending     map[*pending]struct{}
 }
 
@@ -60,34 +64,6 @@
 	}
 }
 
-// TrackConnection is the ConnState of the server for callers. An answer is written out only
-// when its connection becomes idle or closes, which is after the request has left.
-func (d *Drain) TrackConnection(conn net.Conn, state http.ConnState) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	switch state {
-	case http.StateNew, http.StateActive:
-		if d.connections == nil {
-			d.connections = map[net.Conn]http.ConnState{}
-		}
-		d.connections[conn] = state
-	default:
-		delete(d.connections, conn)
-		d.signalIdle()
-	}
-}
-
-// CloseUnused closes the connections on which no request has arrived.
-func (d *Drain) CloseUnused() {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	for conn, state := range d.connections {
-		if state == http.StateNew {
-			_ = conn.Close()
-		}
-	}
-}
-
 // Draining reports whether Begin was called. The health check then fails, and
 // connections are closed after each answer.
 func (d *Drain) Draining() bool {
@@ -117,8 +93,8 @@
 	time.Sleep(linger)
 }
 
-// Wait returns when no request is running and no connection awaits an answer or its first
-// request, or an error of KindRunning when ctx ends first.
+// Wait returns when no request is running and no connection is open, or an error of
+// KindRunning when ctx ends first. An answer is written out after its request has left.
 func (d *Drain) Wait(ctx context.Context) error {
 	for {
 		idle := d.idleChan()
