--- a/entry/drain/drain.go
+++ b/entry/drain/drain.go
@@ -38,7 +38,8 @@
 	// connections holds the open connections; closing is set once they are being closed.
 	connections map[*callerConn]http.ConnState
 	closing     bool
-	pending     map[*pending]struct{}
+	// pending holds the requests whose answers have not begun.
+	pending map[*pending]struct{}
 }
 
 // Enter counts a request as running until the returned function is called.
