platform/boot, ctrl/raft: as many voters as the tolerance needs

What callers saw: nothing yet; a deployment that tolerates four or more lost disks would have lost acknowledged configurations. An entry is acknowledged once a majority of the voters has synced it. The voters were limited to seven, of which four are a majority: the four disks that may be lost can be all that hold the entry.

Cause: Settings.Voters was cut at seven, as a larger group commits more slowly; the group could not have had more than ten members either.

Fix: twice the tolerated losses and one, without a limit. A group has room for three learners at any number of voters. Nothing changes for a tolerance of up to three.

Failed before: TestVotersSurviveTheTolerance: "expected: 9, actual: 7, tolerated losses: 4". With the limit of ten members, TestLargeGroupReplacesDeadVoters (eleven voters): "should have 11 item(s), but has 10".

--- a/ctrl/node/group_test.go
+++ b/ctrl/node/group_test.go
@@ -245,7 +245,7 @@
 
 func sorted(replicas map[string]*replica) []string {
 	var names []string
-	for i := range 9 {
+	for i := range 20 {
 		name := fmt.Sprintf("c%d", i+1)
 		if replicas[name] != nil {
 			names = append(names, name)
--- a/ctrl/node/open_test.go
+++ b/ctrl/node/open_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -79,6 +80,34 @@
 	})
 }
 
+// A group that tolerates five losses has eleven voters. Dead ones must be replaced by
+// its spare replicas.
+func TestLargeGroupReplacesDeadVoters(t *testing.T) {
+	inOpenGroup(t, 37, 11, func(g *group) {
+		for i := range 11 {
+			g.add(fmt.Sprint("c", i+4), false)
+		}
+		g.put("a", "1")
+		time.Sleep(3 * repairTime)
+		require.Len(t, g.voterNames(), 11)
+		dead := g.others(g.leader().name)
+		for _, name := range append(dead, "c4") {
+			if g.replicas[name].Status().Leading {
+				continue
+			}
+			g.crash(name)
+			g.disks[name].Wipe()
+		}
+		time.Sleep(2 * repairTime)
+		g.put("a", "2")
+		names := g.voterNames()
+		require.Len(t, names, 11)
+		for _, name := range names {
+			require.NotNil(t, g.replicas[name], "voter %s is dead", name)
+		}
+	})
+}
+
 // A permanently lost replica is replaced by an empty one at another address. The
 // group must then survive the loss of a second replica.
 func TestEmptyReplicaReplacesADeadVoter(t *testing.T) {
--- a/ctrl/node/power_test.go
+++ b/ctrl/node/power_test.go
@@ -48,11 +48,11 @@
 	failing    map[string]bool
 }
 
-// newPowerGroup starts a group that tolerates one to three lost disks, with up to two
+// newPowerGroup starts a group that tolerates one to four lost disks, with up to two
 // replicas that are no voters.
 func newPowerGroup(g *group, seed uint64) *powerGroup {
 	p := &powerGroup{
-		group: g, losses: 1 + int(seed%3), random: rand.New(rand.NewPCG(seed, 1)),
+		group: g, losses: 1 + int(seed%4), random: rand.New(rand.NewPCG(seed, 1)),
 		diskRandom: rand.New(rand.NewPCG(seed, 2)), slow: map[string]time.Duration{}, failing: map[string]bool{},
 	}
 	g.voters = 2*p.losses + 1
--- a/ctrl/raft/members.go
+++ b/ctrl/raft/members.go
@@ -137,7 +137,7 @@
 			return nil, KindInvalidMember
 		}
 		members = slices.DeleteFunc(members, func(m Member) bool { return !m.Voter && m.Name == change.Member.Name })
-		if len(members) >= MaxMembers {
+		if len(members) >= max(MaxMembers, countVoters(members)+MinLearners) {
 			return nil, KindFull
 		}
 		learner := change.Member
@@ -178,6 +178,16 @@
 	return members, KindNone
 }
 
+func countVoters(members []Member) int {
+	count := 0
+	for _, member := range members {
+		if member.Voter {
+			count++
+		}
+	}
+	return count
+}
+
 // appendMembers appends an entry with the new membership.
 func (c *Core) appendMembers(members []Member) {
 	data, err := codec.Encode(&Membership{Members: members})
--- a/ctrl/raft/types.go
+++ b/ctrl/raft/types.go
@@ -54,9 +54,13 @@
 	Data []byte    `protobuf:"bytes,5,opt"`
 }
 
-// MaxMembers limits the members of a group, learners included: seven voters and
-// up to three learners that replace some of them.
-const MaxMembers = 10
+const (
+	// MaxMembers limits the members of a group, learners included.
+	MaxMembers = 10
+	// MinLearners is the number of learners that a group may have at any number of
+	// voters, so that dead voters can be replaced.
+	MinLearners = 3
+)
 
 // Member is one replica of the group.
 type Member struct {
