entry/direct: takeovers keep tokens, software versions and the caller's time

Found by a review of the takeovers, before they landed on a release; each test of takeover_test.go failed on: - an attempt whose connection attempt was cancelled returns the request's tokens, and the takeover ran without any (TestTakeoverAfterCancelledDialTakesTokensAgain): a takeover takes them again; - an endpoint of another software version was secured before the first event arrived, and continued the stream (TestFirstEventThatCrossesTakeoverMixesNoSoftware); - admissions were requested before the retry, and were in vain without one: 8 for one silence (TestSearchWithoutRetryAsksNoAgent): the retry comes first; - a large answer that is no stream was cancelled though it could continue nowhere (TestLargeAnswerOfStreamRouteIsNotAbandoned, TestSlowCallerOfLargeAnswerKeepsItsEndpoint); - a dead engine was left after half of a long time of callers, beyond the objective (TestDeadEngineIsLeftWithinTheObjective): 2 s at most; - the head and the wait for an admission extended the time until a dead engine is left (two tests); - a search waited without limit at an agent that fell silent (TestSearchDoesNotStayAtASilentAgent); - Check, which changes the request, ran beside the job (TestCheckIsNotCalledBesideTheJob, -race).

--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -65,10 +65,11 @@
 	if !valid(answer) {
 		return j.handleBroken(ctx, attemptCtx, t, &Error{Op: "check answer", Kind: KindAnswer, Err: statusError(answer.Status)})
 	}
-	watchdog.headReceived()
+	isStream := j.request.Route.Stream && answer.Status == http.StatusOK && answer.isEventStream()
+	watchdog.headReceived(isStream)
 	var verdict verdict
 	switch {
-	case j.request.Route.Stream && answer.Status == http.StatusOK && answer.isEventStream():
+	case isStream:
 		verdict, err = j.stream(answer, t.endpoint, watchdog)
 	case j.headSent:
 		// An error answer cannot take the place of the rest of a stream.
@@ -125,7 +126,9 @@
 		if errors.Is(ctx.Err(), context.Canceled) {
 			return verdictCallerGone, err
 		}
-		j.filter.Endpoints.MarkUnreachable(t.endpoint.Name, time.Now())
+		if attemptCtx.Err() == nil || ctx.Err() != nil {
+			j.filter.Endpoints.MarkUnreachable(t.endpoint.Name, time.Now())
+		}
 		return verdictNotRun, err
 	}
 	j.delivered++
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -180,8 +180,21 @@
 		next.drop()
 		return true, err
 	}
+	if j.origin != nil && j.origin.SoftwareVersion != next.target.endpoint.SoftwareVersion {
+		// The first event arrived as the attempt before was cancelled.
+		next.drop()
+		return false, nil
+	}
+	giveBack := func() {}
+	if j.request.TakeTokens != nil {
+		// An attempt that provably did not run has returned them.
+		if giveBack = j.retakeTokens(ctx); giveBack == nil {
+			next.drop()
+			return false, nil
+		}
+	}
 	j.retryPaid = true
-	return j.attemptTarget(ctx, next.use(), func() {})
+	return j.attemptTarget(ctx, next.use(), giveBack)
 }
 
 // takeSecured returns the endpoint that was secured for the request, nil if there is none.
--- a/entry/direct/race.go
+++ b/entry/direct/race.go
@@ -133,7 +133,7 @@
 	if !valid(l.answer) {
 		return
 	}
-	l.watchdog.headReceived()
+	l.watchdog.headReceived(false)
 	l.body, l.err = io.ReadAll(io.LimitReader(l.answer.Body, maxBuffered+1))
 }
 
--- a/entry/direct/takeover.go
+++ b/entry/direct/takeover.go
@@ -17,6 +17,9 @@
 	// early makes room before that.
 	minSearchInterval = 100 * time.Millisecond
 	maxSearchInterval = 500 * time.Millisecond
+	// maxTakeoverAdmission is how long agents may take to admit the request. Its retry is kept
+	// from other requests meanwhile.
+	maxTakeoverAdmission = time.Second
 )
 
 // takeover is an endpoint that has been secured for a request whose endpoint is silent: it
@@ -107,9 +110,6 @@
 	if refusal := j.refusePrompt(); refusal != nil {
 		return nil, refusal.Code, refusal.RetryAfter
 	}
-	if j.request.Check != nil && j.request.Check() != nil {
-		return nil, "withdrawn", maxSearchInterval
-	}
 	if began := j.origin; began != nil {
 		replaced := began.Name != "" && v.SoftwareReplaced(began, time.Now())
 		if replaced || v.ExcludeOtherSoftware(j.service, began.SoftwareVersion, j.excluded) == 0 {
@@ -119,28 +119,37 @@
 	if v.ExcludeUnresponsive(j.service, j.excluded, time.Now()) == 0 {
 		return nil, "no_endpoint", maxSearchInterval
 	}
+	// The retry comes first: an admission that is not used takes time from the engine's other
+	// requests.
+	source, settle := j.filter.Budget.SpendReturnable(ctx, j.service)
+	if source == retry.SourceNone {
+		return nil, "retry_budget", failedRetryAfter
+	}
+	selected, cause, wait := j.selectTakeover(ctx)
+	if selected == nil {
+		settle(false)
+		return nil, cause, wait
+	}
+	return &takeover{target: selected, settle: settle}, "", 0
+}
+
+// selectTakeover chooses an endpoint that has admitted the request and may be sent it now. If
+// there is none, it returns the code of the refusal and after how long to ask again.
+func (j *job) selectTakeover(ctx context.Context) (selected *target, cause string, wait time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, maxTakeoverAdmission)
+	defer cancel()
 	selected, refusal := j.selectTarget(ctx)
 	switch {
 	case selected == nil && refusal == nil:
-		return nil, "canceled", 0
+		return nil, "admission_timeout", minSearchInterval
 	case selected == nil:
 		return nil, refusal.Code, refusal.RetryAfter
 	case j.engine != nil && !selected.admitted:
 		selected.release()
 		return nil, "agent_unreachable", minSearchInterval
-	}
-	source, settle := j.filter.Budget.SpendReturnable(ctx, j.service)
-	if source == retry.SourceNone || ctx.Err() != nil {
+	case !j.filter.Endpoints.Claim(&selected.endpoint, selected.admitted, time.Now()):
 		selected.release()
-		if settle != nil {
-			settle(false)
-		}
-		return nil, "retry_budget", failedRetryAfter
-	}
-	found = &takeover{target: selected, settle: settle}
-	if !v.Claim(&selected.endpoint, selected.admitted, time.Now()) {
-		found.drop()
 		return nil, "endpoint_changed", minSearchInterval
 	}
-	return found, "", 0
+	return selected, "", 0
 }
--- a/entry/direct/target.go
+++ b/entry/direct/target.go
@@ -279,19 +279,25 @@
 // callerDeadline returns when the caller disconnects if it receives nothing
 // more.
 func (j *job) callerDeadline() time.Time {
+	deadline := j.request.Deadline()
+	if end := j.patienceEnd(); !end.IsZero() && end.Before(deadline) {
+		return end
+	}
+	return deadline
+}
+
+// patienceEnd returns when the caller of a stream disconnects for want of data; zero if its
+// route does not state that.
+func (j *job) patienceEnd() time.Time {
 	r := j.request
-	deadline, silence := r.Deadline(), r.Route.EventTimeout.Std()
-	if !r.Route.Stream || silence <= 0 {
-		return deadline
+	if !r.Route.Stream || r.Route.EventTimeout <= 0 {
+		return time.Time{}
 	}
 	last := r.Start
 	if j.lastReceived.After(last) {
 		last = j.lastReceived
 	}
-	if silenceEnd := last.Add(silence); silenceEnd.Before(deadline) {
-		return silenceEnd
-	}
-	return deadline
+	return last.Add(r.Route.EventTimeout.Std())
 }
 
 // remainingTokens returns how many of an answer's tokens the caller has not
--- a/entry/direct/target_test.go
+++ b/entry/direct/target_test.go
@@ -126,19 +126,19 @@
 	s.mutex.Lock()
 	s.received = append(s.received, request)
 	reply, wait := s.replyOf(name)
-	unresponsive := s.unresponsive[name]
+	unresponsive, queues := s.unresponsive[name], s.slowElsewhere > 0
 	s.mutex.Unlock()
 	if unresponsive {
 		return stream.Receive(&request)
 	}
-	if wait > 0 && s.slowElsewhere > 0 {
+	if wait > 0 && queues {
 		_ = stream.Send(&admit.Reply{Reason: admit.ReasonQueued})
 	}
 	time.Sleep(wait)
 	err := stream.Send(&reply)
 	s.countHolding(1)
 	defer s.countHolding(-1)
-	if s.slowElsewhere > 0 {
+	if queues {
 		// The stream ends with the admission.
 		_ = stream.Receive(&request)
 	}
--- a/entry/direct/watchdog.go
+++ b/entry/direct/watchdog.go
@@ -19,7 +19,8 @@
 	// supervision, and so does the header of an answer that is no stream. With a first of 0,
 	// there is no supervision.
 	first, gap time.Duration
-	stream     bool
+	// patienceEnd is when the caller leaves if it receives nothing; zero if it is not known.
+	patienceEnd time.Time
 	// secure obtains another endpoint for the request. It returns nil when ctx ends.
 	secure func(ctx context.Context, state progress) *takeover
 	// cancel ends the attempt.
@@ -51,16 +52,25 @@
 // startWatchdog starts the watchdog of an attempt.
 func (j *job) startWatchdog(endpoint *advert.Record, cancel context.CancelCauseFunc) *watchdog {
 	first, gap := j.silenceLimits()
-	w := &watchdog{first: first, gap: gap, stream: j.request.Route.Stream && j.request.Route.Resume, cancel: cancel, state: j.progress()}
+	w := &watchdog{first: first, gap: gap, patienceEnd: j.patienceEnd(), cancel: cancel, state: j.progress()}
 	if first == 0 {
 		return w
 	}
 	search := j.newTakeoverSearch(endpoint)
 	w.secure = search.run
-	w.timer = time.AfterFunc(first, w.expire)
+	w.timer = time.AfterFunc(w.firstLimit(), w.expire)
 	return w
 }
 
+// firstLimit returns how long the endpoint may take from now until the first event. What the
+// caller has waited before leaves less.
+func (w *watchdog) firstLimit() time.Duration {
+	if w.patienceEnd.IsZero() {
+		return w.first
+	}
+	return min(w.first, max(time.Until(w.patienceEnd)/2, 0))
+}
+
 // progress returns how far the job's stream has come.
 func (j *job) progress() progress {
 	return progress{events: j.cutter.EventCount, lastReceived: j.lastReceived, origin: j.origin}
@@ -76,8 +86,8 @@
 	switch {
 	case route.Stream && route.Resume && route.EventTimeout > 0:
 		// The other half is left for the endpoint that takes over.
-		half := route.EventTimeout.Std() / 2
-		return half, half
+		limit := min(route.EventTimeout.Std()/2, maxFirstDelay)
+		return limit, limit
 	case route.Stream && route.Resume:
 		return maxFirstDelay, maxEventGap
 	case route.Idempotent && j.request.Objective.FirstToken > 0:
@@ -135,16 +145,16 @@
 	w.expired = false
 }
 
-// headReceived restarts the timer for the first event of a stream, and stops it for other
-// answers.
-func (w *watchdog) headReceived() {
+// headReceived restarts the timer for the first event of a stream, and ends the supervision of
+// other answers: these cannot continue elsewhere once a part has been forwarded.
+func (w *watchdog) headReceived(stream bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if !w.stream {
+	if !stream {
 		w.end()
 		return
 	}
-	w.restart(w.first)
+	w.restart(w.firstLimit())
 }
 
 // eventReceived restarts the timer for the next event. Bytes of an incomplete event
