entry/relay, entry/pool: an attempt at a silent agent ends only when another has begun it

Callers saw: 503 retry_budget or attempts_failed, or an answer that broke off, for requests whose agent was silent for 1.3 s and then went on.

Cause: a request on a session that has carried nothing for 0.5 s pings the agent. Without a pong within a second the whole session was closed, and with it every attempt on it, before a retry was granted and another agent accepted the request.

Tests, before: TestSilentAgentKeepsItsRequestsWithoutRetryBudget "expected: 200 actual: 503 ... retry_budget"; TestSilentAgentKeepsItsRequestIfTheOtherAgentIsFull "expected: 200 actual: 503 ... attempts_failed".

Now such a session only gets no new users. Each repeatable attempt on it looks for another agent, which must answer, with a retry from the budget, and which must send its first frame; until then the entry reads on from the silent one, and its next frame or pong ends the search. An attempt that must not run twice stays until the session ends by its own keep-alive.

--- /dev/null
+++ b/entry/daemon/silence_test.go
@@ -0,0 +1,157 @@
+package daemon_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/budget"
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
+)
+
+// silence is how long a sound agent may send nothing.
+const silence = 1300 * time.Millisecond
+
+// withholdRetries empties the fleet's retry budget.
+func (h *harness) withholdRetries() {
+	h.control.change(func() { h.control.bucketLevel[budget.Account(budget.AllAgents)] = -1e9 })
+}
+
+// silenceAgents delays all that the entry and the agents send each other for the time of
+// silence.
+func (h *harness) silenceAgents(names ...string) {
+	h.network.Isolate("entry", names...)
+	time.AfterFunc(silence, func() { h.network.Rejoin("entry", names...) })
+}
+
+// answerAfter answers in full after a delay, as an agent whose endpoint is busy.
+func answerAfter(delay time.Duration) func(*call.Attempt, *wire.Stream) error {
+	return func(a *call.Attempt, s *wire.Stream) error {
+		time.Sleep(delay)
+		return answer(a, s)
+	}
+}
+
+// pauseAfter answers in full but pauses after the given number of tokens.
+func pauseAfter(tokens int64, pause time.Duration) func(*call.Attempt, *wire.Stream) error {
+	return func(a *call.Attempt, s *wire.Stream) error {
+		if err := s.Send(&call.Frame{ID: a.ID, Type: call.FrameHead, Status: 200}); err != nil {
+			return err
+		}
+		if err := sendParts(a, s, tokens); err != nil {
+			return err
+		}
+		time.Sleep(pause)
+		for at := tokens; at < a.MaxTokens; at++ {
+			frame := &call.Frame{ID: a.ID, Type: call.FramePart, Index: at, Data: []byte(word(at)), Tokens: 1}
+			if err := s.Send(frame); err != nil {
+				return err
+			}
+		}
+		return sendEnd(a, s, a.MaxTokens)
+	}
+}
+
+// A new request pings an agent that has sent nothing for a while. If the agent is silent
+// for longer than the ping's timeout and no retry is possible, neither the new request
+// nor those that share its session end.
+func TestSilentAgentKeepsItsRequestsWithoutRetryBudget(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		withHarness(t, func(h *harness) {
+			h.report("e2", func(r *roster.Record) { r.Draining = true })
+			h.agents["e1"].setRun(pauseAfter(5, 2500*time.Millisecond))
+			h.withholdRetries()
+			got := make(chan reply, 2)
+			send := func() { got <- h.complete(keyAnand, "notes", 20, stream) }
+			go send()
+			time.Sleep(time.Second)
+			h.silenceAgents("e1")
+			time.Sleep(100 * time.Millisecond)
+			go send()
+			for range 2 {
+				end := <-got
+				require.Equal(t, 200, end.status, end.body)
+				text := end.body
+				if stream {
+					text = streamedText(t, end.body)
+				}
+				require.Contains(t, text, words(20), end.body)
+			}
+			require.Len(t, h.attemptsAt("e1", "e2"), 2)
+		})
+	}
+}
+
+// A retry is possible, but the other agent refuses each attempt as full: the request stays
+// at the silent agent.
+func TestSilentAgentKeepsItsRequestIfTheOtherAgentIsFull(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.report("s2", func(r *roster.Record) { r.Draining = true })
+		h.agents["s1"].setRun(answerAfter(2500 * time.Millisecond))
+		h.agents["s2"].setRun(refuse(call.ReasonFull, false))
+		got := make(chan reply, 2)
+		send := func() { got <- h.request("GET", "/lookup/1", keyAnand, "") }
+		go send()
+		time.Sleep(time.Second)
+		h.silenceAgents("s1")
+		time.Sleep(100 * time.Millisecond)
+		go send()
+		time.Sleep(100 * time.Millisecond)
+		h.report("s2", func(r *roster.Record) { r.Draining = false })
+		h.report("s1", func(r *roster.Record) { r.Draining = true })
+		for range 2 {
+			end := <-got
+			require.Equal(t, 200, end.status, end.body)
+			require.Less(t, end.took, 4*time.Second)
+		}
+		require.Len(t, h.attemptsAt("s1"), 2)
+	})
+}
+
+// The other agent begins the request within the time of the silence: the answer continues
+// there, without loss or duplication, and the attempt at the silent agent is withdrawn.
+func TestAnswerOfSilentAgentContinuesAtAnother(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		withHarness(t, func(h *harness) {
+			h.report("e2", func(r *roster.Record) { r.Draining = true })
+			withdrawn := make(chan error, 2)
+			h.agents["e1"].setRun(func(a *call.Attempt, s *wire.Stream) error {
+				_ = s.Send(&call.Frame{ID: a.ID, Type: call.FrameHead, Status: 200})
+				_ = sendParts(a, s, 5)
+				withdrawn <- s.Receive(&call.Frame{})
+				return nil
+			})
+			got := make(chan reply, 2)
+			send := func() { got <- h.complete(keyAnand, "notes", 20, stream) }
+			go send()
+			time.Sleep(time.Second)
+			h.network.Isolate("entry", "e1")
+			go send()
+			time.Sleep(100 * time.Millisecond)
+			h.report("e1", func(r *roster.Record) { r.Draining = true })
+			h.report("e2", func(r *roster.Record) { r.Draining = false })
+			for range 2 {
+				end := <-got
+				require.Equal(t, 200, end.status, end.body)
+				text := end.body
+				if stream {
+					text = streamedText(t, end.body)
+				}
+				require.Contains(t, text, words(20))
+				require.Less(t, end.took, 4*time.Second)
+			}
+			h.network.Rejoin("entry", "e1")
+			time.Sleep(time.Second)
+			require.NotEmpty(t, withdrawn)
+			require.Error(t, <-withdrawn)
+			delivered := map[int64]int32{}
+			for _, a := range h.attemptsAt("e2") {
+				delivered[a.DeliveredTokens] = a.Index
+			}
+			require.Equal(t, map[int64]int32{0: 1, 5: 1}, delivered)
+		})
+	}
+}
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -36,8 +36,8 @@
 	// aliveFor is how long a session counts as alive after data was received on
 	// it.
 	aliveFor = 500 * time.Millisecond
-	// pingTimeout is how long a ping reply may take before the session is
-	// closed, although the connection seems open.
+	// pingTimeout is how long a ping reply may take before the session gets no new
+	// users, although the connection seems open.
 	pingTimeout = time.Second
 	// dialTimeout bounds one connection attempt when the pool has no
 	// DialTimeout.
@@ -65,6 +65,8 @@
 	// ready is closed when the session or err is set.
 	ready chan struct{}
 	err   error
+	// unanswered is closed when a ping was not answered in time.
+	unanswered chan struct{}
 	// The pool's mutex guards the fields from users to idleTimer.
 	users     int
 	retired   bool
@@ -104,6 +106,10 @@
 // Done returns a channel that is closed when the session has ended.
 func (s *Session) Done() <-chan struct{} { return s.session.Done() }
 
+// Unanswered returns a channel that is closed when the agent has not answered a ping in
+// time.
+func (s *Session) Unanswered() <-chan struct{} { return s.unanswered }
+
 // reserve counts a user of the session to the address. created reports that the
 // session is new and must be connected.
 func (p *Pool) reserve(address string) (s *Session, created bool) {
@@ -117,7 +123,7 @@
 		if p.sessions == nil {
 			p.sessions = map[string]*Session{}
 		}
-		s = &Session{address: address, ready: make(chan struct{}), created: time.Now()}
+		s = &Session{address: address, ready: make(chan struct{}), unanswered: make(chan struct{}), created: time.Now()}
 		p.sessions[address] = s
 		created = true
 	}
@@ -225,8 +231,9 @@
 	return time.Since(s.created)-time.Duration(s.lastAlive.Load()) < aliveFor
 }
 
-// Verify pings the agent and reports whether it replied in time. Otherwise it
-// closes the session.
+// Verify pings the agent and reports whether it replied in time. Otherwise later calls
+// of Get open a new session. Current users keep theirs, since the agent may go on; the
+// session ends by itself when the connection has failed.
 func (p *Pool) Verify(s *Session) bool {
 	pong := make(chan error, 1)
 	go func() {
@@ -243,8 +250,14 @@
 		}
 	case <-timer.C:
 	}
-	p.Retire(s)
-	_ = s.session.Close()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.remove(s)
+	select {
+	case <-s.unanswered:
+	default:
+		close(s.unanswered)
+	}
 	return false
 }
 
--- a/entry/relay/attempt.go
+++ b/entry/relay/attempt.go
@@ -31,6 +31,11 @@
 // attempt makes one attempt at the chosen endpoint and forwards the answer.
 func (j *job) attempt(ctx context.Context, choice *picker.Choice) (verdict, error) {
 	j.lastRefusal = call.ReasonNone
+	if t := j.takeover; t != nil {
+		j.takeover = nil
+		defer j.relay.pool.Put(t.session)
+		return j.resume(ctx, t)
+	}
 	s, err := j.connect(ctx, choice)
 	if err != nil {
 		return verdictNotRun, err
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -52,6 +52,16 @@
 	buffered      []*call.Frame
 	bufferedBytes int
 	forwarding    bool
+	// first is a frame that was received before the exchange began; nil for none.
+	first *call.Frame
+
+	// handling is held while a frame is handled, which changes the job. It guards the
+	// fields up to takeover: frames is the number of frames handled, ended is set when
+	// no further frame is handled, and progress ends the search for another agent.
+	handling sync.Mutex
+	frames   int
+	ended    bool
+	progress context.CancelFunc
 
 	mutex sync.Mutex
 	// reserved is how many tokens the answer may have in total so far;
@@ -70,20 +80,34 @@
 		j.relay.pool.Retire(s)
 		return verdictNotRun, err
 	}
-	defer func() { _ = stream.Close() }()
 	e := &exchange{job: j, attempt: a, choice: choice, session: s, stream: stream, reserved: j.request.ReservedTokens}
+	return e.run(ctx)
+}
+
+// run sends the attempt, unless its first frame was received already, and forwards the
+// answer.
+func (e *exchange) run(ctx context.Context) (verdict, error) {
+	p := &e.job.relay.pool
+	defer func() { _ = e.stream.Close() }()
 	stop := context.AfterFunc(ctx, e.cancel)
 	defer stop()
-	if err := stream.Send(a); err != nil {
-		j.relay.pool.Retire(s)
-		return e.interrupted(ctx, err)
+	if e.first == nil {
+		if err := e.stream.Send(e.attempt); err != nil {
+			p.Retire(e.session)
+			return e.interrupted(ctx, err)
+		}
 	}
-	if !j.relay.pool.RecentlyAlive(s) {
-		go j.relay.pool.Verify(s)
+	if e.attempt.Idempotent {
+		watching, endWatch := context.WithCancel(ctx)
+		defer endWatch()
+		go e.watch(watching)
 	}
 	verdict, err := e.receive(ctx)
+	if e.job.takeover != nil {
+		err = &Error{Op: "wait for " + e.choice.Agent, Kind: KindSilent}
+	}
 	if verdict == verdictBroken {
-		j.relay.pool.Retire(s)
+		p.Retire(e.session)
 	}
 	return verdict, err
 }
@@ -119,9 +143,10 @@
 	watchdog := time.AfterFunc(e.attempt.Remaining+firstFrameGrace, e.stalled)
 	defer watchdog.Stop()
 	defer e.endGrace()
+	defer e.end()
 	for {
-		var frame call.Frame
-		if err := e.stream.Receive(&frame); err != nil {
+		frame, err := e.receiveFrame()
+		if err != nil {
 			return e.interrupted(ctx, err)
 		}
 		e.job.relay.pool.MarkAlive(e.session)
@@ -137,7 +162,7 @@
 		if len(frame.Queued) > 0 {
 			e.job.relay.Picker.UpdateLoad(e.choice, frame.Running, frame.Queued)
 		}
-		done, verdict, err := e.handleFrame(ctx, &frame)
+		done, verdict, err := e.handleNext(ctx, frame)
 		if done {
 			return verdict, err
 		}
@@ -147,6 +172,38 @@
 	}
 }
 
+// receiveFrame returns the next frame.
+func (e *exchange) receiveFrame() (*call.Frame, error) {
+	if frame := e.first; frame != nil {
+		e.first = nil
+		return frame, nil
+	}
+	frame := &call.Frame{}
+	return frame, e.stream.Receive(frame)
+}
+
+// handleNext handles a frame unless another agent has taken over, and ends the search for
+// one.
+func (e *exchange) handleNext(ctx context.Context, frame *call.Frame) (done bool, v verdict, err error) {
+	e.handling.Lock()
+	defer e.handling.Unlock()
+	if e.ended {
+		return true, verdictBroken, nil
+	}
+	e.frames++
+	if e.progress != nil {
+		e.progress()
+	}
+	return e.handleFrame(ctx, frame)
+}
+
+// end makes it too late for another agent to take over.
+func (e *exchange) end() {
+	e.handling.Lock()
+	defer e.handling.Unlock()
+	e.ended = true
+}
+
 // stalled aborts an attempt without a frame in time. While the attempt waits
 // for more tokens, it aborts the attempt only after another stallTimeout
 // without a frame.
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -22,8 +22,14 @@
 // Kind classifies the failures of this package.
 type Kind string
 
-// KindDial reports an agent that cannot be reached.
-const KindDial Kind = "cannot connect"
+// The kinds of failure.
+const (
+	// KindDial reports an agent that cannot be reached.
+	KindDial Kind = "cannot connect"
+	// KindSilent reports an agent that does not answer, in whose place another has begun
+	// the request.
+	KindSilent Kind = "agent is silent"
+)
 
 // Error is this package's error type.
 type Error = fault.Error[Kind]
@@ -93,6 +99,8 @@
 	tokens   int64
 	// lastRefusal is the reason for which the last attempt was refused.
 	lastRefusal call.Reason
+	// takeover is the next attempt if it has begun already; see exchange.watch.
+	takeover *takeover
 }
 
 // verdict classifies the result of an attempt.
@@ -113,6 +121,7 @@
 
 // run makes attempts until one completes, or none may follow.
 func (j *job) run(ctx context.Context) error {
+	defer func() { j.takeover.drop(j.relay) }()
 	for {
 		if err := j.checkAllowed(ctx); err != nil {
 			return err
@@ -123,7 +132,7 @@
 		if err := j.reserveTokens(ctx); err != nil {
 			return err
 		}
-		choice, err := j.pick(ctx)
+		choice, err := j.choose(ctx)
 		if err != nil {
 			return err
 		}
@@ -189,24 +198,36 @@
 	return refusal
 }
 
-// pick waits for an endpoint until the caller's deadline.
-func (j *job) pick(ctx context.Context) (*picker.Choice, error) {
+// choose returns the endpoint of the next attempt.
+func (j *job) choose(ctx context.Context) (*picker.Choice, error) {
+	if j.takeover != nil {
+		return j.takeover.choice, nil
+	}
+	return j.pick(ctx)
+}
+
+// requirements describes the request for the choice of an endpoint.
+func (j *job) requirements(excluded []string) *picker.Requirements {
 	q := j.request
-	requirements := picker.Requirements{
-		Model:   q.Model,
-		Adapter: q.Adapter,
-		Version: q.Version,
-		Service: q.Service,
-		Class:   q.Class,
-		Prefix:  j.prefix,
-		Suspect: q.Suspect || j.crashes > 0,
+	return &picker.Requirements{
+		Model:    q.Model,
+		Adapter:  q.Adapter,
+		Version:  q.Version,
+		Service:  q.Service,
+		Class:    q.Class,
+		Prefix:   j.prefix,
+		Suspect:  q.Suspect || j.crashes > 0,
+		Excluded: excluded,
 	}
-	timer := time.NewTimer(max(time.Until(q.Deadline()), 0))
+}
+
+// pick waits for an endpoint until the caller's deadline.
+func (j *job) pick(ctx context.Context) (*picker.Choice, error) {
+	timer := time.NewTimer(max(time.Until(j.request.Deadline()), 0))
 	defer timer.Stop()
 	for {
 		changed := j.relay.Picker.Changed()
-		requirements.Excluded = j.triedAgents
-		choice, err := j.relay.Picker.Pick(&requirements)
+		choice, err := j.relay.Picker.Pick(j.requirements(j.triedAgents))
 		if err == nil {
 			return choice, nil
 		}
@@ -247,17 +268,23 @@
 	if refusal := j.finalRefusal(verdict); refusal != nil {
 		return j.refusal(refusal)
 	}
-	if refusedWithoutFailure(j.lastRefusal) && verdict == verdictNotRun && j.tries < maxTries {
+	if j.takeover != nil || refusedWithoutFailure(j.lastRefusal) && verdict == verdictNotRun {
 		return nil
 	}
-	source := j.relay.Budget.Spend(ctx, budget.AllAgents)
-	j.relay.Host.Log.Write("repeat", "request", q.ID, "source", source, "tries", j.tries)
-	if source == retry.SourceNone {
+	if !j.spendRetry(ctx, j.tries) {
 		return j.refusal(chain.Refuse(http.StatusServiceUnavailable, "retry_budget", "too many requests are being retried").WithRetryAfter(refusedRetryAfter))
 	}
 	return nil
 }
 
+// spendRetry takes a retry from the budget and reports whether one was available. tries
+// is the number of attempts made.
+func (j *job) spendRetry(ctx context.Context, tries int) bool {
+	source := j.relay.Budget.Spend(ctx, budget.AllAgents)
+	j.relay.Host.Log.Write("repeat", "request", j.request.ID, "source", source, "tries", tries)
+	return source != retry.SourceNone
+}
+
 // finalRefusal returns the refusal that ends the request, or nil if another
 // attempt may follow.
 func (j *job) finalRefusal(verdict verdict) *chain.Refusal {
