entry/relay: an attempt of which nothing was sent uses no retry budget

Callers saw: 503 retry_budget for requests that no agent had received, while the agents were silent for 1.3 s.

Cause: connecting may take one second. A failure took a retry from the budget, which bounds the attempts that arrive, and without one the request was refused although it had time left.

Tests, before: TestRequestOutlastsSilenceOfAllAgentsWithoutRetryBudget "expected: 200 actual: 503 ... retry_budget ... ran: no"; TestSilentAgentKeepsItsRequestsBesideFiling "expected: 200 actual: 503 ... retry_budget" (that one needs the previous change too). Attempts stay bounded by maxTries.

--- a/entry/daemon/silence_test.go
+++ b/entry/daemon/silence_test.go
@@ -111,6 +111,43 @@
 	})
 }
 
+// An entry that cannot connect to any agent for the time of a silence has sent nothing, so
+// it connects again without using the retry budget.
+func TestRequestOutlastsSilenceOfAllAgentsWithoutRetryBudget(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.withholdRetries()
+		h.silenceAgents("e1", "e2", "s1", "s2")
+		got := make(chan reply, 2)
+		go func() { got <- h.complete(keyAnand, "notes", 20, false) }()
+		go func() { got <- h.request("GET", "/lookup/1", keyAnand, "") }()
+		for range 2 {
+			end := <-got
+			require.Equal(t, 200, end.status, end.body)
+		}
+	})
+}
+
+// A request that must not run twice pings its agent before it is sent. A ping that is
+// not answered in time ends neither other requests on the session nor that request.
+func TestSilentAgentKeepsItsRequestsBesideFiling(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.report("s2", func(r *roster.Record) { r.Draining = true })
+		h.agents["s1"].setRun(answerAfter(2500 * time.Millisecond))
+		h.withholdRetries()
+		got := make(chan reply, 2)
+		go func() { got <- h.request("GET", "/lookup/1", keyAnand, "") }()
+		time.Sleep(time.Second)
+		h.silenceAgents("s1")
+		time.Sleep(100 * time.Millisecond)
+		go func() { got <- h.request("POST", "/filing/1", keyAnand, "one") }()
+		for range 2 {
+			end := <-got
+			require.Equal(t, 200, end.status, end.body)
+		}
+		require.Len(t, h.attemptsAt("s1", "s2"), 2)
+	})
+}
+
 // The other agent begins the request within the time of the silence: the answer continues
 // there, without loss or duplication, and the attempt at the silent agent is withdrawn.
 func TestAnswerOfSilentAgentContinuesAtAnother(t *testing.T) {
--- a/entry/relay/attempt.go
+++ b/entry/relay/attempt.go
@@ -38,7 +38,7 @@
 	}
 	s, err := j.connect(ctx, choice)
 	if err != nil {
-		return verdictNotRun, err
+		return verdictNotSent, err
 	}
 	defer j.relay.pool.Put(s)
 	a := j.newAttempt(choice)
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -111,6 +111,8 @@
 	verdictComplete verdict = iota
 	// verdictNotRun means that the attempt provably has not run.
 	verdictNotRun
+	// verdictNotSent means that nothing of the attempt was sent.
+	verdictNotSent
 	// verdictBroken means that the answer was interrupted and the request may
 	// have run.
 	verdictBroken
@@ -268,7 +270,7 @@
 	if refusal := j.finalRefusal(verdict); refusal != nil {
 		return j.refusal(refusal)
 	}
-	if j.takeover != nil || refusedWithoutFailure(j.lastRefusal) && verdict == verdictNotRun {
+	if j.takeover != nil || verdict == verdictNotSent || refusedWithoutFailure(j.lastRefusal) && verdict == verdictNotRun {
 		return nil
 	}
 	if !j.spendRetry(ctx, j.tries) {
