agent/keeper: slow reports of a sound engine are no silence

What callers saw: with reports that took 130 to 390 ms, as of an agent short of processor time beside a sound engine, 102 to 134 of 150 requests were admitted, the others refused as busy.

Cause: an engine counted as silent once a report was overdue by 100 ms. In each step the gate's backlog was then raised to all outstanding prompts of the last report, and the next report, which showed them processed, did not lower it.

Fix: an engine counts as silent from the first request for a report that times out (400 ms) to the first answer. The backlog is set to the outstanding prompts when the silence begins, and again from the first report after it. maxReportDelay and HoldPrefill are gone.

Before, with the new tests on the old code: TestPromptsProcessedBeforeASilenceDelayNothingAfterIt silence_test.go:102: "170ms" is not less than "50ms" TestSlowReportsDelayNoAdmission/130_ms (200, 300, 390 ms likewise) silence_test.go:164: expected: 150, actual: 118 (103, 134, 119) Both pass now. Without the second SetPrefill, TestPromptsBeforeASilenceAreStillOutstandingAfterIt fails.

Changed in existing tests: three sleeps between the start of a silence and the request now last detectionTime, 550 ms, the time between two reports plus the timeout of a request for one, which is the longest that the agent may take to know of the silence. - TestNothingIsAdmittedWhileTheEngineIsSilent: 450 ms relied on the 100 ms; it failed at require.False(time.Now().Before(end)), because the request for a report was sent 100 ms after the silence began and timed out at 500 ms. A request that arrives before is sent to the engine. - TestSilentEngineWithoutTheModelRefusesAtOnce: 450 ms passes as well, but no longer while the engine is known to be silent. - TestRequestsLeaveAnEngineThatStaysSilent: 500 ms is the very moment of the timeout; it passed 100 of 100 times. Their bounds are unchanged.

--- a/agent/gate/speed.go
+++ b/agent/gate/speed.go
@@ -14,10 +14,10 @@
 	c.Pace, c.outstanding = p, outstanding
 }
 
-// HoldPrefill records that the engine may not be working at present: the prompts that were sent
-// to it and whose prefill is not seen to have ended are still to be processed.
-func (c *Controller) HoldPrefill(now time.Time) {
-	c.prefillTokens, c.prefillAt = max(c.remainingPrefill(now), float64(c.outstanding)), now
+// SetPrefill replaces the estimated number of admitted prompt tokens that the engine has yet to
+// process. It is called where the estimate does not hold because the engine may not have worked.
+func (c *Controller) SetPrefill(tokens int64, now time.Time) {
+	c.prefillTokens, c.prefillAt, c.outstanding = float64(tokens), now, tokens
 }
 
 // wouldStall reports whether the prompt of a request would delay the events of a running
--- a/agent/keeper/keeper.go
+++ b/agent/keeper/keeper.go
@@ -215,9 +215,8 @@
 		k.refuseAll(admit.ReasonEngineDown)
 		return len(k.tasks) > 0
 	}
-	silence := k.silence(now)
 	if k.lastReport == nil {
-		if silence > maxReportDelay {
+		if k.silent() {
 			k.holdWaiting(now)
 		}
 		return len(k.tasks) > 0
@@ -230,7 +229,7 @@
 	switch {
 	case !configured:
 		k.refuseAll(admit.ReasonModelMissing)
-	case silence > maxReportDelay:
+	case k.silent():
 		k.holdWaiting(now)
 		return len(k.tasks) > 0
 	default:
--- a/agent/keeper/keeper_test.go
+++ b/agent/keeper/keeper_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/agent/keeper"
 	"github.com/tanagerspindle/tanagerspindle/agent/lora"
+	"github.com/tanagerspindle/tanagerspindle/agent/pace"
 	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
@@ -56,11 +57,15 @@
 	silentUntil time.Time
 	// agentSuspended is set while timers of the agent expire late: after the silence.
 	agentSuspended bool
-	leaving        bool
-	loseNextOrder  bool
-	lostOrders     []keeper.Order
-	orderCount     int
-	reportCount    int
+	// reportDelay is how long a report takes to arrive. runs returns the progress of the running
+	// requests; nil if the engine does not report it.
+	reportDelay   time.Duration
+	runs          func() []pace.Run
+	leaving       bool
+	loseNextOrder bool
+	lostOrders    []keeper.Order
+	orderCount    int
+	reportCount   int
 }
 
 const adapterSlots = 3
@@ -103,6 +108,23 @@
 	if err := e.awaitSilence(ctx); err != nil {
 		return nil, err
 	}
+	report, err := e.state()
+	e.mutex.Lock()
+	delay := e.reportDelay
+	e.mutex.Unlock()
+	if delay == 0 {
+		return report, err
+	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(delay):
+		return report, err
+	}
+}
+
+// state returns the report of the present state.
+func (e *engine) state() (*keeper.Report, error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.advance()
@@ -117,6 +139,9 @@
 	if e.cached {
 		report.Cached = []string{"m"}
 	}
+	if e.runs != nil {
+		report.Runs = e.runs()
+	}
 	for name, version := range e.held {
 		report.Adapters = append(report.Adapters, lora.Status{Key: lora.Key{Model: "m", Adapter: name}, Version: version})
 	}
--- a/agent/keeper/orders.go
+++ b/agent/keeper/orders.go
@@ -65,13 +65,10 @@
 	defer k.mutex.Unlock()
 	now := time.Now()
 	if isUnanswered(err) {
-		k.unansweredReports++
-		if k.unansweredReports >= maxUnansweredReports {
-			k.markDown(err)
-		}
+		k.recordUnanswered(err, now)
 		return busyReportInterval
 	}
-	silence := k.silence(now)
+	silence, wasSilent := k.silence(now), k.silent()
 	k.unansweredReports, k.unansweredSince = 0, time.Time{}
 	if err != nil {
 		k.failedReports++
@@ -97,6 +94,9 @@
 	}
 	k.lastReport = report
 	k.observePace(report, now)
+	if wasSilent {
+		k.admission.SetPrefill(k.enginePace.Outstanding(), now)
+	}
 	if !k.orderInFlight && !requested.Before(k.lastAnswer) {
 		k.nextSeq, k.seqKnown = report.Seq, true
 	}
--- a/agent/keeper/silence.go
+++ b/agent/keeper/silence.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// maxReportDelay is how long a report may take before the engine counts as silent. The
-	// engine is on the same VM and answers within 1 to 2 ms.
-	maxReportDelay = 100 * time.Millisecond
 	// typicalSilence is how long engines are silent that then continue.
 	typicalSilence = time.Second
 	// minSilenceRemaining is how much of a silence is always assumed to remain, because it may
@@ -49,11 +46,26 @@
 	return now.Sub(k.unansweredSince)
 }
 
+// silent reports whether the engine counts as silent. A report that is merely slow does not show
+// that: an agent that is short of processor time receives the reports of a sound engine late. The
+// mutex is held.
+func (k *Keeper) silent() bool { return k.unansweredReports > 0 }
+
+// recordUnanswered records that a request for a report timed out. The mutex is held.
+func (k *Keeper) recordUnanswered(err error, now time.Time) {
+	if !k.silent() {
+		k.admission.SetPrefill(k.enginePace.Outstanding(), now)
+	}
+	k.unansweredReports++
+	if k.unansweredReports >= maxUnansweredReports {
+		k.markDown(err)
+	}
+}
+
 // holdWaiting keeps the requests waiting for a silent engine to continue, except those that
 // could not be served in time afterwards. A request sent to a silent engine could no longer be
 // moved to another one.
 func (k *Keeper) holdWaiting(now time.Time) {
-	k.admission.HoldPrefill(now)
 	var wanted []lora.Key
 	remaining := max(typicalSilence-k.silence(now), minSilenceRemaining)
 	for _, r := range k.admission.Waiting(now) {
--- a/agent/keeper/silence_test.go
+++ b/agent/keeper/silence_test.go
@@ -8,10 +8,15 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tanagerspindle/tanagerspindle/agent/pace"
 	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
 	"github.com/tanagerspindle/tanagerspindle/pkg/span"
 )
 
+// detectionTime is how long an engine may be silent before its agent knows it: the time between
+// two reports, and the timeout of a request for one.
+const detectionTime = 150*time.Millisecond + 400*time.Millisecond
+
 // silence makes the engine answer nothing for a time.
 func (f *fixture) silence(length time.Duration) {
 	f.engine.mutex.Lock()
@@ -50,7 +55,7 @@
 	run(t, func(f *fixture) {
 		f.silence(1300 * time.Millisecond)
 		end := time.Now().Add(1300 * time.Millisecond)
-		time.Sleep(450 * time.Millisecond)
+		time.Sleep(detectionTime)
 		reply, _ := f.requestAdmission("", patient)
 		require.Equal(t, admit.ReasonNone, reply.Reason)
 		require.False(t, time.Now().Before(end))
@@ -76,6 +81,90 @@
 	})
 }
 
+// Prompts that the first report after a silence showed as processed still counted as outstanding,
+// so that a request was delayed beside an idle engine.
+func TestPromptsProcessedBeforeASilenceDelayNothingAfterIt(t *testing.T) {
+	run(t, func(f *fixture) {
+		reply, _ := f.requestAdmission("", func(a *admit.Request) { a.ID, a.PromptTokens = "long", 3000 })
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+		f.silence(1300 * time.Millisecond)
+		end := time.Now().Add(1300 * time.Millisecond)
+		f.engine.mutex.Lock()
+		f.engine.runs = func() []pace.Run {
+			f.engine.runs = nil
+			return []pace.Run{{ID: "long", Events: 1, Tokens: 3001}}
+		}
+		f.engine.mutex.Unlock()
+		time.Sleep(700 * time.Millisecond)
+		reply, _ = f.requestAdmission("", patient)
+		require.Equal(t, admit.ReasonNone, reply.Reason)
+		require.False(t, time.Now().Before(end))
+		require.Less(t, time.Since(end), 50*time.Millisecond)
+	})
+}
+
+// Reports that took over 100 ms because the agent was short of processor time counted as the
+// silence of a sound engine, and their prompts as outstanding after they had been processed: of
+// the requests some were refused and the others waited.
+func TestSlowReportsDelayNoAdmission(t *testing.T) {
+	for _, millis := range []int{2, 90, 130, 200, 300, 390} {
+		t.Run(fmt.Sprint(millis, " ms"), func(t *testing.T) {
+			run(t, func(f *fixture) { requireUndelayed(f, time.Duration(millis)*time.Millisecond) })
+		})
+	}
+}
+
+// requireUndelayed sends 25 requests a second of 400 prompt tokens to an engine whose reports take
+// a time. The engine makes their first events after 40 ms and ends them after 200 ms.
+func requireUndelayed(f *fixture, reportDelay time.Duration) {
+	const requests = 150
+	var mutex sync.Mutex
+	started := map[string]time.Time{}
+	f.engine.mutex.Lock()
+	f.engine.reportDelay = reportDelay
+	f.engine.runs = func() (runs []pace.Run) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		for id, at := range started {
+			if time.Since(at) > 40*time.Millisecond {
+				runs = append(runs, pace.Run{ID: id, Events: 1, Tokens: 401})
+				delete(started, id)
+			}
+		}
+		return runs
+	}
+	f.engine.mutex.Unlock()
+	time.Sleep(700 * time.Millisecond)
+	admitted, longest := 0, time.Duration(0)
+	var group sync.WaitGroup
+	for i := range requests {
+		group.Go(func() {
+			id, began := fmt.Sprint("r", i), time.Now()
+			reply, stream := f.requestAdmission("", func(a *admit.Request) {
+				patient(a)
+				a.ID, a.PromptTokens, a.MaxAnswerTokens = id, 400, 20
+				a.FirstTokenRemaining = span.Duration(time.Second)
+			})
+			if reply.Reason == admit.ReasonNone {
+				mutex.Lock()
+				admitted++
+				longest = max(longest, time.Since(began))
+				started[id] = time.Now()
+				mutex.Unlock()
+				time.Sleep(200 * time.Millisecond)
+				mutex.Lock()
+				delete(started, id)
+				mutex.Unlock()
+			}
+			require.NoError(f.t, stream.Close())
+		})
+		time.Sleep(40 * time.Millisecond)
+	}
+	group.Wait()
+	require.Equal(f.t, requests, admitted)
+	require.Less(f.t, longest, 50*time.Millisecond)
+}
+
 // Loads during which the engine was silent counted as slow ones of an overloaded store, so that
 // requests for further adapters were refused although a load took no longer than before.
 func TestLoadsBesideASilenceAreNotSlow(t *testing.T) {
@@ -117,7 +206,7 @@
 func TestRequestsLeaveAnEngineThatStaysSilent(t *testing.T) {
 	run(t, func(f *fixture) {
 		f.silence(time.Minute)
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(detectionTime)
 		began := time.Now()
 		reply, _ := f.requestAdmission("", func(a *admit.Request) { a.Remaining = span.Duration(4 * time.Second) })
 		require.Equal(t, admit.ReasonBusy, reply.Reason, "the engine may go on")
@@ -139,7 +228,7 @@
 	empty := func(e *engine) { e.model, e.controlDown = false, true }
 	runWith(t, empty, func(f *fixture) {
 		f.silence(1300 * time.Millisecond)
-		time.Sleep(450 * time.Millisecond)
+		time.Sleep(detectionTime)
 		began := time.Now()
 		reply, _ := f.requestAdmission("a", nil)
 		require.Equal(t, admit.ReasonModelMissing, reply.Reason)
