--- a/agent/keeper/silence_test.go
+++ b/agent/keeper/silence_test.go
@@ -301,3 +301,25 @@
 		})
 	}
 }
+
+// Admissions that end before their requests are sent delay other requests as if the engine had
+// to process their prompts.
+func TestUnusedAdmissionsDelayNoOtherRequest(t *testing.T) {
+	run(t, func(f *fixture) {
+		_, _ = f.requestAdmission("", nil)
+		time.Sleep(300 * time.Millisecond)
+		for i := range 5 {
+			reply, stream := f.requestAdmission("", func(a *admit.Request) {
+				patient(a)
+				a.ID, a.PromptTokens, a.Resumed = fmt.Sprint("s", i), 3000, true
+			})
+			require.Equal(f.t, admit.ReasonNone, reply.Reason)
+			time.Sleep(50 * time.Millisecond)
+			require.NoError(f.t, stream.Close())
+		}
+		began := time.Now()
+		reply, _ := f.requestAdmission("", func(a *admit.Request) { a.ID, a.FirstTokenRemaining = "other", span.Duration(200*time.Millisecond) })
+		require.Equal(f.t, admit.ReasonNone, reply.Reason)
+		require.Less(f.t, time.Since(began), 50*time.Millisecond)
+	})
+}
