--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -232,7 +232,7 @@
 }
 
 // Verify pings the agent and reports whether it replied in time. Otherwise later calls
-// of Get open a new session. Current users keep theirs, since the agent may go on; the
+// of Get open a new session. Current users keep theirs, since the agent may continue; the
 // session ends by itself when the connection has failed.
 func (p *Pool) Verify(s *Session) bool {
 	pong := make(chan error, 1)
--- a/entry/relay/takeover.go
+++ b/entry/relay/takeover.go
@@ -49,7 +49,7 @@
 }
 
 // watch looks for another agent once the attempt's agent does not answer a ping. The agent
-// may be sound and go on, so that its attempt ends only when another agent has begun the
+// may be sound and continue, so that its attempt ends only when another agent has begun the
 // request.
 func (e *exchange) watch(ctx context.Context) {
 	p := &e.job.relay.pool
@@ -182,7 +182,7 @@
 }
 
 // commit makes the takeover the request's next attempt and ends this one, unless this one
-// has gone on meanwhile.
+// has continued meanwhile.
 func (e *exchange) commit(t *takeover, frames int) bool {
 	e.handling.Lock()
 	defer e.handling.Unlock()
