--- a/entry/chain/refusal.go
+++ b/entry/chain/refusal.go
@@ -58,6 +58,17 @@
 	return &other
 }
 
+// MayHaveRun returns a copy for a request that may have run: neither its status nor a retry
+// delay promises that it has not.
+func (r *Refusal) MayHaveRun() *Refusal {
+	other := r.WithRanUnknown()
+	other.RetryAfter = 0
+	if other.Status != http.StatusGatewayTimeout {
+		other.Status = http.StatusBadGateway
+	}
+	return other
+}
+
 func typeOf(status int) string {
 	switch status {
 	case http.StatusUnauthorized:
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -271,7 +271,6 @@
 		QuotaWindow: d.QuotaWindow,
 	}
 	retryBudget.Report, retryBudget.Lease, retryBudget.LeaseHedge = e.limit.ReportRequest, e.limit.AcquireRetry, e.limit.AcquireHedge
-	retryBudget.Reserve = e.limit.ReserveRetry
 	if d.Send != nil {
 		e.limit.EntryCount = e.feed.KnownEntries
 	}
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -23,7 +23,7 @@
 	// maxFirstDelay and maxEventGap are how long an engine may send nothing
 	// before the first event and between two events until another engine is sought
 	// that can continue the stream, on routes that do not state how long callers wait
-	// without data.
+	// without data. maxFirstDelay is the most on other routes, too.
 	maxFirstDelay = 2 * time.Second
 	maxEventGap   = 1200 * time.Millisecond
 	// retryObjectives is the multiple of the objective for the time to the first
@@ -126,6 +126,7 @@
 		if errors.Is(ctx.Err(), context.Canceled) {
 			return verdictCallerGone, err
 		}
+		// A watchdog that cancels the connection attempt has recorded the silence.
 		if attemptCtx.Err() == nil || ctx.Err() != nil {
 			j.filter.Endpoints.MarkUnreachable(t.endpoint.Name, time.Now())
 		}
--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -168,10 +168,13 @@
 }
 
 // limitedRetries grants a limited number of retries.
-func limitedRetries(remaining int) func(context.Context, string) bool {
-	return func(context.Context, string) bool {
+func limitedRetries(remaining int) func(context.Context, string) func(bool) {
+	return func(context.Context, string) func(bool) {
 		remaining--
-		return remaining >= 0
+		if remaining < 0 {
+			return nil
+		}
+		return func(bool) {}
 	}
 }
 
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -302,13 +302,7 @@
 	if j.ran == chain.RanNo {
 		return refusal
 	}
-	// The request may have run, so the status must not claim otherwise.
-	uncertain := refusal.WithRanUnknown()
-	uncertain.RetryAfter = 0
-	if uncertain.Status != http.StatusGatewayTimeout {
-		uncertain.Status = http.StatusBadGateway
-	}
-	return uncertain
+	return refusal.MayHaveRun()
 }
 
 // refuse returns the refusal of a request that no endpoint accepted.
--- a/entry/direct/load_test.go
+++ b/entry/direct/load_test.go
@@ -101,7 +101,12 @@
 		f.Config, f.Hedges = func() *conf.Config { return config }, &hedge.Policy{}
 		f.Endpoints.Position = func() (int, int) { return i, loadEntries }
 		f.Endpoints.Update(usable)
-		f.Budget.Report, f.Budget.Lease = w.report, func(context.Context, string) bool { return w.take(0) }
+		f.Budget.Report, f.Budget.Lease = w.report, func(context.Context, string) func(bool) {
+			if !w.take(0) {
+				return nil
+			}
+			return func(bool) {}
+		}
 		f.Budget.LeaseHedge = w.leaseHedge
 		f.Send = func(ctx context.Context, c *direct.Call) (*direct.Answer, error) {
 			if c.NewConnection {
--- a/entry/drain/refuse.go
+++ b/entry/drain/refuse.go
@@ -80,7 +80,5 @@
 	if !errors.As(err, &refusal) || refusal.Code != codeExiting || refusal.Ran == chain.RanNo {
 		return err
 	}
-	uncertain := *refusal
-	uncertain.Status, uncertain.RetryAfter = http.StatusBadGateway, 0
-	return &uncertain
+	return refusal.MayHaveRun()
 }
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -322,10 +322,10 @@
 	withLimiter(t, grant, func(l *limit.Limiter, c *fakeControl) {
 		l.RetryLimit = budget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
 		c.entries.Store(1)
-		require.True(t, l.AcquireRetry(context.Background(), "desk"))
-		require.True(t, l.AcquireRetry(context.Background(), "desk"))
+		require.True(t, acquireRetry(l))
+		require.True(t, acquireRetry(l))
 		started := time.Now()
-		require.False(t, l.AcquireRetry(context.Background(), "desk"))
+		require.False(t, acquireRetry(l))
 		require.LessOrEqual(t, time.Since(started), 50*time.Millisecond)
 		c.mutex.Lock()
 		for _, request := range c.requests {
@@ -336,10 +336,10 @@
 		c.mutex.Unlock()
 		unresponsive = true
 		for range 20 {
-			require.False(t, l.AcquireRetry(context.Background(), "desk"))
+			require.False(t, acquireRetry(l))
 		}
 		time.Sleep(10 * time.Second)
-		require.False(t, l.AcquireRetry(context.Background(), "desk"), "no overdraft")
+		require.False(t, acquireRetry(l), "no overdraft")
 	})
 }
 
@@ -384,19 +384,28 @@
 	return reply, nil
 }
 
+// acquireRetry takes a retry that is sent, and reports whether one was available.
+func acquireRetry(l *limit.Limiter) bool {
+	settle := l.AcquireRetry(context.Background(), "desk")
+	if settle != nil {
+		settle(true)
+	}
+	return settle != nil
+}
+
 // A retry for a request that continued where it was is there for another one.
 func TestUnsentRetryIsAvailableAgain(t *testing.T) {
 	pool := &poolGrant{free: budget.TokensPerRetry, burst: budget.TokensPerRetry}
 	withLimiter(t, pool.grant, func(l *limit.Limiter, _ *fakeControl) {
 		l.RetryLimit = budget.Limit{Ratio: 0.2, Slack: 86, Window: 10 * time.Second}
-		settle := l.ReserveRetry(context.Background(), "desk")
+		settle := l.AcquireRetry(context.Background(), "desk")
 		require.NotNil(t, settle)
-		require.Nil(t, l.ReserveRetry(context.Background(), "desk"))
+		require.Nil(t, l.AcquireRetry(context.Background(), "desk"))
 		settle(false)
-		settle = l.ReserveRetry(context.Background(), "desk")
+		settle = l.AcquireRetry(context.Background(), "desk")
 		require.NotNil(t, settle)
 		settle(true)
-		require.False(t, l.AcquireRetry(context.Background(), "desk"))
+		require.False(t, acquireRetry(l))
 	})
 }
 
@@ -419,7 +428,7 @@
 		}
 		require.InDelta(t, 10, acquired, 1, "half of the pool")
 		for range 9 {
-			require.True(t, l.AcquireRetry(context.Background(), "desk"), "the rest is for retries")
+			require.True(t, acquireRetry(l), "the rest is for retries")
 		}
 		pool.set(0)
 		time.Sleep(time.Second)
@@ -478,7 +487,7 @@
 	}
 	withLimiter(t, grant, func(l *limit.Limiter, _ *fakeControl) {
 		l.RetryLimit = budget.Limit{Ratio: 0.2, Slack: 86, Window: 10 * time.Second}
-		require.True(t, l.AcquireRetry(context.Background(), "desk"))
+		require.True(t, acquireRetry(l))
 		settle, reached := l.AcquireHedge(context.Background(), "desk")
 		require.Nil(t, settle)
 		require.True(t, reached)
@@ -514,10 +523,10 @@
 			require.Nil(t, settle)
 		})
 		time.Sleep(5 * time.Millisecond)
-		both.Go(func() { require.True(t, l.AcquireRetry(context.Background(), "desk")) })
+		both.Go(func() { require.True(t, acquireRetry(l)) })
 		both.Wait()
 		time.Sleep(time.Second)
-		both.Go(func() { require.False(t, l.AcquireRetry(context.Background(), "desk")) })
+		both.Go(func() { require.False(t, acquireRetry(l)) })
 		time.Sleep(time.Millisecond)
 		started := time.Now()
 		settle, reached := l.AcquireHedge(context.Background(), "desk")
@@ -537,7 +546,7 @@
 		settle, reached := l.AcquireHedge(context.Background(), "desk")
 		require.Nil(t, settle)
 		require.True(t, reached)
-		require.True(t, l.AcquireRetry(context.Background(), "desk"))
+		require.True(t, acquireRetry(l))
 		pool.mutex.Lock()
 		pool.unresponsive = true
 		pool.mutex.Unlock()
--- a/entry/limit/retry.go
+++ b/entry/limit/retry.go
@@ -43,30 +43,10 @@
 	return true
 }
 
-// AcquireRetry takes one retry to a service out of the fleet's retry budget and reports
-// whether one was available. None is available while control does not answer.
-func (l *Limiter) AcquireRetry(ctx context.Context, service string) bool {
-	reserved := l.reserveRetry(ctx, service)
-	if reserved == nil {
-		return false
-	}
-	l.useAll(reserved)
-	return true
-}
-
-// ReserveRetry is AcquireRetry with a retry that may be returned: the caller states by settle
-// whether it has sent the retry. settle is nil if no retry is available.
-func (l *Limiter) ReserveRetry(ctx context.Context, service string) (settle func(sent bool)) {
-	reserved := l.reserveRetry(ctx, service)
-	if reserved == nil {
-		return nil
-	}
-	return func(sent bool) { l.settleRetry(reserved, sent) }
-}
-
-// reserveRetry takes one retry to a service out of the fleet's retry budget; nil means that
-// none was available.
-func (l *Limiter) reserveRetry(ctx context.Context, service string) *reservation {
+// AcquireRetry takes one retry to a service out of the fleet's retry budget. The caller states
+// by settle whether it has sent the retry; settle is nil if none was available. None is
+// available while control does not answer.
+func (l *Limiter) AcquireRetry(ctx context.Context, service string) (settle func(sent bool)) {
 	now := time.Now()
 	l.mutex.Lock()
 	cutOff := l.isCutOff(now)
@@ -78,7 +58,7 @@
 	if err != nil {
 		return nil
 	}
-	return reserved
+	return func(sent bool) { l.settleRetry(reserved, sent) }
 }
 
 // retryWaiter returns a waiter for one retry.
--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -33,12 +33,9 @@
 	// Report reports a request for a service to control; it returns false if
 	// the report will not reach control.
 	Report func(service string) bool
-	// Lease takes one retry for a service from the fleet's retry budget at
-	// control and reports whether one was available.
-	Lease func(ctx context.Context, service string) bool
-	// Reserve is Lease with a retry that may be returned: settle states whether the retry was
-	// sent; it is nil if none is available. A nil Reserve leases by Lease.
-	Reserve func(ctx context.Context, service string) (settle func(sent bool))
+	// Lease takes one retry for a service from the fleet's retry budget at control. settle
+	// states whether the retry was sent; it is nil if none is available.
+	Lease func(ctx context.Context, service string) (settle func(sent bool))
 	// LeaseHedge takes one retry for a hedge, which is available only while most of the
 	// fleet's retry budget is free, and reports whether control answers. settle states
 	// whether the hedge was sent; it is nil if none is available. A nil LeaseHedge leases
@@ -88,24 +85,18 @@
 // Spend takes one retry from the budget and returns its source. It may wait for
 // control.
 func (b *Budget) Spend(ctx context.Context, service string) Source {
-	if b.Lease(ctx, service) {
-		return SourcePool
+	source, settle := b.SpendReturnable(ctx, service)
+	if settle != nil {
+		settle(true)
 	}
-	if !b.spendLocal(service) {
-		return SourceNone
-	}
-	return SourceLocal
+	return source
 }
 
 // SpendReturnable is Spend with a retry that may be returned: unless the source is SourceNone,
 // settle must be called with whether the retry was sent.
 func (b *Budget) SpendReturnable(ctx context.Context, service string) (source Source, settle func(sent bool)) {
-	if b.Reserve != nil {
-		if settle := b.Reserve(ctx, service); settle != nil {
-			return SourcePool, settle
-		}
-	} else if b.Lease(ctx, service) {
-		return SourcePool, func(bool) {}
+	if settle := b.Lease(ctx, service); settle != nil {
+		return SourcePool, settle
 	}
 	if !b.spendLocal(service) {
 		return SourceNone, nil
--- a/entry/retry/retry_test.go
+++ b/entry/retry/retry_test.go
@@ -46,12 +46,12 @@
 			}
 			return !f.disconnected[entry]
 		},
-		Lease: func(context.Context, string) bool {
+		Lease: func(context.Context, string) func(bool) {
 			f.pool.Advance(time.Unix(0, 0).Add(f.now), 0)
-			if f.disconnected[entry] || f.pool.Level() < budget.TokensPerRetry {
-				return false
+			if f.disconnected[entry] || f.pool.Level() < budget.TokensPerRetry || f.pool.Take(budget.TokensPerRetry) != budget.TokensPerRetry {
+				return nil
 			}
-			return f.pool.Take(budget.TokensPerRetry) == budget.TokensPerRetry
+			return func(bool) {}
 		},
 	}
 }
@@ -171,7 +171,7 @@
 func TestEntryWithoutControl(t *testing.T) {
 	for entries, allowed := range map[int]int{0: 0, 4: 10, 500: 0} {
 		budget := &retry.Budget{
-			Limit: testBound, Report: func(string) bool { return false }, Lease: func(context.Context, string) bool { return false },
+			Limit: testBound, Report: func(string) bool { return false }, Lease: func(context.Context, string) func(bool) { return nil },
 			EntryCount: func() int { return entries },
 		}
 		sent := 0
@@ -194,7 +194,7 @@
 // share would use up what a failure needs while control is away.
 func TestHedgesHaveNoLocalBudget(t *testing.T) {
 	b := &retry.Budget{
-		Limit: budget.Default, Report: func(string) bool { return false }, Lease: func(context.Context, string) bool { return false },
+		Limit: budget.Default, Report: func(string) bool { return false }, Lease: func(context.Context, string) func(bool) { return nil },
 		EntryCount: func() int { return 1 },
 	}
 	settle, reached := func(bool) {}, true
@@ -221,7 +221,7 @@
 	inPool := 1
 	b := &retry.Budget{
 		Limit: budget.Default, Report: func(string) bool { return false }, EntryCount: func() int { return 1 },
-		Reserve: func(context.Context, string) func(bool) {
+		Lease: func(context.Context, string) func(bool) {
 			if inPool == 0 {
 				return nil
 			}
--- a/entry/view/heard.go
+++ b/entry/view/heard.go
@@ -52,10 +52,16 @@
 // ExcludeUnresponsive excludes the endpoints of a service that are avoided at present because
 // they, or their agents, do not respond, and returns how many are not excluded then.
 func (es *Endpoints) ExcludeUnresponsive(service string, excluded map[string]bool, now time.Time) (left int) {
+	return es.exclude(service, excluded, func(e *endpoint) bool { return e.connection.active(now) || e.agent.active(now) })
+}
+
+// exclude adds the endpoints of a service that match to excluded, and returns how many of the
+// service are not excluded then.
+func (es *Endpoints) exclude(service string, excluded map[string]bool, match func(e *endpoint) bool) (left int) {
 	es.mutex.Lock()
 	defer es.mutex.Unlock()
 	for _, e := range es.services[service] {
-		if e.connection.active(now) || e.agent.active(now) {
+		if match(e) {
 			excluded[e.record.Name] = true
 		}
 		if !excluded[e.record.Name] {
