--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -93,6 +93,9 @@
 	// as of prefillAt, if it spends the allowed part of its time on them.
 	prefillTokens float64
 	prefillAt     time.Time
+	// admittedTokens is the number of prompt tokens admitted so far, less those withdrawn.
+	// The engine processes prompts in the order of their admission.
+	admittedTokens float64
 	// outstanding is the number of prompt tokens sent to the engine whose prefill is not seen to
 	// have ended, by the engine's reports.
 	outstanding int64
@@ -155,6 +158,8 @@
 	c.usedTokens += r.expectedTokens()
 	c.prefillTokens = c.remainingPrefill(now) + float64(r.Spec.PromptTokens)
 	c.prefillAt = now
+	c.admittedTokens += float64(r.Spec.PromptTokens)
+	r.prefillEnd = c.admittedTokens
 	c.outstanding += r.Spec.PromptTokens
 	c.recentPrefill = c.decayedPrefill(now) + c.prefillTime(r).Seconds()
 	c.recentPrefillAt = now
@@ -175,6 +180,24 @@
 	c.usedTokens -= r.expectedTokens()
 }
 
+// Withdraw removes a running request that did not reach the engine, together with the part of
+// its prompt that counts as not processed yet.
+func (c *Controller) Withdraw(r *Request, now time.Time) {
+	if _, ok := c.running[r]; !ok {
+		return
+	}
+	backlog := c.remainingPrefill(now)
+	withdrawn := min(max(r.prefillEnd-(c.admittedTokens-backlog), 0), float64(r.Spec.PromptTokens))
+	c.prefillTokens, c.prefillAt = backlog-withdrawn, now
+	c.admittedTokens -= withdrawn
+	for other := range c.running {
+		if other.prefillEnd > r.prefillEnd {
+			other.prefillEnd -= withdrawn
+		}
+	}
+	c.End(r)
+}
+
 // Load returns the utilization of the engine by running and waiting requests, in thousandths.
 // It is the highest of the shares of slots, memory and prefill time.
 func (c *Controller) Load(now time.Time) int64 {
--- a/agent/gate/gate_test.go
+++ b/agent/gate/gate_test.go
@@ -141,3 +141,39 @@
 	require.Greater(t, g.EstimateWait(newRequest(1460, 170, 0, nil), 0, start), time.Second)
 	require.Equal(t, 9*time.Second, g.EstimateWait(newRequest(1460, 170, 0, nil), 9*time.Second, start))
 }
+
+// Withdrawing a request also withdrew the prompts that the engine had processed or that were
+// admitted after it, so that more prompts were admitted than the engine could process.
+func TestOnlyTheUnprocessedPartOfAPromptIsWithdrawn(t *testing.T) {
+	backlogAfter := func(ended int, at time.Duration, withdraw bool) time.Duration {
+		g := &gate.Controller{Slots: 8, TokenCapacity: 100_000}
+		var requests []*gate.Request
+		for range 3 {
+			r := newRequest(3000, 10, 0, nil)
+			g.Add(r)
+			g.Start(r, start)
+			requests = append(requests, r)
+		}
+		if withdraw {
+			g.Withdraw(requests[ended], start.Add(at))
+		}
+		return g.EstimateWait(newRequest(10, 10, 0, nil), 0, start.Add(at))
+	}
+	full := backlogAfter(0, 0, false)
+	prompt := (full + 10*time.Millisecond) / 3
+	for _, test := range []struct {
+		ended     int
+		at        time.Duration
+		withdrawn time.Duration
+	}{
+		{ended: 0, at: 0, withdrawn: prompt},
+		{ended: 2, at: 0, withdrawn: prompt},
+		{ended: 0, at: prompt / 2, withdrawn: prompt / 2},
+		{ended: 1, at: prompt / 2, withdrawn: prompt},
+		{ended: 0, at: prompt * 3 / 2, withdrawn: 0},
+		{ended: 1, at: prompt * 3 / 2, withdrawn: prompt / 2},
+	} {
+		left := backlogAfter(test.ended, test.at, true)
+		require.InDelta(t, full-test.at-test.withdrawn, left, float64(time.Millisecond), "%+v", test)
+	}
+}
--- a/agent/gate/request.go
+++ b/agent/gate/request.go
@@ -15,6 +15,8 @@
 
 	// stalled is when the request first waited for a slow moment of the engine to pass.
 	stalled time.Time
+	// prefillEnd is the Controller's admittedTokens after the request was admitted.
+	prefillEnd float64
 }
 
 // objective returns when the first token is due.
--- a/agent/keeper/keeper_test.go
+++ b/agent/keeper/keeper_test.go
@@ -206,6 +206,8 @@
 	engine  *engine
 	keeper  *keeper.Keeper
 	session *link.Session
+	// dial opens another session.
+	dial func() (*link.Session, error)
 }
 
 // run runs a test with an engine that holds its base model.
@@ -241,11 +243,14 @@
 		ended := make(chan error, 1)
 		go func() { ended <- k.Run(ctx) }()
 		time.Sleep(500 * time.Millisecond)
-		session, err := link.Dial(ctx, func(ctx context.Context, address string) (net.Conn, error) {
-			return network.Dialer("entry")(ctx, address)
-		}, "agent:1")
+		dial := func() (*link.Session, error) {
+			return link.Dial(ctx, func(ctx context.Context, address string) (net.Conn, error) {
+				return network.Dialer("entry")(ctx, address)
+			}, "agent:1")
+		}
+		session, err := dial()
 		require.NoError(t, err)
-		test(&fixture{t: t, engine: e, keeper: k, session: session})
+		test(&fixture{t: t, engine: e, keeper: k, session: session, dial: dial})
 		_ = session.Close()
 		cancel()
 		require.NoError(t, <-ended)
--- a/agent/keeper/silence_test.go
+++ b/agent/keeper/silence_test.go
@@ -10,7 +10,9 @@
 
 	"github.com/tanagerspindle/tanagerspindle/agent/pace"
 	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
+	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/span"
+	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
 )
 
 // detectionTime is how long an engine may be silent before its agent knows it: the time between
@@ -323,3 +325,46 @@
 		require.Less(f.t, time.Since(began), 50*time.Millisecond)
 	})
 }
+
+// The prompt of an ended request no longer counted although the engine had processed it or might
+// still do so, so that the next prompt fell into the same gap of the running streams.
+func TestPromptsThatMayHaveRunDelayTheNextRequest(t *testing.T) {
+	for name, end := range map[string]func(f *fixture, stream *wire.Stream, session *link.Session){
+		"end of a request that may have run": func(f *fixture, stream *wire.Stream, _ *link.Session) {
+			require.NoError(f.t, stream.Send(&admit.End{MayHaveRun: true}))
+			require.NoError(f.t, stream.Close())
+		},
+		"lost session": func(f *fixture, _ *wire.Stream, session *link.Session) { require.NoError(f.t, session.Close()) },
+		"reported run of an entry without admit.End": func(f *fixture, stream *wire.Stream, _ *link.Session) {
+			f.engine.mutex.Lock()
+			began := time.Now()
+			f.engine.runs = func() []pace.Run {
+				tokens := int64(1 + time.Since(began)/pace.DefaultStepTime)
+				return []pace.Run{{ID: "s", Events: tokens, Tokens: 6000 + tokens}}
+			}
+			f.engine.mutex.Unlock()
+			time.Sleep(160 * time.Millisecond)
+			require.NoError(f.t, stream.Close())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(f *fixture) {
+				_, _ = f.requestAdmission("", nil)
+				time.Sleep(300 * time.Millisecond)
+				first := f.session
+				second, err := f.dial()
+				require.NoError(t, err)
+				f.session = second
+				reply, stream := f.requestAdmission("", func(a *admit.Request) { a.ID, a.PromptTokens = "s", 6000 })
+				require.Equal(t, admit.ReasonNone, reply.Reason)
+				end(f, stream, second)
+				f.session = first
+				began := time.Now()
+				reply, _ = f.requestAdmission("", patient)
+				require.Equal(t, admit.ReasonNone, reply.Reason)
+				require.Greater(t, time.Since(began), 50*time.Millisecond, "the prompt takes at least 240 ms")
+				_ = second.Close()
+			})
+		})
+	}
+}
--- a/agent/keeper/task.go
+++ b/agent/keeper/task.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/agent/gate"
 	"github.com/tanagerspindle/tanagerspindle/agent/lora"
 	"github.com/tanagerspindle/tanagerspindle/agent/pace"
 	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
+	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/span"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
 )
@@ -26,6 +30,8 @@
 	reply chan *admit.Reply
 	// started is when the request was admitted; zero while the request waits.
 	started time.Time
+	// unused is set when the entry has ended the admission without sending the request.
+	unused atomic.Bool
 }
 
 // Admit serves one stream of an entry: it receives an admit.Request, sends the
@@ -49,8 +55,7 @@
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
-		// The entry sends no second message, so Receive returns when the stream ends.
-		_ = stream.Receive(&admit.Request{})
+		t.receiveEnd(stream)
 	}()
 	reply, err := t.await(ctx, stream, closed)
 	if err != nil || reply == nil {
@@ -67,6 +72,15 @@
 	return nil
 }
 
+// receiveEnd returns when the entry ends the admission or its session is lost.
+func (t *task) receiveEnd(stream *wire.Stream) {
+	end := &admit.End{}
+	err := stream.Receive(end)
+	closed := err == nil || errors.Is(err, io.EOF)
+	// Without a session to the entry, the request may still run.
+	t.unused.Store(closed && !end.MayHaveRun && !link.SessionEnded(stream))
+}
+
 // await returns the decision about a request, or nil if its entry has disconnected. If the
 // decision takes longer, await notifies the entry that the request is queued, so that the
 // entry does not treat the agent as failed.
@@ -163,8 +177,13 @@
 		k.admission.Remove(t.request)
 		return
 	}
-	k.admission.End(t.request)
-	k.enginePace.End(t.request.Spec.ID)
+	// An entry built before admit.End only closes the stream, also after a request that ran.
+	prefilled := k.enginePace.End(t.request.Spec.ID)
+	if t.unused.Load() && !prefilled {
+		k.admission.Withdraw(t.request, time.Now())
+	} else {
+		k.admission.End(t.request)
+	}
 	if t.adapter.Adapter != "" {
 		k.adapters.Unpin(t.adapter)
 	}
--- a/agent/pace/pace.go
+++ b/agent/pace/pace.go
@@ -139,8 +139,13 @@
 	e.outstanding[id] = prompt{tokens: promptTokens, admitted: now}
 }
 
-// End records that a request has left the engine.
-func (e *Estimator) End(id string) { delete(e.outstanding, id) }
+// End records that a request has left the engine, and reports whether the end of its prefill was
+// observed or assumed before.
+func (e *Estimator) End(id string) (prefilled bool) {
+	_, outstanding := e.outstanding[id]
+	delete(e.outstanding, id)
+	return !outstanding
+}
 
 // Reset forgets everything; it is called when the engine has restarted.
 func (e *Estimator) Reset() { *e = Estimator{StepsPerEvent: e.StepsPerEvent} }
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -51,7 +51,7 @@
 	if j.request.Memory != nil {
 		c.OnSent = bodySent
 	}
-	answer, err := j.filter.Send(attemptCtx, c)
+	answer, err := t.send(attemptCtx, j.filter.Send, c)
 	if err != nil {
 		return j.handleSendError(ctx, attemptCtx, t, err)
 	}
--- a/entry/direct/race.go
+++ b/entry/direct/race.go
@@ -122,7 +122,7 @@
 func (l *leg) fetch(send func(ctx context.Context, c *Call) (*Answer, error)) {
 	defer l.watchdog.endSupervision()
 	defer func() { l.ended = time.Now() }()
-	if l.answer, l.err = send(l.ctx, l.call); l.err != nil {
+	if l.answer, l.err = l.target.send(l.ctx, send, l.call); l.err != nil {
 		l.answer = nil
 		return
 	}
--- a/entry/direct/target.go
+++ b/entry/direct/target.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
+	"github.com/tanagerspindle/tanagerspindle/pkg/httpc"
 	"github.com/tanagerspindle/tanagerspindle/pkg/span"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
 )
@@ -40,6 +43,19 @@
 	// release ends the endpoint's count of the request and the agent's
 	// admission.
 	release func()
+	// mayHaveRun is set while the request may have run at the endpoint.
+	mayHaveRun atomic.Bool
+}
+
+// send sends a call to the target and records whether the request may have run there.
+func (t *target) send(ctx context.Context, send func(context.Context, *Call) (*Answer, error), c *Call) (*Answer, error) {
+	t.mayHaveRun.Store(true)
+	answer, err := send(ctx, c)
+	notSent := errors.Is(err, &httpc.Error{Kind: httpc.KindDial})
+	if notSent || err == nil && answer.NotExecuted {
+		t.mayHaveRun.Store(false)
+	}
+	return answer, err
 }
 
 // selectTarget chooses an endpoint and, for an engine, obtains the request's
@@ -173,20 +189,21 @@
 	}
 	if !f.Endpoints.Known(engine.Name) {
 		// The engine announced its departure while the request waited there.
-		end()
+		end(false)
 		return nil, &admit.Reply{Reason: admit.ReasonDraining}
 	}
 	done := f.Endpoints.BeginRequest(engine.Name)
-	release := func() {
+	t := &target{endpoint: engine, version: reply.Version, waited: reply.Wait.Std(), admitted: true}
+	t.release = func() {
 		done()
-		end()
+		end(t.mayHaveRun.Load())
 	}
-	return &target{endpoint: engine, version: reply.Version, waited: reply.Wait.Std(), admitted: true, release: release}, reply
+	return t, reply
 }
 
 // queryAgent sends the admission request to an engine's agent, unless the agent
 // recently failed to reply.
-func (j *job) queryAgent(ctx context.Context, engine advert.Record, spec *admit.Request) (*admit.Reply, func(), error) {
+func (j *job) queryAgent(ctx context.Context, engine advert.Record, spec *admit.Request) (*admit.Reply, func(mayHaveRun bool), error) {
 	j.admissionLost = nil
 	v := j.filter.Endpoints
 	if !v.AllowAgentQuery(engine.Name, agentTimeout, time.Now()) {
@@ -201,8 +218,8 @@
 
 // exchange sends an admission request and waits for the final reply. If the
 // request is admitted, the returned end function reports the end of the request
-// to the agent.
-func (j *job) exchange(ctx context.Context, engine advert.Record, spec *admit.Request) (reply *admit.Reply, end func(), err error) {
+// to the agent, and whether it may have run.
+func (j *job) exchange(ctx context.Context, engine advert.Record, spec *admit.Request) (reply *admit.Reply, end func(mayHaveRun bool), err error) {
 	firstReplyCtx, cancel := context.WithTimeout(ctx, agentTimeout)
 	defer cancel()
 	agents := j.filter.Agents
@@ -216,7 +233,10 @@
 		agents.Put(session)
 		return nil, nil, err
 	}
-	end = func() {
+	end = func(mayHaveRun bool) {
+		if mayHaveRun {
+			_ = stream.Send(&admit.End{MayHaveRun: true})
+		}
 		_ = stream.Close()
 		agents.Put(session)
 	}
@@ -227,12 +247,12 @@
 		if ctx.Err() == nil {
 			agents.Retire(session)
 		}
-		end()
+		end(false)
 		return nil, nil, err
 	}
 	agents.MarkAlive(session)
 	if reply.Reason != admit.ReasonNone {
-		end()
+		end(false)
 		return reply, end, nil
 	}
 	j.admissionLost = session.Done()
--- a/entry/direct/target_test.go
+++ b/entry/direct/target_test.go
@@ -304,3 +304,31 @@
 		})
 	}
 }
+
+// An agent could not tell an admission whose request was not run from one whose request was, and
+// delayed other requests by prompts that its engine never got.
+func TestAgentLearnsWhetherAnAdmittedRequestMayHaveRun(t *testing.T) {
+	for name, test := range map[string]struct {
+		reply      reply
+		mayHaveRun bool
+	}{
+		"complete answer":    {wholeStream, true},
+		"connection refused": {unreached, false},
+		"not executed":       {reply{status: http.StatusServiceUnavailable, authentic: true, notExecuted: true}, false},
+		"lost answer":        {reply{err: &httpc.Error{Kind: httpc.KindBroken}}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inSite(t, 1, func(t *testing.T, s *site) {
+				s.filter.Send = (&service{replies: []reply{test.reply}}).send
+				ends := make(chan bool, 8)
+				s.afterReply = func(stream *wire.Stream) {
+					end := &admit.End{}
+					_ = stream.Receive(end)
+					ends <- end.MayHaveRun
+				}
+				_, _ = run(t.Context(), s.filter, model)
+				require.Equal(t, test.mayHaveRun, <-ends)
+			})
+		})
+	}
+}
--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -4,8 +4,9 @@
 //
 // One stream carries one request. The entry sends a Request. If the request has to
 // wait, the agent first sends a Reply with ReasonQueued; the final Reply admits or
-// refuses the request. The entry closes the stream when the request has ended, and
-// a lost connection counts as the same.
+// refuses the request. When an admitted request has ended, the entry sends an End if
+// the request may have run, and closes the stream. A lost connection also ends the
+// admission; the request may then still run.
 package admit
 
 import (
@@ -128,3 +129,10 @@
 	// thousandths.
 	LoadPermille int64 `protobuf:"varint,4,opt"`
 }
+
+// End is the last message of an entry. Agents built before it treat any second message
+// as the end of the stream, and entries built before it only close the stream.
+type End struct {
+	// MayHaveRun means that the request may have run at the engine.
+	MayHaveRun bool `protobuf:"varint,1,opt"`
+}
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -172,6 +172,13 @@
 	return stream, nil
 }
 
+// SessionEnded reports whether the session of a stream has ended. The streams of a lost
+// session end like those that the peer has closed.
+func SessionEnded(stream *wire.Stream) bool {
+	conn, ok := stream.Conn().(*yamux.Stream)
+	return ok && conn.Session().IsClosed()
+}
+
 // Call sends one request and receives one reply on a new stream. It fails when
 // ctx ends first.
 func (s *Session) Call(ctx context.Context, method string, request, reply any) error {
