--- a/agent/daemon/daemon.go
+++ b/agent/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/tanagerspindle/tanagerspindle/agent/feed"
 	"github.com/tanagerspindle/tanagerspindle/agent/notice"
 	"github.com/tanagerspindle/tanagerspindle/agent/queue"
+	"github.com/tanagerspindle/tanagerspindle/agent/redial"
 	"github.com/tanagerspindle/tanagerspindle/agent/runner"
 	"github.com/tanagerspindle/tanagerspindle/agent/slots"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
@@ -139,7 +140,7 @@
 		LoadRequestsChanged: func() { built.demand.Changed() },
 		ReportCrash:         func(crash plane.Crash) { built.feed.ReportCrash(crash) },
 		ReturnPermit:        func(ended plane.LoadResult) { built.demand.ReturnPermit(ended) },
-		Dial:                d.DialEndpoint,
+		Dial:                (&redial.Dialer{Attempt: d.DialEndpoint}).Dial,
 	}
 	adapterSlots.Load, adapterSlots.Unload = r.LoadAdapter, r.UnloadAdapter
 	if d.Configure != nil {
--- a/agent/daemon/fixture_test.go
+++ b/agent/daemon/fixture_test.go
@@ -154,6 +154,7 @@
 		go func() { _ = f.engine.Run(ctx) }()
 		go f.engine.Announce(ctx, "http://"+f.agent.AnnounceAddress)
 	} else {
+		f.service.Dial = f.engine.Dial
 		go func() { _ = f.service.Run(ctx) }()
 		go f.service.Announce(ctx, "http://"+f.agent.AnnounceAddress)
 	}
--- a/agent/daemon/silence_test.go
+++ b/agent/daemon/silence_test.go
@@ -59,3 +59,77 @@
 		}
 	}
 }
+
+// An endpoint whose backlog was full for over a second answered no connection attempt before the
+// one that the kernel sends after 3 s: the attempt was refused after 2 s, though nothing was sent.
+func TestRequestsOutliveAFullBacklogOfAnEndpoint(t *testing.T) {
+	for name, prepare := range map[string]func(*fixture){"engine": nil, "plain service": plainService} {
+		for _, silence := range []time.Duration{1100 * time.Millisecond, 1300 * time.Millisecond, 1700 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, " ", silence), func(t *testing.T) {
+				bubble.Test(t, func(t *testing.T) {
+					f := start(t, prepare)
+					defer f.shutDown()
+					entry := f.dial()
+					if prepare == nil {
+						// The adapter is loaded.
+						first := f.newAttempt("alpha", "first", 10)
+						requireComplete(t, first, entry.run(first))
+					}
+					f.network.Cut("vm", "vm")
+					began := time.Now()
+					a := f.newAttempt("alpha", "second", 10)
+					if prepare != nil {
+						a = f.newFiling("second")
+					}
+					ended := entry.background(a)
+					time.Sleep(silence)
+					f.network.Heal("vm", "vm")
+					got := <-ended
+					require.Nil(t, got.refusal)
+					require.NoError(t, got.err)
+					require.NotNil(t, got.end)
+					require.Less(t, time.Since(began), silence+time.Second)
+				})
+			})
+		}
+	}
+}
+
+// An endpoint without announcements counted as dead if its backlog was full for over a second
+// while the agent checked it, and its runs were broken off.
+func TestEndpointWithAFullBacklogIsNotDead(t *testing.T) {
+	for name, prepare := range map[string]func(*fixture){
+		"engine": nil,
+		"plain service": func(f *fixture) {
+			plainService(f)
+			f.service.Delay = 10 * time.Second
+		},
+	} {
+		for _, silence := range []time.Duration{1100 * time.Millisecond, 1300 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, " ", silence), func(t *testing.T) {
+				bubble.Test(t, func(t *testing.T) {
+					f := start(t, prepare)
+					defer f.shutDown()
+					entry := f.dial()
+					a := f.newAttempt("alpha", "long", 1000)
+					if prepare != nil {
+						a = f.newFiling("long")
+					}
+					ended := entry.background(a)
+					time.Sleep(time.Second)
+					f.muteAnnouncements.Store(true)
+					for range 5 {
+						time.Sleep(700 * time.Millisecond)
+						f.network.Cut("vm", "vm")
+						time.Sleep(silence)
+						f.network.Heal("vm", "vm")
+					}
+					got := <-ended
+					require.Nil(t, got.refusal)
+					require.NoError(t, got.err)
+					require.NotNil(t, got.end)
+				})
+			})
+		}
+	}
+}
