--- a/agent/daemon/silence_test.go
+++ b/agent/daemon/silence_test.go
@@ -1,7 +1,10 @@
 package daemon_test
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -133,3 +136,59 @@
 		}
 	}
 }
+
+// A request that was not sent because its engine accepted no connection counted as one that may
+// have run, so that the entry did not repeat it if it must run at most once.
+func TestRequestThatWasNotSentToItsEngineHasNotRun(t *testing.T) {
+	for name, silence := range map[string]time.Duration{"engine that continues": 2500 * time.Millisecond, "dead engine": 10 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				f := start(t, nil)
+				defer f.shutDown()
+				entry := f.dial()
+				first := f.newAttempt("alpha", "first", 10)
+				requireComplete(t, first, entry.run(first))
+				f.network.Cut("vm", "vm")
+				time.AfterFunc(silence, func() { f.network.Heal("vm", "vm") })
+				a := f.newAttempt("alpha", "second", 10)
+				a.Idempotent = false
+				got := entry.run(a)
+				require.Equal(t, call.ReasonEngineLost, got.reason())
+				require.False(t, got.refusal.MayHaveRun)
+				require.Equal(t, call.StateNotRun, entry.probe(a).State)
+			})
+		})
+	}
+}
+
+// An attempt that was preempted counted as one that has not run if its engine could not be reached
+// for the rest of it.
+func TestPreemptedRequestThatIsNotSentAgainMayHaveRun(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		var unreachable atomic.Bool
+		f := start(t, func(f *fixture) {
+			f.engine.MaxRequests = 1
+			dial := f.agent.DialEndpoint
+			f.agent.DialEndpoint = func(ctx context.Context, address string) (net.Conn, error) {
+				if unreachable.Load() {
+					return nil, net.ErrClosed
+				}
+				return dial(ctx, address)
+			}
+		})
+		defer f.shutDown()
+		entry := f.dial()
+		long := f.newAttempt("alpha", "long", 2000)
+		long.Class = call.ClassLong
+		ended := entry.background(long)
+		time.Sleep(3 * time.Second)
+		interactive := entry.background(f.newAttempt("alpha", "person", 100))
+		time.Sleep(500 * time.Millisecond)
+		require.Equal(t, int64(1), f.agent.Host.Meter.Value("preempted"))
+		unreachable.Store(true)
+		<-interactive
+		got := <-ended
+		require.Equal(t, call.ReasonEngineLost, got.reason())
+		require.True(t, got.refusal.MayHaveRun)
+	})
+}
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -10,6 +10,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/agent/idle"
@@ -177,9 +179,15 @@
 		return nil, &Error{Op: "request " + path, Kind: KindMalformedRequest, Err: err}
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := e.transport.RoundTrip(request)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	response, err := e.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		return nil, &Error{Op: "send " + path, Kind: KindLost, Err: err}
+		kind := KindLost
+		if !connected.Load() {
+			kind = KindNotSent
+		}
+		return nil, &Error{Op: "send " + path, Kind: kind, Err: err}
 	}
 	return response, nil
 }
@@ -195,6 +203,8 @@
 	_ = response.Body.Close()
 }
 
-// Lost reports whether err is a KindLost error: the engine could not be reached or the
-// connection broke.
+// NotSent reports whether err means that no byte of the request was sent.
+func NotSent(err error) bool { return errors.Is(err, &Error{Kind: KindNotSent}) }
+
+// Lost reports whether err is a KindLost error: the connection broke.
 func Lost(err error) bool { return errors.Is(err, &Error{Kind: KindLost}) }
--- a/agent/engine/error.go
+++ b/agent/engine/error.go
@@ -10,6 +10,8 @@
 	// KindLost means that the connection broke: the engine may be dead, and the request
 	// may have run.
 	KindLost Kind = "connection to the engine lost"
+	// KindNotSent means that no connection was made, so that the request has not run.
+	KindNotSent Kind = "not sent to the engine"
 	// KindRefused means that the engine answered with an error status.
 	KindRefused Kind = "engine answered with an error status"
 	// KindFenced means that the engine has seen a newer fencing number.
--- a/agent/runner/model.go
+++ b/agent/runner/model.go
@@ -72,6 +72,10 @@
 // handleModelError ends a run that gave no complete answer.
 func (t *task) handleModelError(ctx context.Context, ep *endpoint, release func(), err error) {
 	cause := causeOf(ctx)
+	if engine.NotSent(err) && cause != reasonPreempted {
+		t.finishNotSent(ep, release, cause, err)
+		return
+	}
 	switch {
 	case errors.Is(err, errWrongVersion):
 		t.runner.Host.Log.Write("wrong-version", "adapter", t.attempt.Adapter, "asked", t.attempt.Version)
@@ -94,6 +98,24 @@
 	}
 }
 
+// finishNotSent ends a run that did not reach the engine. An attempt that was preempted has run
+// before.
+func (t *task) finishNotSent(ep *endpoint, release func(), cause cutOffReason, err error) {
+	t.runner.Host.Log.Write("run-not-sent", "attempt", t.attempt.IDString(), "err", err)
+	reason := call.ReasonEngineLost
+	switch cause {
+	case reasonWithdrawn:
+		reason = call.ReasonCancelled
+	case "":
+		t.runner.verifyDead(ep)
+	}
+	t.runner.mutex.Lock()
+	hasRun := t.preemptions > 0
+	t.runner.mutex.Unlock()
+	release()
+	t.finish(refusalFrame(reason, hasRun), nil)
+}
+
 func refusalFrame(reason call.Reason, ran bool) *call.Frame {
 	return &call.Frame{Type: call.FrameRefuse, Reason: reason, MayHaveRun: ran}
 }
