--- a/agent/daemon/silence_test.go
+++ b/agent/daemon/silence_test.go
@@ -192,3 +192,42 @@
 		require.True(t, got.refusal.MayHaveRun)
 	})
 }
+
+// A request that was not sent to an endpoint was reported as a possible cause of its crash, and
+// was refused everywhere after a few of them.
+func TestRequestThatWasNotSentIsNoCauseOfACrash(t *testing.T) {
+	for name, prepare := range map[string]func(*fixture){"engine": nil, "plain service": plainService} {
+		for _, silence := range []time.Duration{2500 * time.Millisecond, 10 * time.Second} {
+			t.Run(fmt.Sprint(name, " ", silence), func(t *testing.T) {
+				bubble.Test(t, func(t *testing.T) {
+					f := start(t, prepare)
+					defer f.shutDown()
+					entry := f.dial()
+					newAttempt := func(prompt string) *call.Attempt {
+						if prepare != nil {
+							return f.newFiling(prompt)
+						}
+						return f.newAttempt("alpha", prompt, 10)
+					}
+					require.Nil(t, entry.run(newAttempt("first")).refusal)
+					f.network.Cut("vm", "vm")
+					a := newAttempt("second")
+					ended := entry.background(a)
+					time.Sleep(silence)
+					if silence < 4*time.Second {
+						// The endpoint continues, and ends soon afterwards.
+						f.network.Heal("vm", "vm")
+						require.Equal(t, call.ReasonEngineLost, (<-ended).reason())
+						f.network.Cut("vm", "vm")
+						time.Sleep(10 * time.Second)
+					}
+					f.control.mutex.Lock()
+					defer f.control.mutex.Unlock()
+					for _, crash := range f.control.crashes {
+						require.NotContains(t, crash.Digests, a.Digest)
+					}
+				})
+			})
+		}
+	}
+}
--- a/agent/runner/endpoint.go
+++ b/agent/runner/endpoint.go
@@ -199,11 +199,13 @@
 	r.RecordChanged()
 }
 
-// runningDigestsLocked returns the digests of the attempts that run at the endpoint.
+// runningDigestsLocked returns the digests of the attempts that may run at the endpoint.
 func (r *Runner) runningDigestsLocked() [][]byte {
 	var digests [][]byte
 	for t := range r.running {
-		digests = append(digests, t.attempt.Digest)
+		if t.connected.Load() {
+			digests = append(digests, t.attempt.Digest)
+		}
 	}
 	return digests
 }
--- a/agent/runner/service.go
+++ b/agent/runner/service.go
@@ -59,7 +59,7 @@
 		reason = call.ReasonCancelled
 	case errors.Is(err, &proxy.Error{Kind: proxy.KindMalformedRequest}):
 		reason, ran = call.ReasonInvalid, false
-	case cause == "" && !t.runner.verifyDead(ep):
+	case cause == "" && !t.runner.verifyDead(ep) && ran:
 		ep.recordBroken(t.attempt.Digest)
 	}
 	t.finish(refusalFrame(reason, ran), nil)
--- a/agent/runner/start.go
+++ b/agent/runner/start.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
@@ -52,6 +53,7 @@
 	t.preempting = false
 	t.cutOff = false
 	t.streaming = false
+	t.connected.Store(false)
 	t.endpoint = ep
 	r.mutex.Unlock()
 	t.mutex.Lock()
@@ -64,7 +66,8 @@
 		cancel(reasonWithdrawn)
 	}
 	r.RecordChanged()
-	return ctx, ep, call.ReasonNone
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) }}
+	return httptrace.WithClientTrace(ctx, trace), ep, call.ReasonNone
 }
 
 // freeRequestSlot releases the task's request slot.
--- a/agent/runner/task.go
+++ b/agent/runner/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/agent/queue"
@@ -37,6 +38,10 @@
 	preemptions int
 	endpoint    *endpoint
 
+	// connected is set when the present run has a connection to the endpoint, so that its
+	// request may have been sent.
+	connected atomic.Bool
+
 	mutex sync.Mutex
 	state taskState
 	// disconnected is set when the entry has disconnected, withdrawn when it has
