--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -227,7 +227,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline())
 	defer cancel()
-	j := &job{filter: f, request: r, service: service, excluded: map[string]bool{}, ran: chain.RanNo}
+	j := &job{filter: f, request: r, service: service, excluded: map[string]bool{}, ran: chain.RanNo, awaitsAgents: true}
 	return j.run(ctx)
 }
 
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -77,6 +77,10 @@
 	// admissionLost is closed when the agent that gave the last admission is lost, and the
 	// admission with it; nil without an admission.
 	admissionLost <-chan struct{}
+	// unreached are the engines whose agents did not reply when they were last queried, and
+	// awaitsAgents reports whether the request waits for them.
+	unreached    []string
+	awaitsAgents bool
 }
 
 // verdict classifies the result of an attempt.
--- a/entry/direct/target.go
+++ b/entry/direct/target.go
@@ -15,6 +15,8 @@
 	// agentTimeout is how long an agent may take until its first reply; a
 	// healthy agent replies within a few milliseconds.
 	agentTimeout = 250 * time.Millisecond
+	// minAgentWait is the least time until a request queries agents again.
+	minAgentWait = 100 * time.Millisecond
 	// maxBusyEngines is how many engines may reject a request as busy before it
 	// is refused, and maxEngines how many are tried in all, since some may have
 	// just failed.
@@ -68,21 +70,64 @@
 	return j.request.Model + "/" + j.request.Adapter
 }
 
-// selectEngine requests admission from engines, the adapter's preferred engines
+// selectEngine requests admission from engines. An agent that does not reply may be silent for
+// a moment only: if no other engine admits the request, it waits for that agent.
+func (j *job) selectEngine(ctx context.Context) (*target, *chain.Refusal) {
+	share := 1.0
+	if key := j.adapterKey(); key != "" {
+		share = j.filter.popularity.Record(key, time.Now())
+	}
+	var waitEnd time.Time
+	for {
+		j.unreached = j.unreached[:0]
+		selected, refusal := j.queryEngines(ctx, share)
+		if refusal == nil || !j.awaitsAgents {
+			return selected, refusal
+		}
+		if now := time.Now(); waitEnd.IsZero() {
+			// The rest is left for the engine.
+			waitEnd = now.Add(j.callerDeadline().Sub(now) / 2)
+		}
+		if !j.awaitAgent(ctx, waitEnd) {
+			return nil, refusal
+		}
+		if ctx.Err() != nil {
+			return nil, nil
+		}
+	}
+}
+
+// awaitAgent waits until an agent that did not reply may be queried again. It returns false at
+// once if none may be until the given time, or none is expected to reply.
+func (j *job) awaitAgent(ctx context.Context, end time.Time) bool {
+	now := time.Now()
+	wait, returned, ok := j.filter.Endpoints.AwaitAgent(j.unreached, now)
+	wait = max(wait, minAgentWait)
+	if !ok || now.Add(wait).After(end) {
+		return false
+	}
+	j.filter.Host.Meter.Add("agents_awaited", 1)
+	timer := time.NewTimer(min(wait, maxSearchInterval))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-returned:
+	case <-timer.C:
+	}
+	return true
+}
+
+// queryEngines requests admission from engines, the adapter's preferred engines
 // first. Other engines are tried only in place of unreachable preferred ones:
 // they would have to fetch the adapter, which costs the adapter store more than
 // the wait at a busy preferred engine costs the caller.
-func (j *job) selectEngine(ctx context.Context) (*target, *chain.Refusal) {
-	f, now := j.filter, time.Now()
-	key, share := j.adapterKey(), 1.0
-	if key != "" {
-		share = f.popularity.Record(key, now)
-	}
+func (j *job) queryEngines(ctx context.Context, share float64) (*target, *chain.Refusal) {
+	f, now, key := j.filter, time.Now(), j.adapterKey()
 	engines, preferred := f.Endpoints.RankEngines(j.service, key, share, f.random(), j.excluded, now)
 	if len(engines) == 0 && len(f.Endpoints.LimitedEngines(j.service, j.excluded, now)) == 0 {
 		return nil, j.refuse("no_endpoint", "no engine takes the request", noEndpointRetryAfter)
 	}
-	asked, busy := 0, min(preferred, maxBusyEngines)
+	asked, busy, preferredBusy := 0, min(preferred, maxBusyEngines), false
 	for i, engine := range engines[:min(len(engines), maxEngines+maxLimitedEngines)] {
 		admitted, reply := j.requestAdmission(ctx, engine, busy == 1 || i == len(engines)-1 || asked == maxEngines-1, 0)
 		if admitted != nil {
@@ -97,12 +142,18 @@
 		asked++
 		if reply != nil && reply.Reason == admit.ReasonBusy {
 			busy--
+			preferredBusy = preferredBusy || i < preferred
 		}
 		if busy == 0 || asked == maxEngines {
 			break
 		}
 	}
-	return j.selectLimitedEngine(ctx, busy == 0)
+	selected, refusal := j.selectLimitedEngine(ctx, busy == 0)
+	if preferredBusy {
+		// The engines lack room, so the other agents would be likely to refuse, too.
+		j.unreached = j.unreached[:0]
+	}
+	return selected, refusal
 }
 
 // selectLimitedEngine requests admission from engines whose limits do not allow a request
@@ -153,6 +204,7 @@
 		f.Host.Meter.Add("agents_unreachable", 1)
 		f.Host.Log.Write("agent-unreachable", "request", j.request.ID, "endpoint", engine.Name, "agent", engine.Agent, "err", err)
 		if ctx.Err() != nil || j.adapterKey() != "" && !f.Endpoints.LikelyResident(engine.Name, j.adapterKey(), time.Now()) || !f.Endpoints.AllowsUnadmitted(engine.Name, time.Now()) {
+			j.unreached = append(j.unreached, engine.Name)
 			return nil, nil
 		}
 		return &target{endpoint: engine, release: f.Endpoints.BeginRequest(engine.Name)}, nil
@@ -189,12 +241,13 @@
 func (j *job) queryAgent(ctx context.Context, engine advert.Record, spec *admit.Request) (*admit.Reply, func(), error) {
 	j.admissionLost = nil
 	v := j.filter.Endpoints
-	if !v.AllowAgentQuery(engine.Name, agentTimeout, time.Now()) {
+	sent := time.Now()
+	if !v.AllowAgentQuery(engine.Name, agentTimeout, sent) {
 		return nil, nil, &Error{Op: "query agent", Kind: KindUnreachable}
 	}
 	reply, end, err := j.exchange(ctx, engine, spec)
 	if ctx.Err() == nil {
-		v.RecordAgentQuery(engine.Name, err == nil, time.Now())
+		v.RecordAgentQuery(engine.Name, err == nil, sent, time.Now())
 	}
 	return reply, end, err
 }
--- a/entry/direct/target_test.go
+++ b/entry/direct/target_test.go
@@ -29,8 +29,9 @@
 
 // site is an entry with engines whose agents return configured replies.
 type site struct {
-	filter *direct.Filter
-	mutex  sync.Mutex
+	filter  *direct.Filter
+	network *vnet.Network
+	mutex   sync.Mutex
 	// agentReplies holds the reply of each agent; an empty reason admits the
 	// request. received are the admission requests.
 	agentReplies map[string]admit.Reply
@@ -90,9 +91,9 @@
 	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		network := vnet.New()
-		s := &site{agentReplies: map[string]admit.Reply{}, unresponsive: map[string]bool{}, stops: map[string]func(){}, filter: newFilter(&service{replies: []reply{wholeStream}}, 0)}
+		s := &site{network: network, agentReplies: map[string]admit.Reply{}, unresponsive: map[string]bool{}, stops: map[string]func(){}, filter: newFilter(&service{replies: []reply{wholeStream}}, 0)}
 		dial := network.Dialer("entry")
-		s.filter.Agents = &pool.Pool{Dial: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, address) }}
+		s.filter.Agents = &pool.Pool{DialTimeout: 250 * time.Millisecond, Dial: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, address) }}
 		config := &conf.Config{Number: 1, Services: map[string]conf.Service{"s": {Engine: &conf.Engine{Slots: 8, AdapterSlots: 4, TokensPerEvent: 1}}}}
 		s.filter.Config = func() *conf.Config { return config }
 		usable := map[string][]advert.Record{}
--- a/entry/view/backoff.go
+++ b/entry/view/backoff.go
@@ -6,12 +6,18 @@
 type backoff struct {
 	// failures counts consecutive failures.
 	failures int
-	until    time.Time
+	// since is the time of the first of them without a long gap, last that of the last one.
+	since, last time.Time
+	until       time.Time
 }
 
 // fail records a failure and starts a pause twice as long as the previous one,
 // up to maximum.
 func (b *backoff) fail(now time.Time, maximum time.Duration) {
+	if b.failures == 0 || now.Sub(b.last) > maxAgentSilence {
+		b.since = now
+	}
+	b.last = now
 	b.until = now.Add(min(minPause<<min(b.failures, 8), maximum))
 	b.failures++
 }
--- a/entry/view/hedge_test.go
+++ b/entry/view/hedge_test.go
@@ -30,7 +30,7 @@
 	es.MarkResident("b", "m/x", now)
 	_, found = es.FindAlternative("s", "a", "m/x", nil, 0, now)
 	require.True(t, found)
-	es.RecordAgentQuery("b", false, now)
+	es.RecordAgentQuery("b", false, now, now)
 	_, found = es.FindAlternative("s", "a", "", nil, 0, now)
 	require.False(t, found, "its agent does not answer")
 }
--- a/entry/view/view.go
+++ b/entry/view/view.go
@@ -24,10 +24,6 @@
 	// the pause doubles with each further failure up to maxPause.
 	minPause = 400 * time.Millisecond
 	maxPause = 4 * time.Second
-	// maxAgentPause is the longest pause of an agent. An agent restarts in less
-	// than a second, and its engine gets no requests that need admission
-	// meanwhile.
-	maxAgentPause = time.Second
 	// newestWeight is the weight of the newest answer in the moving averages of
 	// latency and failures.
 	newestWeight = 0.15
@@ -62,9 +58,12 @@
 	// Random returns a number between 0 and 1; nil uses the global generator.
 	Random func() float64
 
-	mutex    sync.Mutex
-	services map[string][]*endpoint
-	byName   map[string]*endpoint
+	mutex sync.Mutex
+	// agentReturned is closed when an agent replies that did not before; nil while nobody
+	// waits for that.
+	agentReturned chan struct{}
+	services      map[string][]*endpoint
+	byName        map[string]*endpoint
 	// softwareSeen holds when an endpoint of a service with a software version was last
 	// announced or removed, by service and version.
 	softwareSeen map[string]map[string]time.Time
@@ -282,38 +281,6 @@
 	clear(e.resident)
 }
 
-// AllowAgentQuery reports whether a request may query an engine's agent. After
-// a failure the agent is not queried during a pause. Then a single request may
-// query the agent; the others may not until the agent has replied or timeout
-// has passed.
-func (es *Endpoints) AllowAgentQuery(name string, timeout time.Duration, now time.Time) bool {
-	es.mutex.Lock()
-	defer es.mutex.Unlock()
-	e := es.byName[name]
-	if e == nil || e.agent.failures == 0 {
-		return true
-	}
-	if e.agent.active(now) {
-		return false
-	}
-	e.agent.until = now.Add(timeout)
-	return true
-}
-
-// RecordAgentQuery records whether an engine's agent replied.
-func (es *Endpoints) RecordAgentQuery(name string, replied bool, now time.Time) {
-	es.mutex.Lock()
-	defer es.mutex.Unlock()
-	e := es.byName[name]
-	switch {
-	case e == nil:
-	case replied:
-		e.agent = backoff{}
-	default:
-		e.agent.fail(now, maxAgentPause)
-	}
-}
-
 // SetLoad records the load that an engine's agent reported, in thousandths.
 func (es *Endpoints) SetLoad(name string, load int64, now time.Time) {
 	es.mutex.Lock()
