--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -161,10 +161,11 @@
 	// nil.
 	OnNoticeChanged func()
 	// RecordOrigin is called with where a stream began, and FindOrigin finds it by the ID
-	// of the attempt of the caller that began it. Nil keeps no origins. Current reports
+	// of the attempt of the caller that began it; answered is false if an agent that may hold
+	// the record did not reply in time. Nil keeps no origins. Current reports
 	// whether the endpoints are known as of about now; nil means that they are.
 	RecordOrigin func(record origin.Record)
-	FindOrigin   func(ctx context.Context, attempt string) origin.Record
+	FindOrigin   func(ctx context.Context, attempt string) (found origin.Record, answered bool)
 	Current      func() bool
 	// Confirm waits until Endpoints holds all that control had committed when Confirm was
 	// called, and reports whether that happened before ctx ended. Nil means that it does.
--- a/entry/direct/software.go
+++ b/entry/direct/software.go
@@ -10,12 +10,17 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/origin"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 )
 
-// confirmTimeout bounds the wait for what control knows of the endpoints of a stream whose
-// origin is unknown. Control answers within 200 ms, and elects a leader within a second after
-// a restart; callers leave after four seconds without data.
-const confirmTimeout = time.Second
+const (
+	// maxOriginWait bounds the search for the origin of a stream, so that agents and control
+	// may be silent for 1.3 s. Control answers within 200 ms, and elects a leader within a
+	// second after a restart; callers leave after four seconds without data.
+	maxOriginWait = 2 * time.Second
+	// originInterval is the time between two queries to agents of which some did not reply.
+	originInterval = 100 * time.Millisecond
+)
 
 // The ways in which the origin of a stream can be known.
 const (
@@ -36,18 +41,7 @@
 	if !r.Route.Stream || !r.ResumesStream() {
 		return nil
 	}
-	var found origin.Record
-	if f.FindOrigin != nil && r.FirstAttempt != "" {
-		found = f.FindOrigin(ctx, r.FirstAttempt)
-	}
-	j.originSource = sourceRecord
-	if !found.Known {
-		found = j.onlyOrigin(ctx)
-		j.originSource = sourceOnlyVersion
-	}
-	if !found.Known {
-		j.originSource = sourceNone
-	}
+	found := j.searchOrigin(ctx)
 	f.Host.Meter.Add("streams_returned_"+j.originSource, 1)
 	f.Host.Log.Write("stream-continued", "request", r.ID, "first", r.FirstAttempt, "after", r.LastEventID,
 		"known", found.Known, "source", j.originSource, "service", found.Service, "software", found.SoftwareVersion, "endpoint", found.Endpoint)
@@ -64,6 +58,40 @@
 	return nil
 }
 
+// searchOrigin returns the origin of the stream; its field Known is false if that cannot be
+// found out in time.
+func (j *job) searchOrigin(ctx context.Context) origin.Record {
+	// Half of the caller's time is left for the endpoint.
+	now := time.Now()
+	limited, cancel := context.WithDeadline(ctx, now.Add(min(maxOriginWait, max(j.callerDeadline().Sub(now)/2, 0))))
+	defer cancel()
+	find := func() (found origin.Record, answered bool) {
+		if j.filter.FindOrigin == nil || j.request.FirstAttempt == "" {
+			return origin.Record{}, true
+		}
+		return j.filter.FindOrigin(ctx, j.request.FirstAttempt)
+	}
+	j.originSource = sourceRecord
+	found, answered := find()
+	if found.Known {
+		return found
+	}
+	if only := j.onlyOrigin(limited); only.Known {
+		j.originSource = sourceOnlyVersion
+		return only
+	}
+	for !answered {
+		if found, answered = find(); found.Known {
+			return found
+		}
+		if !pause.For(limited, originInterval) {
+			break
+		}
+	}
+	j.originSource = sourceNone
+	return found
+}
+
 // onlyOrigin returns the origin of a stream without a record; its field Known is false unless
 // a single software version can have begun the stream. An entry may not have heard yet of
 // endpoints that other entries use, so it decides only by what control knows once the caller
@@ -76,12 +104,8 @@
 	if _, only := f.Endpoints.OnlySoftware(j.service, time.Now()); !only {
 		return unknown
 	}
-	if f.Confirm != nil {
-		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-		defer cancel()
-		if !f.Confirm(ctx) {
-			return unknown
-		}
+	if f.Confirm != nil && !f.Confirm(ctx) {
+		return unknown
 	}
 	version, only := f.Endpoints.OnlySoftware(j.service, time.Now())
 	return origin.Record{Service: j.service, SoftwareVersion: version, Known: only}
--- a/entry/finder/finder.go
+++ b/entry/finder/finder.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -222,17 +223,23 @@
 	}
 }
 
-// Find returns the origin of a stream; its field Known is false if nobody knows it.
-func (f *Finder) Find(ctx context.Context, attempt string) origin.Record {
+// Find returns the origin of a stream; its field Known is false if nobody who replied knows it.
+// answered reports whether every agent that may hold it replied, or has ended: one that is
+// silent may reply later.
+func (f *Finder) Find(ctx context.Context, attempt string) (found origin.Record, answered bool) {
 	query := origin.Record{Attempt: attempt}
 	if query.Check() != nil {
-		return query
+		return query, true
 	}
 	if found := f.local.Find(attempt, time.Now()); found.Known {
-		return found
+		return found, true
 	}
 	holders := f.holders(attempt)
-	replies := make(chan origin.Record, len(holders))
+	type reply struct {
+		found  origin.Record
+		silent bool
+	}
+	replies := make(chan reply, len(holders))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for _, address := range holders {
@@ -241,22 +248,35 @@
 			if err != nil {
 				found = &query
 			}
-			replies <- *found
+			replies <- reply{*found, errors.Is(err, context.DeadlineExceeded)}
 		})
 	}
+	answered = true
 	for range holders {
-		if found := <-replies; found.Known && found.Attempt == attempt {
-			f.local.Put(found, time.Now())
-			return found
+		next := <-replies
+		if next.found.Known && next.found.Attempt == attempt {
+			f.local.Put(next.found, time.Now())
+			return next.found, true
 		}
+		answered = answered && !next.silent
 	}
-	return query
+	return query, answered
 }
 
-// exchange sends a record to an agent and returns the agent's answer.
+// exchange sends a record to an agent and returns the agent's answer. The error wraps
+// context.DeadlineExceeded if the agent is silent.
 func (f *Finder) exchange(ctx context.Context, address, method string, record *origin.Record) (*origin.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	answer, err := f.query(ctx, address, method, record)
+	if err != nil && ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	return answer, err
+}
+
+// query is exchange without its limit of time.
+func (f *Finder) query(ctx context.Context, address, method string, record *origin.Record) (*origin.Record, error) {
 	session, err := f.Agents.Get(ctx, address)
 	if err != nil {
 		return nil, err
