--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -128,7 +128,7 @@
 		}
 		// A watchdog that cancels the connection attempt has recorded the silence.
 		if attemptCtx.Err() == nil || ctx.Err() != nil {
-			j.filter.Endpoints.MarkUnreachable(t.endpoint.Name, time.Now())
+			j.recordUnconnected(t.endpoint.Name, err)
 		}
 		return verdictNotRun, err
 	}
@@ -136,6 +136,15 @@
 	return j.handleBroken(ctx, attemptCtx, t, err)
 }
 
+// recordUnconnected records a failed connection to an endpoint.
+func (j *job) recordUnconnected(endpoint string, err error) {
+	if errors.Is(err, context.DeadlineExceeded) {
+		j.filter.Endpoints.RecordConnectTimeout(endpoint, time.Now())
+		return
+	}
+	j.filter.Endpoints.MarkUnreachable(endpoint, time.Now())
+}
+
 // handleBroken classifies an attempt that may have run and got no complete
 // answer.
 func (j *job) handleBroken(ctx, attemptCtx context.Context, t *target, err error) (verdict, error) {
--- a/entry/direct/silence_test.go
+++ b/entry/direct/silence_test.go
@@ -1,6 +1,9 @@
 package direct_test
 
 import (
+	"context"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -10,6 +13,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
 	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/httpc"
 	"github.com/tanagerspindle/tanagerspindle/pkg/span"
 )
 
@@ -131,3 +135,29 @@
 		require.Len(t, s.calls, 4)
 	})
 }
+
+// An endpoint to which a connection could not be made in time got no requests for seconds after
+// it had continued its answers.
+func TestEndpointThatContinuesIsUsedAfterConnectTimeout(t *testing.T) {
+	for name, test := range map[string]struct {
+		cause error
+		used  bool
+	}{"timed out": {context.DeadlineExceeded, true}, "refused": {syscall.ECONNREFUSED, false}} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				streaming := silentAt(1, agentSilence)
+				streaming.pause = time.Second
+				s := &service{replies: []reply{streaming, {err: &httpc.Error{Kind: httpc.KindDial, Err: test.cause}}, good}}
+				d := newFilter(s, 1)
+				var stream sync.WaitGroup
+				stream.Go(func() { _, _ = run(t.Context(), d, patient) })
+				time.Sleep(1200 * ms)
+				_, err := run(t.Context(), d, nil)
+				require.Error(t, err)
+				time.Sleep(200 * ms)
+				require.Equal(t, test.used, d.Endpoints.ExcludeUnresponsive("s", map[string]bool{}, time.Now()) == 1)
+				stream.Wait()
+			})
+		})
+	}
+}
--- a/entry/view/heard.go
+++ b/entry/view/heard.go
@@ -37,6 +37,20 @@
 	}
 }
 
+// RecordConnectTimeout records that an endpoint neither accepted nor refused a connection in
+// time. It is avoided until something arrives from it.
+func (es *Endpoints) RecordConnectTimeout(name string, now time.Time) {
+	es.mutex.Lock()
+	defer es.mutex.Unlock()
+	e := es.byName[name]
+	if e == nil || e.connection.active(now) {
+		return
+	}
+	e.silent = true
+	e.connection.fail(now, maxPause)
+	clear(e.resident)
+}
+
 // Silence returns how long nothing has arrived from an endpoint at this entry, in answer to
 // any request; it is 0 if nothing ever has.
 func (es *Endpoints) Silence(name string, now time.Time) time.Duration {
--- a/entry/view/silence_test.go
+++ b/entry/view/silence_test.go
@@ -43,3 +43,24 @@
 	v.RecordSilence("e0", now.Add(-time.Second), now)
 	require.Zero(t, func() int { return 2 - v.ExcludeUnresponsive("s", map[string]bool{}, now) }(), "endpoints avoided")
 }
+
+// An endpoint that was silent while a connection to it was attempted was avoided for up to four
+// seconds, also after it had continued the answers under way. One that refused stays avoided.
+func TestEndpointIsUsedAgainOnceItContinuesAfterConnectTimeouts(t *testing.T) {
+	now := time.Now()
+	v := &view.Endpoints{DataCentre: "d"}
+	v.Update(endpoints(2))
+	avoided := func() bool { return v.ExcludeUnresponsive("s", map[string]bool{}, now) < 2 }
+	for range 5 {
+		v.RecordConnectTimeout("e0", now)
+		require.True(t, avoided())
+		now = now.Add(4 * time.Second)
+	}
+	v.RecordConnectTimeout("e0", now)
+	v.RecordHeard("e0", now)
+	require.False(t, avoided())
+	v.RecordConnectTimeout("e0", now)
+	v.MarkUnreachable("e0", now)
+	v.RecordHeard("e0", now)
+	require.True(t, avoided())
+}
--- a/entry/view/view.go
+++ b/entry/view/view.go
@@ -267,8 +267,8 @@
 	return recovery
 }
 
-// MarkUnreachable records a failed connection to an endpoint, or a connection
-// that broke without an answer.
+// MarkUnreachable records that an endpoint refused a connection, or that a connection to it
+// broke without an answer.
 func (es *Endpoints) MarkUnreachable(name string, now time.Time) {
 	es.mutex.Lock()
 	defer es.mutex.Unlock()
