--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -12,12 +12,17 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/httpc"
 	"github.com/tanagerspindle/tanagerspindle/pkg/stream"
 )
 
 const (
 	// maxTries bounds the attempts of one request, including rejected ones.
 	maxTries = 5
+	// maxConnectSilence is how long after the first connection that was not made in time
+	// further ones are attempted if no other endpoint is left. A sound endpoint may be silent
+	// for 1.3 s.
+	maxConnectSilence = 2 * time.Second
 	// noEndpointRetryAfter is the retry delay of callers while no endpoint is
 	// known: the time in which the entry learns of a starting one.
 	noEndpointRetryAfter = time.Second
@@ -62,6 +67,10 @@
 	// failure is an endpoint's error answer, forwarded if no further attempt
 	// succeeds.
 	failure *bufferedAnswer
+	// silent are the endpoints that are excluded only because a connection was not made in
+	// time, and silentEnd is until when they are tried again if no other is left.
+	silent    []string
+	silentEnd time.Time
 	// origin is the endpoint that wrote the first event of the stream; nil before it is
 	// known. It lacks what is not known of it if another attempt of the caller brought that
 	// event. originSource tells how it is known; it is empty for a new stream.
@@ -81,6 +90,8 @@
 	// awaitsAgents reports whether the request waits for them.
 	unreached    []string
 	awaitsAgents bool
+	// lacksRoom reports that a preferred engine was busy when they were last queried.
+	lacksRoom bool
 }
 
 // verdict classifies the result of an attempt.
@@ -120,10 +131,13 @@
 			return err
 		}
 		if refusal := j.keepSoftware(); refusal != nil {
+			if j.readmitSilent(refusal) {
+				continue
+			}
 			return j.fail(ctx, refusal)
 		}
 		target, giveBack, refusal, again := j.selectWithTokens(ctx)
-		if again {
+		if again || j.readmitSilent(refusal) {
 			continue
 		}
 		if target == nil && refusal == nil {
@@ -260,6 +274,9 @@
 func (j *job) recordFailure(endpoint advert.Record, verdict verdict, err error) {
 	j.tries++
 	j.excluded[endpoint.Name] = true
+	if verdict == verdictNotRun && errors.Is(err, &httpc.Error{Kind: httpc.KindDial}) && errors.Is(err, context.DeadlineExceeded) {
+		j.recordSilent(endpoint.Name)
+	}
 	if verdict != verdictNotRun {
 		j.possibleRuns++
 		j.ran = chain.RanUnknown
@@ -270,6 +287,37 @@
 		"parts", strings.Join(j.request.PromptParts, ","), "err", err)
 }
 
+// readmitSilent takes back the exclusion of endpoints to which a connection was not made in time,
+// if the request is refused for want of others. It reports whether there are any, and time left.
+func (j *job) readmitSilent(refusal *chain.Refusal) bool {
+	if refusal == nil || len(j.silent) == 0 || !time.Now().Before(j.silentEnd) {
+		return false
+	}
+	switch refusal.Code {
+	case "no_endpoint", "software_gone":
+	case "engines_busy":
+		if j.lacksRoom {
+			return false
+		}
+	default:
+		return false
+	}
+	for _, name := range j.silent {
+		delete(j.excluded, name)
+	}
+	j.silent = nil
+	return true
+}
+
+// recordSilent records an endpoint to which a connection was not made in time.
+func (j *job) recordSilent(name string) {
+	j.silent = append(j.silent, name)
+	if now := time.Now(); j.silentEnd.IsZero() {
+		// Half of the caller's time is left for the endpoint.
+		j.silentEnd = now.Add(min(maxConnectSilence, j.callerDeadline().Sub(now)/2))
+	}
+}
+
 // mayRetry reports whether another attempt may follow.
 func (j *job) mayRetry(verdict verdict) bool {
 	if j.tries >= maxTries {
--- a/entry/direct/target.go
+++ b/entry/direct/target.go
@@ -81,7 +81,8 @@
 	for {
 		j.unreached = j.unreached[:0]
 		selected, refusal := j.queryEngines(ctx, share)
-		if refusal == nil || !j.awaitsAgents {
+		// If preferred engines lack room, the other agents are likely to refuse, too.
+		if refusal == nil || j.lacksRoom || !j.awaitsAgents {
 			return selected, refusal
 		}
 		if now := time.Now(); waitEnd.IsZero() {
@@ -127,7 +128,8 @@
 	if len(engines) == 0 && len(f.Endpoints.LimitedEngines(j.service, j.excluded, now)) == 0 {
 		return nil, j.refuse("no_endpoint", "no engine takes the request", noEndpointRetryAfter)
 	}
-	asked, busy, preferredBusy := 0, min(preferred, maxBusyEngines), false
+	asked, busy := 0, min(preferred, maxBusyEngines)
+	j.lacksRoom = false
 	for i, engine := range engines[:min(len(engines), maxEngines+maxLimitedEngines)] {
 		admitted, reply := j.requestAdmission(ctx, engine, busy == 1 || i == len(engines)-1 || asked == maxEngines-1, 0)
 		if admitted != nil {
@@ -142,18 +144,13 @@
 		asked++
 		if reply != nil && reply.Reason == admit.ReasonBusy {
 			busy--
-			preferredBusy = preferredBusy || i < preferred
+			j.lacksRoom = j.lacksRoom || i < preferred
 		}
 		if busy == 0 || asked == maxEngines {
 			break
 		}
 	}
-	selected, refusal := j.selectLimitedEngine(ctx, busy == 0)
-	if preferredBusy {
-		// The engines lack room, so the other agents would be likely to refuse, too.
-		j.unreached = j.unreached[:0]
-	}
-	return selected, refusal
+	return j.selectLimitedEngine(ctx, busy == 0)
 }
 
 // selectLimitedEngine requests admission from engines whose limits do not allow a request
