--- a/entry/daemon/silence_test.go
+++ b/entry/daemon/silence_test.go
@@ -192,3 +192,54 @@
 		})
 	}
 }
+
+// stopAgents ends agents; connections to them are refused until serveAgents.
+func (h *harness) stopAgents(names ...string) {
+	for _, name := range names {
+		h.agents[name].stop()
+		h.network.Crash(name)
+	}
+}
+
+func (h *harness) serveAgents(names ...string) {
+	for _, name := range names {
+		h.agents[name].stop = h.serve(name, h.agents[name].handlers())
+	}
+}
+
+// Agents that refused connections for a second while they restarted used up the attempts of a
+// request within less than that, although nothing of it had been sent.
+func TestRequestOutlastsRestartOfAllAgents(t *testing.T) {
+	for _, away := range []time.Duration{time.Second, 2500 * time.Millisecond} {
+		withHarness(t, func(h *harness) {
+			h.withholdRetries()
+			h.stopAgents("e1", "e2", "s1", "s2")
+			got := make(chan reply, 3)
+			go func() { got <- h.complete(keyAnand, "notes", 20, false) }()
+			go func() { got <- h.request("GET", "/lookup/1", keyAnand, "") }()
+			go func() { got <- h.request("POST", "/filing/1", keyAnand, "one") }()
+			time.Sleep(away)
+			h.serveAgents("e1", "e2", "s1", "s2")
+			for range 3 {
+				end := <-got
+				require.Equal(t, 200, end.status, end.body)
+				require.Less(t, end.took, away+time.Second)
+			}
+			require.Len(t, h.attemptsAt("e1", "e2"), 1)
+			require.Len(t, h.attemptsAt("s1", "s2"), 2)
+		})
+	}
+}
+
+// A request is not attempted for ever at agents that refuse all connections but stay in the
+// roster, nor without a pause.
+func TestRequestIsRefusedIfAgentsStayAway(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.stopAgents("s1", "s2")
+		end := h.request("GET", "/lookup/1", keyAnand, "")
+		require.Equal(t, 503, end.status, end.body)
+		require.Contains(t, end.body, "attempts_failed")
+		require.Less(t, end.took, 9*time.Second)
+		require.LessOrEqual(t, h.meter.Value("attempts_failed"), int64(2*9*5), "two agents, five times a second")
+	})
+}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/digest"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 )
 
 // Kind classifies the failures of this package.
@@ -35,8 +36,13 @@
 type Error = fault.Error[Kind]
 
 const (
-	// maxTries bounds the attempts of one request.
+	// maxTries bounds the attempts of one request that were sent, and the connections that it
+	// attempts without a pause.
 	maxTries = 8
+	// maxUnsentTime is how long after the first failed connection a request that could not be
+	// sent is attempted. Agents restart within a second; those that do not come back leave the
+	// roster within three.
+	maxUnsentTime = 8 * time.Second
 	// maxCrashes is the number of endpoints that may crash while they run one
 	// request before the request is refused.
 	maxCrashes = 2
@@ -87,9 +93,13 @@
 	// triedAgents names the agents that this request is not sent to again. It
 	// is cleared when no other agent accepts the request.
 	triedAgents []string
-	// tries counts attempts, crashes those whose endpoint crashed.
+	// tries counts attempts that were sent, crashes those whose endpoint crashed.
 	tries   int
 	crashes int
+	// unsent counts the failed connections since an attempt was last sent, and unsentSince is
+	// the time of the first.
+	unsent      int
+	unsentSince time.Time
 	// ran reports whether an attempt may have reached an endpoint.
 	ran chain.Ran
 	// headSent reports whether the caller has received the head of the answer;
@@ -261,7 +271,10 @@
 func (j *job) afterFailure(ctx context.Context, choice *picker.Choice, verdict verdict, cause error) error {
 	q := j.request
 	j.triedAgents = append(j.triedAgents, choice.Agent)
-	j.tries++
+	if verdict != verdictNotSent {
+		j.tries++
+		j.unsent = 0
+	}
 	if verdict == verdictBroken {
 		j.ran = chain.RanUnknown
 	}
@@ -270,7 +283,10 @@
 	if refusal := j.finalRefusal(verdict); refusal != nil {
 		return j.refusal(refusal)
 	}
-	if j.takeover != nil || verdict == verdictNotSent || refusedWithoutFailure(j.lastRefusal) && verdict == verdictNotRun {
+	if verdict == verdictNotSent {
+		return j.afterUnsent(ctx)
+	}
+	if j.takeover != nil || refusedWithoutFailure(j.lastRefusal) && verdict == verdictNotRun {
 		return nil
 	}
 	if !j.spendRetry(ctx, j.tries) {
@@ -279,6 +295,27 @@
 	return nil
 }
 
+// afterUnsent records an attempt of which nothing was sent, and returns an error unless another
+// one follows. It pauses before the connections that follow many failed ones.
+func (j *job) afterUnsent(ctx context.Context) error {
+	if j.unsent == 0 {
+		j.unsentSince = time.Now()
+	}
+	j.unsent++
+	if time.Since(j.unsentSince) >= maxUnsentTime {
+		return j.refusal(attemptsFailed())
+	}
+	if j.unsent%maxTries == 0 {
+		pause.For(ctx, fullRetryInterval)
+	}
+	return nil
+}
+
+// attemptsFailed returns the refusal of a request whose attempts have failed.
+func attemptsFailed() *chain.Refusal {
+	return chain.Refuse(http.StatusServiceUnavailable, "attempts_failed", "the request failed at several endpoints").WithRetryAfter(refusedRetryAfter)
+}
+
 // spendRetry takes a retry from the budget and reports whether one was available. tries
 // is the number of attempts made.
 func (j *job) spendRetry(ctx context.Context, tries int) bool {
@@ -303,7 +340,7 @@
 		return chain.Refuse(http.StatusServiceUnavailable, "overloaded", "the request could not be started in time").WithRetryAfter(refusedRetryAfter)
 	}
 	if j.tries >= maxTries {
-		return chain.Refuse(http.StatusServiceUnavailable, "attempts_failed", "the request failed at several endpoints").WithRetryAfter(refusedRetryAfter)
+		return attemptsFailed()
 	}
 	return nil
 }
