--- a/ctrl/disk/disk.go
+++ b/ctrl/disk/disk.go
@@ -63,9 +63,13 @@
 }
 
 // Open locks a folder of the file system for this process. A missing folder is
-// created.
+// created. The folder's own directory entry is durable once Open returns.
 func Open(folder string) (*Disk, error) {
-	if err := os.MkdirAll(folder, folderMode); err != nil {
+	folder, err := filepath.Abs(folder)
+	if err != nil {
+		return nil, &Error{Op: "create folder", Kind: KindFolder, Err: err}
+	}
+	if err := osDirectories.create(folder); err != nil {
 		return nil, &Error{Op: "create folder", Kind: KindFolder, Err: err}
 	}
 	lock, err := os.OpenFile(filepath.Join(folder, lockName), os.O_CREATE|os.O_RDWR, fileMode)
--- a/ctrl/disk/memory.go
+++ b/ctrl/disk/memory.go
@@ -4,10 +4,14 @@
 	"bytes"
 	"io/fs"
 	"maps"
+	"path/filepath"
 	"slices"
 	"sync"
 )
 
+// memoryPath is the path of a Memory. Only the root directory exists at first.
+const memoryPath = "/data/control"
+
 // Memory is an in-memory folder for tests. Crash reverts it to the synced content,
 // except that KeepUnsynced may keep a prefix of the unsynced bytes.
 type Memory struct {
@@ -28,6 +32,9 @@
 	// names are the files as the process sees them, durable the files that remain
 	// after a crash.
 	names, durable map[string]*memoryFile
+	// paths are the directories as the process sees them, durablePaths those whose
+	// entries are synced in their parents.
+	paths, durablePaths map[string]bool
 	// generation is the number of crashes and kills; it tells the sessions from before
 	// the last of them from the current one.
 	generation int
@@ -61,6 +68,13 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.generation++
+	m.paths = maps.Clone(m.durablePaths)
+	for path := memoryPath; path != filepath.Dir(path); path = filepath.Dir(path) {
+		if !m.paths[path] {
+			m.paths, m.durablePaths, m.durable = nil, nil, nil
+			break
+		}
+	}
 	m.names = maps.Clone(m.durable)
 	for _, name := range slices.Sorted(maps.Keys(m.names)) {
 		file := m.names[name]
@@ -87,7 +101,7 @@
 	m.Crash()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.names, m.durable = nil, nil
+	m.names, m.durable, m.paths, m.durablePaths = nil, nil, nil, nil
 }
 
 // Modify replaces the content of a file with the result of change, so that a test can
@@ -101,10 +115,12 @@
 	m.durable[name] = file
 }
 
-// Disk opens the folder in its current state.
+// Disk opens the folder in its current state, and creates it if it is missing.
 func (m *Memory) Disk() *Disk {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	// The operations of m.directories return no error.
+	_ = m.directories().create(memoryPath)
 	if m.names == nil {
 		m.names, m.durable = map[string]*memoryFile{}, map[string]*memoryFile{}
 	}
@@ -117,6 +133,29 @@
 	}
 }
 
+// directories returns the operations on the path of the folder. m.mutex must be locked
+// while they are used.
+func (m *Memory) directories() directories {
+	return directories{
+		exists: func(path string) (bool, error) { return path == filepath.Dir(path) || m.paths[path], nil },
+		make: func(path string) error {
+			if m.paths == nil {
+				m.paths, m.durablePaths = map[string]bool{}, map[string]bool{}
+			}
+			m.paths[path] = true
+			return nil
+		},
+		sync: func(parent string) error {
+			for path := range m.paths {
+				if filepath.Dir(path) == parent {
+					m.durablePaths[path] = true
+				}
+			}
+			return nil
+		},
+	}
+}
+
 // session is the use of the folder by one process, from Disk to the next Crash or Kill.
 type session struct {
 	memory     *Memory
