--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -70,14 +70,16 @@
 	Address string
 	// Peers lists all replicas, including this one.
 	Peers []Peer
-	// Voters, JoinOnly and DeadAfter are Voters, NoBootstrap and ReplaceAfter of node.Node.
+	// Voters, FirstVoters, JoinOnly and DeadAfter are Voters, FirstVoters, NoBootstrap and
+	// ReplaceAfter of node.Node.
 	// Voters above zero lets any replica join, up to that number of voters. JoinOnly means that
 	// the group exists already, so this replica never bootstraps one. DeadAfter is how long a
 	// voter must be unresponsive before another replica replaces it without an operator's
 	// command; zero means ten seconds.
-	Voters    int
-	JoinOnly  bool
-	DeadAfter time.Duration
+	Voters      int
+	FirstVoters int
+	JoinOnly    bool
+	DeadAfter   time.Duration
 	// DataDir is the directory of the replica's data.
 	DataDir string
 	// Disk replaces DataDir, and Seed makes IDs and timeouts reproducible, in tests.
@@ -137,7 +139,7 @@
 func (d *Daemon) newNode() *node.Node {
 	n := &node.Node{
 		Host: d.Host, Name: d.Name, Address: d.Address, DataDir: d.DataDir, Disk: d.Disk, Seed: d.Seed,
-		Voters: d.Voters, NoBootstrap: d.JoinOnly, ReplaceAfter: d.DeadAfter,
+		Voters: d.Voters, FirstVoters: d.FirstVoters, NoBootstrap: d.JoinOnly, ReplaceAfter: d.DeadAfter,
 		Apply: func(entry node.Entry) []byte {
 			return d.machine.Apply(entry.Time, entry.Term, entry.AppendedBy, entry.Data)
 		},
--- a/ctrl/node/group_test.go
+++ b/ctrl/node/group_test.go
@@ -113,7 +113,7 @@
 		},
 		Name: name, Address: address, Peers: g.peers,
 		Disk: g.disks[name].Disk(), Seed: g.seed, SnapshotEntries: g.snapshotEntries,
-		Voters: g.voters, NoBootstrap: g.noBootstrap[name],
+		Voters: g.voters, FirstVoters: g.voters, NoBootstrap: g.noBootstrap[name],
 		Apply: r.apply, Snapshot: r.snapshot, Restore: r.restore,
 	}
 	if g.voters > 0 {
--- a/ctrl/node/handlers.go
+++ b/ctrl/node/handlers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/member"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/raft"
@@ -17,6 +19,9 @@
 	MethodJoin = "join"
 )
 
+// maxWaitingJoins limits the join requests that wait for the end of a membership change.
+const maxWaitingJoins = 64
+
 // barrierRequest requests a read round from the leader.
 type barrierRequest struct {
 	Replica uint64 `protobuf:"varint,1,opt"`
@@ -102,7 +107,11 @@
 		return answer
 	}
 	if request.Empty || !l.hasLiveMember(status, request.Name) {
-		l.admit(status, request)
+		if status.Settled || len(l.joins) >= maxWaitingJoins {
+			l.admit(status, request)
+		} else {
+			l.joins[request.ID] = request
+		}
 		return answer
 	}
 	// A new leader needs time to detect which members are unresponsive.
@@ -110,6 +119,23 @@
 	return answer
 }
 
+// admitWaiting admits one of the replicas that asked during another membership change.
+func (l *loop) admitWaiting() {
+	if len(l.joins) == 0 {
+		return
+	}
+	status := l.core.Status()
+	if !status.Settled {
+		return
+	}
+	id := slices.Min(slices.Collect(maps.Keys(l.joins)))
+	request := l.joins[id]
+	delete(l.joins, id)
+	if !isMember(status, id) && (request.Empty || !l.hasLiveMember(status, request.Name)) {
+		l.admit(status, request)
+	}
+}
+
 // hasLiveMember reports whether a member of this name is this replica or was heard
 // from recently.
 func (l *loop) hasLiveMember(status raft.Status, name string) bool {
--- a/ctrl/node/join.go
+++ b/ctrl/node/join.go
@@ -15,6 +15,9 @@
 // member.
 const joinInterval = 500 * time.Millisecond
 
+// firstJoinInterval is joinInterval of a replica that was never part of a group.
+const firstJoinInterval = 100 * time.Millisecond
+
 // leaderlessRounds is the number of intervals without a leader after which a member
 // checks whether it is still one. It exceeds an election, which takes half a second.
 const leaderlessRounds = 3
@@ -25,9 +28,17 @@
 func (n *Node) runJoin(ctx context.Context) {
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
-	answered, leaderless := -1, 0
+	answered, leaderless, interval := -1, 0, joinInterval
 	for {
 		status := n.status.Load()
+		next := joinInterval
+		if status.Empty {
+			next = firstJoinInterval
+		}
+		if next != interval {
+			interval = next
+			ticker.Reset(interval)
+		}
 		leaderless++
 		if status.Leader != 0 {
 			leaderless = 0
--- a/ctrl/node/loop.go
+++ b/ctrl/node/loop.go
@@ -42,6 +42,14 @@
 	leadingTerm uint64
 	// leadingSinceTick is the tick in which the replica's last leadership began.
 	leadingSinceTick int
+	// begun reports that the group has committed a command or need not wait for more
+	// voters before it does; see Node.FirstVoters. Until then, voters is the number of
+	// voters in this leadership, and votersGrewTick the tick in which it last grew.
+	begun          bool
+	voters         int
+	votersGrewTick int
+	// joins are join requests that arrived during another membership change, by ID.
+	joins map[uint64]member.JoinRequest
 	// sendingSnapshot is the snapshot being sent to other replicas, and lastChunkTick
 	// the tick in which its last chunk was sent. It is released after
 	// defaultReplaceAfterTicks without a chunk.
@@ -58,6 +66,8 @@
 		uncommitted:  map[uint64]*proposal{},
 		pendingReads: map[uint64]chan uint64{},
 		replaceNow:   map[string]bool{},
+		begun:        n.FirstVoters == 0 || core.Status().Commit > 0,
+		joins:        map[uint64]member.JoinRequest{},
 	}
 	var peers []string
 	for _, peer := range n.Peers {
@@ -150,7 +160,11 @@
 func (l *loop) tick() {
 	l.ticks++
 	l.step(raft.Input{Tick: true})
-	if l.leadingTerm != 0 && l.ticks%repairTicks == 0 {
+	if l.leadingTerm != 0 {
+		l.admitWaiting()
+		l.trackVoters()
+	}
+	if l.leadingTerm != 0 && (l.ticks%repairTicks == 0 || !l.begun) {
 		if change, ok := l.repair.Next(l.core.Status(), l.replaceNow); ok {
 			l.changeMembership(change)
 		}
@@ -192,6 +206,7 @@
 	p.EarlyMessages = append(p.EarlyMessages, out.EarlyMessages...)
 	p.Messages = append(p.Messages, out.Messages...)
 	p.Committed = append(p.Committed, out.Committed...)
+	l.begun = l.begun || out.Install != nil || slices.ContainsFunc(out.Committed, func(entry raft.Entry) bool { return entry.Kind == raft.EntryCommand })
 	p.Reads = append(p.Reads, out.Reads...)
 	if out.Err != nil && l.failure == nil {
 		l.failure = &Error{Op: "step", Kind: KindDisk, Err: out.Err}
@@ -201,9 +216,48 @@
 	}
 }
 
+// awaitsVoters reports whether this replica leads a new group that still waits for
+// voters before it commits a command.
+func (l *loop) awaitsVoters() bool {
+	status := l.core.Status()
+	if l.begun || !status.Leading {
+		return false
+	}
+	// Until trackLeadership has run, votersGrewTick is that of an earlier leadership.
+	if l.leadingTerm != status.Term {
+		return true
+	}
+	voters := countVoters(status)
+	if voters < l.node.FirstVoters && l.ticks-l.votersGrewTick < firstVotersTicks {
+		return true
+	}
+	l.begun = true
+	l.node.Host.Log.Write("group-begun", "voters", voters, "of", l.node.FirstVoters)
+	return false
+}
+
+// trackVoters notes when the number of voters of a new group grows.
+func (l *loop) trackVoters() {
+	if l.begun {
+		return
+	}
+	if voters := countVoters(l.core.Status()); voters > l.voters {
+		l.voters, l.votersGrewTick = voters, l.ticks
+	}
+}
+
+func countVoters(status raft.Status) (count int) {
+	for _, m := range status.Members {
+		if m.Voter {
+			count++
+		}
+	}
+	return count
+}
+
 // propose appends the queued proposals to the log.
 func (l *loop) propose() {
-	if len(l.proposals) == 0 {
+	if len(l.proposals) == 0 || l.awaitsVoters() {
 		return
 	}
 	batch := l.proposals
--- a/ctrl/node/node.go
+++ b/ctrl/node/node.go
@@ -31,6 +31,10 @@
 	repairTicks = 50
 	// defaultReplaceAfterTicks is the default of Node.ReplaceAfter: 10 s.
 	defaultReplaceAfterTicks = 1000
+	// firstVotersTicks is how long a new group waits for its next voter before it
+	// commits commands with fewer than FirstVoters: 1.5 s. All replicas of a new group
+	// start within 0.3 s, and a start and a join take less than a second.
+	firstVotersTicks = 150
 	// aliveTicks is the longest time since the last message from a replica that
 	// counts as alive: 1 s.
 	aliveTicks = 100
@@ -105,6 +109,11 @@
 	// and any may replace a dead voter. Peers are then only the first addresses to
 	// contact. Zero limits the group to Peers.
 	Voters int
+	// FirstVoters is the number of voters that a new group waits for before it commits
+	// its first command, so that the command outlasts the loss of as many disks as
+	// later ones. It waits no longer than firstVotersTicks for the next voter. Zero
+	// means no wait.
+	FirstVoters int
 	// NoBootstrap is set if the group already exists. The replica then never
 	// bootstraps one.
 	NoBootstrap bool
--- a/ctrl/node/output.go
+++ b/ctrl/node/output.go
@@ -111,9 +111,11 @@
 	if l.leadingTerm != 0 {
 		l.node.applier.push(applyTask{lostTerm: l.leadingTerm})
 		clear(l.replaceNow)
+		clear(l.joins)
 	}
 	if now != 0 {
 		l.leadingSinceTick = l.ticks
+		l.voters, l.votersGrewTick = 0, l.ticks
 		l.node.applier.push(applyTask{gainedTerm: now})
 	}
 	l.leadingTerm = now
--- a/ctrl/node/power_test.go
+++ b/ctrl/node/power_test.go
@@ -294,6 +294,90 @@
 	t.Logf("%d writes acknowledged in %d schedules", acknowledged, *powerSeeds)
 }
 
+// startNewGroup starts the replicas of a deployment for the first time, of which the
+// first ones are the seeds that begin the group.
+func startNewGroup(g *group, seeds, tolerated, replicas int) {
+	g.voters = 2*tolerated + 1
+	for i := range seeds {
+		name := fmt.Sprint("c", i+1)
+		g.peers = append(g.peers, node.Peer{Name: name, Address: name + ":1"})
+	}
+	for i := range replicas {
+		g.add(fmt.Sprint("c", i+1), false)
+	}
+}
+
+// loseAll cuts the power of all replicas, replaces the named disks by empty ones and
+// starts all replicas again.
+func (g *group) loseAll(wiped ...string) {
+	for name := range g.disks {
+		if g.replicas[name] != nil {
+			g.crash(name)
+		}
+	}
+	for _, name := range wiped {
+		g.disks[name].Wipe()
+	}
+	for name := range g.disks {
+		g.noBootstrap[name] = true
+		g.start(name)
+	}
+}
+
+// A new group is begun by its seeds, which may be fewer than the voters that the
+// tolerated losses call for. The others were admitted after seconds, and until then two
+// of three seeds acknowledged, or the only one. Power and the tolerated disks are lost
+// right after the first acknowledgement.
+func TestFirstAcknowledgementIsLostWithDisksOfSeeds(t *testing.T) {
+	for _, test := range []struct{ seeds, tolerated int }{{1, 1}, {2, 1}, {3, 1}, {1, 2}, {3, 2}, {3, 4}} {
+		replicas := 2*test.tolerated + 1
+		for first := range replicas {
+			var lost []string
+			for i := range test.tolerated {
+				lost = append(lost, fmt.Sprint("c", (first+i)%replicas+1))
+			}
+			t.Run(fmt.Sprint(test.seeds, " seeds, ", lost, " lost"), func(t *testing.T) {
+				inBubble(t, uint64(40+first), 0, func(g *group) {
+					startNewGroup(g, test.seeds, test.tolerated, replicas)
+					began := time.Now()
+					g.put("a", "1")
+					t.Logf("acknowledged after %v", time.Since(began))
+					g.loseAll(lost...)
+					time.Sleep(repairTime)
+					require.Equal(t, "1", g.read(g.leader().name, "a"))
+				})
+			})
+		}
+	}
+}
+
+// A replica of a new group never starts. The others must not wait for it for ever, and
+// only once: not again after a change of the leader.
+func TestNewGroupWaitsForeverForAMissingVoter(t *testing.T) {
+	const maxFirstWait, maxElection = 2500 * time.Millisecond, time.Second
+	for _, replicas := range []int{1, 3, 4} {
+		t.Run(fmt.Sprint(replicas, " of 5"), func(t *testing.T) {
+			inBubble(t, 50, 0, func(g *group) {
+				startNewGroup(g, min(replicas, 3), 2, replicas)
+				began := time.Now()
+				g.put("a", "1")
+				require.Less(t, time.Since(began), maxFirstWait)
+				if replicas < 3 {
+					return
+				}
+				time.Sleep(repairTime)
+				leader := g.leader()
+				ctx, cancel := context.WithTimeout(context.Background(), maxElection)
+				defer cancel()
+				require.NoError(t, leader.TransferLeadership(ctx, g.others(leader.name)[0]))
+				began = time.Now()
+				g.put("b", "2")
+				require.Less(t, time.Since(began), maxElection)
+			})
+		})
+	}
+}
+
 // A voter is dead, and a learner takes its place. Just then all VMs lose power, and one
 // disk is lost. If the dead voter was removed before the learner was a voter, the two
 // remaining voters could not elect a leader without that disk.
@@ -311,16 +395,7 @@
 					waitForReplacement(t, leader)
 					time.Sleep(delay)
 					g.put("b", "2")
-					for name := range g.disks {
-						if g.replicas[name] != nil {
-							g.crash(name)
-						}
-					}
-					g.disks[lost].Wipe()
-					for name := range g.disks {
-						g.noBootstrap[name] = true
-						g.start(name)
-					}
+					g.loseAll(lost)
 					require.Equal(t, "2", g.read(lost, "b"))
 				})
 			})
