--- a/entry/chain/body.go
+++ b/entry/chain/body.go
@@ -30,10 +30,10 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(timeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
-	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
-		return nil, bodyRefusal(err)
+		return nil, refuseUnread(w, bodyRefusal(err))
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
--- a/entry/chain/body_test.go
+++ b/entry/chain/body_test.go
@@ -165,3 +165,18 @@
 		})
 	}
 }
+
+// A request whose body did not arrive in time kept its connection and its handler until the
+// caller sent the rest.
+func TestConnectionEndsAfterSlowBody(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := chain.ReadBody(w, r, testMaxBody, 100*time.Millisecond)
+		w.WriteHeader(chain.RefusalOf(err).Status)
+	}))
+	t.Cleanup(server.CloseClientConnections)
+	conn := open(t, server.Listener.Addr().String(), "Content-Length: 60000", "x")
+	status, _ := receive(t, conn)
+	require.Equal(t, http.StatusBadRequest, status)
+	_, err := conn.Read(make([]byte, 1))
+	require.Equal(t, io.EOF, err, "the connection is closed")
+}
