--- a/entry/chain/body.go
+++ b/entry/chain/body.go
@@ -29,7 +29,7 @@
 func ReadBody(w http.ResponseWriter, r *http.Request, maxBytes int64, timeout time.Duration) ([]byte, error) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(timeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(serverWriter(w), r.Body, maxBytes))
 	if err != nil {
 		return nil, refuseUnread(w, bodyRefusal(err))
 	}
@@ -37,6 +37,18 @@
 	return body, nil
 }
 
+// serverWriter returns the server's own writer: http.MaxBytesReader makes the server close the
+// connection after a body that is too large, but does not unwrap its writer.
+func serverWriter(w http.ResponseWriter) http.ResponseWriter {
+	for {
+		wrapper, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			return w
+		}
+		w = wrapper.Unwrap()
+	}
+}
+
 // bodyRefusal returns the refusal of a request whose body failed with err.
 func bodyRefusal(err error) error {
 	var large *http.MaxBytesError
@@ -70,7 +82,7 @@
 	}
 	control := http.NewResponseController(w)
 	end := now.Add(limits.Timeout)
-	reader := http.MaxBytesReader(w, r.Body, limits.MaxBytes)
+	reader := http.MaxBytesReader(serverWriter(w), r.Body, limits.MaxBytes)
 	var body []byte
 	for {
 		if len(body) == cap(body) {
--- a/entry/chain/refusal.go
+++ b/entry/chain/refusal.go
@@ -104,6 +104,10 @@
 	CodeOutcomePending = "outcome_pending"
 )
 
+// CodeStopping is the code of requests that a stopping entry refuses on arrival, since it
+// might exit before the end of the answer.
+const CodeStopping = "stopping"
+
 // StatusClientClosed is the status logged for a request whose caller disconnected.
 const StatusClientClosed = 499
 
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -66,9 +66,6 @@
 	// defaultLinger is used if Daemon.Linger is zero. A load balancer needs about this
 	// long to notice a failing health check.
 	defaultLinger = 3 * time.Second
-	// maxFirstRequestDelay is how long a stopping entry waits for the first request on a
-	// connection that it has accepted. Callers send it as soon as the connection is open.
-	maxFirstRequestDelay = 500 * time.Millisecond
 )
 
 // Daemon is one entry. Its fields are set before Run.
@@ -182,7 +179,8 @@
 	_ = e.server.Close()
 	e.relay.Close()
 	e.direct.Agents.Close()
-	d.Host.Log.Write("entry-stopped", "err", result)
+	closedIdle, refused := e.drain.Counts()
+	d.Host.Log.Write("entry-stopped", "err", result, "idle_connections_closed", closedIdle, "requests_refused", refused)
 	return result
 }
 
@@ -218,14 +216,12 @@
 	<-served
 	// http.Server.Shutdown would read further requests and drop them.
 	e.drain.CloseIdle()
-	timer := time.AfterFunc(maxFirstRequestDelay, e.drain.CloseUnread)
-	defer timer.Stop()
 	_ = e.drain.Wait(context.Background())
 }
 
 func (d *Daemon) build() *entry {
 	incarnation := rand.Uint64() | 1
-	e := &entry{daemon: d, drain: &drain.Drain{Grace: d.Grace}}
+	e := &entry{daemon: d, drain: &drain.Drain{Grace: d.Grace, HeaderTimeout: headerTimeout}}
 	e.uplink = &uplink.Uplink{Host: d.Host, Replicas: d.Control, Refresh: d.Refresh}
 	endpointPicker := &picker.Picker{DataCentre: d.Host.DataCentre, Choose: d.ChooseEndpoint}
 	retryBudget := &retry.Budget{Limit: cmp.Or(d.RetryBudget, budget.Default), EntryCount: e.entryCount}
@@ -275,7 +271,7 @@
 		e.limit.EntryCount = e.feed.KnownEntries
 	}
 	e.server = &http.Server{
-		Handler:           e.handler(endpointPicker),
+		Handler:           e.drain.Announce(e.handler(endpointPicker)),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		ConnState:         e.drain.TrackConnection,
@@ -342,6 +338,7 @@
 		e.drain.RefuseAtExit,
 		e.auth.StripKeys,
 		routes.Do,
+		e.drain.RefuseLate,
 		e.auth.WatchKey,
 		(&guard.Guard{Banned: e.feed.Quarantined}).Do,
 		(&class.Classifier{Infer: e.daemon.InferClass}).Do,
--- a/entry/daemon/harness_test.go
+++ b/entry/daemon/harness_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -198,6 +199,8 @@
 	reportNumber uint64
 	// killed holds the results of entries that were killed.
 	killed []chan error
+	// callerLatency is the one-way latency between the caller and the entries.
+	callerLatency atomic.Int64
 	// grace is the Daemon.Grace of the entries that are started from now on.
 	grace time.Duration
 }
@@ -214,7 +217,13 @@
 
 func newHarness(t *testing.T) *harness {
 	h := &harness{t: t, network: vnet.New(), control: newControl(testConfig()), agents: map[string]*fakeAgent{}, meter: meter.New()}
-	h.network.Latency = func(string, string) time.Duration { return time.Millisecond }
+	h.callerLatency.Store(int64(time.Millisecond))
+	h.network.Latency = func(from, to string) time.Duration {
+		if from == "caller" || to == "caller" {
+			return time.Duration(h.callerLatency.Load())
+		}
+		return time.Millisecond
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.entryContext, h.stop = ctx, cancel
 	h.serve("control", h.control.handlers())
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -257,7 +257,7 @@
 	if ends.IsZero() || now.Add(streamStartTime+time.Duration(r.MaxTokens)*timePerToken).Before(ends) {
 		return nil
 	}
-	return chain.Refuse(http.StatusServiceUnavailable, "stopping", "this entry stops before the answer could be whole").WithRetryAfter(stoppingRetryAfter)
+	return chain.Refuse(http.StatusServiceUnavailable, chain.CodeStopping, "this entry stops before the answer could be whole").WithRetryAfter(stoppingRetryAfter)
 }
 
 // runsToCompletion reports whether a request continues after its caller has
--- a/entry/drain/conn.go
+++ b/entry/drain/conn.go
@@ -4,6 +4,19 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
+)
+
+const (
+	// maxKeepAlive is the time for which answers announce that their connection stays
+	// open. A stop without other requests lasts about as long.
+	maxKeepAlive = 5 * time.Second
+	// latencyReserve is how much longer a connection stays open: the announced time begins
+	// when the caller has the answer, and its next request takes time to arrive.
+	latencyReserve = time.Second
+	// maxFirstRequestDelay is how long a stopping entry waits for the first request on a
+	// connection that it has accepted. Callers send it as soon as the connection is open.
+	maxFirstRequestDelay = 500 * time.Millisecond
 )
 
 // callerConn is a caller's connection that is closed between two requests or not at all:
@@ -16,6 +29,13 @@
 	// unread is set while nothing of the next request has been read, closed once the drain
 	// has closed the connection.
 	unread, closed bool
+	// active is set while a request is served. early is set if the start of the next request
+	// has been read meanwhile.
+	active, early bool
+	// expired is set once the rest of a request header is not waited for any more.
+	expired bool
+	// heldUntil is the time until which a caller may use the idle connection.
+	heldUntil time.Time
 }
 
 // Read implements net.Conn.
@@ -30,26 +50,66 @@
 		return 0, net.ErrClosed
 	}
 	c.unread = false
+	// http.Server reads a single byte while it serves a request whose body it has read.
+	c.early = c.active && len(data) == 1
 	return n, err
 }
 
-// setIdle records that the answer to the last request has been sent.
-func (c *callerConn) setIdle() {
+// SetReadDeadline implements net.Conn.
+func (c *callerConn) SetReadDeadline(deadline time.Time) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.unread = true
+	if c.expired {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(deadline)
 }
 
-// closeUnread closes the connection if nothing of a request has been read.
-func (c *callerConn) closeUnread() {
+// setActive records that a whole request header has been read.
+func (c *callerConn) setActive() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.unread {
-		c.closed = true
-		_ = c.Close()
+	c.active, c.early = true, false
+	if c.expired {
+		c.expired = false
+		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
 }
 
+// setIdle records that the answer to the last request has been sent, and until when the
+// connection is held for the next one.
+func (c *callerConn) setIdle(heldUntil time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.active = false
+	c.unread = !c.early
+	c.heldUntil = heldUntil
+}
+
+// closeUnread closes the connection if nothing of a request has been read, and reports
+// whether it did.
+func (c *callerConn) closeUnread() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.unread || c.closed {
+		return false
+	}
+	c.closed = true
+	_ = c.Close()
+	return true
+}
+
+// expire ends the wait for the rest of a request header. A header that is whole is served.
+func (c *callerConn) expire() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.active || c.unread {
+		return
+	}
+	c.expired = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
 // CloseWrite lets http.Server send an answer before it closes a connection with unread bytes.
 func (c *callerConn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -88,9 +148,6 @@
 	if !ok {
 		return
 	}
-	if state == http.StateIdle {
-		c.setIdle()
-	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
@@ -99,34 +156,107 @@
 		return
 	}
 	if d.connections == nil {
-		d.connections = map[*callerConn]http.ConnState{}
+		d.connections = map[*callerConn]uint64{}
 	}
-	d.connections[c] = state
-	if state == http.StateIdle && d.closing {
-		c.closeUnread()
+	// A release that was scheduled before this change of state has no effect.
+	d.changes++
+	d.connections[c] = d.changes
+	switch state {
+	case http.StateActive:
+		c.setActive()
+	case http.StateIdle:
+		c.setIdle(time.Now().Add(d.keepAlive() + latencyReserve))
+		if d.closing {
+			d.scheduleRelease(c)
+		}
+	}
+}
+
+// keepAlive returns the time for which an idle connection may be used after an answer. The
+// shortest time that a process may run after Begin honours it.
+func (d *Drain) keepAlive() time.Duration {
+	if d.Grace == 0 {
+		return maxKeepAlive
 	}
+	return max(min(maxKeepAlive, (d.Grace-latencyReserve).Truncate(time.Second)), 0)
 }
 
-// CloseIdle closes the connections that have no request now, and later each of the others
-// after its answer. New connections stay open for their first request.
+// CloseIdle closes each connection once its caller may not use it any more, at the latest when
+// the process exits. It is called when no more connections are accepted. The first request
+// on a connection is awaited briefly.
 func (d *Drain) CloseIdle() {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.closing = true
-	for c, state := range d.connections {
-		if state == http.StateIdle {
-			c.closeUnread()
-		}
+	firstRequest := time.Now().Add(maxFirstRequestDelay)
+	for c := range d.connections {
+		c.holdUntil(firstRequest)
+		d.scheduleRelease(c)
+	}
+}
+
+// holdUntil sets the end of the time for a first request.
+func (c *callerConn) holdUntil(end time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.heldUntil.IsZero() {
+		c.heldUntil = end
+	}
+}
+
+// releaseTime returns when the connection is closed unless it is used before.
+func (c *callerConn) releaseTime() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.heldUntil
+}
+
+// after calls do after a delay. Timers with a duration of zero can crash the runtime in
+// synctest bubbles.
+func after(delay time.Duration, do func()) { time.AfterFunc(max(delay, time.Nanosecond), do) }
+
+// scheduleRelease closes a connection without a request when its time ends. The caller holds
+// the mutex.
+func (d *Drain) scheduleRelease(c *callerConn) {
+	change := d.connections[c]
+	after(time.Until(c.releaseTime()), func() { d.release(c, change) })
+}
+
+// release closes a connection on which nothing has been read, or limits the time of a request
+// header of which a part has been read.
+func (d *Drain) release(c *callerConn, change uint64) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.connections[c] != change {
+		return
+	}
+	if c.closeUnread() {
+		d.closedIdle++
+		return
+	}
+	if d.HeaderTimeout > 0 {
+		after(d.HeaderTimeout, func() { d.expire(c, change) })
+	}
+}
+
+// expire ends the wait for a request header that has not arrived in time.
+func (d *Drain) expire(c *callerConn, change uint64) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.connections[c] == change {
+		c.expire()
 	}
 }
 
-// CloseUnread closes the connections on which no whole request header has arrived.
-func (d *Drain) CloseUnread() {
+// releaseAll closes the connections without a request when the process exits.
+func (d *Drain) releaseAll() {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	for c, state := range d.connections {
-		if state != http.StateActive {
-			_ = c.Close()
+	for c := range d.connections {
+		if c.closeUnread() {
+			d.closedIdle++
+		} else {
+			c.expire()
 		}
 	}
 }
--- a/entry/drain/conn_test.go
+++ b/entry/drain/conn_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -117,3 +118,35 @@
 	_, err = caller.Write([]byte("x"))
 	require.Error(t, err)
 }
+
+// The server reads the first byte of the next request while it sends an answer: the connection
+// was then closed as if nothing of that request had been read.
+func TestConnectionIsNotClosedAfterEarlyRead(t *testing.T) {
+	server, caller := net.Pipe()
+	c := &callerConn{Conn: server, unread: true}
+	c.setActive()
+	go func() { _, _ = caller.Write([]byte("GET")) }()
+	_, err := c.Read(make([]byte, 1))
+	require.NoError(t, err)
+	c.setIdle(time.Now())
+	require.False(t, c.closeUnread())
+	_, err = c.Read(make([]byte, 2))
+	require.NoError(t, err)
+}
+
+// A request whose header is whole as the wait for it ends is served: reads fail only until then.
+func TestExpiredConnectionServesWholeHeader(t *testing.T) {
+	server, caller := net.Pipe()
+	c := &callerConn{Conn: server, unread: true}
+	go func() { _, _ = caller.Write([]byte("GET")) }()
+	_, err := c.Read(make([]byte, 3))
+	require.NoError(t, err)
+	c.expire()
+	require.NoError(t, c.SetReadDeadline(time.Time{}))
+	_, err = c.Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	c.setActive()
+	go func() { _, _ = caller.Write([]byte("x")) }()
+	_, err = c.Read(make([]byte, 1))
+	require.NoError(t, err)
+}
--- a/entry/drain/drain.go
+++ b/entry/drain/drain.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -29,15 +28,25 @@
 	// Grace is the longest time that the process may run after Begin; zero means no
 	// limit. It is set before the first request.
 	Grace time.Duration
+	// HeaderTimeout is the server's limit on the time in which a request header must
+	// arrive; zero means no limit.
+	HeaderTimeout time.Duration
 
 	mutex    sync.Mutex
 	running  int
 	draining bool
 	exitTime time.Time
 	idle     chan struct{}
-	// connections holds the open connections; closing is set once they are being closed.
-	connections map[*callerConn]http.ConnState
+	// connections holds the open connections, each with the number of its last change of
+	// state; closing is set once no more connections are accepted.
+	connections map[*callerConn]uint64
+	changes     uint64
 	closing     bool
+	// closedIdle counts the connections that were closed without a request, and refused
+	// the requests that were refused because of the stop.
+	closedIdle, refused int
+	// reading holds the writers of the requests whose bodies are being read.
+	reading map[*announcedWriter]struct{}
 	// pending holds the requests whose answers have not begun.
 	pending map[*pending]struct{}
 }
@@ -88,12 +97,30 @@
 	d.draining = true
 	if d.Grace > 0 {
 		d.exitTime = time.Now().Add(d.Grace)
-		time.AfterFunc(d.Grace, d.refusePending)
+		time.AfterFunc(d.Grace, d.exit)
+		for w := range d.reading {
+			// An error means that the connection is closed.
+			_ = w.limitReadDeadline()
+		}
 	}
 	d.mutex.Unlock()
 	time.Sleep(linger)
 }
 
+// exit ends what has not begun to be answered when the process is about to exit.
+func (d *Drain) exit() {
+	d.refusePending()
+	d.releaseAll()
+}
+
+// Counts returns how many connections the stop has closed without a request, and how many
+// requests were refused because of it.
+func (d *Drain) Counts() (closedIdle, refused int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.closedIdle, d.refused
+}
+
 // Wait returns when no request is running and no connection is open, or an error of
 // KindRunning when ctx ends first. An answer is written out after its request has left.
 func (d *Drain) Wait(ctx context.Context) error {
--- a/entry/drain/refuse.go
+++ b/entry/drain/refuse.go
@@ -8,6 +8,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 )
 
 const (
@@ -38,7 +39,39 @@
 		}
 		return write(frame)
 	}
-	return markUncertain(next(ctx, r))
+	return d.count(markUncertain(next(ctx, r)))
+}
+
+// RefuseLate is a filter that refuses the requests that arrive when the entry accepts no more
+// connections, unless they end for certain before the process exits. Only opaque routes limit
+// the time of a whole answer.
+func (d *Drain) RefuseLate(ctx context.Context, r *chain.Request, next chain.Next) error {
+	if exitTime := d.closingExitTime(); exitTime.IsZero() || (r.Route.Kind == conf.RouteOpaque && r.Deadline().Before(exitTime)) {
+		return next(ctx, r)
+	}
+	return chain.Refuse(http.StatusServiceUnavailable, chain.CodeStopping, "this entry stops, possibly before the request could be answered").WithRetryAfter(exitRetryAfter)
+}
+
+// closingExitTime returns the latest time at which the process exits if the entry accepts no
+// more connections, zero otherwise and without Grace.
+func (d *Drain) closingExitTime() time.Time {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if !d.closing {
+		return time.Time{}
+	}
+	return d.exitTime
+}
+
+// count counts a request that was refused because of the stop, and returns its error.
+func (d *Drain) count(err error) error {
+	var refusal *chain.Refusal
+	if errors.As(err, &refusal) && (refusal.Code == codeExiting || refusal.Code == chain.CodeStopping) {
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		d.refused++
+	}
+	return err
 }
 
 func (d *Drain) addPending(p *pending) {
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -46,7 +46,7 @@
 	Chain *chain.Chain
 	// Ready reports whether the load balancer should send requests to this entry.
 	Ready func() bool
-	// Draining reports whether connections are to be closed after each answer.
+	// Draining reports whether the entry is stopping.
 	Draining func() bool
 	// Enter counts a request as running until the returned function is called.
 	Enter func() func()
@@ -99,9 +99,6 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		leave := f.Enter()
 		defer leave()
-		if f.Draining() {
-			w.Header().Set("Connection", "close")
-		}
 		defer f.running.Add(-1)
 		if f.running.Add(1) > f.maxConcurrent() {
 			full := chain.Refuse(http.StatusServiceUnavailable, "entry_full", "this entry serves too many requests")
