--- a/entry/view/agents.go
+++ b/entry/view/agents.go
@@ -10,12 +10,15 @@
 	// maxAgentSilence is how long after its first failure an agent is expected to reply again.
 	// A sound one may be silent for 1.3 s, and is asked twice in that time.
 	maxAgentSilence = 2 * time.Second
+	// maxProbeTimeouts is how many times its limit of time a query is taken to be under way if
+	// its result is not recorded.
+	maxProbeTimeouts = 2
 )
 
 // AllowAgentQuery reports whether a request may query an engine's agent. After
 // a failure the agent is not queried during a pause. Then a single request may
-// query the agent; the others may not until the agent has replied or timeout
-// has passed.
+// query the agent; the others may not until it has replied or failed, which takes
+// at most timeout unless the request ends before.
 func (es *Endpoints) AllowAgentQuery(name string, timeout time.Duration, now time.Time) bool {
 	es.mutex.Lock()
 	defer es.mutex.Unlock()
@@ -26,12 +29,12 @@
 	if e.agent.active(now) {
 		return false
 	}
-	e.agent.until = now.Add(timeout)
+	e.agent.probeEnd = now.Add(maxProbeTimeouts * timeout)
 	return true
 }
 
 // RecordAgentQuery records whether an engine's agent replied to a query that was sent at a
-// given time. Queries that were sent before the last failure are one failure with it.
+// given time. Queries that were not sent after the last failure are one failure with it.
 func (es *Endpoints) RecordAgentQuery(name string, replied bool, sent, now time.Time) {
 	es.mutex.Lock()
 	defer es.mutex.Unlock()
@@ -44,7 +47,7 @@
 			close(es.agentReturned)
 			es.agentReturned = nil
 		}
-	case replied, sent.Before(e.agent.last):
+	case replied, !sent.After(e.agent.last):
 	default:
 		e.agent.fail(now, maxAgentPause)
 	}
@@ -61,7 +64,7 @@
 		if e == nil || e.agent.failures > 0 && e.agent.until.Sub(e.agent.since) > maxAgentSilence {
 			continue
 		}
-		if left := max(e.agent.until.Sub(now), 0); !ok || left < wait {
+		if left := max(e.agent.until.Sub(now), e.agent.probeEnd.Sub(now), 0); !ok || left < wait {
 			wait, ok = left, true
 		}
 	}
