--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -62,6 +62,8 @@
 	// it cancelled the attempt, nil if it did not.
 	watchdog *watchdog
 	secured  *takeover
+	// resumeEnd is until when a stream whose attempt has broken waits to be continued.
+	resumeEnd time.Time
 	// lastReceived is when complete events of a stream last arrived.
 	lastReceived time.Time
 	// failure is an endpoint's error answer, forwarded if no further attempt
@@ -137,7 +139,7 @@
 			return j.fail(ctx, refusal)
 		}
 		target, giveBack, refusal, again := j.selectWithTokens(ctx)
-		if again || j.readmitSilent(refusal) {
+		if again || j.readmitSilent(refusal) || j.awaitContinuation(ctx, refusal) {
 			continue
 		}
 		if target == nil && refusal == nil {
@@ -151,7 +153,11 @@
 		if j.delivered > 0 && !j.retryPaid && !j.spendRetry(ctx) {
 			giveBack()
 			target.release()
-			return j.fail(ctx, j.refuse("retry_budget", "too many requests are being repeated", failedRetryAfter))
+			refusal := j.refuse("retry_budget", "too many requests are being repeated", failedRetryAfter)
+			if j.awaitContinuation(ctx, refusal) {
+				continue
+			}
+			return j.fail(ctx, refusal)
 		}
 		// The wait for the admission, the retry or the tokens may have been long.
 		if allowed, err := j.checkAllowed(ctx); !allowed {
--- a/entry/direct/takeover.go
+++ b/entry/direct/takeover.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/entry/retry"
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
@@ -121,9 +122,12 @@
 	}
 	// The retry comes first: an admission that is not used takes time from the engine's other
 	// requests.
-	source, settle := j.filter.Budget.SpendReturnable(ctx, j.service)
-	if source == retry.SourceNone {
-		return nil, "retry_budget", failedRetryAfter
+	settle := func(bool) {}
+	if !j.retryPaid {
+		var source retry.Source
+		if source, settle = j.filter.Budget.SpendReturnable(ctx, j.service); source == retry.SourceNone {
+			return nil, "retry_budget", failedRetryAfter
+		}
 	}
 	selected, cause, wait := j.selectTakeover(ctx)
 	if selected == nil {
@@ -133,6 +137,52 @@
 	return &takeover{target: selected, settle: settle}, "", 0
 }
 
+// awaitContinuation waits until a place and a retry are secured for a stream of which the caller
+// has a part and whose attempt has broken, since the refusal would break off the answer. It
+// returns false if they are not within half of the caller's time, or cannot be.
+func (j *job) awaitContinuation(ctx context.Context, refusal *chain.Refusal) bool {
+	if refusal == nil || !j.streaming || !j.request.Route.Resume || ctx.Err() != nil || !mayBeLifted(refusal.Code) {
+		return false
+	}
+	began := time.Now()
+	if _, left := j.filter.Endpoints.FirstOpening(j.service, j.priority(), j.excluded, began); !left {
+		return false
+	}
+	if j.resumeEnd.IsZero() {
+		// The rest is left for the endpoint.
+		j.resumeEnd = began.Add(j.callerDeadline().Sub(began) / 2)
+	}
+	searching, cancel := context.WithDeadline(ctx, j.resumeEnd)
+	defer cancel()
+	s := &takeoverSearch{
+		job: &job{
+			filter: j.filter, request: j.request, service: j.service, parts: j.parts, engine: j.engine, originSource: j.originSource,
+			retryPaid: j.retryPaid,
+		},
+		excluded: j.excluded,
+	}
+	cause, wait := refusal.Code, refusal.RetryAfter
+	for mayBeLifted(cause) && pause.For(searching, min(max(wait, minSearchInterval), maxSearchInterval)) {
+		if j.secured, cause, wait = s.try(searching, j.progress()); j.secured != nil {
+			break
+		}
+	}
+	j.filter.Host.Meter.Add("continuations_awaited", 1)
+	j.filter.Host.Log.Write("continuation-awaited", "request", j.request.ID, "events", j.cutter.EventCount, "cause", refusal.Code,
+		"secured", j.secured != nil, "took", time.Since(began))
+	return j.secured != nil
+}
+
+// mayBeLifted reports whether a request that was refused with a code, or whose takeover was, may
+// be admitted soon.
+func mayBeLifted(code string) bool {
+	switch code {
+	case "no_endpoint", "engines_busy", "endpoints_paused", "endpoints_limited", "retry_budget", "admission_timeout", "agent_unreachable", "endpoint_changed":
+		return true
+	}
+	return false
+}
+
 // selectTakeover chooses an endpoint that has admitted the request and may be sent it now. If
 // there is none, it returns the code of the refusal and after how long to ask again.
 func (j *job) selectTakeover(ctx context.Context) (selected *target, cause string, wait time.Duration) {
--- a/entry/direct/takeover_test.go
+++ b/entry/direct/takeover_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/entry/direct"
+	"github.com/tanagerspindle/tanagerspindle/pkg/admit"
 	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/httpc"
@@ -248,3 +249,104 @@
 		require.Less(t, time.Since(began), 5*time.Second)
 	})
 }
+
+// brokenAfter returns an answer whose connection breaks after the given events.
+func brokenAfter(events int) reply {
+	return reply{status: 200, authentic: true, body: completeStream[:15*events], broken: true}
+}
+
+// The answer to a stream whose connection broke was broken off at once if no engine admitted the
+// stream or no retry was left in that moment.
+func TestBrokenStreamAwaitsPlaceAndRetry(t *testing.T) {
+	for name, test := range map[string]struct {
+		// busy and withoutRetries are for how long engines refuse and no retry is available.
+		busy, withoutRetries time.Duration
+		events               int
+		complete             bool
+		code                 string
+		took                 time.Duration
+	}{
+		"engines busy":                       {time.Second, 0, 1, true, "", 1500 * ms},
+		"no retry":                           {0, time.Second, 1, true, "", 1500 * ms},
+		"neither":                            {700 * ms, time.Second, 2, true, "", 1500 * ms},
+		"engines stay busy":                  {time.Hour, 0, 1, false, "engines_busy", callerPatience/2 + 100*ms},
+		"retries stay away":                  {0, time.Hour, 1, false, "retry_budget", callerPatience/2 + 100*ms},
+		"engines busy, before the first":     {time.Second, 0, 0, false, "engines_busy", 0},
+		"no retry left, before the first":    {0, time.Second, 0, false, "retry_budget", 0},
+		"an engine admits, there is a retry": {0, 0, 1, true, "", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inSite(t, 3, func(t *testing.T, s *site) {
+				rest := reply{status: 200, authentic: true, body: completeStream[15*test.events:]}
+				service := &service{replies: []reply{brokenAfter(test.events), rest}}
+				s.filter.Send = service.send
+				started := time.Now()
+				if test.busy > 0 {
+					s.refuseElsewhere = admit.ReasonBusy
+					time.AfterFunc(test.busy, func() { s.setRefusal(admit.ReasonNone) })
+				}
+				leased := 0
+				s.filter.Budget.Lease = func(context.Context, string) func(bool) {
+					if time.Since(started) < test.withoutRetries {
+						return nil
+					}
+					leased++
+					return func(sent bool) {
+						if !sent {
+							leased--
+						}
+					}
+				}
+				got, err := run(t.Context(), s.filter, patient)
+				require.LessOrEqual(t, time.Since(started), test.took)
+				if !test.complete {
+					require.Equal(t, test.code, chain.RefusalOf(err).Code)
+					require.Len(t, service.calls, 1)
+					require.Zero(t, leased)
+					return
+				}
+				require.NoError(t, err)
+				require.Equal(t, completeStream, got.text)
+				require.Len(t, service.calls, 2)
+				require.EqualValues(t, test.events, *service.calls[1].LastEventID)
+				require.Equal(t, 1, leased)
+				time.Sleep(time.Second)
+				require.Zero(t, s.held(), "admissions that no request uses")
+			})
+		})
+	}
+}
+
+// A stream that no other endpoint can continue is not held in vain, nor one whose prompt has been
+// quarantined.
+func TestBrokenStreamThatCannotContinueEndsAtOnce(t *testing.T) {
+	for name, test := range map[string]struct {
+		engines    int
+		quarantine bool
+		code       string
+	}{
+		"no other engine": {1, false, "software_gone"},
+		"quarantined":     {3, true, "quarantined"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inSite(t, test.engines, func(t *testing.T, s *site) {
+				service := &service{replies: []reply{brokenAfter(1)}}
+				s.filter.Send = service.send
+				s.filter.Quarantined = func([]byte) time.Duration {
+					if test.quarantine && len(service.calls) > 0 {
+						return time.Minute
+					}
+					return 0
+				}
+				s.refuseElsewhere = admit.ReasonBusy
+				began := time.Now()
+				_, err := run(t.Context(), s.filter, func(r *chain.Request) {
+					patient(r)
+					r.PromptParts = []string{"shared"}
+				})
+				require.Equal(t, test.code, chain.RefusalOf(err).Code)
+				require.LessOrEqual(t, time.Since(began), 100*ms)
+			})
+		})
+	}
+}
