--- a/entry/drain/conn.go
+++ b/entry/drain/conn.go
@@ -26,8 +26,8 @@
 	net.Conn
 
 	mutex sync.Mutex
-	// unread is set while nothing of the next request has been read, closed once the drain
-	// has closed the connection.
+	// unread is set while no request is served and nothing of the next one has been read,
+	// closed once the drain has closed the connection.
 	unread, closed bool
 	// active is set while a request is served. early is set if the start of the next request
 	// has been read meanwhile.
@@ -69,7 +69,7 @@
 func (c *callerConn) setActive() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.active, c.early = true, false
+	c.active, c.early, c.unread = true, false, false
 	if c.expired {
 		c.expired = false
 		_ = c.Conn.SetReadDeadline(time.Time{})
