--- a/entry/daemon/outlast_test.go
+++ b/entry/daemon/outlast_test.go
@@ -50,3 +50,25 @@
 		})
 	}
 }
+
+// A connection whose answer had announced that it may be used again was held beyond the exit
+// time, so that the process was killed.
+func TestAnswerThatEndsAfterExitTimeDelaysExit(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		const grace = 3 * time.Second
+		conn, reader := h.startGraceful(grace)
+		_, err := io.WriteString(conn, streamOf(340))
+		require.NoError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		stopped := time.Now()
+		h.stop()
+		_, err = io.ReadAll(response.Body)
+		require.NoError(t, err, "the answer is complete")
+		require.Greater(t, time.Since(stopped), grace)
+		answered := time.Now()
+		err = <-h.ended
+		h.ended <- err
+		require.Less(t, time.Since(answered), 100*time.Millisecond)
+	})
+}
--- a/entry/drain/conn.go
+++ b/entry/drain/conn.go
@@ -219,7 +219,11 @@
 // the mutex.
 func (d *Drain) scheduleRelease(c *callerConn) {
 	change := d.connections[c]
-	after(time.Until(c.releaseTime()), func() { d.release(c, change) })
+	end := c.releaseTime()
+	if !d.exitTime.IsZero() && d.exitTime.Before(end) {
+		end = d.exitTime
+	}
+	after(time.Until(end), func() { d.release(c, change) })
 }
 
 // release closes a connection on which nothing has been read, or limits the time of a request
