--- a/ctrl/node/join.go
+++ b/ctrl/node/join.go
@@ -108,7 +108,9 @@
 }
 
 // joinAddresses returns the addresses to send join requests to: the peers, the
-// known members, and the leader that peers reported.
+// known members, and the leader that peers reported. A replica that joins an existing
+// group also asks the replicas that connect to it: they take it for the former one at
+// its address, whose disk was lost. Others do not, because Bootstrap counts the answers.
 func (n *Node) joinAddresses(status raft.Status) []string {
 	var addresses []string
 	for _, peer := range n.Peers {
@@ -118,6 +120,9 @@
 		addresses = append(addresses, n.conns.currentAddress(m.ID, m.Address))
 	}
 	addresses = append(addresses, n.conns.leaderAddresses()...)
+	if n.NoBootstrap {
+		addresses = append(addresses, n.conns.senderAddresses()...)
+	}
 	slices.Sort(addresses)
 	return slices.Compact(addresses)
 }
--- a/ctrl/node/peerconn.go
+++ b/ctrl/node/peerconn.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -135,6 +137,13 @@
 	return []string{c.leaderAddress}
 }
 
+// senderAddresses returns the addresses that senders gave of themselves.
+func (c *peerConns) senderAddresses() []string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return slices.Collect(maps.Values(c.reportedAddresses))
+}
+
 // currentAddress returns the address that a replica last reported for itself, or
 // else the given one.
 func (c *peerConns) currentAddress(id uint64, known string) string {
--- a/ctrl/node/power_test.go
+++ b/ctrl/node/power_test.go
@@ -351,6 +351,29 @@
 	}
 }
 
+// All seeds lose their disks. The group goes on and sends to their addresses, but an
+// empty seed asked only the other seeds, so it never joined again.
+func TestSeedsThatLostTheirDisksNeverJoinAgain(t *testing.T) {
+	for _, seeds := range []int{1, 2, 3} {
+		t.Run(fmt.Sprint(seeds, " seeds"), func(t *testing.T) {
+			inBubble(t, 51, 0, func(g *group) {
+				startNewGroup(g, seeds, seeds, 2*seeds+1)
+				g.put("a", "1")
+				var lost []string
+				for _, peer := range g.peers {
+					lost = append(lost, peer.Name)
+				}
+				g.loseAll(lost...)
+				time.Sleep(time.Duration(seeds) * repairTime)
+				for _, name := range lost {
+					require.Contains(t, g.voterNames(), name)
+					require.Equal(t, "1", g.read(name, "a"))
+				}
+			})
+		})
+	}
+}
+
 // A replica of a new group never starts. The others must not wait for it for ever, and
 // only once: not again after a change of the leader.
 func TestNewGroupWaitsForeverForAMissingVoter(t *testing.T) {
