--- a/ctrl/daemon/leader.go
+++ b/ctrl/daemon/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"time"
 
@@ -73,7 +74,8 @@
 }
 
 // atLeader returns a handler that serves the stream if this replica leads, and otherwise
-// forwards it to the leader.
+// forwards it to the leader. A forwarded stream ends when this replica no longer follows that
+// leader, so that its daemon asks the successor.
 func (d *Daemon) atLeader(method string, serve link.Handler) link.Handler {
 	return func(ctx context.Context, stream *wire.Stream) error {
 		status, err := d.findLeader(ctx)
@@ -83,11 +85,13 @@
 		if status.Leading {
 			return serve(ctx, stream)
 		}
-		onward, err := d.openLeader(ctx, status.Leader, method)
+		following, release := d.node.WhileLeader(ctx)
+		defer release()
+		onward, err := d.openLeader(following, status.Leader, method)
 		if err != nil {
 			return err
 		}
-		return relay(ctx, stream, onward)
+		return relay(following, stream, onward)
 	}
 }
 
@@ -158,6 +162,29 @@
 	return result, nil
 }
 
+// proposeAgain proposes a command that may be committed more than once, until a leader has answered
+// it. The leader may fall silent, or change, during the call.
+func (d *Daemon) proposeAgain(ctx context.Context, command *state.Command) (*state.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	for {
+		result, err := d.propose(ctx, command)
+		if err == nil || !leaderChanged(err) {
+			return result, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(leaderPollInterval):
+		}
+	}
+}
+
+// leaderChanged reports whether a proposal failed because its replica did not lead, or ceased to.
+func leaderChanged(err error) bool {
+	return errors.Is(err, &Error{Kind: KindLeader}) || errors.Is(err, &node.Error{Kind: node.KindNotLeader}) || errors.Is(err, &node.Error{Kind: node.KindLost})
+}
+
 func (d *Daemon) proposeAtLeader(ctx context.Context, data []byte) ([]byte, error) {
 	reply := &proposeReply{}
 	if err := d.callLeader(ctx, methodPropose, &proposeRequest{Data: data}, reply); err != nil {
@@ -170,12 +197,23 @@
 }
 
 // callLeader sends one request to the leader and receives the reply. It fails if this replica is
-// the leader.
+// the leader, and with KindLeader if it ceases to follow that leader before the reply.
 func (d *Daemon) callLeader(ctx context.Context, method string, request, reply any) error {
 	status, err := d.findLeader(ctx)
 	if err != nil {
 		return err
 	}
+	following, release := d.node.WhileLeader(ctx)
+	defer release()
+	err = d.callReplica(following, status, method, request, reply)
+	if err != nil && following.Err() != nil && ctx.Err() == nil {
+		return &Error{Op: method, Kind: KindLeader, Err: err}
+	}
+	return err
+}
+
+// callReplica sends one request to the leader of a status and receives the reply.
+func (d *Daemon) callReplica(ctx context.Context, status node.Status, method string, request, reply any) error {
 	if status.Leading {
 		return &Error{Op: method, Kind: KindLeader}
 	}
--- a/ctrl/daemon/site.go
+++ b/ctrl/daemon/site.go
@@ -23,7 +23,7 @@
 	if number := d.machine.Number(); next.Number <= number {
 		return number, nil
 	}
-	result, err := d.propose(ctx, &state.Command{FullConfig: next})
+	result, err := d.proposeAgain(ctx, &state.Command{FullConfig: next})
 	if err != nil {
 		return 0, err
 	}
@@ -41,7 +41,7 @@
 	if !d.machine.AcceptsAnnouncement(report) {
 		return nil
 	}
-	_, err := d.propose(ctx, &state.Command{Announcements: []advert.Record{*report}})
+	_, err := d.proposeAgain(ctx, &state.Command{Announcements: []advert.Record{*report}})
 	d.Host.Log.Write("endpoint-announced", "endpoint", report.Name, "service", report.Service, "address", report.Address,
 		"leaving", report.Draining, "born", report.StartedMillis, "seq", report.Seq, "err", err)
 	return err
@@ -65,7 +65,7 @@
 	if d.machine.HasRelease(release) {
 		return nil
 	}
-	_, err := d.propose(ctx, &state.Command{Release: release})
+	_, err := d.proposeAgain(ctx, &state.Command{Release: release})
 	d.Host.Log.Write("adapter-released", "model", release.Model, "adapter", release.Adapter, "version", release.Version, "err", err)
 	return err
 }
--- a/ctrl/node/barrier.go
+++ b/ctrl/node/barrier.go
@@ -82,6 +82,8 @@
 func (r *readRounds) attempt(ctx context.Context) uint64 {
 	limitedCtx, cancel := context.WithTimeout(ctx, roundTimeout)
 	defer cancel()
+	limitedCtx, release := r.node.WhileLeader(limitedCtx)
+	defer release()
 	index, err := r.node.readIndex(limitedCtx)
 	if err == nil && index != 0 {
 		return index
--- a/ctrl/node/loop.go
+++ b/ctrl/node/loop.go
@@ -291,6 +291,8 @@
 // publish makes the replica's status available to other goroutines.
 func (l *loop) publish() {
 	status := l.core.Status()
+	// A call that finds a leader in the status must not be ended by its own leader.
+	l.node.leader.set(status.Leader)
 	l.node.status.Store(&status)
 	l.node.conns.updateMembers(status)
 }
--- a/ctrl/node/node.go
+++ b/ctrl/node/node.go
@@ -144,6 +144,7 @@
 	events     chan event
 	done       chan struct{}
 	status     atomic.Pointer[raft.Status]
+	leader     leaderWatch
 	applier    *applier
 	readRounds *readRounds
 	conns      *peerConns
