--- a/agent/feed/feed.go
+++ b/agent/feed/feed.go
@@ -174,10 +174,8 @@
 			return
 		}
 		timer := time.NewTimer(maxHeartbeatPause - minHeartbeatPause)
-		select {
-		case <-ctx.Done():
-		case <-s.feed.change.C():
-		case <-timer.C:
+		for due := false; !due && ctx.Err() == nil && !s.renewalOverdue(); {
+			due = s.waitForHeartbeat(ctx, timer.C)
 		}
 		timer.Stop()
 		if ctx.Err() != nil {
@@ -191,12 +189,31 @@
 	}
 }
 
-func (s *session) renewalOverdue() bool {
+// waitForHeartbeat waits until a heartbeat is due and returns true, or until the lease
+// renewal may be overdue.
+func (s *session) waitForHeartbeat(ctx context.Context, due <-chan time.Time) bool {
+	overdue := time.NewTimer(s.renewalDue())
+	defer overdue.Stop()
+	select {
+	case <-ctx.Done():
+	case <-s.feed.change.C():
+		return true
+	case <-due:
+		return true
+	case <-overdue.C:
+	}
+	return false
+}
+
+// renewalDue returns the time that is left until the lease renewal is overdue.
+func (s *session) renewalDue() time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return time.Since(s.renewed) > renewalTimeout
+	return renewalTimeout - time.Since(s.renewed)
 }
 
+func (s *session) renewalOverdue() bool { return s.renewalDue() <= 0 }
+
 // sendHeartbeat sends one heartbeat. The heartbeat contains the record only if the record
 // has changed.
 func (s *session) sendHeartbeat(departing bool) error {
