--- a/pkg/setup/setup.go
+++ b/pkg/setup/setup.go
@@ -71,7 +71,8 @@
 	// Whether the daemon may listen beyond loopback without certificates.
 	AllowPlaintext bool `json:"open"`
 	// How long an agent that stops waits for its requests to end; 0s means without
-	// limit. An entry always waits without limit, unless it receives a second signal.
+	// limit. An entry always waits without limit, unless it receives a second signal; it
+	// holds idle connections of callers for up to 6 s after the linger time.
 	DrainTimeout span.Duration `json:"drain"`
 	// How long an entry that stops still accepts requests while its health check
 	// fails, so that the load balancer removes it first.
--- a/spindle/story/cause.go
+++ b/spindle/story/cause.go
@@ -33,7 +33,7 @@
 	"timeout":          "its caller's time, or its route's, was over",
 	"caller_gone":      "its caller left before the answer was whole",
 	"caller_slow":      "its caller read the answer too slowly; `answer-aborted` and `memory-short` lines tell when",
-	"stopping":         "its entry was stopping and could not have finished it",
+	"stopping":         "its entry was stopping and might not have finished it",
 	"starting":         "its entry had no configuration yet",
 	"no_authority":     "its entry had no configuration yet",
 	"invalid_key":      "its key was missing, unknown or withdrawn in the configuration in force",
