--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -138,7 +138,7 @@
 
 // recordUnconnected records a failed connection to an endpoint.
 func (j *job) recordUnconnected(endpoint string, err error) {
-	if errors.Is(err, context.DeadlineExceeded) {
+	if connectTimedOut(err) {
 		j.filter.Endpoints.RecordConnectTimeout(endpoint, time.Now())
 		return
 	}
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -12,17 +12,12 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
-	"github.com/tanagerspindle/tanagerspindle/pkg/httpc"
 	"github.com/tanagerspindle/tanagerspindle/pkg/stream"
 )
 
 const (
 	// maxTries bounds the attempts of one request, including rejected ones.
 	maxTries = 5
-	// maxConnectSilence is how long after the first connection that was not made in time
-	// further ones are attempted if no other endpoint is left. A sound endpoint may be silent
-	// for 1.3 s.
-	maxConnectSilence = 2 * time.Second
 	// noEndpointRetryAfter is the retry delay of callers while no endpoint is
 	// known: the time in which the entry learns of a starting one.
 	noEndpointRetryAfter = time.Second
@@ -280,7 +275,7 @@
 func (j *job) recordFailure(endpoint advert.Record, verdict verdict, err error) {
 	j.tries++
 	j.excluded[endpoint.Name] = true
-	if verdict == verdictNotRun && errors.Is(err, &httpc.Error{Kind: httpc.KindDial}) && errors.Is(err, context.DeadlineExceeded) {
+	if verdict == verdictNotRun && connectTimedOut(err) {
 		j.recordSilent(endpoint.Name)
 	}
 	if verdict != verdictNotRun {
@@ -293,37 +288,6 @@
 		"parts", strings.Join(j.request.PromptParts, ","), "err", err)
 }
 
-// readmitSilent takes back the exclusion of endpoints to which a connection was not made in time,
-// if the request is refused for want of others. It reports whether there are any, and time left.
-func (j *job) readmitSilent(refusal *chain.Refusal) bool {
-	if refusal == nil || len(j.silent) == 0 || !time.Now().Before(j.silentEnd) {
-		return false
-	}
-	switch refusal.Code {
-	case "no_endpoint", "software_gone":
-	case "engines_busy":
-		if j.lacksRoom {
-			return false
-		}
-	default:
-		return false
-	}
-	for _, name := range j.silent {
-		delete(j.excluded, name)
-	}
-	j.silent = nil
-	return true
-}
-
-// recordSilent records an endpoint to which a connection was not made in time.
-func (j *job) recordSilent(name string) {
-	j.silent = append(j.silent, name)
-	if now := time.Now(); j.silentEnd.IsZero() {
-		// Half of the caller's time is left for the endpoint.
-		j.silentEnd = now.Add(min(maxConnectSilence, j.callerDeadline().Sub(now)/2))
-	}
-}
-
 // mayRetry reports whether another attempt may follow.
 func (j *job) mayRetry(verdict verdict) bool {
 	if j.tries >= maxTries {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -17,7 +17,6 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/digest"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
-	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 )
 
 // Kind classifies the failures of this package.
@@ -39,10 +38,6 @@
 	// maxTries bounds the attempts of one request that were sent, and the connections that it
 	// attempts without a pause.
 	maxTries = 8
-	// maxUnsentTime is how long after the first failed connection a request that could not be
-	// sent is attempted. Agents restart within a second; those that do not come back leave the
-	// roster within three.
-	maxUnsentTime = 8 * time.Second
 	// maxCrashes is the number of endpoints that may crash while they run one
 	// request before the request is refused.
 	maxCrashes = 2
@@ -295,22 +290,6 @@
 	return nil
 }
 
-// afterUnsent records an attempt of which nothing was sent, and returns an error unless another
-// one follows. It pauses before the connections that follow many failed ones.
-func (j *job) afterUnsent(ctx context.Context) error {
-	if j.unsent == 0 {
-		j.unsentSince = time.Now()
-	}
-	j.unsent++
-	if time.Since(j.unsentSince) >= maxUnsentTime {
-		return j.refusal(attemptsFailed())
-	}
-	if j.unsent%maxTries == 0 {
-		pause.For(ctx, fullRetryInterval)
-	}
-	return nil
-}
-
 // attemptsFailed returns the refusal of a request whose attempts have failed.
 func attemptsFailed() *chain.Refusal {
 	return chain.Refuse(http.StatusServiceUnavailable, "attempts_failed", "the request failed at several endpoints").WithRetryAfter(refusedRetryAfter)
--- a/entry/view/heard.go
+++ b/entry/view/heard.go
@@ -31,24 +31,30 @@
 	case e == nil:
 	case e.lastHeard.After(since.Add(now.Sub(since) / 2)):
 		e.recordResult(true, now)
-	case !e.connection.active(now):
-		e.silent = true
-		e.connection.fail(now, maxPause)
+	default:
+		e.avoidSilent(now)
 	}
 }
 
+// avoidSilent avoids the endpoint until something arrives from it, unless it is avoided already,
+// and reports whether it was not. The mutex must be held.
+func (e *endpoint) avoidSilent(now time.Time) bool {
+	if e.connection.active(now) {
+		return false
+	}
+	e.silent = true
+	e.connection.fail(now, maxPause)
+	return true
+}
+
 // RecordConnectTimeout records that an endpoint neither accepted nor refused a connection in
 // time. It is avoided until something arrives from it.
 func (es *Endpoints) RecordConnectTimeout(name string, now time.Time) {
 	es.mutex.Lock()
 	defer es.mutex.Unlock()
-	e := es.byName[name]
-	if e == nil || e.connection.active(now) {
-		return
+	if e := es.byName[name]; e != nil && e.avoidSilent(now) {
+		clear(e.resident)
 	}
-	e.silent = true
-	e.connection.fail(now, maxPause)
-	clear(e.resident)
 }
 
 // Silence returns how long nothing has arrived from an endpoint at this entry, in answer to
