--- a/entry/daemon/keep_test.go
+++ b/entry/daemon/keep_test.go
@@ -122,15 +122,12 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			withHarness(t, func(h *harness) {
-				h.killed = append(h.killed, h.ended)
-				h.grace = test.grace
 				if test.runTime > 0 {
 					h.agents["s1"].setRun(endAfter(test.runTime))
 					h.agents["s2"].setRun(endAfter(test.runTime))
 				}
-				h.startEntry("graceful")
+				h.startGraceful(test.grace)
 				h.callerLatency.Store(int64(40 * time.Millisecond))
-				time.Sleep(100 * time.Millisecond)
 				const (
 					step   = 50 * time.Millisecond
 					longer = 5 * time.Second
@@ -202,14 +199,9 @@
 // After its linger time, a stopping entry began requests that were cut when it exited.
 func TestRequestThatMayOutlastStopIsRefusedAfterLinger(t *testing.T) {
 	withHarness(t, func(h *harness) {
-		h.killed = append(h.killed, h.ended)
-		h.grace = 8 * time.Second
-		h.startEntry("graceful")
-		time.Sleep(100 * time.Millisecond)
-		conn, err := h.network.Dialer("caller")(context.Background(), "graceful:80")
-		require.NoError(t, err)
-		reader := bufio.NewReader(conn)
-		_, err = io.WriteString(conn, lookup)
+		h.startGraceful(8 * time.Second)
+		conn, reader := h.dialGraceful()
+		_, err := io.WriteString(conn, lookup)
 		require.NoError(t, err)
 		require.Equal(t, "timeout=5", readAnswer(t, reader).Header.Get("Keep-Alive"))
 		runs := func() int { return len(h.agents["s1"].receivedAttempts()) + len(h.agents["s2"].receivedAttempts()) }
@@ -233,15 +225,10 @@
 func TestSlowRequestDoesNotOutlastStop(t *testing.T) {
 	withHarness(t, func(h *harness) {
 		const grace = 3 * time.Second
-		h.killed = append(h.killed, h.ended)
-		h.grace = grace
-		h.startEntry("graceful")
-		time.Sleep(100 * time.Millisecond)
+		h.startGraceful(grace)
 		for _, start := range []string{"G", lookup[:20], slowBody} {
-			conn, err := h.network.Dialer("caller")(context.Background(), "graceful:80")
-			require.NoError(t, err)
-			reader := bufio.NewReader(conn)
-			_, err = io.WriteString(conn, lookup)
+			conn, reader := h.dialGraceful()
+			_, err := io.WriteString(conn, lookup)
 			require.NoError(t, err)
 			readAnswer(t, reader)
 			_, err = io.WriteString(conn, start)
--- a/entry/daemon/outlast_test.go
+++ b/entry/daemon/outlast_test.go
@@ -1,11 +1,8 @@
 package daemon_test
 
 import (
-	"bufio"
-	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -19,24 +16,14 @@
 	return fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", keyAnand, len(body), body)
 }
 
-// startGraceful starts an entry with a grace time and opens a caller's connection to it.
-func (h *harness) startGraceful(grace time.Duration) (net.Conn, *bufio.Reader) {
-	h.killed = append(h.killed, h.ended)
-	h.grace = grace
-	h.startEntry("graceful")
-	time.Sleep(100 * time.Millisecond)
-	conn, err := h.network.Dialer("caller")(context.Background(), "graceful:80")
-	require.NoError(h.t, err)
-	return conn, bufio.NewReader(conn)
-}
-
 // A request that the server had read together with the one before it was served while its
 // connection counted as idle, so that a stop closed the connection during the answer.
 func TestAnswerToRequestReadBehindAnotherIsCutByStop(t *testing.T) {
 	for _, grace := range []time.Duration{0, 10 * time.Second} {
 		t.Run(fmt.Sprint("grace ", grace), func(t *testing.T) {
 			withHarness(t, func(h *harness) {
-				conn, reader := h.startGraceful(grace)
+				h.startGraceful(grace)
+				conn, reader := h.dialGraceful()
 				// The stream takes more time than an idle connection is held.
 				_, err := io.WriteString(conn, lookup+streamOf(840))
 				require.NoError(t, err)
@@ -56,7 +43,8 @@
 func TestAnswerThatEndsAfterExitTimeDelaysExit(t *testing.T) {
 	withHarness(t, func(h *harness) {
 		const grace = 3 * time.Second
-		conn, reader := h.startGraceful(grace)
+		h.startGraceful(grace)
+		conn, reader := h.dialGraceful()
 		_, err := io.WriteString(conn, streamOf(340))
 		require.NoError(t, err)
 		response, err := http.ReadResponse(reader, nil)
--- a/entry/daemon/stop_test.go
+++ b/entry/daemon/stop_test.go
@@ -37,6 +37,21 @@
 	return conn, bufio.NewReader(conn)
 }
 
+// startGraceful starts the entry "graceful", which has a grace time; stop then stops that one.
+func (h *harness) startGraceful(grace time.Duration) {
+	h.killed = append(h.killed, h.ended)
+	h.grace = grace
+	h.startEntry("graceful")
+	time.Sleep(100 * time.Millisecond)
+}
+
+// dialGraceful opens a caller's connection to the entry of startGraceful.
+func (h *harness) dialGraceful() (net.Conn, *bufio.Reader) {
+	conn, err := h.network.Dialer("caller")(context.Background(), "graceful:80")
+	require.NoError(h.t, err)
+	return conn, bufio.NewReader(conn)
+}
+
 // readAnswer reads one answer from a caller's connection.
 func readAnswer(t *testing.T, reader *bufio.Reader) *http.Response {
 	answer, err := http.ReadResponse(reader, nil)
@@ -91,10 +106,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			withHarness(t, func(h *harness) {
 				const grace = 3 * time.Second
-				h.killed = append(h.killed, h.ended)
-				h.grace = grace
-				h.startEntry("graceful")
-				time.Sleep(100 * time.Millisecond)
+				h.startGraceful(grace)
 				key, path, body := keyAnand, "/lookup/1", ""
 				if test.run == nil {
 					// The first such request uses the workspace's tokens up.
