--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -47,3 +47,29 @@
 	a.body, a.err = io.ReadAll(response.Body)
 	return a
 }
+
+// askAs is ask for a GET with the kept connections of one client; sent is called before the request is sent.
+func (d *deployment) askAs(front, path, key string, sent func(id string)) answer {
+	a := answer{id: newID()}
+	request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d%s", front, portFront, path), nil)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	request.Host = host
+	request.Header.Set("X-Request-Id", a.id)
+	request.Header.Set("Authorization", "Bearer "+key)
+	request.Header.Set("X-Deadline-Ms", "1500")
+	sent(a.id)
+	response, err := keptClient.Do(request)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	defer response.Body.Close()
+	a.status, a.header = response.StatusCode, response.Header
+	a.body, a.err = io.ReadAll(response.Body)
+	return a
+}
+
+var keptClient = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 100, DisableCompression: true}}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,7 +31,10 @@
 }
 
 var cases = map[string]func(r *record, trouble bool) int{
-	"spoiled-event": spoiledEvent,
+	"spoiled-event":    spoiledEvent,
+	"other-writer":     otherWriter,
+	"returning-tenant": returningTenant,
+	"growing-memory":   growingMemory,
 }
 
 func main() {
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -51,12 +51,17 @@
 
 // call makes one call to an address; the status is 0 without an answer within a second.
 func call(method, address, path string, body []byte) (int, []byte) {
+	return callFor(time.Second, method, address, path, body)
+}
+
+// callFor is call with another limit of time.
+func callFor(limit time.Duration, method, address, path string, body []byte) (int, []byte) {
 	request, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
 	request.Header.Set("Content-Type", "application/json")
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: limit, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, nil
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -32,9 +32,10 @@
 	done   chan struct{}
 	// serveRun, if set, answers a request that runs in place of the usual answer.
 	serveRun func(w http.ResponseWriter, r *http.Request, body []byte) bool
-	// beats is cleared to keep the worker from sending heartbeats.
-	silentBeats bool
-	workTime    time.Duration
+	workTime time.Duration
+	// acked counts the acknowledged heartbeats; lastAcked reports whether the last one was.
+	acked     int
+	lastAcked bool
 }
 
 func newWorker(d *deployment, id, service, ip, model string) *worker {
@@ -82,11 +83,16 @@
 		}
 		w.mutex.Unlock()
 		text, _ := json.Marshal(body)
-		for range 3 {
-			if status, _ := call(http.MethodPut, w.d.control(), "/tanagerspindle/instances/"+w.id, text); status/100 == 2 {
-				break
-			}
+		acknowledged := false
+		for try := 0; try < 3 && !acknowledged; try++ {
+			status, _ := call(http.MethodPut, w.d.control(), "/tanagerspindle/instances/"+w.id, text)
+			acknowledged = status/100 == 2
+		}
+		w.mutex.Lock()
+		if w.lastAcked = acknowledged; acknowledged {
+			w.acked++
 		}
+		w.mutex.Unlock()
 		select {
 		case <-done:
 			return
