--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -16,12 +16,13 @@
 	// memoryLimit is memory_mb of the settings, in KiB: the platform kills a process that uses more.
 	memoryLimit = 284 << 10
 	// bigRoutes is how many routes one step of growth adds, bigSteps the number of steps.
-	bigRoutes = 350
-	bigSteps  = 30
-	// operators is the number of operators; together they send a change each growPause.
-	operators    = 2
-	growPause    = 220 * time.Millisecond
-	stormLength  = 104 * time.Second
+	bigRoutes = 448
+	bigSteps  = 24
+	// operators is the number of operators that send at once: those of two storms with a pause of 0.22 s each. Together
+	// they send a change each growPause.
+	operators    = 4
+	growPause    = 110 * time.Millisecond
+	stormLength  = 85 * time.Second
 	restartDelay = 300 * time.Millisecond
 	// manyEnds is how often a process may end by itself before it is a fault.
 	manyEnds = 3
