--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Exits with 1 if QUOTA was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+# Exits with 1 if BUDGET was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/platform ] && [ -x target/review-standin ] || exit 2
-exec timeout -k 5 115 target/review-standin returning-tenant review/3/record.txt
+exec timeout -k 5 115 target/review-standin crashing-stream review/3/record.txt
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,6 +35,7 @@
 	"other-writer":     otherWriter,
 	"returning-tenant": returningTenant,
 	"growing-memory":   growingMemory,
+	"crashing-stream":  crashingStream,
 }
 
 func main() {
