--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -242,7 +242,7 @@
 		hadID, formerID := j.cutter.HasLastID, j.cutter.LastID
 		complete, splitErr := j.cutter.Push(buffer[:n])
 		if splitErr != nil {
-			return verdictBroken, splitErr
+			err = splitErr
 		}
 		if len(complete) > 0 {
 			if !answered {
--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -383,6 +383,39 @@
 	}
 }
 
+// The caller of a resumed stream did not get the valid events that the first endpoint had sent
+// in one packet with an invalid event.
+func TestEventsBeforeInvalidOneReachTheCaller(t *testing.T) {
+	for name, test := range map[string]struct {
+		first string
+		last  int64
+	}{
+		"first read":    {completeStream[:30] + "id: \x033\ndata: c\n\n", 2},
+		"first event":   {"id: \x031\ndata: a\n\n", 0},
+		"repeated ID":   {completeStream[:30] + completeStream[15:], 2},
+		"too large":     {completeStream[:30] + "data: " + strings.Repeat("c", 1<<20), 2},
+		"at the end":    {completeStream[:15] + "id: x\n\n", 1},
+		"second ID bad": {completeStream[:15] + "id: 2\nid: x\n\n", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &service{replies: []reply{
+				{status: 200, authentic: true, body: test.first},
+				{status: 200, authentic: true, body: completeStream[15*test.last:]},
+			}}
+			got, err := run(context.Background(), newFilter(s, 3), resumable)
+			require.NoError(t, err)
+			require.Equal(t, completeStream, got.text)
+			require.True(t, got.ended)
+			require.Len(t, s.calls, 2)
+			if test.last == 0 {
+				require.Nil(t, s.calls[1].LastEventID)
+				return
+			}
+			require.Equal(t, test.last, *s.calls[1].LastEventID)
+		})
+	}
+}
+
 func TestContinuedStreamNamesTheLastEvent(t *testing.T) {
 	s := &service{replies: []reply{{status: 200, authentic: true, body: completeStream[:33], broken: true}, {status: 200, authentic: true, body: completeStream[30:]}}}
 	_, err := run(context.Background(), newFilter(s, 3), resumable)
--- a/pkg/stream/splitter.go
+++ b/pkg/stream/splitter.go
@@ -36,11 +36,11 @@
 // Splitter passes on the complete events of a stream and buffers the incomplete
 // event at its end. The zero value is ready for the start of a stream.
 type Splitter struct {
-	// LastID is the ID of the last complete event that has one. It is valid only
+	// LastID is the ID of the last event returned by Push that has one. It is valid only
 	// if HasLastID is true.
 	LastID    int64
 	HasLastID bool
-	// EventCount is the number of complete events.
+	// EventCount is the number of events returned by Push.
 	EventCount int
 
 	// pending is the incomplete event. Its last line starts at lineStart and has no
@@ -50,27 +50,28 @@
 }
 
 // Push adds the next bytes of the stream. It returns the bytes up to the end of the
-// last complete event, which are valid until the next call. Event IDs must increase.
+// last valid complete event, which are valid until the next call, also together with
+// an error. Event IDs must increase.
 func (s *Splitter) Push(data []byte) (complete []byte, err error) {
 	s.pending = append(s.pending, data...)
 	start := 0
 	for s.nextEvent() {
-		if err := s.recordEvent(s.pending[start:s.lineStart]); err != nil {
-			return nil, err
+		if err = s.recordEvent(s.pending[start:s.lineStart]); err != nil {
+			break
 		}
 		start = s.lineStart
 	}
-	if len(s.pending)-start > maxEvent {
-		return nil, &Error{Op: "cut", Kind: KindSize}
+	if err == nil && len(s.pending)-start > maxEvent {
+		err = &Error{Op: "cut", Kind: KindSize}
 	}
 	if start == 0 {
-		return nil, nil
+		return nil, err
 	}
 	complete = s.pending[:start:start]
 	s.pending = append([]byte(nil), s.pending[start:]...)
 	s.lineStart -= start
 	s.searched -= start
-	return complete, nil
+	return complete, err
 }
 
 // Partial returns the bytes after the last complete event.
@@ -98,19 +99,21 @@
 	}
 }
 
-// recordEvent counts a complete event and records its ID.
+// recordEvent counts a complete event and records its ID. An invalid event changes nothing.
 func (s *Splitter) recordEvent(event []byte) error {
-	s.EventCount++
+	lastID, hasLastID := s.LastID, s.HasLastID
 	for line := range bytes.Lines(event) {
 		value, ok := bytes.CutPrefix(line, idField)
 		if !ok {
 			continue
 		}
 		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-		if err != nil || (s.HasLastID && id <= s.LastID) {
+		if err != nil || (hasLastID && id <= lastID) {
 			return &Error{Op: "read event", Kind: KindOrder, Err: err}
 		}
-		s.LastID, s.HasLastID = id, true
+		lastID, hasLastID = id, true
 	}
+	s.LastID, s.HasLastID = lastID, hasLastID
+	s.EventCount++
 	return nil
 }
--- a/pkg/stream/splitter_test.go
+++ b/pkg/stream/splitter_test.go
@@ -1,6 +1,7 @@
 package stream_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -49,6 +50,37 @@
 	}
 }
 
+// Valid events that arrived together with an invalid one were recorded but not returned, so
+// that a resumed stream lacked them.
+func TestValidEventsBeforeInvalidOneAreReturned(t *testing.T) {
+	const valid = "id: 2\ndata: a\n\nid: 3\ndata: b\n\n"
+	for name, invalid := range map[string]string{
+		"malformed ID":            "id: \x01\x024\ndata: c\n\nid: 5\ndata: d\n\n",
+		"repeated ID":             "id: 3\ndata: c\n\n",
+		"second ID of one event":  "id: 4\nid: x\ndata: c\n\n",
+		"too large":               "id: 4\ndata: " + strings.Repeat("c", 256<<10),
+		"malformed, unterminated": "id: x\n\nid: 4\ndata: c",
+	} {
+		t.Run(name, func(t *testing.T) {
+			splitter := stream.Splitter{}
+			complete, err := splitter.Push([]byte(valid + invalid))
+			require.Error(t, err)
+			require.Equal(t, valid, string(complete))
+			require.Equal(t, 2, splitter.EventCount)
+			require.EqualValues(t, 3, splitter.LastID)
+			splitter.Resume()
+			complete, err = splitter.Push([]byte("id: 4\ndata: c\n\n"))
+			require.NoError(t, err)
+			require.Equal(t, "id: 4\ndata: c\n\n", string(complete))
+		})
+	}
+	splitter := stream.Splitter{}
+	complete, err := splitter.Push([]byte("id: x\ndata: a\n\n"))
+	require.Error(t, err)
+	require.Empty(t, complete)
+	require.Zero(t, splitter.EventCount)
+}
+
 func TestUnterminatedEventIsTooLarge(t *testing.T) {
 	splitter := stream.Splitter{}
 	_, err := splitter.Push(make([]byte, 2<<20))
