--- a/ctrl/poison/poison.go
+++ b/ctrl/poison/poison.go
@@ -6,13 +6,17 @@
 // candidate. The part that is left in several crashes is quarantined, which explains
 // these crashes for all other parts in them. So does one content that is in all of them;
 // package bans quarantines it.
+//
+// A crash also names the parts and contents of the requests that their endpoint had begun
+// to answer. Many sound requests are among them. They are cleared by complete answers only,
+// and none is the cause beside an equal one. Their parts count in crashes that are
+// begunPartSpacing apart.
 package poison
 
 import (
 	"bytes"
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -33,13 +37,18 @@
 	// SimultaneousCrashes is the time within which crashes count as one: endpoints that
 	// crash together more likely have a cause outside their requests.
 	SimultaneousCrashes = 100 * time.Millisecond
+	// begunPartSpacing is the time within which crashes count as one for a part on which
+	// endpoints had begun to answer; a sound one is answered completely elsewhere meanwhile.
+	begunPartSpacing = time.Second
+	// minBegunListed is the number of crashes from which what endpoints had begun to
+	// answer is listed as suspected: most is in one crash only.
+	minBegunListed = 2
 	// CrashRetention is how long a crash is remembered.
 	CrashRetention = 2 * time.Minute
 	// QuarantineDuration is how long a part is quarantined.
 	QuarantineDuration = 30 * time.Minute
-	// contentPosition is the position of a request's whole content among its parts.
-	contentPosition = math.MaxInt32
-	// maxCrashes and maxParts bound the remembered crashes and the parts of one crash.
+	// maxCrashes and maxParts bound the remembered crashes and the parts of one crash,
+	// those that had begun to be answered and the others.
 	maxCrashes = 64
 	maxParts   = 128
 	// maxQuarantined bounds the quarantined parts. If there are more, the one whose
@@ -58,14 +67,24 @@
 	Parts []plane.CrashPart `protobuf:"bytes,4,rep"`
 }
 
-// has reports whether a part is a candidate for the cause of the crash.
-func (c *Crash) has(digest []byte) bool {
-	return slices.ContainsFunc(c.Parts, func(p plane.CrashPart) bool { return bytes.Equal(p.Digest, digest) })
+// find returns a candidate for the cause of the crash, nil if it is none.
+func (c *Crash) find(digest []byte) *plane.CrashPart {
+	i := slices.IndexFunc(c.Parts, func(p plane.CrashPart) bool { return bytes.Equal(p.Digest, digest) })
+	if i < 0 {
+		return nil
+	}
+	return &c.Parts[i]
 }
 
-// add adds a candidate if there is room, or raises its position.
+// add adds a candidate if there is room for one of its kind, or raises its position.
 func (c *Crash) add(part plane.CrashPart) {
-	if len(c.Parts) < maxParts || c.has(part.Digest) {
+	count := 0
+	for i := range c.Parts {
+		if c.Parts[i].Begun == part.Begun {
+			count++
+		}
+	}
+	if count < maxParts || c.find(part.Digest) != nil {
 		c.Parts = plane.AddCrashPart(c.Parts, part)
 	}
 }
@@ -105,7 +124,7 @@
 		p.crashes[index].add(part)
 	}
 	for _, content := range crash.Digests {
-		p.crashes[index].add(plane.CrashPart{Digest: content, Position: contentPosition})
+		p.crashes[index].add(plane.CrashPart{Digest: content, Position: plane.ContentPosition})
 	}
 	p.quarantine(now)
 	p.revision++
@@ -167,7 +186,7 @@
 func (p *Parts) List(now int64) []plane.Ban {
 	list := make([]plane.Ban, 0, len(p.quarantined))
 	for _, ban := range p.quarantined {
-		if !ban.Part {
+		if !ban.Part && !ban.Begun {
 			continue
 		}
 		listed := *ban
@@ -177,12 +196,13 @@
 	candidates := p.candidates()
 	for _, digest := range slices.Sorted(maps.Keys(candidates)) {
 		found := candidates[digest]
-		if found.position == contentPosition {
+		if !found.isListed() {
 			continue
 		}
 		until := found.crashes[len(found.crashes)-1].AtNanos + int64(CrashRetention)
 		list = append(list, plane.Ban{
-			Digest: []byte(digest), Part: true, Suspect: true, Crashes: int32(len(found.crashes)), UntilNanos: until, Remaining: span.Duration(max(until-now, 0)),
+			Digest: []byte(digest), Part: found.position != plane.ContentPosition, Suspect: true, Begun: found.begun > 0, Crashes: int32(len(found.crashes)),
+			UntilNanos: until, Remaining: span.Duration(max(until-now, 0)),
 		})
 	}
 	slices.SortFunc(list, func(a, b plane.Ban) int { return bytes.Compare(a.Digest, b.Digest) })
@@ -221,16 +241,36 @@
 	// position is the largest position of the part in a prompt.
 	position int32
 	// crashes are those with the part, without crashes that count as one with an
-	// earlier one.
+	// earlier one. begun is the number of those whose endpoint had begun to answer on it.
 	crashes []*Crash
+	begun   int
 }
 
 // add counts a crash, unless it counts as one with the crash before.
-func (c *candidate) add(crash *Crash) {
-	if len(c.crashes) > 0 && crash.AtNanos-c.crashes[len(c.crashes)-1].AtNanos < int64(SimultaneousCrashes) {
+func (c *candidate) add(crash *Crash, part *plane.CrashPart) {
+	spacing := SimultaneousCrashes
+	if part.Begun && part.Position != plane.ContentPosition {
+		spacing = begunPartSpacing
+	}
+	if len(c.crashes) > 0 && crash.AtNanos-c.crashes[len(c.crashes)-1].AtNanos < int64(spacing) {
 		return
 	}
 	c.crashes = append(c.crashes, crash)
+	if part.Begun {
+		c.begun++
+	}
+}
+
+// isListed reports whether the candidate is listed as suspected. Package bans lists
+// contents without an answer.
+func (c *candidate) isListed() bool {
+	switch {
+	case len(c.crashes) >= minBegunListed && c.begun > 0:
+		return true
+	case c.position == plane.ContentPosition:
+		return false
+	}
+	return c.begun < len(c.crashes)
 }
 
 // candidates returns the candidates by digest.
@@ -248,7 +288,7 @@
 				found[string(part.Digest)] = known
 			}
 			known.position = max(known.position, part.Position)
-			known.add(crash)
+			known.add(crash, &part)
 		}
 	}
 	return found
@@ -273,7 +313,8 @@
 			p.release()
 		}
 		p.quarantined[string(found.digest)] = &plane.Ban{
-			Digest: found.digest, Part: found.position != contentPosition, Crashes: int32(len(found.crashes)), UntilNanos: now + int64(QuarantineDuration),
+			Digest: found.digest, Part: found.position != plane.ContentPosition, Begun: found.begun > 0,
+			Crashes: int32(len(found.crashes)), UntilNanos: now + int64(QuarantineDuration),
 		}
 	}
 }
@@ -289,21 +330,45 @@
 // findCause returns the part that explains the most crashes, and among equals the last
 // in its prompt, or nil if none explains enough. A part is not the cause while a later
 // part is in all its crashes but one: requests with the later part also have the earlier.
-// Nor is it while one content is in all its crashes.
+// Nor is it while one content is in all its crashes. What endpoints had begun to answer
+// is the cause only if nothing else explains enough.
 func findCause(candidates map[string]*candidate) *candidate {
 	var cause *candidate
 	for _, digest := range slices.Sorted(maps.Keys(candidates)) {
 		c := candidates[digest]
-		if len(c.crashes) < QuarantineThreshold || hasLaterPart(c, candidates) {
+		if len(c.crashes) < QuarantineThreshold || hasLaterPart(c, candidates) || hasEqual(c, candidates) {
 			continue
 		}
-		if cause == nil || cmp.Or(cmp.Compare(len(c.crashes), len(cause.crashes)), cmp.Compare(c.position, cause.position)) > 0 {
+		if cause == nil || c.compare(cause) > 0 {
 			cause = c
 		}
 	}
 	return cause
 }
 
+// compare orders candidates by how likely they are the cause.
+func (c *candidate) compare(other *candidate) int {
+	if unbegun := c.begun == 0; unbegun != (other.begun == 0) {
+		if unbegun {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(len(c.crashes), len(other.crashes)), cmp.Compare(c.position, other.position))
+}
+
+// shared returns the number of crashes of c that another candidate is in too. For a
+// candidate without an answer, only those without one count.
+func (c *candidate) shared(other *candidate) int {
+	count := 0
+	for _, crash := range c.crashes {
+		if part := crash.find(other.digest); part != nil && (c.begun > 0 || !part.Begun) {
+			count++
+		}
+	}
+	return count
+}
+
 // hasLaterPart reports whether a part that is later in its prompt is in all crashes of c
 // but one.
 func hasLaterPart(c *candidate, candidates map[string]*candidate) bool {
@@ -311,17 +376,25 @@
 		if other.position <= c.position {
 			continue
 		}
-		shared := 0
-		for _, crash := range c.crashes {
-			if crash.has(other.digest) {
-				shared++
-			}
-		}
 		without := 1
-		if other.position == contentPosition {
+		if other.position == plane.ContentPosition {
 			without = 0
 		}
-		if shared >= len(c.crashes)-without {
+		if c.shared(other) >= len(c.crashes)-without {
+			return true
+		}
+	}
+	return false
+}
+
+// hasEqual reports whether a candidate that endpoints had begun to answer cannot be told
+// from one of another prompt: both are in all its crashes, at the same position.
+func hasEqual(c *candidate, candidates map[string]*candidate) bool {
+	if c.begun == 0 {
+		return false
+	}
+	for _, other := range candidates {
+		if other != c && other.position == c.position && c.shared(other) == len(c.crashes) {
 			return true
 		}
 	}
--- a/ctrl/poison/poison_test.go
+++ b/ctrl/poison/poison_test.go
@@ -13,17 +13,23 @@
 )
 
 // crash returns an entry's report about the requests of an endpoint. Each prompt is a
-// word, each of its letters a part; a content follows after an equals sign.
+// word, each of its letters a part; a content follows after an equals sign. An exclamation
+// mark precedes a request that the endpoint had begun to answer.
 func crash(endpoint string, prompts ...string) *plane.Crash {
 	report := &plane.Crash{Endpoint: endpoint, Incarnation: 1}
 	for i, prompt := range prompts {
+		prompt, begun := strings.CutPrefix(prompt, "!")
 		prompt, content, ok := strings.Cut(prompt, "=")
 		if !ok {
 			content = fmt.Sprint(endpoint, i)
 		}
-		report.Digests = append(report.Digests, []byte(content))
+		if begun {
+			report.Parts = append(report.Parts, plane.CrashPart{Digest: []byte(content), Position: plane.ContentPosition, Begun: true})
+		} else {
+			report.Digests = append(report.Digests, []byte(content))
+		}
 		for position, letter := range prompt {
-			report.Parts = append(report.Parts, plane.CrashPart{Digest: []byte(string(letter)), Position: int32(position)})
+			report.Parts = plane.AddCrashPart(report.Parts, plane.CrashPart{Digest: []byte(string(letter)), Position: int32(position), Begun: begun})
 		}
 	}
 	return report
@@ -66,6 +72,16 @@
 		"one content in all crashes":                   {[]string{"a: fsx=C", "+f", "b: fsx=C", "c: fsx=C fs"}, "/"},
 		"one content in most crashes":                  {[]string{"a: fsx=C", "+f", "b: fsx=C", "c: fsx"}, "x/"},
 		"a content that an endpoint answered":          {[]string{"a: fsx=C", "+f", "b: fsx=C", "c: fsx=C", "+C"}, "x/"},
+		"begun, one crash":                             {[]string{"a: !fx=C"}, "/"},
+		"begun, two crashes":                           {[]string{"a: !fx=C", "b: !fx=C"}, "/Cfx"},
+		"begun, one content in all crashes":            {[]string{"a: !fx=C !fy", "b: !fx=C !fz", "c: !fx=C !fu"}, "C/"},
+		"begun, one part in all crashes":               {[]string{"a: !fx", "b: !fx !fy", "+f", "c: !fx"}, "x/"},
+		"begun, cut in each crash beside the cause":    {[]string{"a: !x=C !y=D", "b: !x=C !y=D", "c: !x=C !y=D"}, "/CDxy"},
+		"until one crash tells them apart":             {[]string{"a: !x=C !y=D", "b: !x=C !y=D", "c: !x=C !y=D", "d: !x=C"}, "C/"},
+		"or a complete answer":                         {[]string{"a: !x=C !y=D", "b: !x=C !y=D", "+D", "+y", "c: !x=C !y=D"}, "C/"},
+		"begun at an endpoint, then before an answer":  {[]string{"a: !x=C", "b: x=C", "c: !x=C"}, "C/"},
+		"before an answer goes first":                  {[]string{"a: fx !y=D", "+f", "b: fx !y=D", "c: fx !y=D"}, "x/"},
+		"a complete answer ends the quarantine":        {[]string{"a: !x=C", "b: !x=C", "c: !x=C", "+C", "+x"}, "/"},
 		"two causes":                                   {[]string{"a: fx", "b: fy", "+f", "c: fx", "d: fy", "e: fx", "f: fy"}, "xy/"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -97,6 +113,32 @@
 	require.Equal(t, "/fs", describe(parts))
 }
 
+// A part on which endpoints had begun to answer counts once a second: sound requests with it
+// are answered completely elsewhere in that time.
+func TestCrashesInQuickSuccessionCountOnceForPartsThatHaveBegun(t *testing.T) {
+	for name, test := range map[string]struct {
+		crashes  int
+		interval time.Duration
+		prompt   string
+		want     string
+	}{
+		"ten in 0.9 s":        {10, 95 * time.Millisecond, "!x", "/"},
+		"ten in 1.7 s":        {10, 185 * time.Millisecond, "!x", "/x"},
+		"ten in 2.7 s":        {10, 300 * time.Millisecond, "!x", "x/"},
+		"contents in 0.1 s":   {3, 40 * time.Millisecond, "!=C", "/"},
+		"contents in 0.3 s":   {3, 120 * time.Millisecond, "!=C", "C/"},
+		"before their answer": {3, 120 * time.Millisecond, "x", "x/"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			parts := &poison.Parts{}
+			for i := range test.crashes {
+				parts.Apply(crash(fmt.Sprint("a", i), test.prompt), int64(i)*int64(test.interval))
+			}
+			require.Equal(t, test.want, describe(parts))
+		})
+	}
+}
+
 func TestQuarantineAndCrashesExpire(t *testing.T) {
 	parts := &poison.Parts{}
 	_, ok := parts.NextExpiry()
@@ -138,4 +180,11 @@
 	require.Len(t, table.Crashes, 64)
 	require.Len(t, table.Crashes[0].Parts, 128)
 	require.Len(t, parts.List(0), 64*128)
+	begun := &plane.Crash{Endpoint: "e499", Incarnation: 1}
+	for j := range 500 {
+		begun.Parts = append(begun.Parts, plane.CrashPart{Digest: fmt.Append(nil, j), Begun: true})
+	}
+	parts.Apply(begun, 499)
+	table = parts.Snapshot()
+	require.Len(t, table.Crashes[63].Parts, 2*128, "neither kind takes the other's room")
 }
--- a/ctrl/state/machine.go
+++ b/ctrl/state/machine.go
@@ -147,7 +147,8 @@
 		m.promptParts.Clear(digest, m.time)
 	}
 	if len(command.LiftDigest) > 0 {
-		result.Lifted = m.bans.Lift(command.LiftDigest) || m.promptParts.Clear(command.LiftDigest, m.time)
+		lifted, cleared := m.bans.Lift(command.LiftDigest), m.promptParts.Clear(command.LiftDigest, m.time)
+		result.Lifted = lifted || cleared
 	}
 	m.bans.Expire(m.time)
 	m.promptParts.Expire(m.time)
--- a/entry/crash/answers.go
+++ b/entry/crash/answers.go
@@ -3,20 +3,20 @@
 import "time"
 
 const (
-	// recentAnswer is how long before a crash an answer on a part clears it of that
-	// crash.
+	// recentAnswer is how long before a crash an answer on a part or content clears it
+	// of that crash.
 	recentAnswer = time.Second
 	// answerRetention is how long an answer is remembered.
 	answerRetention = retention + recentAnswer
-	// maxAnswers bounds the parts that are remembered.
+	// maxAnswers bounds the parts and contents that are remembered.
 	maxAnswers = 8192
-	// clearInterval is the time between two reports that a part is cleared, in which
+	// clearInterval is the time between two reports that one is cleared, in which
 	// control's list follows the first.
 	clearInterval = 300 * time.Millisecond
 )
 
-// answers remembers when an endpoint last answered on each part of a prompt. The zero
-// value is ready for use by one goroutine.
+// answers remembers when an endpoint last answered on each part of a prompt, and on each
+// content. The zero value is ready for use by one goroutine.
 type answers struct {
 	byPart map[string]answer
 }
@@ -25,7 +25,8 @@
 	at, clearDue time.Time
 }
 
-// record records an answer and reports whether the part may be reported as cleared again.
+// record records an answer on a part or content and reports whether that may be reported
+// as cleared again.
 func (a *answers) record(part []byte, now time.Time) (mayClear bool) {
 	if a.byPart == nil {
 		a.byPart = map[string]answer{}
--- a/entry/crash/crash.go
+++ b/entry/crash/crash.go
@@ -29,8 +29,9 @@
 	// retention is how long a request whose connection broke is remembered: an
 	// endpoint is back some seconds after a crash.
 	retention = 15 * time.Second
-	// maxLost bounds the requests remembered for one endpoint; if more
-	// connections break together, the cause is not one of the requests.
+	// maxLost bounds the requests of each kind, begun or not, that are remembered for
+	// one endpoint; if more connections break together, the cause is not one of the
+	// requests.
 	maxLost = 64
 )
 
@@ -41,6 +42,8 @@
 	// Parts are the digests of the parts of its prompt that other requests may
 	// share, in order.
 	Parts [][]byte
+	// Begun means that the caller has a part of the answer.
+	Begun bool
 }
 
 // Tracker records lost requests and reports crashes. It is safe for concurrent
@@ -54,16 +57,19 @@
 	// Refuses reports whether an address refuses connections. With nil, a crash is
 	// known only from the endpoint's replacement.
 	Refuses func(ctx context.Context, address string) bool
-	// Suspected reports whether a part of a prompt is suspected or quarantined.
-	Suspected func(digest []byte) bool
-	// Clear is called with a suspected part on which an endpoint has answered.
+	// Suspected reports whether a content or a part of a prompt is suspected or
+	// quarantined, and whether that includes crashes after the answer had begun.
+	Suspected func(digest []byte) (suspected, begun bool)
+	// Clear is called with a suspected content or part that is sound: an endpoint has
+	// answered on it, completely if Suspected reports such crashes.
 	Clear func(digest []byte)
 
 	mutex sync.Mutex
 	// lost holds the requests whose connection broke, by the endpoint's
 	// address.
-	lost    map[string]*lostRequests
-	answers answers
+	lost map[string]*lostRequests
+	// answers are those that have begun, completions those that are complete.
+	answers, completions answers
 	// accepting holds the start times of the processes that accept requests, by
 	// address.
 	accepting map[string]int64
@@ -73,6 +79,8 @@
 type lostRequests struct {
 	endpoint advert.Record
 	requests []Request
+	// begun counts the requests that have begun.
+	begun    int
 	lastLost time.Time
 	// reports counts the reports, which included the first reported requests.
 	reports  uint64
@@ -82,8 +90,8 @@
 	nextCheck time.Time
 }
 
-// RecordLostRequest records a request whose connection to an endpoint broke
-// before any part of the answer arrived.
+// RecordLostRequest records a request whose connection to an endpoint broke before
+// the answer was complete.
 func (t *Tracker) RecordLostRequest(endpoint advert.Record, request Request, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -96,25 +104,70 @@
 		t.lost[endpoint.Address] = known
 	}
 	known.lastLost = now
-	if len(known.requests) < maxLost {
-		known.requests = append(known.requests, request)
-	}
+	known.add(request)
 	t.scheduleCheck(known, now)
 }
 
+// add adds a request if there is room for one of its kind.
+func (l *lostRequests) add(request Request) {
+	count := len(l.requests) - l.begun
+	if request.Begun {
+		count = l.begun
+	}
+	if count >= maxLost {
+		return
+	}
+	l.requests = append(l.requests, request)
+	if request.Begun {
+		l.begun++
+	}
+}
+
 // RecordAnswered records that an endpoint has begun to answer on a prompt, which
-// its parts therefore do not prevent.
+// its parts therefore do not prevent. They may still crash it before the end.
 func (t *Tracker) RecordAnswered(parts [][]byte, now time.Time) {
 	for _, part := range parts {
-		t.mutex.Lock()
-		mayClear := t.answers.record(part, now)
-		t.mutex.Unlock()
-		if mayClear && t.Suspected(part) {
+		if !t.record(&t.answers, part, now) {
+			continue
+		}
+		if suspected, begun := t.Suspected(part); suspected && !begun {
 			t.Clear(part)
 		}
 	}
 }
 
+// RecordCompleted records that an endpoint has answered a request completely.
+func (t *Tracker) RecordCompleted(request Request, now time.Time) {
+	for _, candidate := range request.candidates() {
+		if !t.record(&t.completions, candidate.Digest, now) {
+			continue
+		}
+		if suspected, begun := t.Suspected(candidate.Digest); suspected && begun {
+			t.Clear(candidate.Digest)
+		}
+	}
+}
+
+// record records an answer and reports whether it may be reported as sound.
+func (t *Tracker) record(known *answers, digest []byte, now time.Time) (mayClear bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return known.record(digest, now)
+}
+
+// candidates returns the parts of the prompt and, if the request has a digest, its
+// content, which may each be the cause of a crash.
+func (r *Request) candidates() []plane.CrashPart {
+	found := make([]plane.CrashPart, 0, len(r.Parts)+1)
+	for position, part := range r.Parts {
+		found = append(found, plane.CrashPart{Digest: part, Position: int32(position), Begun: r.Begun})
+	}
+	if len(r.Digest) > 0 {
+		found = append(found, plane.CrashPart{Digest: r.Digest, Position: plane.ContentPosition, Begun: r.Begun})
+	}
+	return found
+}
+
 // Update takes the endpoints that accept requests, by service, and reports the
 // crashes of those that another process has replaced.
 func (t *Tracker) Update(usable map[string][]advert.Record) {
@@ -166,12 +219,21 @@
 		Endpoint: known.endpoint.Name,
 	}
 	for _, request := range requests {
-		crash.Digests = append(crash.Digests, request.Digest)
-		for position, part := range request.Parts {
-			if !t.answers.since(part, known.lastLost.Add(-recentAnswer)) {
-				crash.Parts = plane.AddCrashPart(crash.Parts, plane.CrashPart{Digest: part, Position: int32(position)})
+		answered := &t.completions
+		if !request.Begun {
+			answered = &t.answers
+			crash.Digests = append(crash.Digests, request.Digest)
+		}
+		for _, candidate := range request.candidates() {
+			// The content of a request without an answer is in Digests.
+			reported := request.Begun || candidate.Position != plane.ContentPosition
+			if reported && !answered.since(candidate.Digest, known.lastLost.Add(-recentAnswer)) {
+				crash.Parts = plane.AddCrashPart(crash.Parts, candidate)
 			}
 		}
 	}
+	if len(crash.Digests) == 0 && len(crash.Parts) == 0 {
+		return nil
+	}
 	return crash
 }
--- a/entry/crash/crash_test.go
+++ b/entry/crash/crash_test.go
@@ -57,7 +57,7 @@
 		var cleared []string
 		tracker := &crash.Tracker{
 			Entry: "entry", Report: func(crash plane.Crash) { got = append(got, crash) },
-			Suspected: func(digest []byte) bool { return string(digest) != "never suspected" },
+			Suspected: func(digest []byte) (suspected, begun bool) { return string(digest) != "never suspected", false },
 			Clear:     func(digest []byte) { cleared = append(cleared, string(digest)) },
 		}
 		first := process("e1", "a:1", 100)
@@ -88,6 +88,93 @@
 	})
 }
 
+// A request that crashed endpoints after its first event was never reported, and its first
+// event cleared the parts of its prompt. Only complete answers clear a request that has begun.
+func TestRequestsThatHaveBegunAreReported(t *testing.T) {
+	for name, test := range map[string]struct {
+		// completed is answered completely, and answered begins to be answered, a moment
+		// after the crash.
+		completed, answered string
+		unanswered          bool
+		want                []plane.CrashPart
+	}{
+		"no other answer": {want: []plane.CrashPart{
+			{Digest: []byte("shared"), Begun: true},
+			{Digest: []byte("own"), Position: 1, Begun: true},
+			{Digest: []byte("content"), Position: plane.ContentPosition, Begun: true},
+		}},
+		"another answer begins": {answered: "shared", want: []plane.CrashPart{
+			{Digest: []byte("shared"), Begun: true},
+			{Digest: []byte("own"), Position: 1, Begun: true},
+			{Digest: []byte("content"), Position: plane.ContentPosition, Begun: true},
+		}},
+		"another answer is complete": {completed: "shared", want: []plane.CrashPart{
+			{Digest: []byte("own"), Position: 1, Begun: true},
+			{Digest: []byte("content"), Position: plane.ContentPosition, Begun: true},
+		}},
+		"beside a request without an answer": {completed: "shared", unanswered: true, want: []plane.CrashPart{
+			{Digest: []byte("own"), Position: 1, Begun: true},
+			{Digest: []byte("content"), Position: plane.ContentPosition, Begun: true},
+			{Digest: []byte("waiting"), Position: 0},
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				var got []plane.Crash
+				tracker := &crash.Tracker{
+					Entry: "entry", Report: func(crash plane.Crash) { got = append(got, crash) },
+					Suspected: func([]byte) (suspected, begun bool) { return false, false },
+				}
+				first := process("e1", "a:1", 100)
+				tracker.RecordLostRequest(first, crash.Request{Digest: []byte("content"), Parts: [][]byte{[]byte("shared"), []byte("own")}, Begun: true}, time.Now())
+				if test.unanswered {
+					tracker.RecordLostRequest(first, crash.Request{Digest: []byte("x"), Parts: [][]byte{[]byte("waiting")}}, time.Now())
+				}
+				time.Sleep(100 * time.Millisecond)
+				if test.answered != "" {
+					tracker.RecordAnswered([][]byte{[]byte(test.answered)}, time.Now())
+				}
+				if test.completed != "" {
+					tracker.RecordCompleted(crash.Request{Digest: []byte("y"), Parts: [][]byte{[]byte(test.completed)}}, time.Now())
+				}
+				tracker.Update(map[string][]advert.Record{"s": {process("e2", "a:1", 200)}})
+				require.Len(t, got, 1)
+				require.Equal(t, test.want, got[0].Parts)
+				if test.unanswered {
+					require.Equal(t, [][]byte{[]byte("x")}, got[0].Digests)
+				} else {
+					require.Empty(t, got[0].Digests)
+				}
+			})
+		})
+	}
+}
+
+func TestOnlyCompleteAnswersClearRequestsThatHaveBegun(t *testing.T) {
+	for name, test := range map[string]struct {
+		begun           bool
+		answer, whole   []string
+		suspectsNothing bool
+	}{
+		"suspected before an answer":   {false, []string{"part"}, nil, false},
+		"suspected after its start":    {true, nil, []string{"part", "content"}, false},
+		"neither suspected nor listed": {false, nil, nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var cleared []string
+			tracker := &crash.Tracker{
+				Suspected: func([]byte) (suspected, begun bool) { return !test.suspectsNothing, test.begun },
+				Clear:     func(digest []byte) { cleared = append(cleared, string(digest)) },
+			}
+			tracker.RecordAnswered([][]byte{[]byte("part")}, time.Now())
+			require.Equal(t, test.answer, cleared)
+			cleared = nil
+			tracker.RecordCompleted(crash.Request{Digest: []byte("content"), Parts: [][]byte{[]byte("part")}}, time.Now())
+			require.Equal(t, test.whole, cleared)
+		})
+	}
+}
+
 // A crash is reported as soon as the endpoint's address refuses connections, which its
 // replacement confirms seconds later. Broken connections alone are no crash.
 func TestRefusedConnectionsConfirmCrash(t *testing.T) {
--- a/entry/daemon/crash.go
+++ b/entry/daemon/crash.go
@@ -17,14 +17,8 @@
 	e.feed.ReportCrash(crash)
 }
 
-// isSuspected reports whether control lists a request or a part of a prompt.
-func (e *entry) isSuspected(digest []byte) bool {
-	remaining, suspect := e.feed.Quarantined(digest)
-	return suspect || remaining > 0
-}
-
-// clearPart reports a suspected part of a prompt as sound to control.
-func (e *entry) clearPart(digest []byte) {
+// clearSuspect reports a suspected request or part of a prompt as sound to control.
+func (e *entry) clearSuspect(digest []byte) {
 	e.daemon.Host.Log.Write("part-cleared", "part", hex.EncodeToString(digest))
 	e.feed.ClearSuspect(digest)
 }
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -258,9 +258,9 @@
 		OnLimits:          func(reports []advert.LimitReport) { e.view.MergeLimits(reports, time.Now()) },
 		BootTime:          d.BootTime,
 	}
-	e.crashes = &crash.Tracker{Entry: d.Host.VM, Report: e.reportCrash, Refuses: e.refusesConnections, Suspected: e.isSuspected, Clear: e.clearPart}
+	e.crashes = &crash.Tracker{Entry: d.Host.VM, Report: e.reportCrash, Refuses: e.refusesConnections, Suspected: e.feed.Suspected, Clear: e.clearSuspect}
 	e.direct.Config, e.direct.OnConnectionLost, e.direct.OnSuspectCleared = e.feed.Config, e.crashes.RecordLostRequest, e.feed.ClearSuspect
-	e.direct.OnAnswered, e.direct.Quarantined = e.crashes.RecordAnswered, e.quarantinedFor
+	e.direct.OnAnswered, e.direct.OnCompleted, e.direct.Quarantined = e.crashes.RecordAnswered, e.crashes.RecordCompleted, e.quarantinedFor
 	e.direct.QuarantineChanged = func() <-chan struct{} { return e.feed.QuarantineChanged() }
 	e.limit = &limit.Limiter{
 		Host: d.Host, Incarnation: incarnation, Config: e.feed.Config, Grant: e.grant, BootTime: d.BootTime, RetryLimit: retryBudget.Limit,
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -94,6 +94,9 @@
 	}
 	if verdict == verdictComplete {
 		j.recordAnswered()
+		if j.filter.OnCompleted != nil {
+			j.filter.OnCompleted(crash.Request{Digest: j.request.Digest, Parts: j.parts}, time.Now())
+		}
 	}
 	if verdict == verdictComplete && j.adapterKey() != "" {
 		j.filter.Endpoints.MarkResident(t.endpoint.Name, j.adapterKey(), time.Now())
@@ -156,8 +159,9 @@
 	if cause != nil && ctx.Err() == nil {
 		err = cause
 	}
-	if cause == nil && j.filter.OnConnectionLost != nil && j.cutter.EventCount == 0 && connectionLost(err) {
-		j.filter.OnConnectionLost(t.endpoint, crash.Request{Digest: j.request.Digest, Parts: j.parts}, time.Now())
+	if cause == nil && j.filter.OnConnectionLost != nil && connectionLost(err) {
+		request := crash.Request{Digest: j.request.Digest, Parts: j.parts, Begun: j.cutter.EventCount > 0}
+		j.filter.OnConnectionLost(t.endpoint, request, time.Now())
 	}
 	if ctx.Err() == nil && !errors.Is(err, &Error{Kind: KindUnresponsive}) {
 		j.filter.Endpoints.MarkUnreachable(t.endpoint.Name, time.Now())
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -144,15 +144,17 @@
 	// ShutdownTime returns when this process will exit, or zero while no
 	// shutdown is in progress. Nil means that the process never exits.
 	ShutdownTime func() time.Time
-	// OnConnectionLost is called with a request whose connection broke before any
-	// part of the answer arrived, OnSuspectCleared with the digest of a suspected
-	// request that was answered completely. Both may be nil.
+	// OnConnectionLost is called with a request whose connection broke before the answer
+	// was complete, OnSuspectCleared with the digest of a suspected request that was
+	// answered completely. Both may be nil.
 	OnConnectionLost func(endpoint advert.Record, request crash.Request, now time.Time)
 	OnSuspectCleared func(digest []byte)
 	// OnAnswered is called with the digests of the parts of a prompt on which an
-	// endpoint has begun to answer. Quarantined returns how much longer requests
-	// with a part are refused, 0 if they are not. Both may be nil.
+	// endpoint has begun to answer, OnCompleted with a request that was answered
+	// completely. Quarantined returns how much longer requests with a part are
+	// refused, 0 if they are not. Each may be nil.
 	OnAnswered  func(parts [][]byte, now time.Time)
+	OnCompleted func(request crash.Request, now time.Time)
 	Quarantined func(part []byte) time.Duration
 	// QuarantineChanged returns a channel that is closed when the quarantine changes. Nil
 	// means that it does not change.
--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -128,7 +128,9 @@
 
 type broken struct{}
 
-func (broken) Read([]byte) (int, error) { return 0, errors.New("reset") }
+func (broken) Read([]byte) (int, error) {
+	return 0, &httpc.Error{Op: "exchange", Kind: httpc.KindBroken, Err: errors.New("reset")}
+}
 
 // caller collects the answer that a caller receives.
 type caller struct {
@@ -340,29 +342,37 @@
 }
 
 // A request is reported as a possible cause of a crash only if its connection
-// broke before any part of the answer arrived. A suspected request that is
-// answered completely is cleared.
+// broke before the answer was complete. A suspected request that is answered
+// completely is cleared.
 func TestConnectionLossIsReportedAsSuspect(t *testing.T) {
 	for name, test := range map[string]struct {
 		change  func(*chain.Request)
 		replies []reply
-		lost    int
+		// lost and begun are the numbers of reports, and of those after the first event.
+		lost, begun int
 	}{
-		"reset":                   {nil, []reply{reset}, 1},
-		"reset twice":             {retryable, []reply{reset}, 2},
-		"rejected by endpoint":    {nil, []reply{rejected}, 0},
-		"unreached":               {nil, []reply{unreached}, 0},
-		"failed":                  {nil, []reply{failed}, 0},
-		"silent":                  {nil, []reply{unresponsive}, 0},
-		"broken after two events": {streaming, []reply{{status: 200, authentic: true, body: completeStream[:33], broken: true}}, 0},
+		"reset":                    {nil, []reply{reset}, 1, 0},
+		"reset twice":              {retryable, []reply{reset}, 2, 0},
+		"rejected by endpoint":     {nil, []reply{rejected}, 0, 0},
+		"unreached":                {nil, []reply{unreached}, 0, 0},
+		"failed":                   {nil, []reply{failed}, 0, 0},
+		"silent":                   {nil, []reply{unresponsive}, 0, 0},
+		"broken after its head":    {nil, []reply{{status: 200, authentic: true, body: "half", broken: true}}, 1, 0},
+		"broken inside an event":   {streaming, []reply{{status: 200, authentic: true, body: completeStream[:5], broken: true}}, 1, 0},
+		"broken after two events":  {streaming, []reply{{status: 200, authentic: true, body: completeStream[:33], broken: true}}, 1, 1},
+		"and at the next endpoint": {resumable, []reply{{status: 200, authentic: true, body: completeStream[:33], broken: true}, reset}, 2, 2},
+		"complete":                 {streaming, []reply{wholeStream}, 0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			bubble.Test(t, func(t *testing.T) {
-				d, lost := newFilter(&service{replies: test.replies}, 3), 0
+				d, lost, begun := newFilter(&service{replies: test.replies}, 3), 0, 0
 				d.OnConnectionLost = func(endpoint advert.Record, request crash.Request, _ time.Time) {
 					require.NotEmpty(t, endpoint.Address)
 					require.Equal(t, []byte("x"), request.Digest)
 					lost++
+					if request.Begun {
+						begun++
+					}
 				}
 				_, _ = run(context.Background(), d, func(r *chain.Request) {
 					r.Digest = []byte("x")
@@ -371,6 +381,7 @@
 					}
 				})
 				require.Equal(t, test.lost, lost)
+				require.Equal(t, test.begun, begun)
 			})
 		})
 	}
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -120,7 +120,18 @@
 // quarantineEntry is one request. A suspect may run, but not beside another suspect.
 type quarantineEntry struct {
 	suspect bool
-	until   time.Time
+	// begun means that only a complete answer shows that the request is sound.
+	begun bool
+	until time.Time
+}
+
+// merge returns what holds if control lists a request for two reasons.
+func (q quarantineEntry) merge(other quarantineEntry) quarantineEntry {
+	merged := quarantineEntry{suspect: q.suspect && other.suspect, begun: q.begun || other.begun, until: q.until}
+	if q.suspect == other.suspect && other.until.After(q.until) || q.suspect && !other.suspect {
+		merged.until = other.until
+	}
+	return merged
 }
 
 // Config returns the configuration in force, or nil if none has arrived yet.
@@ -187,6 +198,20 @@
 	return remaining, false
 }
 
+// Suspected reports whether control lists a request or a part of a prompt, and whether only
+// a complete answer shows that it is sound.
+func (f *Feed) Suspected(digest []byte) (listed, begun bool) {
+	all := f.quarantine.Load()
+	if all == nil {
+		return false, false
+	}
+	found, ok := all.byDigest[string(digest)]
+	if !ok || !time.Now().Before(found.until) {
+		return false, false
+	}
+	return true, found.begun
+}
+
 // CountRequest adds a request to the burn counts of its workspace and route.
 func (f *Feed) CountRequest(workspace, route string, good bool) { f.burn.add(workspace, route, good) }
 
--- a/pkg/feed/session.go
+++ b/pkg/feed/session.go
@@ -204,7 +204,11 @@
 	now := time.Now()
 	all := &quarantine{revision: update.BansRevision, byDigest: make(map[string]quarantineEntry, len(update.Bans))}
 	for _, b := range update.Bans {
-		all.byDigest[string(b.Digest)] = quarantineEntry{suspect: b.Suspect, until: now.Add(b.Remaining.Std())}
+		listed := quarantineEntry{suspect: b.Suspect, begun: b.Begun, until: now.Add(b.Remaining.Std())}
+		if known, ok := all.byDigest[string(b.Digest)]; ok {
+			listed = known.merge(listed)
+		}
+		all.byDigest[string(b.Digest)] = listed
 	}
 	f.quarantine.Store(all)
 	f.signalQuarantine()
--- a/pkg/plane/feed.go
+++ b/pkg/plane/feed.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"math"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
@@ -146,18 +147,23 @@
 	// Digests are the content digests of the requests at the endpoint.
 	Digests [][]byte `protobuf:"bytes,4,rep" json:"digests"`
 	// Endpoint names the process that crashed, of which Incarnation is the start. Parts
-	// are the prompts' parts of those of its requests that had no answer yet. Both are
-	// reported by entries only.
+	// are the prompts' parts of its requests, with the contents of those that it had begun
+	// to answer, without what it lately answered. Both are reported by entries only.
 	Endpoint string      `protobuf:"bytes,5,opt" json:"endpoint,omitempty"`
 	Parts    []CrashPart `protobuf:"bytes,6,rep" json:"parts,omitempty"`
 }
 
-// AddCrashPart returns the parts with one more, or with its position raised if it is
-// among them already.
+// ContentPosition is the position of a request's whole content among the parts of its
+// prompt.
+const ContentPosition = math.MaxInt32
+
+// AddCrashPart returns the parts with one more, or with its position raised and Begun
+// set if it is among them already.
 func AddCrashPart(parts []CrashPart, part CrashPart) []CrashPart {
 	for i := range parts {
 		if bytes.Equal(parts[i].Digest, part.Digest) {
 			parts[i].Position = max(parts[i].Position, part.Position)
+			parts[i].Begun = parts[i].Begun || part.Begun
 			return parts
 		}
 	}
@@ -170,6 +176,9 @@
 	Digest []byte `protobuf:"bytes,1,opt" json:"digest"`
 	// Position is the part's largest index in a prompt, from 0.
 	Position int32 `protobuf:"varint,2,opt" json:"position"`
+	// Begun means that the endpoint had begun to answer a request with the part. Only a
+	// complete answer then shows that the part is sound.
+	Begun bool `protobuf:"varint,3,opt" json:"begun,omitempty"`
 }
 
 // Update answers a heartbeat, or carries changes at other times (Seq 0).
@@ -255,4 +264,7 @@
 	// Part means that the ban concerns all requests with a part of a prompt. Such
 	// suspects may run beside each other.
 	Part bool `protobuf:"varint,7,opt" json:"part,omitempty"`
+	// Begun means that endpoints crashed after they had begun to answer, so that only a
+	// complete answer ends the ban.
+	Begun bool `protobuf:"varint,8,opt" json:"begun,omitempty"`
 }
