--- a/ctrl/daemon/endpoints_test.go
+++ b/ctrl/daemon/endpoints_test.go
@@ -69,7 +69,7 @@
 			record := &advert.Record{Name: name, Service: "s", Address: name + ":1", DataCentre: "d", SoftwareVersion: version, StartedMillis: started, Seq: 1}
 			require.NoError(c.t, c.running[c.leader()].Announce(c.ctx, record))
 		}
-		_, err := c.running[c.leader()].Replace(c.ctx, &conf.Config{Number: 1})
+		_, err := c.running[c.leader()].Replace(c.ctx, &conf.Config{Number: 1, Services: map[string]conf.Service{"s": {}}})
 		require.NoError(c.t, err)
 		announce("left", "v1", 1)
 		announce("replaced", "v2", 1)
--- a/ctrl/daemon/site.go
+++ b/ctrl/daemon/site.go
@@ -43,7 +43,7 @@
 	}
 	_, err := d.proposeAgain(ctx, &state.Command{Announcements: []advert.Record{*report}})
 	d.Host.Log.Write("endpoint-announced", "endpoint", report.Name, "service", report.Service, "address", report.Address,
-		"leaving", report.Draining, "born", report.StartedMillis, "seq", report.Seq, "err", err)
+		"leaving", report.Draining, "born", report.StartedMillis, "seq", report.Seq, "deferred", d.machine.DefersAnnouncement(report), "err", err)
 	return err
 }
 
--- a/ctrl/state/command.go
+++ b/ctrl/state/command.go
@@ -134,4 +134,6 @@
 	Releases          []plane.Release `protobuf:"bytes,11,rep"`
 	PromptParts       *poison.Table   `protobuf:"bytes,12,opt"`
 	AgedRevision      uint64          `protobuf:"varint,13,opt"`
+	// DeferredEndpoints are announcements for services that are not configured.
+	DeferredEndpoints []advert.Record `protobuf:"bytes,14,rep"`
 }
--- a/ctrl/state/endpoints.go
+++ b/ctrl/state/endpoints.go
@@ -20,13 +20,15 @@
 	if command.FullConfig != nil {
 		result.Config = m.replaceConfig(command.FullConfig)
 	}
+	table := m.endpointTable()
+	m.endpointsRevision = table.ApplyDeferred(m.endpointsRevision)
 	for _, record := range command.Announcements {
-		if m.endpoints.Apply(record, m.endpointsRevision+1) {
+		if table.Apply(record, m.endpointsRevision+1) {
 			m.endpointsRevision++
 		}
 	}
 	for _, departure := range command.Departures {
-		if m.endpoints.Remove(departure.Name, departure.StartedMillis, m.endpointsRevision+1) {
+		if table.Remove(departure.Name, departure.StartedMillis, m.endpointsRevision+1) {
 			m.endpointsRevision++
 		}
 	}
@@ -56,6 +58,22 @@
 	return &plane.SubmitReply{ConfigNumber: next.Number}
 }
 
+// endpointTable returns the table of endpoints for the configuration in force.
+func (m *Machine) endpointTable() *advert.Table {
+	m.endpoints.Configured = m.isConfigured
+	return &m.endpoints
+}
+
+// isConfigured reports whether the configuration has a service. Before the first one, all
+// announcements count: endpoints may start before it is submitted.
+func (m *Machine) isConfigured(service string) bool {
+	if m.config == nil {
+		return true
+	}
+	_, ok := m.config.Services[service]
+	return ok
+}
+
 // setRelease records the version of an adapter, unless the recorded version is
 // the same or newer.
 func (m *Machine) setRelease(update plane.Release) {
@@ -86,7 +104,7 @@
 
 func (m *Machine) restoreOpaqueRoutes(stored *image) {
 	m.endpointsRevision = stored.EndpointsRevision
-	m.endpoints.Restore(stored.Endpoints)
+	m.endpointTable().Restore(stored.Endpoints, stored.DeferredEndpoints)
 	m.agedRevision = stored.AgedRevision
 	m.ages.reset(m.endpointsRevision, time.Now())
 	m.releases = map[adapterKey]plane.Release{}
@@ -131,11 +149,18 @@
 }
 
 // AcceptsAnnouncement reports whether an announcement would change the table
-// of endpoints.
+// of endpoints or be deferred.
 func (m *Machine) AcceptsAnnouncement(record *advert.Record) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.endpoints.Accepts(record)
+	return m.endpointTable().Accepts(record)
+}
+
+// DefersAnnouncement reports whether an announcement is for a service that is not configured.
+func (m *Machine) DefersAnnouncement(record *advert.Record) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.endpointTable().Defers(record)
 }
 
 // HasRelease reports whether the given version of an adapter, or a newer one,
--- a/ctrl/state/endpoints_test.go
+++ b/ctrl/state/endpoints_test.go
@@ -10,6 +10,7 @@
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
 	"github.com/tanagerspindle/tanagerspindle/pkg/bubble"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
 	"github.com/tanagerspindle/tanagerspindle/pkg/origin"
 )
 
@@ -31,6 +32,35 @@
 	return versions
 }
 
+// An announcement for a service that the configuration lacks is used as soon as it has it, also
+// by a replica that was restored in between.
+func TestAnnouncementWaitsForItsService(t *testing.T) {
+	m := &state.Machine{}
+	apply(t, m, 1, &state.Command{FullConfig: &conf.Config{Number: 1, Services: map[string]conf.Service{"s": {}}}})
+	live, early := announced("live", "v1", 1), announced("early", "v1", 2)
+	early.Service, early.Address = "later", live.Address
+	apply(t, m, 2, &state.Command{Announcements: []advert.Record{live}})
+	require.True(t, m.AcceptsAnnouncement(&early))
+	apply(t, m, 3, &state.Command{Announcements: []advert.Record{early}})
+	require.False(t, m.AcceptsAnnouncement(&early), "it is deferred already")
+	data, err := m.Snapshot()
+	require.NoError(t, err)
+	restored := &state.Machine{}
+	require.NoError(t, restored.Restore(data))
+	for _, machine := range []*state.Machine{m, restored} {
+		before := machine.EndpointsRevision()
+		endpoints, _, _ := machine.EndpointsSince(0)
+		require.Len(t, endpoints, 1)
+		require.Equal(t, "live", endpoints[0].Name)
+		apply(t, machine, 4, &state.Command{FullConfig: &conf.Config{Number: 2, Services: map[string]conf.Service{"later": {}, "s": {}}}})
+		endpoints, _, revision := machine.EndpointsSince(before)
+		require.Greater(t, revision, before)
+		require.Len(t, endpoints, 2, "the later process holds the address now")
+		require.Equal(t, []string{"early", "live"}, []string{endpoints[0].Name, endpoints[1].Name})
+		require.True(t, endpoints[1].Removed)
+	}
+}
+
 // A daemon that has just started did not learn of removed endpoints, so that it took the
 // software version that is left for the one that began all streams.
 func TestNewDaemonLearnsOfRemovedEndpoints(t *testing.T) {
--- a/ctrl/state/machine.go
+++ b/ctrl/state/machine.go
@@ -173,7 +173,7 @@
 		Time: m.time, Config: m.config, History: slices.Clone(m.history), Claims: m.ledger.Snapshot(),
 		LastFence: m.lastFence, Bans: m.bans.Snapshot(), PromptParts: m.promptParts.Snapshot(),
 		EndpointsRevision: m.endpointsRevision, Endpoints: m.endpoints.Snapshot(), Releases: m.releasesSince(0),
-		AgedRevision: m.agedRevision,
+		AgedRevision: m.agedRevision, DeferredEndpoints: m.endpoints.Deferred(),
 	}
 	for _, reservation := range m.reservations {
 		stored.Reservations = append(stored.Reservations, reservation.Reservation)
--- a/pkg/advert/advert.go
+++ b/pkg/advert/advert.go
@@ -30,21 +30,34 @@
 	// arrive at most seconds late, and a fleet replaces far fewer endpoints than
 	// this in that time.
 	maxRemoved = 4096
+	// maxDeferred bounds the announcements for services that are not configured. Those
+	// beyond it have no effect; endpoints repeat theirs.
+	maxDeferred = 1024
 )
 
 // Table is the table of endpoints by name. The zero value is an empty table. A
 // Table is not safe for concurrent use.
 type Table struct {
+	// Configured reports whether a service is configured; nil means that all are. An
+	// announcement for any other service is deferred until it is: it may come from
+	// another writer, so it neither replaces an endpoint nor takes its address.
+	Configured func(service string) bool
+
 	records map[string]*Record
+	// deferred are the announcements for services that are not configured, by name.
+	deferred map[string]*Record
 	// nameByAddress maps each address to the name of the endpoint that uses it.
 	nameByAddress map[string]string
 	removedCount  int
 }
 
-// Accepts reports whether an announcement would change the table. It would not if
-// it is outdated, repeats the known state, or is for an address that a process with
+// Accepts reports whether an announcement would change the table or be deferred. It would
+// not if it is outdated, repeats the known state, or is for an address that a process with
 // a later start time uses.
 func (t *Table) Accepts(report *Record) bool {
+	if t.Defers(report) {
+		return t.acceptsDeferred(report)
+	}
 	known := t.records[report.Name]
 	if known != nil && !t.isNewer(report, known) {
 		return false
@@ -53,27 +66,68 @@
 		return false
 	}
 	holder := t.records[t.nameByAddress[report.Address]]
-	return holder == nil || holder.Name == report.Name || report.StartedMillis >= holder.StartedMillis
+	return holder == nil || holder.Name == report.Name || !t.isConfigured(holder.Service) || report.StartedMillis >= holder.StartedMillis
+}
+
+func (t *Table) isConfigured(service string) bool {
+	return t.Configured == nil || t.Configured(service)
+}
+
+// Defers reports whether an announcement waits for its service to be configured. That of
+// a process which was accepted before its service was taken out of the configuration does not.
+func (t *Table) Defers(report *Record) bool {
+	if t.isConfigured(report.Service) {
+		return false
+	}
+	known := t.records[report.Name]
+	return known == nil || known.Removed || known.Service != report.Service || known.StartedMillis != report.StartedMillis
+}
+
+// acceptsDeferred reports whether a deferred announcement is new.
+func (t *Table) acceptsDeferred(report *Record) bool {
+	known := t.deferred[report.Name]
+	if known == nil {
+		return len(t.deferred) < maxDeferred
+	}
+	return compareAge(report, known) > 0 && !known.sameContent(report)
+}
+
+// compareAge orders the announcements of one name by their process and sequence.
+func compareAge(a, b *Record) int {
+	return cmp.Or(cmp.Compare(a.StartedMillis, b.StartedMillis), cmp.Compare(a.Seq, b.Seq))
 }
 
 // isNewer reports whether an announcement is newer than the known record of the
-// same name. A process that has been removed stays removed; a new process under the
-// same name has a later start time.
+// same name. A process that has been removed stays removed, unless it was removed
+// for an endpoint whose service is not configured; a new process under the same name
+// has a later start time.
 func (t *Table) isNewer(report, known *Record) bool {
+	if t.isConfigured(report.Service) && !t.isConfigured(known.Service) {
+		return true
+	}
 	if report.StartedMillis != known.StartedMillis {
 		return report.StartedMillis > known.StartedMillis
 	}
-	return !known.Removed && report.Seq > known.Seq
+	if known.Removed {
+		holder := t.records[t.nameByAddress[known.Address]]
+		return report.Seq > known.Seq && holder != nil && !t.isConfigured(holder.Service)
+	}
+	return report.Seq > known.Seq
 }
 
 // Apply applies an announcement at the given revision and reports whether it
-// changed the table. An endpoint that used the announced address before is marked
+// changed the endpoints. An endpoint that used the announced address before is marked
 // as removed.
 func (t *Table) Apply(report Record, revision uint64) bool {
 	if !t.Accepts(&report) {
 		return false
 	}
 	t.ensureMaps()
+	if t.Defers(&report) {
+		report.Removed, report.Revision = false, 0
+		t.deferred[report.Name] = &report
+		return false
+	}
 	if holder := t.records[t.nameByAddress[report.Address]]; holder != nil && holder.Name != report.Name {
 		t.markRemoved(holder, revision)
 	}
@@ -92,6 +146,9 @@
 // started is the start time of the process that has ended, in Unix milliseconds, or
 // 0 if it is unknown; a process that started later is not removed.
 func (t *Table) Remove(name string, started int64, revision uint64) bool {
+	if waiting := t.deferred[name]; waiting != nil && (started == 0 || started >= waiting.StartedMillis) {
+		delete(t.deferred, name)
+	}
 	known := t.records[name]
 	if known == nil || known.Removed || (started != 0 && started < known.StartedMillis) {
 		return false
@@ -143,10 +200,32 @@
 // ensureMaps allocates the maps of a zero Table.
 func (t *Table) ensureMaps() {
 	if t.records == nil {
-		t.records, t.nameByAddress = map[string]*Record{}, map[string]string{}
+		t.records, t.deferred, t.nameByAddress = map[string]*Record{}, map[string]*Record{}, map[string]string{}
 	}
 }
 
+// ApplyDeferred applies the deferred announcements whose services are configured now, from the
+// given revision on, and returns the revision after the last change.
+func (t *Table) ApplyDeferred(revision uint64) uint64 {
+	var due []*Record
+	for _, record := range t.deferred {
+		if t.isConfigured(record.Service) {
+			due = append(due, record)
+		}
+	}
+	slices.SortFunc(due, func(a, b *Record) int { return cmp.Or(compareAge(a, b), cmp.Compare(a.Name, b.Name)) })
+	for _, record := range due {
+		delete(t.deferred, record.Name)
+		if t.Apply(*record, revision+1) {
+			revision++
+		}
+	}
+	return revision
+}
+
+// Deferred returns the deferred announcements, sorted by name.
+func (t *Table) Deferred() []Record { return sortedByName(t.deferred) }
+
 // ChangedSince returns the records that changed after a revision, ordered by
 // revision. For revision 0 it omits tombstones, because a holder of an empty table
 // has nothing to remove.
@@ -238,17 +317,23 @@
 }
 
 // Snapshot returns all records, including tombstones, sorted by name.
-func (t *Table) Snapshot() []Record {
-	all := make([]Record, 0, len(t.records))
-	for _, record := range t.records {
+func (t *Table) Snapshot() []Record { return sortedByName(t.records) }
+
+func sortedByName(records map[string]*Record) []Record {
+	all := make([]Record, 0, len(records))
+	for _, record := range records {
 		all = append(all, *record)
 	}
 	slices.SortFunc(all, func(a, b Record) int { return cmp.Compare(a.Name, b.Name) })
 	return all
 }
 
-// Restore replaces the table's content by that of a snapshot.
-func (t *Table) Restore(records []Record) {
-	*t = Table{}
+// Restore replaces the table's content by that of a snapshot, Snapshot's records and those of
+// Deferred.
+func (t *Table) Restore(records, deferred []Record) {
+	*t = Table{Configured: t.Configured}
 	t.Merge(records)
+	for _, record := range deferred {
+		t.deferred[record.Name] = &record
+	}
 }
--- a/pkg/advert/advert_test.go
+++ b/pkg/advert/advert_test.go
@@ -95,13 +95,126 @@
 			}
 			require.Equal(t, scenario.usable, names)
 			copied := &advert.Table{}
-			copied.Restore(table.Snapshot())
+			copied.Restore(table.Snapshot(), nil)
 			require.Equal(t, table.Snapshot(), copied.Snapshot())
 			require.Equal(t, table.Available(), copied.Available())
 		})
 	}
 }
 
+// One announcement for a service that is not configured took a live endpoint out for good:
+// its address went to the announced name, and its own announcements were refused from then on.
+func TestAnnouncementsForOtherServicesDisplaceNoEndpoint(t *testing.T) {
+	foreign := func(name, address string, started int64, seq uint64) advert.Record {
+		r := report(name, address, started, seq)
+		r.Service = "other"
+		return r
+	}
+	for name, scenario := range map[string]struct {
+		// early steps come before the services are configured.
+		early, steps []step
+		usable       []string
+		// usableOther is what the other service has once it is configured as well.
+		usableOther []string
+	}{
+		"another name at the address": {
+			[]step{{report: report("a", "1", 5, 1), changes: true}},
+			[]step{{report: foreign("x", "1", 9, 1)}, {report: draining("a", "1", 5, 2), changes: true}, {report: report("a", "1", 5, 3), changes: true}},
+			[]string{"a"},
+			[]string{"x"},
+		},
+		"the same name, started later": {
+			[]step{{report: report("a", "1", 5, 1), changes: true}},
+			[]step{{report: foreign("a", "1", 1<<60, 1)}, {report: foreign("a", "2", 5, 1<<60)}, {report: report("a", "1", 6, 1), changes: true}},
+			[]string{"a"},
+			[]string{"a"},
+		},
+		"an endpoint that was displaced before returns": {
+			[]step{{report: report("a", "1", 5, 1), changes: true}, {report: foreign("x", "1", 9, 1), changes: true}, {report: report("a", "1", 5, 2)}},
+			[]step{{report: report("a", "1", 5, 3), changes: true}, {report: foreign("x", "1", 9, 2)}},
+			[]string{"a"},
+			nil,
+		},
+		"and one whose name was taken": {
+			[]step{{report: report("a", "1", 5, 1), changes: true}, {report: foreign("a", "2", 9, 1), changes: true}, {report: report("a", "1", 5, 2)}},
+			[]step{{report: report("a", "1", 5, 3), changes: true}},
+			[]string{"a"},
+			nil,
+		},
+		"an endpoint that left does not return": {
+			[]step{{report: report("a", "1", 5, 1), changes: true}, {removed: "a", changes: true}},
+			[]step{{report: foreign("x", "1", 9, 1)}, {report: report("a", "1", 5, 2)}},
+			nil,
+			[]string{"x"},
+		},
+		"an address that is free": {
+			nil,
+			[]step{{report: foreign("x", "1", 9, 1)}, {report: report("a", "1", 5, 1), changes: true}},
+			[]string{"a"},
+			[]string{"x"},
+		},
+		"the deferred endpoint leaves": {
+			nil,
+			[]step{{report: foreign("x", "1", 9, 1)}, {removed: "x", started: 8}, {removed: "x", started: 9}},
+			nil,
+			nil,
+		},
+		"the latest deferred announcement counts": {
+			nil,
+			[]step{{report: foreign("x", "1", 9, 3)}, {report: foreign("x", "2", 9, 2)}, {report: foreign("y", "3", 9, 1)}, {report: foreign("z", "3", 10, 1)}},
+			nil,
+			[]string{"x", "z"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			configured := map[string]bool{"s": true, "other": true}
+			table := &advert.Table{Configured: func(service string) bool { return configured[service] }}
+			revision := uint64(0)
+			play := func(steps []step) {
+				for i, s := range steps {
+					revision++
+					changed := false
+					if s.removed != "" {
+						changed = table.Remove(s.removed, s.started, revision)
+					} else {
+						changed = table.Apply(s.report, revision)
+					}
+					require.Equal(t, s.changes, changed, "step %d", i)
+				}
+			}
+			names := func(service string) (names []string) {
+				for _, record := range table.Available()[service] {
+					names = append(names, record.Name)
+				}
+				return names
+			}
+			play(scenario.early)
+			configured["other"] = false
+			play(scenario.steps)
+			require.Equal(t, scenario.usable, names("s"))
+			require.Equal(t, revision, table.ApplyDeferred(revision), "none is due")
+			copied := &advert.Table{Configured: table.Configured}
+			copied.Restore(table.Snapshot(), table.Deferred())
+			configured["other"] = true
+			require.Equal(t, table.ApplyDeferred(revision), copied.ApplyDeferred(revision))
+			require.Equal(t, scenario.usableOther, names("other"))
+			require.Equal(t, table.Snapshot(), copied.Snapshot())
+			require.Empty(t, table.Deferred())
+		})
+	}
+}
+
+func TestDeferredAnnouncementsAreBounded(t *testing.T) {
+	table := &advert.Table{Configured: func(service string) bool { return service == "s" }}
+	for i := range 5000 {
+		r := report(fmt.Sprint("x", i), fmt.Sprint(i), int64(i), 1)
+		r.Service = "other"
+		table.Apply(r, 1)
+	}
+	require.Len(t, table.Deferred(), 1024)
+	require.Empty(t, table.Snapshot())
+}
+
 func TestFollowerHasTheSameTable(t *testing.T) {
 	table, follower := &advert.Table{}, &advert.Table{}
 	table.Apply(report("a", "1", 5, 1), 1)
