--- a/ctrl/member/member_test.go
+++ b/ctrl/member/member_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -119,7 +120,7 @@
 	for limit, want := range map[int]raft.Change{
 		2: {Operation: raft.OperationRemove, Member: members[2].Member},
 		3: {Operation: raft.OperationReplace, Member: members[3].Member, ReplacedID: 3},
-		4: {Operation: raft.OperationPromote, Member: members[3].Member},
+		4: {Operation: raft.OperationReplace, Member: members[3].Member, ReplacedID: 3},
 	} {
 		repair := member.RepairPolicy{DeadTicks: 200, AliveTicks: 20, TargetVoters: limit}
 		change, ok := repair.Next(raft.Status{ID: 1, Commit: 9, Members: members}, nil)
@@ -127,3 +128,47 @@
 		require.Equal(t, want, change, "limit %d", limit)
 	}
 }
+
+// A learner became a voter beside a dead one, in a group with fewer voters than wanted. The next
+// loss stopped the group for good, although it bears each loss alone.
+func TestPromotionTakesNoToleranceFromTheGroup(t *testing.T) {
+	const alive, silent, dead, unheard = 1, 15, 201, -1
+	for name, test := range map[string]struct {
+		// silence is that of the voters after the leader, in ticks.
+		silence []int
+		target  int
+		want    raft.Operation
+	}{
+		"all alive":                        {[]int{alive, alive}, 5, raft.OperationPromote},
+		"one of three silent":              {[]int{alive, silent}, 5, ""},
+		"one of three not heard yet":       {[]int{alive, unheard}, 5, ""},
+		"one of three dead":                {[]int{alive, dead}, 5, raft.OperationReplace},
+		"two of three dead":                {[]int{dead, dead}, 5, ""},
+		"one of four silent":               {[]int{alive, alive, silent}, 5, raft.OperationPromote},
+		"one of four dead":                 {[]int{alive, alive, dead}, 5, raft.OperationReplace},
+		"one of five silent":               {[]int{alive, alive, alive, silent}, 7, ""},
+		"one of five dead":                 {[]int{alive, alive, alive, dead}, 7, raft.OperationReplace},
+		"one dead, another silent":         {[]int{alive, alive, silent, dead}, 7, raft.OperationReplace},
+		"the only one of two silent":       {[]int{silent}, 3, raft.OperationPromote},
+		"the leader alone":                 {nil, 3, raft.OperationPromote},
+		"as many as wanted, one silent":    {[]int{alive, silent}, 3, ""},
+		"more than wanted, one is silent":  {[]int{alive, alive, silent}, 3, ""},
+		"more than wanted, one dead leave": {[]int{alive, alive, dead}, 3, raft.OperationRemove},
+	} {
+		t.Run(name, func(t *testing.T) {
+			members := []raft.MemberStatus{{Member: raft.Member{ID: 1, Name: "a", Voter: true}, Match: 9}}
+			for i, ticks := range test.silence {
+				voter := raft.MemberStatus{Member: raft.Member{ID: uint64(i + 2), Name: fmt.Sprint("v", i), Voter: true}, Match: 9, SilentTicks: ticks}
+				if ticks == unheard {
+					voter.Match, voter.SilentTicks = 0, 1
+				}
+				members = append(members, voter)
+			}
+			members = append(members, raft.MemberStatus{Member: raft.Member{ID: 90, Name: "new"}, Match: 9})
+			repair := member.RepairPolicy{DeadTicks: 200, AliveTicks: 20, PromptTicks: 10, TargetVoters: test.target}
+			change, ok := repair.Next(raft.Status{ID: 1, Commit: 9, Members: members}, nil)
+			require.Equal(t, test.want != "", ok)
+			require.Equal(t, test.want, change.Operation)
+		})
+	}
+}
--- a/ctrl/member/repair.go
+++ b/ctrl/member/repair.go
@@ -17,6 +17,9 @@
 	DeadTicks int
 	// AliveTicks is the maximum silence of a replica that counts as alive.
 	AliveTicks int
+	// PromptTicks is the maximum silence of the voters beside which an odd number of
+	// voters gets one more.
+	PromptTicks int
 	// TargetVoters is the number of voters of a group that any replica may join; 0
 	// limits the group to Names.
 	TargetVoters int
@@ -40,19 +43,19 @@
 	return raft.Change{}, false
 }
 
-// nextStep returns the next step towards making an up-to-date learner a voter: its
-// promotion, or the replacement of a dead voter. A group with more voters than
+// nextStep returns the next step towards making an up-to-date learner a voter: the
+// replacement of a dead voter, or its promotion. A group with more voters than
 // TargetVoters only loses the dead one.
 func (r RepairPolicy) nextStep(status raft.Status, learner raft.MemberStatus, requested map[string]bool) (raft.Change, bool) {
 	promote := raft.Change{Operation: raft.OperationPromote, Member: learner.Member}
 	old, found := voterNamed(status, learner.Name)
 	if !found && r.TargetVoters > 0 {
-		if countVoters(status) < r.TargetVoters {
-			return promote, true
-		}
 		old, found = r.deadVoter(status)
 		if !found {
-			return raft.Change{}, false
+			if countVoters(status) >= r.TargetVoters || !r.mayPromote(status) {
+				return raft.Change{}, false
+			}
+			return promote, true
 		}
 		if countVoters(status) > r.TargetVoters {
 			return raft.Change{Operation: raft.OperationRemove, Member: old.Member}, r.hasMajorityWithout(status, old.ID)
@@ -68,6 +71,19 @@
 	return replace, r.hasMajorityWithout(status, old.ID)
 }
 
+// mayPromote reports whether the group bears the loss of any voter after a promotion that it
+// bears before. One more voter raises the majority of an odd number of voters, which must
+// then all be alive: {a, b, c} without c goes on, {a, b, c, d} without c and d stands still.
+func (r RepairPolicy) mayPromote(status raft.Status) bool {
+	if countVoters(status)%2 == 0 {
+		return true
+	}
+	return !slices.ContainsFunc(status.Members, func(member raft.MemberStatus) bool {
+		// A member without a match has not answered this leader yet.
+		return member.Voter && member.ID != status.ID && (member.SilentTicks > r.PromptTicks || member.Match == 0)
+	})
+}
+
 func countVoters(status raft.Status) int {
 	count := 0
 	for _, member := range status.Members {
--- a/ctrl/node/loop.go
+++ b/ctrl/node/loop.go
@@ -62,7 +62,9 @@
 func newLoop(n *Node, identity member.Identity, core *raft.Core, log *wlog.Log, store *snap.Store) *loop {
 	l := &loop{
 		node: n, identity: identity, core: core, log: log, store: store,
-		repair:       member.RepairPolicy{DeadTicks: int(n.ReplaceAfter / tickInterval), AliveTicks: aliveTicks, TargetVoters: n.Voters},
+		repair: member.RepairPolicy{
+			DeadTicks: int(n.ReplaceAfter / tickInterval), AliveTicks: aliveTicks, PromptTicks: promptTicks, TargetVoters: n.Voters,
+		},
 		uncommitted:  map[uint64]*proposal{},
 		pendingReads: map[uint64]chan uint64{},
 		replaceNow:   map[string]bool{},
--- a/ctrl/node/node.go
+++ b/ctrl/node/node.go
@@ -38,6 +38,9 @@
 	// aliveTicks is the longest time since the last message from a replica that
 	// counts as alive: 1 s.
 	aliveTicks = 100
+	// promptTicks is the longest time since the last message from a voter that surely
+	// takes part in decisions: 300 ms, three heartbeats.
+	promptTicks = 30
 	// maxAppendBytes limits the size of an append message, and maxUnackedAppends the
 	// number of append messages sent to a replica and not yet acknowledged.
 	maxAppendBytes    = 256 << 10
--- a/ctrl/node/open_test.go
+++ b/ctrl/node/open_test.go
@@ -108,6 +108,28 @@
 	})
 }
 
+// Replicas of a group that is smaller than wanted are lost one after the other, and an empty one
+// comes for each. The group stood still after the second loss: the first replacement had become
+// a voter beside the lost one, so that three of four voters were needed.
+func TestSmallGroupSurvivesLossesOneAfterTheOther(t *testing.T) {
+	for seed := range uint64(8) {
+		inOpenGroup(t, 410+10*seed, 5, func(g *group) {
+			g.fill(0, 5)
+			for i, lost := range []string{"c1", "c3", "c11"} {
+				g.crash(lost)
+				time.Sleep(time.Second)
+				added := fmt.Sprint("c", 11+i)
+				g.add(added, true)
+				time.Sleep(repairTime)
+				require.Contains(t, g.voterNames(), added)
+				require.NotContains(t, g.voterNames(), lost)
+				g.fill(5*i+5, 5*i+10)
+			}
+			g.requireFilled(20)
+		})
+	}
+}
+
 // A permanently lost replica is replaced by an empty one at another address. The
 // group must then survive the loss of a second replica.
 func TestEmptyReplicaReplacesADeadVoter(t *testing.T) {
