--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -283,6 +283,6 @@
 	return &plane.Status{
 		Replica: status.ID, Name: d.Name, Leader: status.Leader, Term: status.Term, Commit: status.Commit,
 		ConfigNumber: d.machine.Number(), Members: status.Members, Endpoints: d.roster.All(), Bans: bans,
-		Burn: d.feeds.BurnWindows(), Entries: d.feeds.Entries(),
+		Burn: d.feeds.BurnWindows(), Entries: d.feeds.Entries(), WantedVoters: int32(status.WantedVoters),
 	}
 }
--- a/ctrl/node/admin.go
+++ b/ctrl/node/admin.go
@@ -25,7 +25,9 @@
 	// Members are the replicas of the group. Their LagEntries and SilentFor are set
 	// only at the leader.
 	Members []plane.Member
-	Leading bool
+	// WantedVoters is the number of voters that the tolerated failures need.
+	WantedVoters int
+	Leading      bool
 }
 
 // Status returns the replica's current view. It is empty before Run has opened the
@@ -37,7 +39,7 @@
 		return Status{}
 	}
 	applied, _ := n.applier.progress()
-	s := Status{ID: view.ID, Term: view.Term, Commit: view.Commit, Applied: applied, Leading: view.Leading}
+	s := Status{ID: view.ID, Term: view.Term, Commit: view.Commit, Applied: applied, WantedVoters: n.wantedVoters(), Leading: view.Leading}
 	for _, m := range view.Members {
 		if m.ID == view.Leader {
 			s.Leader = m.Name
--- a/ctrl/node/group_test.go
+++ b/ctrl/node/group_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"maps"
 	"net"
 	"os"
@@ -53,6 +54,8 @@
 	// noBootstrap holds the replicas that join a group which already exists.
 	voters      int
 	noBootstrap map[string]bool
+	// events gets the replicas' events, if set.
+	events io.Writer
 }
 
 // replica is one run of a node, with a map of strings as its state.
@@ -106,6 +109,9 @@
 	if *verbose {
 		log = event.New(os.Stderr, name)
 	}
+	if g.events != nil {
+		log = event.New(g.events, name)
+	}
 	r.Node = &node.Node{
 		Host: host.Host{
 			VM: name, Meter: meter.New(), Log: log,
--- a/ctrl/node/loop.go
+++ b/ctrl/node/loop.go
@@ -48,6 +48,7 @@
 	begun          bool
 	voters         int
 	votersGrewTick int
+	size           sizeReport
 	// joins are join requests that arrived during another membership change, by ID.
 	joins map[uint64]member.JoinRequest
 	// sendingSnapshot is the snapshot being sent to other replicas, and lastChunkTick
@@ -166,6 +167,9 @@
 		l.admitWaiting()
 		l.trackVoters()
 	}
+	if l.leadingTerm != 0 && l.ticks%repairTicks == 0 {
+		l.reportSize()
+	}
 	if l.leadingTerm != 0 && (l.ticks%repairTicks == 0 || !l.begun) {
 		if change, ok := l.repair.Next(l.core.Status(), l.replaceNow); ok {
 			l.changeMembership(change)
--- a/ctrl/node/open_test.go
+++ b/ctrl/node/open_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"maps"
@@ -130,6 +131,43 @@
 	}
 }
 
+// A group with fewer voters than the tolerated failures need told so only once, at its
+// beginning, in one line among thousands.
+func TestGroupWithTooFewVotersIsReported(t *testing.T) {
+	var events bytes.Buffer
+	inBubble(t, 33, 0, func(g *group) {
+		g.events = &events
+		startNewGroup(g, 3, 2, 3)
+		requireVoters := func(voters, answering int64) {
+			meter := g.leader().Host.Meter
+			require.Equal(t, []int64{voters, answering, 5}, []int64{
+				meter.Value("control_voters"), meter.Value("control_voters_answering"), meter.Value("control_voters_wanted"),
+			})
+		}
+		g.put("a", "1")
+		time.Sleep(repairTime)
+		requireVoters(3, 3)
+		require.Contains(t, events.String(), "event=group-too-small voters=3 answering=3 of=5")
+		require.Equal(t, 5, g.leader().Status().WantedVoters)
+		lost := g.others(g.leader().name)[0]
+		g.crash(lost)
+		time.Sleep(repairTime)
+		requireVoters(3, 2)
+		g.start(lost)
+		former := g.leader()
+		require.NoError(t, former.TransferLeadership(context.Background(), g.others(former.name)[0]))
+		time.Sleep(repairTime)
+		require.Zero(t, former.Host.Meter.Value("control_voters"), "its view is not current")
+		requireVoters(3, 3)
+		require.NotContains(t, events.String(), "group-complete")
+		g.add("c4", true)
+		g.add("c5", true)
+		time.Sleep(repairTime)
+		requireVoters(5, 5)
+		require.Contains(t, events.String(), "event=group-complete voters=5 of=5")
+	})
+}
+
 // A permanently lost replica is replaced by an empty one at another address. The
 // group must then survive the loss of a second replica.
 func TestEmptyReplicaReplacesADeadVoter(t *testing.T) {
--- a/ctrl/node/output.go
+++ b/ctrl/node/output.go
@@ -112,6 +112,7 @@
 		l.node.applier.push(applyTask{lostTerm: l.leadingTerm})
 		clear(l.replaceNow)
 		clear(l.joins)
+		l.clearSize()
 	}
 	if now != 0 {
 		l.leadingSinceTick = l.ticks
--- a/pkg/plane/admin.go
+++ b/pkg/plane/admin.go
@@ -60,6 +60,9 @@
 	Bans         []Ban           `protobuf:"bytes,9,rep" json:"bans"`
 	Burn         []BurnWindow    `protobuf:"bytes,10,rep" json:"burn"`
 	Entries      []string        `protobuf:"bytes,11,rep" json:"entries"`
+	// WantedVoters is the number of voters that the tolerated failures need; 0 if the
+	// replica does not state it.
+	WantedVoters int32 `protobuf:"varint,12,opt" json:"voters_wanted,omitempty"`
 }
 
 // Member is one control replica.
--- a/spindle/cmds/cmds_test.go
+++ b/spindle/cmds/cmds_test.go
@@ -36,6 +36,8 @@
 	submitted plane.SubmitReply
 	admin     plane.AdminReply
 	bans      []plane.Ban
+	// wantedVoters is Status.WantedVoters.
+	wantedVoters int32
 	// dropReplies is the number of submissions that get no reply.
 	dropReplies int
 	submits     []plane.SubmitRequest
@@ -81,7 +83,7 @@
 
 func (r *fakeControl) status(name string) *plane.Status {
 	status := &plane.Status{
-		Replica: 1, Name: name, Leader: "c1", Term: 3, Commit: 40, ConfigNumber: 7, Entries: []string{"e1", "e2"}, Bans: r.bans,
+		Replica: 1, Name: name, Leader: "c1", Term: 3, Commit: 40, ConfigNumber: 7, Entries: []string{"e1", "e2"}, Bans: r.bans, WantedVoters: r.wantedVoters,
 		Members: []plane.Member{
 			{Replica: 1, Name: "c1", Address: "10.0.0.1:7000", Voter: true},
 			{Replica: 2, Name: "c2", Address: "10.0.0.2:7000", Voter: true, LagEntries: 3, SilentFor: span.Duration(200 * time.Millisecond)},
@@ -146,38 +148,39 @@
 		replicas  *fakeControl
 		arguments []string
 	}{
-		"check-good":       {&fakeControl{}, []string{"check", writeFolder(t, good)}},
-		"check-bad":        {&fakeControl{}, []string{"check", writeFolder(t, bad)}},
-		"check-bad-json":   {&fakeControl{}, []string{"check", "--json", writeFolder(t, bad)}},
-		"check-usage":      {&fakeControl{}, []string{"check"}},
-		"no-command":       {&fakeControl{}, []string{"launch"}},
-		"further-fails":    {&fakeControl{}, []string{"sample"}},
-		"flag-usage":       {&fakeControl{}, []string{"status", "--colour"}},
-		"no-control":       {&fakeControl{}, []string{"status"}},
-		"apply-bad":        {&fakeControl{}, append(both, "apply", writeFolder(t, bad))},
-		"apply-done":       {&fakeControl{submitted: plane.SubmitReply{ConfigNumber: 1, InForce: true}}, append(both, "apply", writeFolder(t, good))},
-		"apply-done-json":  {&fakeControl{submitted: plane.SubmitReply{ConfigNumber: 1, InForce: true}}, append(both, "--json", "apply", writeFolder(t, good))},
-		"apply-conflict":   {&fakeControl{submitted: plane.SubmitReply{Refused: plane.KindConflict, ConfigNumber: 1, Winner: "ravi@ops"}}, append(both, "apply", writeFolder(t, good))},
-		"apply-lagging":    {&fakeControl{submitted: plane.SubmitReply{ConfigNumber: 1, Lagging: []string{"e1", "a7"}}}, append(both, "apply", writeFolder(t, good))},
-		"apply-invalid":    {&fakeControl{submitted: plane.SubmitReply{Refused: plane.KindInvalid, Detail: "rates"}}, append(both, "apply", writeFolder(t, good))},
-		"apply-leaderless": {&fakeControl{submitted: plane.SubmitReply{Refused: plane.KindNoLeader}}, append(both, "apply", writeFolder(t, good))},
-		"key-new":          {&fakeControl{}, []string{"key", "new", "--workspace", "w", "--note", "front desk"}},
-		"key-new-json":     {&fakeControl{}, []string{"key", "new", "--workspace", "w", "--json"}},
-		"status":           {&fakeControl{}, append(both, "status")},
-		"status-json":      {&fakeControl{}, append(both, "status", "--json")},
-		"status-half":      {&fakeControl{}, []string{"status", "--control", "c9:1,c2:1"}},
-		"status-none":      {&fakeControl{}, []string{"status", "--control", "c9:1"}},
-		"report":           {&fakeControl{}, append(both, "report")},
-		"replace":          {&fakeControl{}, append(both, "replace", "c3")},
-		"replace-refused":  {&fakeControl{admin: plane.AdminReply{Refused: plane.KindMissing, Detail: "no replica c8"}}, append(both, "replace", "c8")},
-		"replace-timeout":  {&fakeControl{admin: plane.AdminReply{Refused: plane.KindTimeout, Detail: "the new replica does not answer"}}, append(both, "replace", "c3")},
-		"move-json":        {&fakeControl{}, append(both, "move", "c2", "--json")},
-		"ban-list":         {&fakeControl{bans: []plane.Ban{{Digest: []byte{1, 255}, Crashes: 2, SoleSuspectCrashes: 1, Remaining: span.Duration(time.Hour)}}}, append(both, "ban", "list")},
-		"ban-list-none":    {&fakeControl{}, append(both, "ban", "list")},
-		"ban-lift":         {&fakeControl{}, append(both, "ban", "lift", digest)},
-		"losses":           {&fakeControl{}, []string{"losses", "--width", "4s", "../losses/testdata/logs.txt"}},
-		"losses-usage":     {&fakeControl{}, []string{"losses", "--width", "0s", "../losses/testdata/logs.txt"}},
-		"ban-lift-usage":   {&fakeControl{}, append(both, "ban", "lift", "zz")},
+		"check-good":        {&fakeControl{}, []string{"check", writeFolder(t, good)}},
+		"check-bad":         {&fakeControl{}, []string{"check", writeFolder(t, bad)}},
+		"check-bad-json":    {&fakeControl{}, []string{"check", "--json", writeFolder(t, bad)}},
+		"check-usage":       {&fakeControl{}, []string{"check"}},
+		"no-command":        {&fakeControl{}, []string{"launch"}},
+		"further-fails":     {&fakeControl{}, []string{"sample"}},
+		"flag-usage":        {&fakeControl{}, []string{"status", "--colour"}},
+		"no-control":        {&fakeControl{}, []string{"status"}},
+		"apply-bad":         {&fakeControl{}, append(both, "apply", writeFolder(t, bad))},
+		"apply-done":        {&fakeControl{submitted: plane.SubmitReply{ConfigNumber: 1, InForce: true}}, append(both, "apply", writeFolder(t, good))},
+		"apply-done-json":   {&fakeControl{submitted: plane.SubmitReply{ConfigNumber: 1, InForce: true}}, append(both, "--json", "apply", writeFolder(t, good))},
+		"apply-conflict":    {&fakeControl{submitted: plane.SubmitReply{Refused: plane.KindConflict, ConfigNumber: 1, Winner: "ravi@ops"}}, append(both, "apply", writeFolder(t, good))},
+		"apply-lagging":     {&fakeControl{submitted: plane.SubmitReply{ConfigNumber: 1, Lagging: []string{"e1", "a7"}}}, append(both, "apply", writeFolder(t, good))},
+		"apply-invalid":     {&fakeControl{submitted: plane.SubmitReply{Refused: plane.KindInvalid, Detail: "rates"}}, append(both, "apply", writeFolder(t, good))},
+		"apply-leaderless":  {&fakeControl{submitted: plane.SubmitReply{Refused: plane.KindNoLeader}}, append(both, "apply", writeFolder(t, good))},
+		"key-new":           {&fakeControl{}, []string{"key", "new", "--workspace", "w", "--note", "front desk"}},
+		"key-new-json":      {&fakeControl{}, []string{"key", "new", "--workspace", "w", "--json"}},
+		"status":            {&fakeControl{}, append(both, "status")},
+		"status-json":       {&fakeControl{}, append(both, "status", "--json")},
+		"status-half":       {&fakeControl{}, []string{"status", "--control", "c9:1,c2:1"}},
+		"status-few-voters": {&fakeControl{wantedVoters: 3}, append(both, "status")},
+		"status-none":       {&fakeControl{}, []string{"status", "--control", "c9:1"}},
+		"report":            {&fakeControl{}, append(both, "report")},
+		"replace":           {&fakeControl{}, append(both, "replace", "c3")},
+		"replace-refused":   {&fakeControl{admin: plane.AdminReply{Refused: plane.KindMissing, Detail: "no replica c8"}}, append(both, "replace", "c8")},
+		"replace-timeout":   {&fakeControl{admin: plane.AdminReply{Refused: plane.KindTimeout, Detail: "the new replica does not answer"}}, append(both, "replace", "c3")},
+		"move-json":         {&fakeControl{}, append(both, "move", "c2", "--json")},
+		"ban-list":          {&fakeControl{bans: []plane.Ban{{Digest: []byte{1, 255}, Crashes: 2, SoleSuspectCrashes: 1, Remaining: span.Duration(time.Hour)}}}, append(both, "ban", "list")},
+		"ban-list-none":     {&fakeControl{}, append(both, "ban", "list")},
+		"ban-lift":          {&fakeControl{}, append(both, "ban", "lift", digest)},
+		"losses":            {&fakeControl{}, []string{"losses", "--width", "4s", "../losses/testdata/logs.txt"}},
+		"losses-usage":      {&fakeControl{}, []string{"losses", "--width", "0s", "../losses/testdata/logs.txt"}},
+		"ban-lift-usage":    {&fakeControl{}, append(both, "ban", "lift", "zz")},
 	} {
 		t.Run(name, func(t *testing.T) {
 			goldie.New(t).Assert(t, name, []byte(run(t, test.replicas, test.arguments...)))
--- a/spindle/cmds/status.go
+++ b/spindle/cmds/status.go
@@ -17,15 +17,18 @@
 // replica's if the leader does not answer, and the answer of each address. Its
 // JSON form is independent of the messages between processes.
 type overview struct {
-	Leader    string          `json:"leader"`
-	Term      uint64          `json:"term"`
-	Commit    uint64          `json:"commit"`
-	Number    uint64          `json:"number"`
-	Members   []plane.Member  `json:"members"`
-	Endpoints []endpoint      `json:"endpoints"`
-	Entries   []string        `json:"entries"`
-	Bans      []banRecord     `json:"bans"`
-	Replicas  []replicaStatus `json:"replicas"`
+	Leader  string         `json:"leader"`
+	Term    uint64         `json:"term"`
+	Commit  uint64         `json:"commit"`
+	Number  uint64         `json:"number"`
+	Members []plane.Member `json:"members"`
+	// Voters are among the members; WantedVoters are needed for the tolerated failures.
+	Voters       int             `json:"voters"`
+	WantedVoters int             `json:"voters_wanted"`
+	Endpoints    []endpoint      `json:"endpoints"`
+	Entries      []string        `json:"entries"`
+	Bans         []banRecord     `json:"bans"`
+	Replicas     []replicaStatus `json:"replicas"`
 	// burn holds the request counts for the command report.
 	burn []plane.BurnWindow
 }
@@ -59,6 +62,12 @@
 		Leader: s.Leader, Term: s.Term, Commit: s.Commit, Number: s.ConfigNumber, Members: s.Members, Entries: s.Entries,
 		Endpoints: make([]endpoint, 0, len(s.Endpoints)), Bans: listBans(s.Bans), Replicas: replicas, burn: s.Burn,
 	}
+	view.WantedVoters = int(s.WantedVoters)
+	for _, member := range s.Members {
+		if member.Voter {
+			view.Voters++
+		}
+	}
 	for _, record := range s.Endpoints {
 		view.Endpoints = append(view.Endpoints, newEndpoint(record))
 	}
@@ -172,6 +181,9 @@
 			_, _ = fmt.Fprintf(&text, "no answer from %s: %s\n", r.Address, r.Error)
 		}
 	}
+	if o.Voters < o.WantedVoters {
+		_, _ = fmt.Fprintf(&text, "warning: control has %d voters, the tolerated failures need %d\n", o.Voters, o.WantedVoters)
+	}
 	o.writeMembers(&text)
 	o.writeEndpoints(&text)
 	_, _ = fmt.Fprintf(&text, "\nentries: %s\n", orNone(strings.Join(o.Entries, ", ")))
