--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -256,7 +256,11 @@
 			}
 			j.lastReceived = time.Now()
 			j.filter.Endpoints.RecordHeard(endpoint.Name, j.lastReceived)
-			if !hadID || j.cutter.LastID != formerID {
+			switch {
+			case !j.cutter.Resumable():
+				// Another endpoint would repeat what the caller has.
+				watchdog.endSupervision()
+			case !hadID || j.cutter.LastID != formerID:
 				watchdog.eventReceived(j.progress())
 			}
 		}
--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -427,6 +427,32 @@
 	}
 }
 
+// A stream was continued after the last event with an ID, so that its caller got the events
+// without one, or the whole stream, twice.
+func TestEventsWithoutIDAreNotRepeated(t *testing.T) {
+	const unidentified = "data: x\n\n"
+	silent := reply{status: 200, authentic: true, body: completeStream[:15] + unidentified, pieces: []string{": wait\n\n"}, pause: 300 * time.Millisecond, endless: true}
+	for name, test := range map[string]struct {
+		first reply
+		want  string
+	}{
+		"without any ID":       {reply{status: 200, authentic: true, body: unidentified, broken: true}, unidentified},
+		"after an ID":          {reply{status: 200, authentic: true, body: completeStream[:15] + unidentified, broken: true}, completeStream[:15] + unidentified},
+		"endpoint then silent": {silent, completeStream[:15] + unidentified},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				s := &service{replies: []reply{test.first, wholeStream}}
+				got, err := run(context.Background(), newFilter(s, 3), resumable)
+				require.Error(t, err)
+				require.Equal(t, test.want, strings.ReplaceAll(got.text, ": wait\n\n", ""))
+				require.False(t, got.ended)
+				require.Len(t, s.calls, 1)
+			})
+		})
+	}
+}
+
 func TestContinuedStreamNamesTheLastEvent(t *testing.T) {
 	s := &service{replies: []reply{{status: 200, authentic: true, body: completeStream[:33], broken: true}, {status: 200, authentic: true, body: completeStream[30:]}}}
 	_, err := run(context.Background(), newFilter(s, 3), resumable)
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -301,7 +301,7 @@
 	}
 	route := &j.request.Route
 	if j.headSent {
-		return route.Resume && j.streaming
+		return route.Resume && j.streaming && j.cutter.Resumable()
 	}
 	return route.Resume || route.Idempotent
 }
--- a/pkg/stream/splitter.go
+++ b/pkg/stream/splitter.go
@@ -43,6 +43,8 @@
 	// EventCount is the number of events returned by Push.
 	EventCount int
 
+	// unidentified is set if an event without an ID was returned after the one of LastID.
+	unidentified bool
 	// pending is the incomplete event. Its last line starts at lineStart and has no
 	// end before searched.
 	pending             []byte
@@ -74,6 +76,10 @@
 	return complete, err
 }
 
+// Resumable reports whether a stream that is resumed after LastID, or begun anew without
+// one, repeats none of the events that Push has returned. Comments may be repeated.
+func (s *Splitter) Resumable() bool { return !s.unidentified }
+
 // Partial returns the bytes after the last complete event.
 func (s *Splitter) Partial() []byte { return s.pending }
 
@@ -102,18 +108,21 @@
 // recordEvent counts a complete event and records its ID. An invalid event changes nothing.
 func (s *Splitter) recordEvent(event []byte) error {
 	lastID, hasLastID := s.LastID, s.HasLastID
+	identified, comment := false, true
 	for line := range bytes.Lines(event) {
 		value, ok := bytes.CutPrefix(line, idField)
 		if !ok {
+			comment = comment && (line[0] == ':' || len(bytes.TrimRight(line, "\r\n")) == 0)
 			continue
 		}
 		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
 		if err != nil || (hasLastID && id <= lastID) {
 			return &Error{Op: "read event", Kind: KindOrder, Err: err}
 		}
-		lastID, hasLastID = id, true
+		lastID, hasLastID, identified = id, true, true
 	}
 	s.LastID, s.HasLastID = lastID, hasLastID
+	s.unidentified = !identified && (s.unidentified || !comment)
 	s.EventCount++
 	return nil
 }
--- a/pkg/stream/splitter_test.go
+++ b/pkg/stream/splitter_test.go
@@ -81,6 +81,30 @@
 	require.Zero(t, splitter.EventCount)
 }
 
+// An event without an ID would be repeated by an endpoint that continues after the last ID.
+func TestStreamIsResumableWhereNoEventWouldBeRepeated(t *testing.T) {
+	for name, test := range map[string]struct {
+		events string
+		want   bool
+	}{
+		"nothing":                        {"", true},
+		"events with IDs":                {text, true},
+		"comments":                       {": a\n\n: b\r\n\r\n\n", true},
+		"an event without an ID":         {"data: a\n\n", false},
+		"and a comment after it":         {"data: a\n\n: b\n\n", false},
+		"after one with an ID":           {"id: 1\ndata: a\n\ndata: b\n\n", false},
+		"and before one with an ID":      {"data: a\n\nid: 1\ndata: b\n\n", true},
+		"incomplete event without an ID": {"id: 1\ndata: a\n\ndata: b\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			splitter := stream.Splitter{}
+			_, err := splitter.Push([]byte(test.events))
+			require.NoError(t, err)
+			require.Equal(t, test.want, splitter.Resumable())
+		})
+	}
+}
+
 func TestUnterminatedEventIsTooLarge(t *testing.T) {
 	splitter := stream.Splitter{}
 	_, err := splitter.Push(make([]byte, 2<<20))
