--- a/ctrl/poison/poison.go
+++ b/ctrl/poison/poison.go
@@ -9,8 +9,7 @@
 //
 // A crash also names the parts and contents of the requests that their endpoint had begun
 // to answer. Many sound requests are among them. They are cleared by complete answers only,
-// and none is the cause beside an equal one. Their parts count in crashes that are
-// begunPartSpacing apart.
+// see begun.go.
 package poison
 
 import (
@@ -37,12 +36,6 @@
 	// SimultaneousCrashes is the time within which crashes count as one: endpoints that
 	// crash together more likely have a cause outside their requests.
 	SimultaneousCrashes = 100 * time.Millisecond
-	// begunPartSpacing is the time within which crashes count as one for a part on which
-	// endpoints had begun to answer; a sound one is answered completely elsewhere meanwhile.
-	begunPartSpacing = time.Second
-	// minBegunListed is the number of crashes from which what endpoints had begun to
-	// answer is listed as suspected: most is in one crash only.
-	minBegunListed = 2
 	// CrashRetention is how long a crash is remembered.
 	CrashRetention = 2 * time.Minute
 	// QuarantineDuration is how long a part is quarantined.
@@ -67,13 +60,14 @@
 	Parts []plane.CrashPart `protobuf:"bytes,4,rep"`
 }
 
-// find returns a candidate for the cause of the crash, nil if it is none.
-func (c *Crash) find(digest []byte) *plane.CrashPart {
-	i := slices.IndexFunc(c.Parts, func(p plane.CrashPart) bool { return bytes.Equal(p.Digest, digest) })
-	if i < 0 {
-		return nil
-	}
-	return &c.Parts[i]
+// has reports whether a part is a candidate for the cause of the crash.
+func (c *Crash) has(digest []byte) bool {
+	return slices.ContainsFunc(c.Parts, func(p plane.CrashPart) bool { return bytes.Equal(p.Digest, digest) })
+}
+
+// hasUnanswered reports whether a part is a candidate without an answer.
+func (c *Crash) hasUnanswered(digest []byte) bool {
+	return slices.ContainsFunc(c.Parts, func(p plane.CrashPart) bool { return !p.Begun && bytes.Equal(p.Digest, digest) })
 }
 
 // add adds a candidate if there is room for one of its kind, or raises its position.
@@ -84,7 +78,7 @@
 			count++
 		}
 	}
-	if count < maxParts || c.find(part.Digest) != nil {
+	if count < maxParts || c.has(part.Digest) {
 		c.Parts = plane.AddCrashPart(c.Parts, part)
 	}
 }
@@ -103,6 +97,8 @@
 	// crashes are in the order of their first reports.
 	crashes     []Crash
 	quarantined map[string]*plane.Ban
+	// settledUntil is the committed time up to which settled crashes have been considered.
+	settledUntil int64
 }
 
 // Apply adds the candidates of a crash at a committed time. Several reports of one crash
@@ -155,6 +151,7 @@
 		p.revision++
 	}
 	p.crashes = kept
+	p.settle(now)
 	for digest, ban := range p.quarantined {
 		if ban.UntilNanos <= now {
 			delete(p.quarantined, digest)
@@ -163,8 +160,8 @@
 	}
 }
 
-// NextExpiry returns the committed time at which the next crash or quarantine ends, and
-// false if there is none.
+// NextExpiry returns the committed time at which the next crash or quarantine ends or a
+// crash settles, and false if there is none.
 func (p *Parts) NextExpiry() (int64, bool) {
 	due, ok := int64(0), len(p.crashes) > 0
 	if ok {
@@ -175,6 +172,9 @@
 			due, ok = ban.UntilNanos, true
 		}
 	}
+	if settles, unsettled := p.nextSettled(); unsettled {
+		return min(due, settles), true
+	}
 	return due, ok
 }
 
@@ -193,18 +193,24 @@
 		listed.Remaining = span.Duration(max(ban.UntilNanos-now, 0))
 		list = append(list, listed)
 	}
-	candidates := p.candidates()
-	for _, digest := range slices.Sorted(maps.Keys(candidates)) {
-		found := candidates[digest]
-		if !found.isListed() {
-			continue
-		}
+	suspect := func(found *candidate, begun bool) {
 		until := found.crashes[len(found.crashes)-1].AtNanos + int64(CrashRetention)
 		list = append(list, plane.Ban{
-			Digest: []byte(digest), Part: found.position != plane.ContentPosition, Suspect: true, Begun: found.begun > 0, Crashes: int32(len(found.crashes)),
+			Digest: found.digest, Part: found.position != plane.ContentPosition, Suspect: true, Begun: begun, Crashes: int32(len(found.crashes)),
 			UntilNanos: until, Remaining: span.Duration(max(until-now, 0)),
 		})
 	}
+	begun := p.begunCandidates(now)
+	for _, found := range p.candidates() {
+		if found.position != plane.ContentPosition && !begun[string(found.digest)].isListed() {
+			suspect(found, false)
+		}
+	}
+	for _, found := range begun {
+		if found.isListed() {
+			suspect(found, true)
+		}
+	}
 	slices.SortFunc(list, func(a, b plane.Ban) int { return bytes.Compare(a.Digest, b.Digest) })
 	return list
 }
@@ -241,39 +247,19 @@
 	// position is the largest position of the part in a prompt.
 	position int32
 	// crashes are those with the part, without crashes that count as one with an
-	// earlier one. begun is the number of those whose endpoint had begun to answer on it.
+	// earlier one.
 	crashes []*Crash
-	begun   int
 }
 
 // add counts a crash, unless it counts as one with the crash before.
-func (c *candidate) add(crash *Crash, part *plane.CrashPart) {
-	spacing := SimultaneousCrashes
-	if part.Begun && part.Position != plane.ContentPosition {
-		spacing = begunPartSpacing
-	}
-	if len(c.crashes) > 0 && crash.AtNanos-c.crashes[len(c.crashes)-1].AtNanos < int64(spacing) {
+func (c *candidate) add(crash *Crash) {
+	if len(c.crashes) > 0 && crash.AtNanos-c.crashes[len(c.crashes)-1].AtNanos < int64(SimultaneousCrashes) {
 		return
 	}
 	c.crashes = append(c.crashes, crash)
-	if part.Begun {
-		c.begun++
-	}
-}
-
-// isListed reports whether the candidate is listed as suspected. Package bans lists
-// contents without an answer.
-func (c *candidate) isListed() bool {
-	switch {
-	case len(c.crashes) >= minBegunListed && c.begun > 0:
-		return true
-	case c.position == plane.ContentPosition:
-		return false
-	}
-	return c.begun < len(c.crashes)
 }
 
-// candidates returns the candidates by digest.
+// candidates returns the candidates without an answer by digest.
 func (p *Parts) candidates() map[string]*candidate {
 	found := map[string]*candidate{}
 	for i := range p.crashes {
@@ -282,13 +268,16 @@
 			continue
 		}
 		for _, part := range crash.Parts {
+			if part.Begun {
+				continue
+			}
 			known := found[string(part.Digest)]
 			if known == nil {
 				known = &candidate{digest: part.Digest}
 				found[string(part.Digest)] = known
 			}
 			known.position = max(known.position, part.Position)
-			known.add(crash, &part)
+			known.add(crash)
 		}
 	}
 	return found
@@ -299,10 +288,15 @@
 	return slices.ContainsFunc(crash.Parts, func(part plane.CrashPart) bool { return p.quarantined[string(part.Digest)] != nil })
 }
 
-// quarantine quarantines parts until none explains QuarantineThreshold more crashes.
+// quarantine quarantines parts until none explains QuarantineThreshold more crashes. What
+// had no answer is the likelier cause.
 func (p *Parts) quarantine(now int64) {
 	for {
+		begun := false
 		found := findCause(p.candidates())
+		if found == nil {
+			found, begun = findBegunCause(p.begunCandidates(now)), true
+		}
 		if found == nil {
 			return
 		}
@@ -313,7 +307,7 @@
 			p.release()
 		}
 		p.quarantined[string(found.digest)] = &plane.Ban{
-			Digest: found.digest, Part: found.position != plane.ContentPosition, Begun: found.begun > 0,
+			Digest: found.digest, Part: found.position != plane.ContentPosition, Begun: begun,
 			Crashes: int32(len(found.crashes)), UntilNanos: now + int64(QuarantineDuration),
 		}
 	}
@@ -330,45 +324,21 @@
 // findCause returns the part that explains the most crashes, and among equals the last
 // in its prompt, or nil if none explains enough. A part is not the cause while a later
 // part is in all its crashes but one: requests with the later part also have the earlier.
-// Nor is it while one content is in all its crashes. What endpoints had begun to answer
-// is the cause only if nothing else explains enough.
+// Nor is it while one content is in all its crashes.
 func findCause(candidates map[string]*candidate) *candidate {
 	var cause *candidate
 	for _, digest := range slices.Sorted(maps.Keys(candidates)) {
 		c := candidates[digest]
-		if len(c.crashes) < QuarantineThreshold || hasLaterPart(c, candidates) || hasEqual(c, candidates) {
+		if len(c.crashes) < QuarantineThreshold || hasLaterPart(c, candidates) {
 			continue
 		}
-		if cause == nil || c.compare(cause) > 0 {
+		if cause == nil || cmp.Or(cmp.Compare(len(c.crashes), len(cause.crashes)), cmp.Compare(c.position, cause.position)) > 0 {
 			cause = c
 		}
 	}
 	return cause
 }
 
-// compare orders candidates by how likely they are the cause.
-func (c *candidate) compare(other *candidate) int {
-	if unbegun := c.begun == 0; unbegun != (other.begun == 0) {
-		if unbegun {
-			return 1
-		}
-		return -1
-	}
-	return cmp.Or(cmp.Compare(len(c.crashes), len(other.crashes)), cmp.Compare(c.position, other.position))
-}
-
-// shared returns the number of crashes of c that another candidate is in too. For a
-// candidate without an answer, only those without one count.
-func (c *candidate) shared(other *candidate) int {
-	count := 0
-	for _, crash := range c.crashes {
-		if part := crash.find(other.digest); part != nil && (c.begun > 0 || !part.Begun) {
-			count++
-		}
-	}
-	return count
-}
-
 // hasLaterPart reports whether a part that is later in its prompt is in all crashes of c
 // but one.
 func hasLaterPart(c *candidate, candidates map[string]*candidate) bool {
@@ -376,25 +346,17 @@
 		if other.position <= c.position {
 			continue
 		}
+		shared := 0
+		for _, crash := range c.crashes {
+			if crash.hasUnanswered(other.digest) {
+				shared++
+			}
+		}
 		without := 1
 		if other.position == plane.ContentPosition {
 			without = 0
 		}
-		if c.shared(other) >= len(c.crashes)-without {
-			return true
-		}
-	}
-	return false
-}
-
-// hasEqual reports whether a candidate that endpoints had begun to answer cannot be told
-// from one of another prompt: both are in all its crashes, at the same position.
-func hasEqual(c *candidate, candidates map[string]*candidate) bool {
-	if c.begun == 0 {
-		return false
-	}
-	for _, other := range candidates {
-		if other != c && other.position == c.position && c.shared(other) == len(c.crashes) {
+		if shared >= len(c.crashes)-without {
 			return true
 		}
 	}
