--- a/ctrl/poison/poison.go
+++ b/ctrl/poison/poison.go
@@ -88,6 +88,8 @@
 	Revision    uint64      `protobuf:"varint,1,opt"`
 	Crashes     []Crash     `protobuf:"bytes,2,rep"`
 	Quarantined []plane.Ban `protobuf:"bytes,3,rep"`
+	// SettledUntil is the committed time up to which settled crashes were considered.
+	SettledUntil int64 `protobuf:"varint,4,opt"`
 }
 
 // Parts holds the crashes and the quarantined parts. The zero value is empty and ready
@@ -97,7 +99,7 @@
 	// crashes are in the order of their first reports.
 	crashes     []Crash
 	quarantined map[string]*plane.Ban
-	// settledUntil is the committed time up to which settled crashes have been considered.
+	// settledUntil is Table.SettledUntil.
 	settledUntil int64
 }
 
@@ -217,7 +219,7 @@
 
 // Snapshot returns a copy of the state for Restore.
 func (p *Parts) Snapshot() *Table {
-	table := &Table{Revision: p.revision}
+	table := &Table{Revision: p.revision, SettledUntil: p.settledUntil}
 	for _, crash := range p.crashes {
 		crash.Parts = slices.Clone(crash.Parts)
 		table.Crashes = append(table.Crashes, crash)
@@ -234,7 +236,7 @@
 	if table == nil {
 		return
 	}
-	p.revision, p.crashes = table.Revision, table.Crashes
+	p.revision, p.crashes, p.settledUntil = table.Revision, table.Crashes, table.SettledUntil
 	p.quarantined = make(map[string]*plane.Ban, len(table.Quarantined))
 	for i := range table.Quarantined {
 		p.quarantined[string(table.Quarantined[i].Digest)] = &table.Quarantined[i]
--- a/ctrl/poison/poison_test.go
+++ b/ctrl/poison/poison_test.go
@@ -171,10 +171,19 @@
 				require.Empty(t, strings.Split(describe(parts), "/")[0])
 				if round < 2 {
 					parts.Expire(due)
+					copied := &poison.Parts{}
+					copied.Restore(parts.Snapshot())
+					copied.Expire(due + 1)
+					require.Equal(t, parts.Revision(), copied.Revision(), "nothing settles twice")
 				}
 			}
+			restored := &poison.Parts{}
+			restored.Restore(parts.Snapshot())
 			revision := parts.Revision()
 			parts.Expire(now)
+			restored.Expire(now)
+			require.Equal(t, parts.Revision(), restored.Revision())
+			require.Equal(t, describe(parts), describe(restored))
 			require.Equal(t, test.want, strings.ReplaceAll(describe(parts), "f", ""))
 			if test.want != "/" {
 				require.Greater(t, parts.Revision(), revision)
