--- a/ctrl/node/group_test.go
+++ b/ctrl/node/group_test.go
@@ -58,6 +58,24 @@
 	events io.Writer
 }
 
+// eventBuffer holds the events of several replicas.
+type eventBuffer struct {
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+func (b *eventBuffer) Write(line []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.Write(line)
+}
+
+func (b *eventBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.String()
+}
+
 // replica is one run of a node, with a map of strings as its state.
 type replica struct {
 	*node.Node
--- a/ctrl/node/open_test.go
+++ b/ctrl/node/open_test.go
@@ -1,7 +1,6 @@
 package node_test
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"maps"
@@ -134,7 +133,7 @@
 // A group with fewer voters than the tolerated failures need told so only once, at its
 // beginning, in one line among thousands.
 func TestGroupWithTooFewVotersIsReported(t *testing.T) {
-	var events bytes.Buffer
+	var events eventBuffer
 	inBubble(t, 33, 0, func(g *group) {
 		g.events = &events
 		startNewGroup(g, 3, 2, 3)
