--- a/ctrl/node/loop.go
+++ b/ctrl/node/loop.go
@@ -48,7 +48,8 @@
 	begun          bool
 	voters         int
 	votersGrewTick int
-	size           sizeReport
+	// size is this leadership's report of the group's size.
+	size sizeReport
 	// joins are join requests that arrived during another membership change, by ID.
 	joins map[uint64]member.JoinRequest
 	// sendingSnapshot is the snapshot being sent to other replicas, and lastChunkTick
--- a/ctrl/node/size.go
+++ b/ctrl/node/size.go
@@ -27,13 +27,9 @@
 func (l *loop) reportSize() {
 	wanted := l.node.wantedVoters()
 	status := l.core.Status()
-	voters, answering := 0, 0
+	voters, answering := countVoters(status), 0
 	for _, m := range status.Members {
-		if !m.Voter {
-			continue
-		}
-		voters++
-		if m.ID == status.ID || m.SilentTicks <= aliveTicks {
+		if m.Voter && (m.ID == status.ID || m.SilentTicks <= aliveTicks) {
 			answering++
 		}
 	}
@@ -43,10 +39,10 @@
 	meter.Set("control_voters_wanted", int64(wanted))
 	r := &l.size
 	switch {
-	case voters >= wanted && r.reported > 0:
-		l.node.Host.Log.Write("group-complete", "voters", voters, "of", wanted)
-		*r = sizeReport{}
 	case voters >= wanted:
+		if r.reported > 0 {
+			l.node.Host.Log.Write("group-complete", "voters", voters, "of", wanted)
+		}
 		*r = sizeReport{}
 	case r.shortSinceTick == 0:
 		r.shortSinceTick = l.ticks
--- a/ctrl/poison/begun.go
+++ b/ctrl/poison/begun.go
@@ -1,8 +1,6 @@
 package poison
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -115,41 +113,19 @@
 // suspected; c may be nil.
 func (c *candidate) isListed() bool { return c != nil && len(c.crashes) >= minBegunListed }
 
-// findBegunCause returns the candidate that explains the most groups of crashes, and among
-// equals the last in its prompt, or nil if none explains enough. A candidate is not the cause
-// while a later one is in all its crashes but one, or another at its position is in all of
-// them: that is a part or content of another request.
+// findBegunCause returns the cause among the candidates that endpoints had begun to answer,
+// nil if none explains enough.
 func findBegunCause(candidates map[string]*candidate) *candidate {
-	var cause *candidate
-	for _, digest := range slices.Sorted(maps.Keys(candidates)) {
-		c := candidates[digest]
-		if len(c.crashes) < QuarantineThreshold || isConfusable(c, candidates) {
-			continue
-		}
-		if cause == nil || cmp.Or(cmp.Compare(len(c.crashes), len(cause.crashes)), cmp.Compare(c.position, cause.position)) > 0 {
-			cause = c
-		}
-	}
-	return cause
+	return findCause(candidates, func(c *candidate) bool {
+		return hasLaterPart(c, candidates, (*Crash).has) || hasEqual(c, candidates)
+	})
 }
 
-// isConfusable reports whether another candidate may as well be the cause of the crashes.
-func isConfusable(c *candidate, candidates map[string]*candidate) bool {
+// hasEqual reports whether a part or content of another request, at the same position, is in
+// all crashes of c.
+func hasEqual(c *candidate, candidates map[string]*candidate) bool {
 	for _, other := range candidates {
-		if other == c || other.position < c.position {
-			continue
-		}
-		without := 0
-		if other.position > c.position && other.position != plane.ContentPosition {
-			without = 1
-		}
-		shared := 0
-		for _, crash := range c.crashes {
-			if crash.has(other.digest) {
-				shared++
-			}
-		}
-		if shared >= len(c.crashes)-without {
+		if other != c && other.position == c.position && c.shared(other, (*Crash).has) == len(c.crashes) {
 			return true
 		}
 	}
--- a/ctrl/poison/poison.go
+++ b/ctrl/poison/poison.go
@@ -295,7 +295,7 @@
 func (p *Parts) quarantine(now int64) {
 	for {
 		begun := false
-		found := findCause(p.candidates())
+		found := findUnansweredCause(p.candidates())
 		if found == nil {
 			found, begun = findBegunCause(p.begunCandidates(now)), true
 		}
@@ -324,14 +324,13 @@
 }
 
 // findCause returns the part that explains the most crashes, and among equals the last
-// in its prompt, or nil if none explains enough. A part is not the cause while a later
-// part is in all its crashes but one: requests with the later part also have the earlier.
-// Nor is it while one content is in all its crashes.
-func findCause(candidates map[string]*candidate) *candidate {
+// in its prompt, or nil if none explains enough. A part is not the cause while another may
+// be, as reported by mayBeOther.
+func findCause(candidates map[string]*candidate, mayBeOther func(c *candidate) bool) *candidate {
 	var cause *candidate
 	for _, digest := range slices.Sorted(maps.Keys(candidates)) {
 		c := candidates[digest]
-		if len(c.crashes) < QuarantineThreshold || hasLaterPart(c, candidates) {
+		if len(c.crashes) < QuarantineThreshold || mayBeOther(c) {
 			continue
 		}
 		if cause == nil || cmp.Or(cmp.Compare(len(c.crashes), len(cause.crashes)), cmp.Compare(c.position, cause.position)) > 0 {
@@ -341,26 +340,38 @@
 	return cause
 }
 
+// findUnansweredCause returns the cause among the candidates without an answer, nil if none
+// explains enough.
+func findUnansweredCause(candidates map[string]*candidate) *candidate {
+	return findCause(candidates, func(c *candidate) bool { return hasLaterPart(c, candidates, (*Crash).hasUnanswered) })
+}
+
 // hasLaterPart reports whether a part that is later in its prompt is in all crashes of c
-// but one.
-func hasLaterPart(c *candidate, candidates map[string]*candidate) bool {
+// but one: requests with the later part also have the earlier. A content counts only if it is
+// in all of them. has reports whether a part is a candidate for the cause of a crash.
+func hasLaterPart(c *candidate, candidates map[string]*candidate, has func(crash *Crash, digest []byte) bool) bool {
 	for _, other := range candidates {
 		if other.position <= c.position {
 			continue
 		}
-		shared := 0
-		for _, crash := range c.crashes {
-			if crash.hasUnanswered(other.digest) {
-				shared++
-			}
-		}
 		without := 1
 		if other.position == plane.ContentPosition {
 			without = 0
 		}
-		if shared >= len(c.crashes)-without {
+		if c.shared(other, has) >= len(c.crashes)-without {
 			return true
 		}
 	}
 	return false
 }
+
+// shared returns the number of crashes of c that another candidate may have caused too.
+func (c *candidate) shared(other *candidate, has func(crash *Crash, digest []byte) bool) int {
+	count := 0
+	for _, crash := range c.crashes {
+		if has(crash, other.digest) {
+			count++
+		}
+	}
+	return count
+}
--- a/entry/crash/crash.go
+++ b/entry/crash/crash.go
@@ -138,6 +138,7 @@
 
 // RecordCompleted records that an endpoint has answered a request completely.
 func (t *Tracker) RecordCompleted(request Request, now time.Time) {
+	request.Begun = true
 	for _, candidate := range request.candidates() {
 		if !t.record(&t.completions, candidate.Digest, now) {
 			continue
@@ -155,14 +156,14 @@
 	return known.record(digest, now)
 }
 
-// candidates returns the parts of the prompt and, if the request has a digest, its
-// content, which may each be the cause of a crash.
+// candidates returns the parts of the prompt and, of a request that has begun, its content,
+// which may each be the cause of a crash. Other contents are reported by themselves.
 func (r *Request) candidates() []plane.CrashPart {
 	found := make([]plane.CrashPart, 0, len(r.Parts)+1)
 	for position, part := range r.Parts {
 		found = append(found, plane.CrashPart{Digest: part, Position: int32(position), Begun: r.Begun})
 	}
-	if len(r.Digest) > 0 {
+	if r.Begun && len(r.Digest) > 0 {
 		found = append(found, plane.CrashPart{Digest: r.Digest, Position: plane.ContentPosition, Begun: r.Begun})
 	}
 	return found
@@ -225,9 +226,7 @@
 			crash.Digests = append(crash.Digests, request.Digest)
 		}
 		for _, candidate := range request.candidates() {
-			// The content of a request without an answer is in Digests.
-			reported := request.Begun || candidate.Position != plane.ContentPosition
-			if reported && !answered.since(candidate.Digest, known.lastLost.Add(-recentAnswer)) {
+			if !answered.since(candidate.Digest, known.lastLost.Add(-recentAnswer)) {
 				crash.Parts = plane.AddCrashPart(crash.Parts, candidate)
 			}
 		}
--- a/entry/direct/job.go
+++ b/entry/direct/job.go
@@ -301,11 +301,17 @@
 	}
 	route := &j.request.Route
 	if j.headSent {
-		return route.Resume && j.streaming && j.cutter.Resumable()
+		return j.mayContinue()
 	}
 	return route.Resume || route.Idempotent
 }
 
+// mayContinue reports whether a stream of which the caller has a part may go on at another
+// endpoint.
+func (j *job) mayContinue() bool {
+	return j.streaming && j.request.Route.Resume && j.cutter.Resumable()
+}
+
 // fail ends a request without a complete answer: it forwards the error answer
 // of an endpoint if there is one, and otherwise returns the refusal.
 func (j *job) fail(ctx context.Context, refusal *chain.Refusal) error {
--- a/entry/direct/takeover.go
+++ b/entry/direct/takeover.go
@@ -141,7 +141,7 @@
 // has a part and whose attempt has broken, since the refusal would break off the answer. It
 // returns false if they are not within half of the caller's time, or cannot be.
 func (j *job) awaitContinuation(ctx context.Context, refusal *chain.Refusal) bool {
-	if refusal == nil || !j.streaming || !j.request.Route.Resume || !j.cutter.Resumable() || ctx.Err() != nil || !mayBeLifted(refusal.Code) {
+	if refusal == nil || !j.mayContinue() || ctx.Err() != nil || !mayBeLifted(refusal.Code) {
 		return false
 	}
 	began := time.Now()
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -127,11 +127,11 @@
 
 // merge returns what holds if control lists a request for two reasons.
 func (q quarantineEntry) merge(other quarantineEntry) quarantineEntry {
-	merged := quarantineEntry{suspect: q.suspect && other.suspect, begun: q.begun || other.begun, until: q.until}
-	if q.suspect == other.suspect && other.until.After(q.until) || q.suspect && !other.suspect {
-		merged.until = other.until
+	if q.suspect && !other.suspect || q.suspect == other.suspect && other.until.After(q.until) {
+		q.until = other.until
 	}
-	return merged
+	q.suspect, q.begun = q.suspect && other.suspect, q.begun || other.begun
+	return q
 }
 
 // Config returns the configuration in force, or nil if none has arrived yet.
@@ -180,36 +180,35 @@
 // suspected of having crashed an endpoint. A suspect that is not quarantined
 // returns a time of 0.
 func (f *Feed) Quarantined(digest []byte) (remaining time.Duration, suspect bool) {
-	all := f.quarantine.Load()
-	if all == nil {
+	found, remaining := f.lookUpQuarantine(digest)
+	switch {
+	case remaining <= 0:
 		return 0, false
-	}
-	found, ok := all.byDigest[string(digest)]
-	if !ok {
-		return 0, false
-	}
-	remaining = time.Until(found.until)
-	if remaining <= 0 {
-		return 0, false
-	}
-	if found.suspect {
+	case found.suspect:
 		return 0, true
 	}
 	return remaining, false
 }
 
-// Suspected reports whether control lists a request or a part of a prompt, and whether only
-// a complete answer shows that it is sound.
-func (f *Feed) Suspected(digest []byte) (listed, begun bool) {
+// lookUpQuarantine returns what control lists for a digest and how much longer, 0 or less if
+// it lists nothing.
+func (f *Feed) lookUpQuarantine(digest []byte) (found quarantineEntry, remaining time.Duration) {
 	all := f.quarantine.Load()
 	if all == nil {
-		return false, false
+		return quarantineEntry{}, 0
 	}
 	found, ok := all.byDigest[string(digest)]
-	if !ok || !time.Now().Before(found.until) {
-		return false, false
+	if !ok {
+		return quarantineEntry{}, 0
 	}
-	return true, found.begun
+	return found, time.Until(found.until)
+}
+
+// Suspected reports whether control lists a request or a part of a prompt, and whether only
+// a complete answer shows that it is sound.
+func (f *Feed) Suspected(digest []byte) (listed, begun bool) {
+	found, remaining := f.lookUpQuarantine(digest)
+	return remaining > 0, remaining > 0 && found.begun
 }
 
 // CountRequest adds a request to the burn counts of its workspace and route.
