--- a/agent/feed/feed.go
+++ b/agent/feed/feed.go
@@ -13,6 +13,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/lease"
 	"github.com/tanagerspindle/tanagerspindle/pkg/notify"
+	"github.com/tanagerspindle/tanagerspindle/pkg/outage"
 	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
@@ -70,6 +71,7 @@
 	// recordNumber is the ReportSeq of the last record sent.
 	recordNumber   uint64
 	pendingCrashes []pendingCrash
+	outage         outage.Monitor
 }
 
 // pendingCrash is a crash report that control has not acknowledged. seq is the number of
@@ -96,6 +98,10 @@
 // returns a KindSuperseded error when the agent has to stop because control knows a later
 // incarnation.
 func (f *Feed) Run(ctx context.Context) error {
+	f.outage.Host, f.outage.Address = f.Host, f.Uplink.LastAddress
+	watched, stop := context.WithCancel(ctx)
+	defer stop()
+	go f.outage.Run(watched)
 	for ctx.Err() == nil {
 		stream, err := f.Uplink.Open(ctx, plane.MethodFeed)
 		if err == nil {
@@ -104,6 +110,7 @@
 		if failure, ok := err.(*Error); ok {
 			return failure
 		}
+		f.outage.Lost(err)
 		pause.For(ctx, reopenDelay)
 	}
 	return nil
@@ -269,6 +276,7 @@
 		s.mutex.Lock()
 		s.renewed = time.Now()
 		s.mutex.Unlock()
+		s.feed.outage.Renewed()
 	}
 	s.feed.acknowledge(update)
 	s.feed.ApplyUpdate(update)
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -16,6 +16,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/lease"
 	"github.com/tanagerspindle/tanagerspindle/pkg/notify"
+	"github.com/tanagerspindle/tanagerspindle/pkg/outage"
 	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
@@ -108,6 +109,7 @@
 	suspectReports    suspectReports
 	confirmations     confirmations
 	heartbeatDue      notify.Signal
+	outage            outage.Monitor
 }
 
 // quarantine holds the quarantined and suspected requests by content digest. It is
@@ -231,9 +233,11 @@
 // The error is of KindSuperseded if the process must stop.
 func (f *Feed) Run(ctx context.Context) error {
 	f.lease.BootTime = f.BootTime
+	f.outage.Host, f.outage.Address = f.Host, f.Uplink.LastAddress
 	watched, stop := context.WithCancel(ctx)
 	defer stop()
 	go f.watchExpiry(watched)
+	go f.outage.Run(watched)
 	for ctx.Err() == nil {
 		err := f.stream(ctx)
 		if isSuperseded(err) {
@@ -244,6 +248,7 @@
 		if err != nil && ctx.Err() == nil {
 			f.Host.Log.Write("feed-lost", "err", err)
 			f.Host.Meter.Add("feeds_lost", 1)
+			f.outage.Lost(err)
 			pause.For(ctx, minHeartbeatGap)
 		}
 	}
--- a/pkg/feed/session.go
+++ b/pkg/feed/session.go
@@ -130,6 +130,7 @@
 	f.suspectReports.confirm(update.Seq)
 	if update.Lease > 0 && f.configNumber() >= update.ConfigNumber {
 		f.lease.Renew(update.Seq, update.Lease.Std())
+		f.outage.Renewed()
 		f.confirmations.confirm(s.sentBefore + update.Seq)
 		s.signalRenewed(update.Seq)
 	}
--- a/pkg/uplink/uplink.go
+++ b/pkg/uplink/uplink.go
@@ -60,14 +60,14 @@
 	learned        []string
 	session        *link.Session
 	sessionChanged chan struct{}
+	lastAddress    string
 }
 
 // Run connects and reconnects until ctx ends.
 func (u *Uplink) Run(ctx context.Context) {
 	delay := initialBackoff
-	last := ""
 	for ctx.Err() == nil {
-		session, address := u.connect(ctx, rotateAfter(u.candidates(), last))
+		session, address := u.connect(ctx, rotateAfter(u.candidates(), u.LastAddress()))
 		if session == nil {
 			u.refresh()
 			pause.For(ctx, delay/2+rand.N(delay/2))
@@ -75,8 +75,8 @@
 			continue
 		}
 		delay = initialBackoff
-		last = address
 		u.Host.Log.Write("control-reached", "address", address)
+		u.setLastAddress(address)
 		u.setSession(session)
 		select {
 		case <-session.Done():
@@ -189,6 +189,19 @@
 	}
 }
 
+// LastAddress returns the address that the uplink connected to last, or an empty string.
+func (u *Uplink) LastAddress() string {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return u.lastAddress
+}
+
+func (u *Uplink) setLastAddress(address string) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.lastAddress = address
+}
+
 func (u *Uplink) setSession(session *link.Session) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
