--- a/ctrl/bridge/bridge.go
+++ b/ctrl/bridge/bridge.go
@@ -1,5 +1,5 @@
 // Package bridge forwards the calls of operators and endpoints to a control replica, on a VM that
-// runs none: it has no disk, or its replica is closed.
+// runs none: it has no disk, or its replica is closed. It directs daemons to the replicas.
 package bridge
 
 import (
@@ -46,7 +46,8 @@
 	// HasDisk means that the VM has a disk and its replica is only closed for now. The bridge then
 	// refuses the replicas' join requests: the reply that the VM has no replica would be final.
 	HasDisk bool
-	// Uplink connects to the replicas. Bridge.Run runs it.
+	// Uplink connects to the replicas, and knows those that the bridge directs daemons to.
+	// Bridge.Run runs it.
 	Uplink *uplink.Uplink
 }
 
@@ -65,9 +66,9 @@
 			b.Host.Log.Write("feed-ended", "err", err)
 		}
 	})
-	served := map[string]link.Handler{node.MethodJoin: b.serveJoin}
-	if b.HasDisk {
-		served = nil
+	served := map[string]link.Handler{plane.MethodLocate: b.Uplink.Located().Serve(nil)}
+	if !b.HasDisk {
+		served[node.MethodJoin] = b.serveJoin
 	}
 	group.Go(func() {
 		if err := link.Serve(ctx, listener, served); err != nil {
--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/locate"
 	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
@@ -97,6 +98,9 @@
 	RetryBudget budget.Limit
 	// QuotaWindow is quota.Owner.QuotaWindow; zero grants a burst once.
 	QuotaWindow time.Duration
+	// Directory holds the replicas that this and other control processes know; nil means one of
+	// the replica's own.
+	Directory *locate.Directory
 	// Watch runs alongside the replica and submits the content of the operators' folder with
 	// Fetch and Submit. It must return when ctx ends. Nil disables it.
 	Watch func(ctx context.Context) error
@@ -118,13 +122,16 @@
 // prepare builds the replica's parts on the first call.
 func (d *Daemon) prepare() {
 	d.once.Do(func() {
+		if d.Directory == nil {
+			d.Directory = &locate.Directory{}
+		}
 		d.permits = &permit.Coordinator{Host: d.Host, LoadsPerSecond: d.LoadsPerSecond, MaxInFlight: d.MaxLoadsInFlight, Choose: d.ChooseLoad}
 		d.node = d.newNode()
 		d.feeds = &feeds.Feeds{
 			Host: d.Host, Name: d.Name, Peers: d.otherReplicas, LoadsPerSecond: d.LoadsPerSecond,
 			ReplicaID: func() uint64 { return d.node.Status().ID }, MemberIDs: d.memberIDs,
-			Addresses: d.voterAddresses,
-			Machine:   &d.machine, Roster: &d.roster,
+			Replicas: d.replicaList,
+			Machine:  &d.machine, Roster: &d.roster,
 			Propose: d.propose, Barrier: d.barrier, OpenStream: d.node.Open,
 		}
 		d.machine.OnChange = d.feeds.StateChanged
@@ -187,16 +194,25 @@
 	return slices.Compact(names)
 }
 
-// voterAddresses returns the addresses of the voting replicas, which daemons connect to.
-func (d *Daemon) voterAddresses() []string {
-	var addresses []string
-	for _, member := range d.node.Status().Members {
+// replicaList returns the voting replicas, which daemons connect to.
+func (d *Daemon) replicaList() plane.ReplicaList {
+	status := d.node.Status()
+	list := plane.ReplicaList{Index: status.MembersIndex}
+	for _, member := range status.Members {
 		if member.Voter {
-			addresses = append(addresses, member.Address)
+			list.Addresses = append(list.Addresses, member.Address)
 		}
 	}
-	slices.Sort(addresses)
-	return slices.Compact(addresses)
+	slices.Sort(list.Addresses)
+	list.Addresses = slices.Compact(list.Addresses)
+	return list
+}
+
+// serves reports whether this replica belongs to the group. One that was replaced while it was
+// down does not know it, but may have heard of a newer membership.
+func (d *Daemon) serves() bool {
+	own, known := d.replicaList(), d.Directory.Known()
+	return d.node.IsMember() && (own.Index >= known.Index || slices.Contains(known.Addresses, d.Address))
 }
 
 // onLeadershipChange starts or ends this replica's grants of tokens and loads. A replica that
@@ -216,6 +232,8 @@
 	if err != nil {
 		return &Error{Op: "listen on " + d.Address, Kind: KindListen, Err: err}
 	}
+	d.Directory.SetReplica(d.replicaList)
+	defer d.Directory.SetReplica(nil)
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	working, stopWorking := context.WithCancel(ctx)
--- a/ctrl/daemon/leader.go
+++ b/ctrl/daemon/leader.go
@@ -47,6 +47,7 @@
 	served[plane.MethodStatus] = d.serveStatus
 	served[plane.MethodFetch] = d.serveFetch
 	served[plane.MethodForward] = d.serveForwarded
+	served[plane.MethodLocate] = d.Directory.Serve(d.serves)
 	leader := map[string]link.Handler{
 		plane.MethodGrant:  d.serveGrant,
 		plane.MethodClaim:  d.serveClaim,
--- a/ctrl/feeds/feeds.go
+++ b/ctrl/feeds/feeds.go
@@ -13,6 +13,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/limits"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 	"github.com/tanagerspindle/tanagerspindle/pkg/tasks"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
@@ -72,9 +73,9 @@
 	// returns the IDs of all replicas; nil means that they are unknown.
 	ReplicaID func() uint64
 	MemberIDs func() []uint64
-	// Addresses returns the addresses at which daemons reach the replicas, sorted;
-	// if it is nil, no addresses are sent to the daemons.
-	Addresses func() []string
+	// Replicas returns the replicas that daemons connect to, sorted; if it is nil, none
+	// are sent to the daemons.
+	Replicas func() plane.ReplicaList
 	// Machine is the replicated state. Roster holds the endpoints known to this
 	// replica.
 	Machine *state.Machine
--- a/ctrl/feeds/update.go
+++ b/ctrl/feeds/update.go
@@ -65,11 +65,11 @@
 		c.sentRevision = update.EndpointsRevision
 		changed = true
 	}
-	if f.Addresses == nil {
+	if f.Replicas == nil {
 		return changed
 	}
-	if replicas := f.Addresses(); !slices.Equal(replicas, c.sentReplicas) {
-		c.sentReplicas, update.Replicas = replicas, replicas
+	if replicas := f.Replicas(); !slices.Equal(replicas.Addresses, c.sentReplicas) {
+		c.sentReplicas, update.Replicas, update.ReplicasIndex = replicas.Addresses, replicas.Addresses, replicas.Index
 		changed = true
 	}
 	if c.hello.Role == plane.RoleEntry {
--- a/ctrl/node/admin.go
+++ b/ctrl/node/admin.go
@@ -25,6 +25,8 @@
 	// Members are the replicas of the group. Their LagEntries and SilentFor are set
 	// only at the leader.
 	Members []plane.Member
+	// MembersIndex is the index of the log entry that set the membership.
+	MembersIndex uint64
 	// WantedVoters is the number of voters that the tolerated failures need.
 	WantedVoters int
 	Leading      bool
@@ -39,7 +41,7 @@
 		return Status{}
 	}
 	applied, _ := n.applier.progress()
-	s := Status{ID: view.ID, Term: view.Term, Commit: view.Commit, Applied: applied, WantedVoters: n.wantedVoters(), Leading: view.Leading}
+	s := Status{ID: view.ID, Term: view.Term, Commit: view.Commit, Applied: applied, MembersIndex: view.MembersIndex, WantedVoters: n.wantedVoters(), Leading: view.Leading}
 	for _, m := range view.Members {
 		if m.ID == view.Leader {
 			s.Leader = m.Name
@@ -54,6 +56,12 @@
 	return s
 }
 
+// IsMember reports whether this replica belongs to the group, to the best of its knowledge.
+func (n *Node) IsMember() bool {
+	view := n.status.Load()
+	return view != nil && isMember(*view, view.ID)
+}
+
 // Open opens a stream to another replica by name. It waits for a session until ctx
 // ends.
 func (n *Node) Open(ctx context.Context, replica, method string) (*wire.Stream, error) {
--- a/ctrl/raft/status.go
+++ b/ctrl/raft/status.go
@@ -13,6 +13,9 @@
 	// Empty reports that the replica was never part of a group.
 	Empty   bool
 	Members []MemberStatus
+	// MembersIndex is the index of the entry that set the membership, or of the
+	// snapshot that contains it.
+	MembersIndex uint64
 }
 
 // MemberStatus is the state of one member as known to this replica.
@@ -26,14 +29,16 @@
 
 // Status returns the replica's view.
 func (c *Core) Status() Status {
+	membership := c.memberships[len(c.memberships)-1]
 	s := Status{
-		ID: c.config.ID, Leader: c.leader, Term: c.hard.Term,
+		MembersIndex: membership.index,
+		ID:           c.config.ID, Leader: c.leader, Term: c.hard.Term,
 		Commit: c.commit, Applied: c.applied, Last: c.log.last(),
 		Leading: c.role == roleLeader,
-		Settled: c.role == roleLeader && c.hasCommittedInTerm() && c.memberships[len(c.memberships)-1].index <= c.commit,
+		Settled: c.role == roleLeader && c.hasCommittedInTerm() && membership.index <= c.commit,
 		Empty:   c.hard.Term == 0 && c.log.last() == 0,
 	}
-	for _, member := range c.members() {
+	for _, member := range membership.members {
 		seen := MemberStatus{Member: member}
 		if peer := c.peers[member.ID]; peer != nil && member.ID != c.config.ID {
 			seen.Match, seen.SilentTicks = peer.match, peer.ticksSinceHeard
--- a/pkg/feed/session.go
+++ b/pkg/feed/session.go
@@ -144,7 +144,7 @@
 // control replicas and the number of entries.
 func (f *Feed) applyEndpoints(update *plane.Update) {
 	if len(update.Replicas) > 0 {
-		f.Uplink.UpdateReplicas(update.Replicas)
+		f.Uplink.UpdateReplicas(plane.ReplicaList{Addresses: update.Replicas, Index: update.ReplicasIndex})
 	}
 	if update.EntryCount > 0 && f.entryCount.Swap(update.EntryCount) != update.EntryCount {
 		f.Host.Log.Write("entries-known", "entries", update.EntryCount)
--- a/pkg/plane/feed.go
+++ b/pkg/plane/feed.go
@@ -226,6 +226,8 @@
 	// Limits holds all known request limits of endpoints, and those that ended lately, if
 	// they have changed.
 	Limits []advert.LimitReport `protobuf:"bytes,19,rep"`
+	// ReplicasIndex is ReplicaList.Index of Replicas.
+	ReplicasIndex uint64 `protobuf:"varint,20,opt"`
 }
 
 // Release is the version of an adapter that new requests run on.
--- a/pkg/uplink/uplink.go
+++ b/pkg/uplink/uplink.go
@@ -15,7 +15,9 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/locate"
 	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
 )
 
@@ -24,6 +26,9 @@
 	// takes up to 200 ms. The kernel retransmits a lost SYN only after one
 	// second, so that a longer wait does not help.
 	dialTimeout = 400 * time.Millisecond
+	// locateTimeout bounds the wait for a process that accepted the connection. A
+	// process that stands still never replies.
+	locateTimeout = time.Second
 	// attemptDelay is how long an attempt may take before an attempt at the
 	// next replica starts in parallel: the default of RFC 8305.
 	attemptDelay = 250 * time.Millisecond
@@ -42,8 +47,8 @@
 // Error is this package's error type.
 type Error = fault.Error[Kind]
 
-// Uplink holds one session at a time, to the first replica that accepts a
-// connection. When the session ends, it tries the next replicas first. Its
+// Uplink holds one session at a time, to the first replica that it reaches. A control
+// process without a replica tells where the replicas are. When the session ends, it tries the next replicas first. Its
 // exported fields are set before Run; its methods are safe for concurrent use.
 type Uplink struct {
 	// Host gives the daemon's name, event log and dialer.
@@ -53,6 +58,9 @@
 	// Refresh rereads the configured addresses; Run calls it after no known
 	// replica could be reached. It may be nil.
 	Refresh func() []string
+	// Directory holds the replicas that control processes have told of; nil means one
+	// of the uplink's own.
+	Directory *locate.Directory
 
 	mutex sync.Mutex
 	// learned are the addresses last received from control, in this daemon's
@@ -104,27 +112,49 @@
 // UpdateReplicas sets the current addresses of control, as received from
 // control. The configured addresses are still tried after them, because all
 // replicas may since have moved to other addresses.
-func (u *Uplink) UpdateReplicas(addresses []string) {
+func (u *Uplink) UpdateReplicas(list plane.ReplicaList) {
+	u.Located().Learn(list)
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	u.learned = slices.Clone(addresses)
-	// Each daemon has its own order, which spreads the daemons over the replicas.
-	slices.SortFunc(u.learned, func(a, b string) int { return cmp.Compare(u.rank(a), u.rank(b)) })
+	u.learned = u.preferred(list.Addresses)
+}
+
+// preferred returns the addresses in this daemon's order, which spreads the daemons
+// over the replicas.
+func (u *Uplink) preferred(addresses []string) []string {
+	sorted := slices.Clone(addresses)
+	slices.SortFunc(sorted, func(a, b string) int { return cmp.Compare(u.rank(a), u.rank(b)) })
+	return sorted
+}
+
+// Located returns the directory of the replicas that control processes have told of.
+func (u *Uplink) Located() *locate.Directory {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.Directory == nil {
+		u.Directory = &locate.Directory{}
+	}
+	return u.Directory
 }
 
 func (u *Uplink) rank(address string) uint64 { return xxhash.Sum64String(u.Host.VM + " " + address) }
 
 // candidates returns the addresses to try, in order.
 func (u *Uplink) candidates() []string {
+	located := u.preferred(u.Located().Known().Addresses)
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	addresses := slices.Clone(u.learned)
-	for _, address := range u.Replicas {
-		if !slices.Contains(addresses, address) {
-			addresses = append(addresses, address)
+	return appendNew(slices.Clone(u.learned), slices.Concat(located, u.Replicas))
+}
+
+// appendNew appends the addresses that are not in the list yet.
+func appendNew(list, addresses []string) []string {
+	for _, address := range addresses {
+		if !slices.Contains(list, address) {
+			list = append(list, address)
 		}
 	}
-	return addresses
+	return list
 }
 
 // rotateAfter rotates the addresses so that the one after last, the address
@@ -137,18 +167,19 @@
 // dialResult is the outcome of one attempt to connect.
 type dialResult struct {
 	address string
+	// session is nil if the attempt failed, or if the process serves no replica.
 	session *link.Session
 	err     error
 }
 
-// connect returns a session to the first replica that accepts a connection, or
-// nil when none does. Attempts overlap, because a replica whose VM is powered
-// off does not respond at all: with strictly sequential attempts, all daemons
-// that try that replica first would have no configuration for a second.
+// connect returns a session to the first replica that responds, or nil when none does.
+// Attempts overlap, because a replica whose VM is powered off does not respond at
+// all: with strictly sequential attempts, all daemons that try that replica first
+// would have no configuration for a second.
 func (u *Uplink) connect(ctx context.Context, addresses []string) (session *link.Session, address string) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	outcomes := make(chan dialResult, len(addresses))
+	outcomes := make(chan dialResult)
 	next := time.NewTimer(0)
 	defer next.Stop()
 	started, ended := 0, 0
@@ -162,24 +193,71 @@
 			}
 		case outcome := <-outcomes:
 			ended++
-			if outcome.err == nil {
+			if outcome.session != nil {
 				go closeUnused(outcomes, started-ended)
 				return outcome.session, outcome.address
 			}
-			u.Host.Log.Write("control-unreachable", "address", outcome.address, "err", outcome.err)
+			if outcome.err != nil {
+				u.Host.Log.Write("control-unreachable", "address", outcome.address, "err", outcome.err)
+			} else {
+				known := u.Located().Known()
+				u.Host.Log.Write("control-redirected", "address", outcome.address, "replicas", len(known.Addresses), "index", known.Index)
+				addresses = u.insertLocated(addresses, started, known)
+			}
 			next.Reset(0)
 		}
 	}
 	return nil, ""
 }
 
+// insertLocated returns the addresses with the located ones that were not among them as the
+// next to try, after the first started ones.
+func (u *Uplink) insertLocated(addresses []string, started int, known plane.ReplicaList) []string {
+	var located []string
+	for _, address := range u.preferred(known.Addresses) {
+		if !slices.Contains(addresses, address) {
+			located = append(located, address)
+		}
+	}
+	return slices.Insert(slices.Clone(addresses), started, located...)
+}
+
+// dial connects to a control process and asks it for the replicas.
 func (u *Uplink) dial(ctx context.Context, address string, outcomes chan<- dialResult) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialling, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	session, err := link.Dial(ctx, u.Host.Dial, address)
+	session, err := link.Dial(dialling, u.Host.Dial, address)
+	if err == nil {
+		session, err = u.locate(ctx, session)
+	}
 	outcomes <- dialResult{address: address, session: session, err: err}
 }
 
+// locate returns the session if its process serves a replica, otherwise nil.
+func (u *Uplink) locate(ctx context.Context, session *link.Session) (*link.Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
+	defer cancel()
+	serves, err := u.Located().Exchange(ctx, session)
+	if err != nil && ctx.Err() == nil && !sessionEnded(session) {
+		// A process of an earlier version does not know the method.
+		return session, nil
+	}
+	if err != nil || !serves {
+		_ = session.Close()
+		return nil, err
+	}
+	return session, nil
+}
+
+func sessionEnded(session *link.Session) bool {
+	select {
+	case <-session.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // closeUnused closes the sessions of attempts that succeed after the first.
 func closeUnused(outcomes <-chan dialResult, count int) {
 	for range count {
--- a/pkg/uplink/uplink_test.go
+++ b/pkg/uplink/uplink_test.go
@@ -11,6 +11,8 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
+	"github.com/tanagerspindle/tanagerspindle/pkg/locate"
+	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/uplink"
 	"github.com/tanagerspindle/tanagerspindle/pkg/vnet"
 	"github.com/tanagerspindle/tanagerspindle/pkg/wire"
@@ -85,7 +87,7 @@
 			return reply.Incarnation
 		}
 		require.EqualValues(t, 1, replicaNumber())
-		up.UpdateReplicas([]string{"c2:1"})
+		up.UpdateReplicas(plane.ReplicaList{Addresses: []string{"c2:1"}})
 		stopFirst()
 		time.Sleep(2 * time.Second)
 		require.EqualValues(t, 2, replicaNumber())
@@ -122,3 +124,65 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// serveLocate serves a control process without a replica, which knows the given ones.
+func serveLocate(ctx context.Context, t *testing.T, network *vnet.Network, address string, known plane.ReplicaList) *locate.Directory {
+	directory := &locate.Directory{}
+	directory.Learn(known)
+	listener, err := network.Listen(address)
+	require.NoError(t, err)
+	go func() {
+		_ = link.Serve(ctx, listener, map[string]link.Handler{plane.MethodLocate: directory.Serve(nil)})
+	}()
+	return directory
+}
+
+// A daemon whose seeds run no replica goes to the replicas that one of them knows, and tells the
+// next process without a replica of them.
+func TestUplinkIsRedirectedToReplicas(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		network := vnet.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		unaware := serveLocate(ctx, t, network, "b0:1", plane.ReplicaList{})
+		serveLocate(ctx, t, network, "b1:1", plane.ReplicaList{Addresses: []string{"c1:1"}, Index: 7})
+		listener, err := network.Listen("c1:1")
+		require.NoError(t, err)
+		serving, stopReplica := context.WithCancel(ctx)
+		go func() { _ = link.Serve(serving, listener, replicaHandlers(1)) }()
+		up := &uplink.Uplink{Host: host.Host{Dial: network.Dialer("e")}, Replicas: []string{"b0:1", "b1:1"}}
+		start := time.Now()
+		go up.Run(ctx)
+		var reply call.ProbeReply
+		require.NoError(t, up.Call(ctx, "who", &call.Probe{}, &reply))
+		require.EqualValues(t, 1, reply.Incarnation)
+		require.Less(t, time.Since(start), time.Second)
+		require.Equal(t, "c1:1", up.LastAddress())
+		stopReplica()
+		time.Sleep(5 * time.Second)
+		require.Equal(t, []string{"c1:1"}, unaware.Known().Addresses)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
+// A replica whose process stands still accepts connections, since the kernel does.
+func TestUplinkLeavesReplicaThatAcceptsAndNeverAnswers(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		network := vnet.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		_, err := network.Listen("c0:1")
+		require.NoError(t, err)
+		listener, err := network.Listen("c1:1")
+		require.NoError(t, err)
+		go func() { _ = link.Serve(ctx, listener, replicaHandlers(1)) }()
+		up := &uplink.Uplink{Host: host.Host{Dial: network.Dialer("e")}, Replicas: []string{"c0:1", "c1:1"}}
+		start := time.Now()
+		go up.Run(ctx)
+		var reply call.ProbeReply
+		require.NoError(t, up.Call(ctx, "who", &call.Probe{}, &reply))
+		require.EqualValues(t, 1, reply.Incarnation)
+		require.Less(t, time.Since(start), 600*time.Millisecond)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
