ctrl/node: a new replica also asks the replicas that other control processes know

Cause: a replica that joins an existing group asked its seeds, and those who connected to it. Seeds without a disk answer that they run no replica, and nobody connects to a new address: front-casa-a-4 asked three bridges for 7 s and never joined, so the group stayed at two of three voters. Change: it asks the replicas of its process's directory too, which the bridges tell it of.

--- a/ctrl/daemon/daemon.go
+++ b/ctrl/daemon/daemon.go
@@ -153,6 +153,7 @@
 		Snapshot:     d.machine.Snapshot,
 		Restore:      d.machine.Restore,
 		OnLeadership: d.onLeadershipChange,
+		Located:      func() []string { return d.Directory.Known().Addresses },
 	}
 	for _, peer := range d.Peers {
 		n.Peers = append(n.Peers, node.Peer(peer))
--- a/ctrl/node/join.go
+++ b/ctrl/node/join.go
@@ -109,8 +109,9 @@
 
 // joinAddresses returns the addresses to send join requests to: the peers, the
 // known members, and the leader that peers reported. A replica that joins an existing
-// group also asks the replicas that connect to it: they take it for the former one at
-// its address, whose disk was lost. Others do not, because Bootstrap counts the answers.
+// group also asks the located replicas, and those that connect to it: they take it for
+// the former one at its address, whose disk was lost. Others do not, because Bootstrap
+// counts the answers.
 func (n *Node) joinAddresses(status raft.Status) []string {
 	var addresses []string
 	for _, peer := range n.Peers {
@@ -122,6 +123,9 @@
 	addresses = append(addresses, n.conns.leaderAddresses()...)
 	if n.NoBootstrap {
 		addresses = append(addresses, n.conns.senderAddresses()...)
+		if n.Located != nil {
+			addresses = append(addresses, n.Located()...)
+		}
 	}
 	slices.Sort(addresses)
 	return slices.Compact(addresses)
--- a/ctrl/node/node.go
+++ b/ctrl/node/node.go
@@ -117,6 +117,9 @@
 	// later ones. It waits no longer than firstVotersTicks for the next voter. Zero
 	// means no wait.
 	FirstVoters int
+	// Located returns the addresses of replicas that other control processes know. A
+	// replica asks them for its group, as its Peers may run no replicas. It may be nil.
+	Located func() []string
 	// NoBootstrap is set if the group already exists. The replica then never
 	// bootstraps one.
 	NoBootstrap bool
