pkg/uplink: daemons back off from sessions that end at once

Cause: the backoff started anew with each session, however short. Change: it starts anew after a session of a second or more; after a shorter one the next attempt waits for 50 ms to 1 s. The first loss after a stable session is still followed by an attempt at once. A lease that is not renewed ends its session after 1.5 s, which counts as stable.

--- a/pkg/uplink/uplink.go
+++ b/pkg/uplink/uplink.go
@@ -33,9 +33,11 @@
 	// next replica starts in parallel: the default of RFC 8305.
 	attemptDelay = 250 * time.Millisecond
 	// initialBackoff and maxBackoff bound the exponential backoff, before
-	// jitter, between rounds in which all replicas failed.
+	// jitter, after rounds in which all replicas failed and after sessions that
+	// lasted less than stableAfter.
 	initialBackoff = 50 * time.Millisecond
 	maxBackoff     = time.Second
+	stableAfter    = time.Second
 )
 
 // Kind classifies the failures of this package.
@@ -78,11 +80,10 @@
 		session, address := u.connect(ctx, rotateAfter(u.candidates(), u.LastAddress()))
 		if session == nil {
 			u.refresh()
-			pause.For(ctx, delay/2+rand.N(delay/2))
-			delay = min(2*delay, maxBackoff)
+			delay = backOff(ctx, delay)
 			continue
 		}
-		delay = initialBackoff
+		began := time.Now()
 		u.Host.Log.Write("control-reached", "address", address)
 		u.setLastAddress(address)
 		u.setSession(session)
@@ -93,9 +94,20 @@
 		u.setSession(nil)
 		_ = session.Close()
 		u.Host.Log.Write("control-lost", "address", address)
+		if time.Since(began) < stableAfter {
+			delay = backOff(ctx, delay)
+		} else {
+			delay = initialBackoff
+		}
 	}
 }
 
+// backOff waits for the delay, less jitter, and returns the next delay.
+func backOff(ctx context.Context, delay time.Duration) time.Duration {
+	pause.For(ctx, delay/2+rand.N(delay/2))
+	return min(2*delay, maxBackoff)
+}
+
 // refresh replaces the configured addresses by those that Refresh returns, if
 // any.
 func (u *Uplink) refresh() {
--- a/pkg/uplink/uplink_test.go
+++ b/pkg/uplink/uplink_test.go
@@ -186,3 +186,43 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Replicas that accept sessions and end them at once, such as those that are stopping, must not be
+// dialled ten times a second by each daemon, without end.
+func TestUplinkBacksOffFromSessionsThatEndAtOnce(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		network := vnet.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		accepted := 0
+		for _, address := range []string{"c0:1", "c1:1", "c2:1"} {
+			listener, err := network.Listen(address)
+			require.NoError(t, err)
+			go func() { _ = link.Serve(ctx, listener, replicaHandlers(1)) }()
+		}
+		up := &uplink.Uplink{Host: host.Host{Dial: network.Dialer("e")}, Replicas: []string{"c0:1", "c1:1", "c2:1"}}
+		go up.Run(ctx)
+		leave := time.NewTicker(10 * time.Millisecond)
+		defer leave.Stop()
+		start, last := time.Now(), ""
+		for time.Since(start) < time.Minute {
+			<-leave.C
+			if address := up.LastAddress(); address != last {
+				accepted++
+				last = address
+			}
+			up.SwitchReplica()
+		}
+		require.LessOrEqual(t, accepted, 125, "at most one session each half second, after the first ones")
+		require.GreaterOrEqual(t, accepted, 50)
+
+		time.Sleep(3 * time.Second)
+		began := time.Now()
+		up.SwitchReplica()
+		var reply call.ProbeReply
+		time.Sleep(10 * time.Millisecond)
+		require.NoError(t, up.Call(ctx, "who", &call.Probe{}, &reply))
+		require.Less(t, time.Since(began), 100*time.Millisecond, "the first loss after a stable session is followed by a new one at once")
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
