ctrl/member: a replica that is not one of its peers never creates a group

Two groups of control could form at the first start, each of which acknowledges configurations. Cause: a replica creates the group once all peers but one have answered, and that one was taken for itself. A replica that is no seed could so create a group of its own while two seeds without a disk answered and the third, which has one, did not yet. Change: it must be one of the peers, by name.

--- a/ctrl/member/join.go
+++ b/ctrl/member/join.go
@@ -46,12 +46,13 @@
 }
 
 // Bootstrap returns the first membership of a new group if self has to create the
-// group: every peer has answered, all are empty and configured with the same group,
-// and self has the first name in ascending order. Only this replica may decide,
+// group: self is one of the peers, every other peer has answered, all are empty and
+// configured with the same group, and self has the first name in ascending order. Only this replica may decide,
 // because two replicas that each collect the IDs of all peers could collect different
 // IDs while a disk is being replaced.
 func Bootstrap(self JoinResponse, answers []JoinResponse) ([]raft.Member, bool) {
-	if !self.Empty || len(answers)+1 != strings.Count(self.Peers, ",") {
+	isPeer := strings.Contains(","+self.Peers, ","+self.Name+"=")
+	if !self.Empty || !isPeer || len(answers)+1 != strings.Count(self.Peers, ",") {
 		return nil, false
 	}
 	members := []raft.Member{voter(self)}
--- a/ctrl/member/member_test.go
+++ b/ctrl/member/member_test.go
@@ -65,6 +65,10 @@
 		"same ID":          {self, []member.JoinResponse{b, with(func(a *member.JoinResponse) { a.ID = 3 })}, false},
 		"not first":        {b, []member.JoinResponse{self, c}, false},
 		"self not empty":   {member.JoinResponse{ID: 5, Name: "a", Peers: peers}, []member.JoinResponse{b, c}, false},
+		"not a peer, one peer unresponsive": {
+			member.JoinResponse{ID: 5, Name: "d", Address: "4", Empty: true, Peers: peers},
+			[]member.JoinResponse{{Name: "a", Absent: true}, {Name: "b", Absent: true}}, false,
+		},
 		"the only replica": {member.JoinResponse{ID: 5, Name: "a", Empty: true, Peers: "a=1,"}, nil, true},
 	} {
 		members, ok := member.Bootstrap(test.self, test.answers)
