ctrl/member, ctrl/bridge: a group forms although no seed has a disk

With seeds that run no replica at the first start, no configuration is ever acknowledged, and no caller is served. Cause: the group is created by the first of the seeds' replicas, and there was none. Change: in a deployment that starts for the first time a bridge nominates the first empty replica that asks it, once; a replica that hears from all seeds that they run none, and is nominated by the one with the first name, creates the group alone. The others find it through the directories and join. A bridge that restarts nominates nobody, so no two replicas create a group; if the bridge or the nominee is lost within the first tenths of a second, no group forms, as before. Answers of others than the seeds no longer prevent a group: they are not counted.

--- a/ctrl/bridge/bridge.go
+++ b/ctrl/bridge/bridge.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/daemon"
 	"github.com/tanagerspindle/tanagerspindle/ctrl/member"
@@ -46,9 +47,16 @@
 	// HasDisk means that the VM has a disk and its replica is only closed for now. The bridge then
 	// refuses the replicas' join requests: the reply that the VM has no replica would be final.
 	HasDisk bool
+	// FirstStart means that the whole deployment starts for the first time. The bridge then
+	// nominates the replica that begins the group, for the case that no seed runs one.
+	FirstStart bool
 	// Uplink connects to the replicas, and knows those that the bridge directs daemons to.
 	// Bridge.Run runs it.
 	Uplink *uplink.Uplink
+
+	mutex sync.Mutex
+	// nominated is the ID of the nominated replica, 0 before.
+	nominated uint64
 }
 
 // Run runs the uplink, follows changes of the replica list and answers join requests until ctx
@@ -85,7 +93,18 @@
 	if err := stream.Receive(request); err != nil {
 		return err
 	}
-	return stream.Send(&member.JoinResponse{Name: b.Name, Address: b.Address, Absent: true})
+	return stream.Send(&member.JoinResponse{Name: b.Name, Address: b.Address, Absent: true, Nominated: b.nominate(request)})
+}
+
+// nominate returns the ID of the first empty replica that sent a join request.
+func (b *Bridge) nominate(request *member.JoinRequest) uint64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.FirstStart && request.Empty && b.nominated == 0 {
+		b.nominated = request.ID
+		b.Host.Log.Write("replica-nominated", "replica", request.ID, "address", request.Address)
+	}
+	return b.nominated
 }
 
 // Replace calls Replace of daemon.Daemon on a replica.
--- a/ctrl/member/join.go
+++ b/ctrl/member/join.go
@@ -43,14 +43,21 @@
 	// Leader is the address of the leader that the peer follows; empty if it knows
 	// none.
 	Leader string `protobuf:"bytes,7,opt"`
+	// Nominated is the ID of the first empty replica that sent an absent peer a
+	// request, if the deployment starts for the first time.
+	Nominated uint64 `protobuf:"varint,9,opt"`
 }
 
 // Bootstrap returns the first membership of a new group if self has to create the
 // group: self is one of the peers, every other peer has answered, all are empty and
 // configured with the same group, and self has the first name in ascending order. Only this replica may decide,
 // because two replicas that each collect the IDs of all peers could collect different
-// IDs while a disk is being replaced.
+// IDs while a disk is being replaced. If no peer runs a replica, a nominated one creates
+// the group.
 func Bootstrap(self JoinResponse, answers []JoinResponse) ([]raft.Member, bool) {
+	if isNominated(self, answers) {
+		return []raft.Member{voter(self)}, true
+	}
 	isPeer := strings.Contains(","+self.Peers, ","+self.Name+"=")
 	if !self.Empty || !isPeer || len(answers)+1 != strings.Count(self.Peers, ",") {
 		return nil, false
@@ -80,6 +87,25 @@
 }
 
 // voter returns the peer as a voting member.
+// isNominated reports whether self has to create the group alone, because no peer runs a
+// replica: all peers have answered, and the one with the first name has nominated self. It
+// nominates once, and not after a restart, so that no two replicas create a group.
+func isNominated(self JoinResponse, answers []JoinResponse) bool {
+	if !self.Empty || len(answers) == 0 || len(answers) != strings.Count(self.Peers, ",") {
+		return false
+	}
+	first := answers[0]
+	for _, answer := range answers {
+		if !answer.Absent {
+			return false
+		}
+		if answer.Name < first.Name {
+			first = answer
+		}
+	}
+	return first.Nominated == self.ID
+}
+
 func voter(a JoinResponse) raft.Member {
 	return raft.Member{ID: a.ID, Name: a.Name, Address: a.Address, Voter: true}
 }
--- a/ctrl/member/member_test.go
+++ b/ctrl/member/member_test.go
@@ -67,7 +67,8 @@
 		"self not empty":   {member.JoinResponse{ID: 5, Name: "a", Peers: peers}, []member.JoinResponse{b, c}, false},
 		"not a peer, one peer unresponsive": {
 			member.JoinResponse{ID: 5, Name: "d", Address: "4", Empty: true, Peers: peers},
-			[]member.JoinResponse{{Name: "a", Absent: true}, {Name: "b", Absent: true}}, false,
+			[]member.JoinResponse{{Name: "a", Absent: true}, {Name: "b", Absent: true}},
+			false,
 		},
 		"the only replica": {member.JoinResponse{ID: 5, Name: "a", Empty: true, Peers: "a=1,"}, nil, true},
 	} {
@@ -79,6 +80,36 @@
 	}
 }
 
+// No two replicas may create a group, whichever of the peers without a replica answer them.
+func TestOnlyTheNomineeOfTheFirstPeerCreatesTheGroup(t *testing.T) {
+	peers := "a=1,b=2,c=3,"
+	self := member.JoinResponse{ID: 5, Name: "d", Address: "4", Empty: true, Peers: peers}
+	absent := func(name string, nominated uint64) member.JoinResponse {
+		return member.JoinResponse{Name: name, Absent: true, Nominated: nominated}
+	}
+	notEmpty, replica := self, absent("b", 5)
+	notEmpty.Empty, replica.Absent = false, false
+	for name, test := range map[string]struct {
+		self    member.JoinResponse
+		answers []member.JoinResponse
+		want    bool
+	}{
+		"nominated by all":         {self, []member.JoinResponse{absent("c", 5), absent("a", 5), absent("b", 5)}, true},
+		"nominated by the first":   {self, []member.JoinResponse{absent("c", 9), absent("a", 5), absent("b", 9)}, true},
+		"nominated by others":      {self, []member.JoinResponse{absent("c", 5), absent("a", 9), absent("b", 5)}, false},
+		"no nomination":            {self, []member.JoinResponse{absent("c", 0), absent("a", 0), absent("b", 0)}, false},
+		"the first does not reply": {self, []member.JoinResponse{absent("c", 5), absent("b", 5)}, false},
+		"a peer runs a replica":    {self, []member.JoinResponse{absent("c", 5), absent("a", 5), replica}, false},
+		"not empty":                {notEmpty, []member.JoinResponse{absent("c", 5), absent("a", 5), absent("b", 5)}, false},
+	} {
+		members, ok := member.Bootstrap(test.self, test.answers)
+		require.Equal(t, test.want, ok, name)
+		if ok {
+			require.Len(t, members, 1, name)
+		}
+	}
+}
+
 func TestRepairReplacesDeadVoters(t *testing.T) {
 	repair := member.RepairPolicy{Names: []string{"a", "b", "c"}, DeadTicks: 200, AliveTicks: 20}
 	standing := func(id uint64, name string, voter bool, match uint64, silent int) raft.MemberStatus {
--- a/ctrl/node/join.go
+++ b/ctrl/node/join.go
@@ -44,7 +44,7 @@
 			leaderless = 0
 		}
 		if !isMember(*status, status.ID) || leaderless > leaderlessRounds {
-			answers := n.queryPeers(ctx, *status)
+			answers := n.queryReplicas(ctx, *status)
 			if len(answers) != answered {
 				answered = len(answers)
 				n.Host.Log.Write("peers-asked", "answered", answered, "of", len(n.Peers)-1)
@@ -61,8 +61,14 @@
 
 // handleJoinAnswers bootstraps a group if this replica has to, and stops the
 // replica if it was replaced.
-func (l *loop) handleJoinAnswers(answers []member.JoinResponse) {
-	members, ok := member.Bootstrap(l.describe(l.core.Status()), answers)
+func (l *loop) handleJoinAnswers(answers []joinAnswer) {
+	var fromPeers []member.JoinResponse
+	for _, answer := range answers {
+		if answer.fromPeer {
+			fromPeers = append(fromPeers, answer.JoinResponse)
+		}
+	}
+	members, ok := member.Bootstrap(l.describe(l.core.Status()), fromPeers)
 	if ok && !l.node.NoBootstrap {
 		l.step(raft.Input{Bootstrap: members})
 	}
@@ -73,24 +79,33 @@
 	}
 }
 
-// queryPeers returns the answers that arrived in time.
-func (n *Node) queryPeers(ctx context.Context, status raft.Status) []member.JoinResponse {
+// joinAnswer is the answer to a join request.
+type joinAnswer struct {
+	member.JoinResponse
+	// fromPeer means that one of Node.Peers was asked. Only their answers count for a
+	// new group.
+	fromPeer bool
+}
+
+// queryReplicas returns the answers that arrived in time.
+func (n *Node) queryReplicas(ctx context.Context, status raft.Status) []joinAnswer {
 	ctx, cancel := context.WithTimeout(ctx, joinInterval)
 	defer cancel()
 	request := member.JoinRequest{ID: status.ID, Name: n.Name, Address: n.Address, Empty: status.Empty}
-	calls := pool.NewWithResults[*member.JoinResponse]()
+	calls := pool.NewWithResults[*joinAnswer]()
 	for _, address := range n.joinAddresses(status) {
 		conn := n.conns.connTo(address)
 		if conn == nil {
 			continue
 		}
-		calls.Go(func() *member.JoinResponse {
+		fromPeer := slices.ContainsFunc(n.Peers, func(peer Peer) bool { return peer.Address == address })
+		calls.Go(func() *joinAnswer {
 			session, err := conn.waitSession(ctx)
 			if err != nil {
 				return nil
 			}
-			var answer member.JoinResponse
-			if err := call(ctx, session, MethodJoin, &request, &answer); err != nil {
+			answer := joinAnswer{fromPeer: fromPeer}
+			if err := call(ctx, session, MethodJoin, &request, &answer.JoinResponse); err != nil {
 				n.Host.Log.Write("peer-silent", "address", address, "err", err)
 				return nil
 			}
@@ -98,7 +113,7 @@
 			return &answer
 		})
 	}
-	var answers []member.JoinResponse
+	var answers []joinAnswer
 	for _, answer := range calls.Wait() {
 		if answer != nil {
 			answers = append(answers, *answer)
@@ -108,10 +123,9 @@
 }
 
 // joinAddresses returns the addresses to send join requests to: the peers, the
-// known members, and the leader that peers reported. A replica that joins an existing
-// group also asks the located replicas, and those that connect to it: they take it for
-// the former one at its address, whose disk was lost. Others do not, because Bootstrap
-// counts the answers.
+// known members, the leader that peers reported, the located replicas, and those that
+// connect to this one: they take it for the former replica at its address, whose disk
+// was lost.
 func (n *Node) joinAddresses(status raft.Status) []string {
 	var addresses []string
 	for _, peer := range n.Peers {
@@ -121,11 +135,9 @@
 		addresses = append(addresses, n.conns.currentAddress(m.ID, m.Address))
 	}
 	addresses = append(addresses, n.conns.leaderAddresses()...)
-	if n.NoBootstrap {
-		addresses = append(addresses, n.conns.senderAddresses()...)
-		if n.Located != nil {
-			addresses = append(addresses, n.Located()...)
-		}
+	addresses = append(addresses, n.conns.senderAddresses()...)
+	if n.Located != nil {
+		addresses = append(addresses, n.Located()...)
 	}
 	slices.Sort(addresses)
 	return slices.Compact(addresses)
