--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -169,11 +170,12 @@
 	}
 }
 
-// limitedRetries grants a limited number of retries.
-func limitedRetries(remaining int) func(context.Context, string) func(bool) {
+// limitedRetries grants a limited number of retries. The function it returns is safe for concurrent use.
+func limitedRetries(count int) func(context.Context, string) func(bool) {
+	remaining := &atomic.Int64{}
+	remaining.Store(int64(count))
 	return func(context.Context, string) func(bool) {
-		remaining--
-		if remaining < 0 {
+		if remaining.Add(-1) < 0 {
 			return nil
 		}
 		return func(bool) {}
