--- a/ctrl/member/join.go
+++ b/ctrl/member/join.go
@@ -50,10 +50,10 @@
 
 // Bootstrap returns the first membership of a new group if self has to create the
 // group: self is one of the peers, every other peer has answered, all are empty and
-// configured with the same group, and self has the first name in ascending order. Only this replica may decide,
-// because two replicas that each collect the IDs of all peers could collect different
-// IDs while a disk is being replaced. If no peer runs a replica, a nominated one creates
-// the group.
+// configured with the same group, and self has the first name in ascending order.
+// Only this replica may decide, because two replicas that each collect the IDs of all
+// peers could collect different IDs while a disk is being replaced. If no peer runs a
+// replica, a nominated one creates the group.
 func Bootstrap(self JoinResponse, answers []JoinResponse) ([]raft.Member, bool) {
 	if isNominated(self, answers) {
 		return []raft.Member{voter(self)}, true
