--- a/ctrl/feeds/crash.go
+++ b/ctrl/feeds/crash.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 )
@@ -111,6 +112,6 @@
 		if _, err := f.Propose(ctx, command); err == nil {
 			return
 		}
-		pause(ctx, minSendInterval, nil)
+		pause.Until(ctx, minSendInterval, nil)
 	}
 }
--- a/ctrl/feeds/peers.go
+++ b/ctrl/feeds/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/advert"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 	"github.com/tanagerspindle/tanagerspindle/pkg/tasks"
@@ -89,7 +90,7 @@
 				f.removePeer(name)
 			}
 		}
-		pause(ctx, peerInterval, nil)
+		pause.Until(ctx, peerInterval, nil)
 		if ctx.Err() != nil {
 			for _, cancel := range open {
 				cancel()
@@ -124,7 +125,7 @@
 		if err := f.followPeerOnce(ctx, name); err != nil && ctx.Err() == nil {
 			f.Host.Log.Write("exchange-ended", "peer", name, "err", err)
 		}
-		pause(ctx, reopenDelay, nil)
+		pause.Until(ctx, reopenDelay, nil)
 	}
 }
 
@@ -214,8 +215,8 @@
 			f.requeueBurn(p, message.BurnCounts)
 			return err
 		}
-		pause(ctx, minSendInterval, nil)
-		pause(ctx, peerInterval-minSendInterval, changed)
+		pause.Until(ctx, minSendInterval, nil)
+		pause.Until(ctx, peerInterval-minSendInterval, changed)
 	}
 	return nil
 }
--- a/ctrl/feeds/serve.go
+++ b/ctrl/feeds/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/tanagerspindle/tanagerspindle/ctrl/state"
 	"github.com/tanagerspindle/tanagerspindle/pkg/lease"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 	"github.com/tanagerspindle/tanagerspindle/pkg/span"
@@ -282,7 +283,7 @@
 			return
 		case <-c.replyReady:
 		case <-c.changed:
-			pause(ctx, time.Until(last.Add(minSendInterval)), c.replyReady)
+			pause.Until(ctx, time.Until(last.Add(minSendInterval)), c.replyReady)
 		}
 		last = time.Now()
 		if !f.sendAll(ctx, c) {
@@ -291,20 +292,6 @@
 	}
 }
 
-// pause waits until the duration has passed, ctx ends or wake receives a value.
-func pause(ctx context.Context, wait time.Duration, wake <-chan struct{}) {
-	if wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-wake:
-	}
-}
-
 // sendAll sends one update for each heartbeat that awaits a reply. If there is none, it
 // sends one update if anything changed. It returns false when the feed has ended.
 func (f *Feeds) sendAll(ctx context.Context, c *client) bool {
--- a/ctrl/feeds/traffic_test.go
+++ b/ctrl/feeds/traffic_test.go
@@ -20,6 +20,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 	"github.com/tanagerspindle/tanagerspindle/pkg/roster"
 	"github.com/tanagerspindle/tanagerspindle/pkg/vnet"
@@ -191,7 +192,7 @@
 		if stream.Send(&plane.Heartbeat{Seq: seq, ConfigNumber: 1 << 40}) != nil {
 			return
 		}
-		pause(ctx, time.Second, nil)
+		pause.Until(ctx, time.Second, nil)
 	}
 	_ = stream.Close()
 }
--- a/ctrl/gossip/bench_test.go
+++ b/ctrl/gossip/bench_test.go
@@ -11,26 +11,9 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/locate"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
+	"github.com/tanagerspindle/tanagerspindle/pkg/vnet"
 )
 
-// countingConn counts the bytes in both directions of a connection.
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // BenchmarkExchange measures one exchange with one seed over loopback, both ends together.
 func BenchmarkExchange(b *testing.B) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -41,10 +24,9 @@
 		_ = link.Serve(b.Context(), listener, map[string]link.Handler{plane.MethodLocate: far.Serve(nil)})
 	}()
 	var bytes atomic.Int64
-	dial := func(ctx context.Context, address string) (net.Conn, error) {
-		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-		return countingConn{conn, &bytes}, err
-	}
+	dial := vnet.CountBytes(&bytes, func(ctx context.Context, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	})
 	for b.Loop() {
 		session, err := link.Dial(b.Context(), dial, listener.Addr().String())
 		require.NoError(b, err)
--- a/ctrl/gossip/exchanger.go
+++ b/ctrl/gossip/exchanger.go
@@ -11,6 +11,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/locate"
+	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/pkg/tasks"
 )
 
@@ -55,24 +56,8 @@
 		if fresh := e.Seeds(); len(fresh) > 0 && !slices.Equal(fresh, seeds) {
 			seeds, interval = fresh, minInterval
 		}
-		wait(ctx, interval, changed)
-	}
-}
-
-// wait waits for the interval, or for minInterval if the list has changed.
-func wait(ctx context.Context, interval time.Duration, changed <-chan struct{}) {
-	least, most := time.NewTimer(minInterval), time.NewTimer(interval)
-	defer least.Stop()
-	defer most.Stop()
-	select {
-	case <-ctx.Done():
-		return
-	case <-least.C:
-	}
-	select {
-	case <-ctx.Done():
-	case <-most.C:
-	case <-changed:
+		pause.Until(ctx, minInterval, nil)
+		pause.Until(ctx, interval-minInterval, changed)
 	}
 }
 
--- a/ctrl/node/group_test.go
+++ b/ctrl/node/group_test.go
@@ -133,7 +133,7 @@
 	r.Node = &node.Node{
 		Host: host.Host{
 			VM: name, Meter: meter.New(), Log: log,
-			Dial: countBytes(&g.sent, r.dial(g.network.Dialer(name))), Listen: g.network.Listen,
+			Dial: vnet.CountBytes(&g.sent, r.dial(g.network.Dialer(name))), Listen: g.network.Listen,
 		},
 		Name: name, Address: address, Peers: g.peers,
 		Disk: g.disks[name].Disk(), Seed: g.seed, SnapshotEntries: g.snapshotEntries,
--- a/ctrl/node/speed_test.go
+++ b/ctrl/node/speed_test.go
@@ -15,6 +15,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 	"github.com/tanagerspindle/tanagerspindle/pkg/link"
 	"github.com/tanagerspindle/tanagerspindle/pkg/meter"
+	"github.com/tanagerspindle/tanagerspindle/pkg/vnet"
 )
 
 // startLoopbackGroup runs replicas over TCP and real files until stop is called,
@@ -33,7 +34,7 @@
 	var nodes []*node.Node
 	for i, peer := range peers {
 		n := &node.Node{
-			Host: host.Host{VM: peer.Name, Meter: meter.New(), Dial: countBytes(sent, func(ctx context.Context, address string) (net.Conn, error) {
+			Host: host.Host{VM: peer.Name, Meter: meter.New(), Dial: vnet.CountBytes(sent, func(ctx context.Context, address string) (net.Conn, error) {
 				return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 			})},
 			Name: peer.Name, Address: peer.Address, Peers: peers, DataDir: folders[i], SnapshotEntries: every,
--- a/pkg/pause/pause.go
+++ b/pkg/pause/pause.go
@@ -23,6 +23,21 @@
 	}
 }
 
+// Until waits for the given time, or until ctx ends or wake receives a value or is closed. A nil
+// wake never does. Like For, it returns without a timer if length is not positive.
+func Until(ctx context.Context, length time.Duration, wake <-chan struct{}) {
+	if length <= 0 {
+		return
+	}
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-wake:
+	}
+}
+
 // Every calls do once per interval until ctx ends; the first call is after one
 // interval. If several calls become due while another one runs, do is called once.
 func Every(ctx context.Context, interval time.Duration, do func()) {
--- a/pkg/uplink/uplink.go
+++ b/pkg/uplink/uplink.go
@@ -225,13 +225,8 @@
 // insertLocated returns the addresses with the located ones that were not among them as the
 // next to try, after the first started ones.
 func (u *Uplink) insertLocated(addresses []string, started int, known plane.ReplicaList) []string {
-	var located []string
-	for _, address := range u.preferred(known.Addresses) {
-		if !slices.Contains(addresses, address) {
-			located = append(located, address)
-		}
-	}
-	return slices.Insert(slices.Clone(addresses), started, located...)
+	all := appendNew(slices.Clone(addresses), u.preferred(known.Addresses))
+	return slices.Insert(slices.Clone(addresses), started, all[len(addresses):]...)
 }
 
 // dial connects to a control process and asks it for the replicas.
