--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,22 +5,25 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 )
 
 // cases are the scripts by name. Each returns whether the rule held, or an error if the case
 // could not run.
 var cases = map[string]func(r *rig, trouble bool) (held bool, err error){
-	"memory":   memoryCase,
-	"birth":    birthCase,
-	"wipe":     wipeCase,
-	"replaced": replacedCase,
-	"tenants":  tenantsCase,
-	"quota":    quotaCase,
-	"gone":     goneCase,
+	"wipe":      wipeCase,
+	"birth":     birthCase,
+	"replaced":  replacedCase,
+	"bystander": bystanderCase,
+	"gone":      goneCase,
 }
 
+// timeLimit is how long a case may run.
+const timeLimit = 115 * time.Second
+
 func main() {
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE RECORD")
@@ -29,6 +32,19 @@
 	os.Exit(run(os.Args[1], os.Args[2]))
 }
 
+// closeEarly ends the case when it is interrupted or takes too long.
+func (r *rig) closeEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-time.After(timeLimit):
+	}
+	r.note("the case is ended early")
+	r.close()
+	os.Exit(2)
+}
+
 func run(name, record string) int {
 	play, ok := cases[name]
 	if !ok {
@@ -41,6 +57,7 @@
 		return 2
 	}
 	defer r.close()
+	go r.closeEarly()
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.note("case %s, trouble %v, at %s", name, trouble, time.Now().UTC().Format(time.RFC3339))
 	held, err := play(r, trouble)
--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -245,6 +245,7 @@
 	cmd := exec.Command(p.rig.program, p.role)
 	cmd.Env = []string{"TANAGERSPINDLE_BOOT=" + file, "PATH=" + os.Getenv("PATH"), "HOME=" + p.folder}
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -352,9 +353,13 @@
 // close ends all processes and removes the folder.
 func (r *rig) close() {
 	r.mutex.Lock()
+	former := r.closed
 	r.closed = true
 	processes := r.processes
 	r.mutex.Unlock()
+	if former {
+		return
+	}
 	for _, p := range processes {
 		p.signal(syscall.SIGKILL)
 	}
