--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -38,7 +38,8 @@
 // begun is one request that the worker began to run.
 type begun struct {
 	id, tenant string
-	at         time.Time
+	// arrived is when the request had reached the worker, at when it began to run.
+	arrived, at time.Time
 }
 
 // startWorker starts a worker at an address of its own.
@@ -109,6 +110,7 @@
 
 // ServeHTTP runs one request.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
 	id := r.Header.Get("X-Request-Id")
 	if id != "" {
 		rw.Header().Set("X-Request-Id", id)
@@ -145,7 +147,7 @@
 	}
 	defer func() { <-w.places }()
 	w.mutex.Lock()
-	w.runs = append(w.runs, begun{id: id, tenant: r.Header.Get("X-Tenant"), at: time.Now()})
+	w.runs = append(w.runs, begun{id: id, tenant: r.Header.Get("X-Tenant"), arrived: arrived, at: time.Now()})
 	w.mutex.Unlock()
 	time.Sleep(w.work)
 	body := "answer to " + id
