entry/buffer, entry/chain: bodies that are arriving give way when memory is short

Cause: new bodies are refused at 7/8 of the bound, whatever their size, and a body that has begun to arrive keeps its memory until it times out.

Now the pool decides who gives way, without I/O: among the bodies that are arriving, the one that has held most memory for longest, measured as memory times time. A large body is only displaced after two seconds, so that bodies of the same size do not displace each other before they can end; a small one displaces at once and may exceed the bound by 1/16, which large bodies that wait for their endpoints cannot take. A body that has arrived never gives way: its request may run. A request that gives way is refused 503 with a retry time. Until its memory is freed the bound may be exceeded by 1/8, no further.

Pool.Admit has a third parameter; the former tests pass nil, which means a body that does not give way, and keep their checks.

--- a/entry/buffer/buffer_test.go
+++ b/entry/buffer/buffer_test.go
@@ -117,7 +117,7 @@
 	ended.End()
 	hold := pool.NewHold()
 	hold.Take(-pool.Usage().Held + 64*kilobyte)
-	admit := func(at time.Duration) bool { return hold.Admit(8*kilobyte, start.Add(at)) }
+	admit := func(at time.Duration) bool { return hold.Admit(8*kilobyte, start.Add(at), nil) }
 
 	require.False(t, admit(1900*time.Millisecond), "all are within their time")
 	reading.Next()
@@ -153,7 +153,7 @@
 	var holds []*buffer.Hold
 	for {
 		hold := pool.NewHold()
-		if !hold.Admit(body, now) {
+		if !hold.Admit(body, now, nil) {
 			break
 		}
 		require.True(t, hold.Grow(body/2, now))
@@ -173,9 +173,9 @@
 	for _, hold := range holds {
 		hold.Release()
 	}
-	require.True(t, pool.NewHold().Admit(body, now))
+	require.True(t, pool.NewHold().Admit(body, now, nil))
 	var off *buffer.Hold
-	require.True(t, off.Admit(1<<40, now), "without a bound")
+	require.True(t, off.Admit(1<<40, now, nil), "without a bound")
 }
 
 // Guards against an endpoint that does not read: it gets body after body until the memory
--- a/entry/buffer/pool.go
+++ b/entry/buffer/pool.go
@@ -31,9 +31,22 @@
 	// runtime's soft limit is at 0.7 of the memory limit; what lies between is for the
 	// process's own state and for garbage not yet collected.
 	boundShare = 0.5
-	// newBodyShare is the share of the bound up to which new bodies are accepted. The rest
-	// is for bodies that have begun to arrive and for answers.
+	// newBodyShare is the share of the bound up to which new large bodies are accepted. The
+	// rest is for bodies that have begun to arrive and for answers.
 	newBodyShare = 0.875
+	// smallReserveShare is the share of the bound by which small bodies may exceed it, so that
+	// large ones that wait for their endpoints do not keep them out.
+	smallReserveShare = 1.0 / 16
+	// maxYieldingShare is the share of the bound by which it may be exceeded until the bodies
+	// that have given way are freed.
+	maxYieldingShare = 1.0 / 8
+	// maxSmallBody is the size of a small body, in bytes; smallBodyShare is the share of the
+	// bound that a small body has at most, which applies to small processes.
+	maxSmallBody   = 64 << 10
+	smallBodyShare = 1.0 / 512
+	// arrivalTime is how long a body may arrive before it gives way to any other one: as long
+	// as a caller's link needs for the largest body.
+	arrivalTime = 2 * time.Second
 	// answersShare is the share of the bound that the answers may have which callers have
 	// yet to take. It is below newBodyShare, so that callers that read slowly do not cause
 	// the refusal of bodies.
@@ -60,7 +73,8 @@
 // Pool is the memory that a process holds for callers and endpoints. It is safe for
 // concurrent use. The exported fields are set before use; see New.
 type Pool struct {
-	// Bound is the number of bytes that the pool may hold.
+	// Bound is the number of bytes that the pool may hold, but for small bodies, which may
+	// exceed it by smallReserveShare.
 	Bound int64
 	// StreamBound is the number of bytes that one answer may hold, EndpointBound the
 	// number of bytes of request bodies that one endpoint may leave unread.
@@ -69,9 +83,14 @@
 	mutex sync.Mutex
 	// held is the sum over all holds and streams.
 	held, peak int64
-	// inStreams is the part of held that is in streams.
-	inStreams int64
-	streams   map[*Stream]struct{}
+	// inStreams is the part of held that is in streams, yielding that of requests which have
+	// given way and have yet to end.
+	inStreams, yielding int64
+	streams             map[*Stream]struct{}
+	// arriving holds the requests whose bodies are arriving.
+	arriving map[*Hold]struct{}
+	// yields holds the functions to call once the pool is unlocked.
+	yields []func()
 	// unsent is the number of bytes of request bodies that an endpoint has not read, by
 	// the endpoint's name.
 	unsent map[string]int64
@@ -80,15 +99,19 @@
 
 // Counts are the decisions of a Pool since its start that refused or aborted something.
 type Counts struct {
-	// BodiesRefused counts request bodies refused for want of memory, BodiesWithheld those
-	// not sent to an endpoint that does not read, and StreamsAborted the answers aborted
-	// because their callers read too slowly.
-	BodiesRefused, BodiesWithheld, StreamsAborted int64
+	// BodiesRefused counts request bodies refused for want of memory, BodiesYielded those
+	// given up for others while they arrived, BodiesWithheld those not sent to an endpoint
+	// that does not read, and StreamsAborted the answers aborted because their callers read
+	// too slowly.
+	BodiesRefused, BodiesYielded, BodiesWithheld, StreamsAborted int64
 }
 
-// New returns a pool for a process with the given memory limit in bytes.
-func New(memoryLimit int64) *Pool {
-	bound := float64(memoryLimit) * boundShare
+// New returns a pool for an entry with the given memory limit in bytes.
+func New(memoryLimit int64) *Pool { return NewShare(memoryLimit, boundShare) }
+
+// NewShare returns a pool of a share of a process's memory limit in bytes.
+func NewShare(memoryLimit int64, share float64) *Pool {
+	bound := float64(memoryLimit) * share
 	return &Pool{
 		Bound:         int64(bound),
 		StreamBound:   min(maxStreamBytes, int64(bound*streamShare)),
@@ -96,32 +119,125 @@
 	}
 }
 
-// fits reports whether the pool can hold more bytes of bodies up to a share of the bound.
-func (p *Pool) fits(bytes int64, share float64, now time.Time) bool {
-	return p.makeRoom(now, func() bool { return p.held+bytes <= int64(float64(p.Bound)*share) })
+// fits reports whether the pool can hold more bytes for a request up to a share of the bound.
+// Bodies that have been arriving for at least minAge may give way.
+func (p *Pool) fits(h *Hold, bytes int64, share float64, minAge time.Duration, now time.Time) bool {
+	if p.held+bytes > int64(float64(p.Bound)*(1+maxYieldingShare)) {
+		return false
+	}
+	for p.held-p.yielding+bytes > int64(float64(p.Bound)*share) {
+		if !p.yieldBody(h, arrivalTime, now) && !p.abortStalled(now) && !p.yieldBody(h, minAge, now) {
+			return false
+		}
+	}
+	return true
 }
 
-// fitsAnswer reports whether the pool can hold more bytes of answers.
-func (p *Pool) fitsAnswer(bytes int64, now time.Time) bool {
-	return p.makeRoom(now, func() bool {
-		return p.held+bytes <= p.Bound && p.inStreams+bytes <= int64(float64(p.Bound)*answersShare)
-	})
+// yieldBody makes the request give way whose arriving body has held most memory for longest,
+// of those that have been arriving for at least minAge, except for one. It returns false if
+// there is none.
+func (p *Pool) yieldBody(except *Hold, minAge time.Duration, now time.Time) bool {
+	var victim *Hold
+	for h := range p.arriving {
+		if h == except || h.yielded || now.Sub(h.began) < minAge {
+			continue
+		}
+		if victim == nil || h.weight(now) > victim.weight(now) {
+			victim = h
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	victim.yielded = true
+	p.yielding += victim.held
+	p.yields = append(p.yields, victim.onYield)
+	p.counts.BodiesYielded++
+	return true
+}
+
+// unlock unlocks the pool and ends the waits for the bodies that have given way.
+func (p *Pool) unlock() {
+	yields := p.yields
+	p.yields = nil
+	p.mutex.Unlock()
+	for _, onYield := range yields {
+		onYield()
+	}
+}
+
+// YieldRequest makes a request give way whose body is arriving, and reports whether there was
+// one.
+func (p *Pool) YieldRequest(now time.Time) bool {
+	p.mutex.Lock()
+	defer p.unlock()
+	return p.yieldBody(nil, 0, now)
+}
+
+// Account adds bytes that the process holds for callers beside their requests. A negative
+// number removes bytes.
+func (p *Pool) Account(bytes int64) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.add(bytes)
+}
+
+// newBodyPolicy returns the share of the bound up to which a new body is accepted, and the age
+// of the bodies that give way to it. length is negative if it is unknown.
+func (p *Pool) newBodyPolicy(length int64) (share float64, minAge time.Duration) {
+	switch {
+	case length < 0:
+		return 1, 0
+	case length <= p.maxSmallBody():
+		return 1 + smallReserveShare, 0
+	}
+	return newBodyShare, arrivalTime
 }
 
-// makeRoom aborts answers whose callers have taken nothing for long until there is room. It
-// returns false if there is none.
-func (p *Pool) makeRoom(now time.Time, room func() bool) bool {
-	for !room() {
-		victim := p.longestStalled(now)
-		if victim == nil {
+// growingBodyPolicy is newBodyPolicy for a body that grows to a size.
+func (p *Pool) growingBodyPolicy(size int64) (share float64, minAge time.Duration) {
+	if size <= p.maxSmallBody() {
+		return 1 + smallReserveShare, 0
+	}
+	return 1, arrivalTime
+}
+
+func (p *Pool) maxSmallBody() int64 {
+	return min(maxSmallBody, int64(float64(p.Bound)*smallBodyShare))
+}
+
+// IsLarge reports whether a body of a stated length, negative if none is stated, may be large.
+func (p *Pool) IsLarge(length int64) bool { return length < 0 || length > p.maxSmallBody() }
+
+// IsFilling reports whether the pool is more than half full.
+func (p *Pool) IsFilling() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return 2*p.held > p.Bound
+}
+
+// fitsAnswer reports whether the pool can hold more bytes of answers.
+func (p *Pool) fitsAnswer(bytes int64, now time.Time) bool {
+	for p.held+bytes > p.Bound || p.inStreams+bytes > int64(float64(p.Bound)*answersShare) {
+		if !p.abortStalled(now) {
 			return false
 		}
-		victim.abort()
-		p.counts.StreamsAborted++
 	}
 	return true
 }
 
+// abortStalled aborts the answer whose caller has taken nothing for the longest time, and
+// reports whether there was one.
+func (p *Pool) abortStalled(now time.Time) bool {
+	victim := p.longestStalled(now)
+	if victim == nil {
+		return false
+	}
+	victim.abort()
+	p.counts.StreamsAborted++
+	return true
+}
+
 // longestStalled returns the stream whose caller has taken nothing for the longest time,
 // nil if no caller is over its time.
 func (p *Pool) longestStalled(now time.Time) *Stream {
--- a/entry/buffer/writer_test.go
+++ b/entry/buffer/writer_test.go
@@ -192,7 +192,7 @@
 			require.NoError(t, c.Finish(t.Context()))
 			require.LessOrEqual(t, time.Since(started), 450*time.Millisecond)
 			hold := pool.NewHold()
-			require.True(t, hold.Admit(kilobyte, time.Now()), "new bodies are accepted")
+			require.True(t, hold.Admit(kilobyte, time.Now(), nil), "new bodies are accepted")
 			hold.Release()
 		}
 		group.Wait()
--- a/entry/chain/body.go
+++ b/entry/chain/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/buffer"
@@ -31,7 +32,7 @@
 	_ = control.SetReadDeadline(time.Now().Add(timeout))
 	body, err := io.ReadAll(http.MaxBytesReader(serverWriter(w), r.Body, maxBytes))
 	if err != nil {
-		return nil, refuseUnread(w, bodyRefusal(err))
+		return nil, RefuseUnread(w, bodyRefusal(err))
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
@@ -74,21 +75,31 @@
 		return nil, nil
 	}
 	if r.ContentLength > limits.MaxBytes {
-		return nil, refuseUnread(w, bodyRefusal(&http.MaxBytesError{Limit: limits.MaxBytes}))
+		return nil, RefuseUnread(w, bodyRefusal(&http.MaxBytesError{Limit: limits.MaxBytes}))
 	}
-	now := time.Now()
-	if !hold.Admit(r.ContentLength, now) {
-		return nil, refuseUnread(w, memoryFull())
+	deadlines := &readDeadlines{control: http.NewResponseController(w)}
+	if !hold.Admit(r.ContentLength, time.Now(), deadlines.interrupt) {
+		return nil, RefuseUnread(w, memoryFull())
 	}
-	control := http.NewResponseController(w)
+	body, err := readGrowing(hold, http.MaxBytesReader(serverWriter(w), r.Body, limits.MaxBytes), r.ContentLength, limits, deadlines)
+	deadlines.finish()
+	if err != nil {
+		return nil, RefuseUnread(w, err)
+	}
+	return body, nil
+}
+
+// readGrowing reads a body of a stated length, negative if it is unknown, into space that
+// doubles. Its error is a Refusal.
+func readGrowing(hold *buffer.Hold, reader io.Reader, length int64, limits BodyLimits, deadlines *readDeadlines) ([]byte, error) {
+	now := time.Now()
 	end := now.Add(limits.Timeout)
-	reader := http.MaxBytesReader(serverWriter(w), r.Body, limits.MaxBytes)
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			grown := bodySpace(int64(cap(body)), r.ContentLength, limits.MaxBytes)
+			grown := bodySpace(int64(cap(body)), length, limits.MaxBytes)
 			if !hold.Grow(grown-int64(cap(body)), now) {
-				return nil, refuseUnread(w, memoryFull())
+				return nil, memoryFull()
 			}
 			body = append(make([]byte, 0, grown), body...)
 		}
@@ -96,20 +107,62 @@
 		if limits.GapTimeout > 0 && now.Add(limits.GapTimeout).Before(end) {
 			deadline = now.Add(limits.GapTimeout)
 		}
-		_ = control.SetReadDeadline(deadline)
+		deadlines.set(deadline)
 		n, err := reader.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
-		if err != nil && !errors.Is(err, io.EOF) {
-			return nil, refuseUnread(w, bodyRefusal(err))
-		}
-		if err != nil {
-			_ = control.SetReadDeadline(time.Time{})
+		switch {
+		case errors.Is(err, io.EOF):
+			hold.Arrived()
 			return body, nil
+		case err != nil && hold.Yielded():
+			return nil, memoryFull()
+		case err != nil:
+			return nil, bodyRefusal(err)
 		}
 		now = time.Now()
 	}
 }
 
+// readDeadlines sets the deadlines for reading a body, which another goroutine may interrupt.
+type readDeadlines struct {
+	control *http.ResponseController
+
+	mutex sync.Mutex
+	// interrupted is set once the body is not awaited any more, finished once it is not read
+	// any more.
+	interrupted, finished bool
+}
+
+func (d *readDeadlines) set(deadline time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if !d.interrupted {
+		_ = d.control.SetReadDeadline(deadline)
+	}
+}
+
+// interrupt ends a read that waits. It does nothing once the body has been read, since the
+// connection may serve the next request.
+func (d *readDeadlines) interrupt() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.finished {
+		return
+	}
+	d.interrupted = true
+	_ = d.control.SetReadDeadline(time.Unix(1, 0))
+}
+
+// finish removes the deadline.
+func (d *readDeadlines) finish() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if !d.finished {
+		d.finished = true
+		_ = d.control.SetReadDeadline(time.Time{})
+	}
+}
+
 // bodySpace returns the next larger space for a body of a stated length, which is negative
 // if it is unknown. One byte beyond the largest body reveals larger ones.
 func bodySpace(space, length, maxBytes int64) int64 {
@@ -126,10 +179,10 @@
 	return Refuse(http.StatusServiceUnavailable, CodeMemory, "this entry holds too much for other requests").WithRetryAfter(wait)
 }
 
-// refuseUnread prepares the connection for a refusal that is sent before the body has been
+// RefuseUnread prepares the connection for a refusal that is sent before the body has been
 // read, and returns the refusal. Without the close, the server reads the rest of the body
 // before it answers.
-func refuseUnread(w http.ResponseWriter, refusal error) error {
+func RefuseUnread(w http.ResponseWriter, refusal error) error {
 	w.Header().Set("Connection", "close")
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 	return refusal
--- a/entry/chain/body_test.go
+++ b/entry/chain/body_test.go
@@ -170,7 +170,7 @@
 // caller sent the rest.
 func TestConnectionEndsAfterSlowBody(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, err := chain.ReadBody(w, r, testMaxBody, 100*time.Millisecond)
+		_, err := chain.ReadBodyInto(nil, w, r, limitsOf(100*time.Millisecond, 0))
 		w.WriteHeader(chain.RefusalOf(err).Status)
 	}))
 	t.Cleanup(server.CloseClientConnections)
