pkg/conns, entry/daemon: callers' connections and headers are bounded

Callers saw: an entry ended, killed for its memory, by 160 headers of 900 KB without an end, or by 600 whole headers of many short fields whose bodies did not end. 600 silent connections took 614 descriptors, beyond what the platform leaves, so that no connection to an endpoint could be opened.

Cause: max_header_bytes, header_timeout_ms, idle_timeout_ms and max_fds are not applied. net/http allows a header of 1 MB in 10 s and an idle connection for two minutes, and nothing counts connections or what a header takes once it is parsed, up to 20 times its length.

Now pkg/conns decides which connections stay open, in a table without I/O: a connection without a request gives way first, the one that has held most memory for longest, then the one that has been idle for longest, then a request whose body is arriving, and last a connection that has just been opened. A connection whose request is served never does. A header beyond the limit gets 431; what has been sent of it is read for half a second, at most 256 KB, so that the answer arrives. Headers and connections count in the entry's pool. The limits are those of the operators' configuration; without one 64 KB, 10 s and two minutes.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/entry/auth"
+	"github.com/tanagerspindle/tanagerspindle/entry/buffer"
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
 	"github.com/tanagerspindle/tanagerspindle/entry/class"
 	"github.com/tanagerspindle/tanagerspindle/entry/crash"
@@ -33,6 +34,7 @@
 	"github.com/tanagerspindle/tanagerspindle/pkg/budget"
 	"github.com/tanagerspindle/tanagerspindle/pkg/call"
 	"github.com/tanagerspindle/tanagerspindle/pkg/conf"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conns"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/feed"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
@@ -56,10 +58,13 @@
 type Error = fault.Error[Kind]
 
 const (
-	// headerTimeout limits the time in which a request header must arrive, and
-	// idleTimeout the time between two requests on a connection.
+	// headerTimeout limits the time in which a request header must arrive during a stop.
 	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
+	// connsShare is the share of the memory bound that callers' connections without a request
+	// and the headers that arrive on them may take.
+	connsShare = 0.5
+	// defaultMemory is the memory limit in bytes if Daemon.Memory is nil.
+	defaultMemory = 512 << 20
 	// agentDialTimeout limits one attempt to connect to an agent that admits requests.
 	// It is short because another engine can be tried instead.
 	agentDialTimeout = 250 * time.Millisecond
@@ -112,6 +117,12 @@
 	BootTime func() time.Time
 	// NewHandler returns the HTTP handler for callers; nil means that of package front.
 	NewHandler func(p *HandlerParts) http.Handler
+	// Memory bounds what is held for callers and endpoints; nil means that of a process with
+	// defaultMemory.
+	Memory *buffer.Pool
+	// MaxDescriptors is the number of file descriptors that callers' connections and the
+	// connections to endpoints for their requests may use; zero means no bound.
+	MaxDescriptors int
 }
 
 // HandlerParts is what NewHandler can use to serve callers.
@@ -143,6 +154,8 @@
 	crashes *crash.Tracker
 	origins *finder.Finder
 	drain   *drain.Drain
+	memory  *buffer.Pool
+	conns   *conns.Limiter
 	server  *http.Server
 }
 
@@ -156,7 +169,7 @@
 	}
 	e := d.build()
 	served := make(chan error, 1)
-	go func() { served <- e.server.Serve(e.drain.Track(listener)) }()
+	go func() { served <- e.server.Serve(e.drain.Track(e.conns.Listen(listener))) }()
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group tasks.Group
@@ -270,15 +283,30 @@
 	if d.Send != nil {
 		e.limit.EntryCount = e.feed.KnownEntries
 	}
+	e.memory = d.Memory
+	if e.memory == nil {
+		e.memory = buffer.New(defaultMemory)
+	}
+	e.conns = e.newConnLimiter()
 	e.server = &http.Server{
-		Handler:           e.drain.Announce(e.handler(endpointPicker)),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		ConnState:         e.drain.TrackConnection,
+		Handler: e.drain.Announce(e.handler(endpointPicker)),
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			e.drain.TrackConnection(conn, state)
+			e.conns.TrackState(conn, state)
+		},
 	}
 	return e
 }
 
+// newConnLimiter returns the limiter of callers' connections, which applies the operators'
+// limits on headers and idle connections.
+func (e *entry) newConnLimiter() *conns.Limiter {
+	return &conns.Limiter{
+		Host: e.daemon.Host, Name: "callers", MaxDescriptors: e.daemon.MaxDescriptors, MaxBytes: int64(float64(e.memory.Bound) * connsShare),
+		Limits: e.limits, Account: e.memory.Account, YieldRequest: e.memory.YieldRequest,
+	}
+}
+
 // handler returns the HTTP handler for callers.
 func (e *entry) handler(endpointPicker *picker.Picker) http.Handler {
 	if e.daemon.NewHandler == nil {
--- a/entry/drain/conn.go
+++ b/entry/drain/conn.go
@@ -38,6 +38,9 @@
 	heldUntil time.Time
 }
 
+// NetConn returns the connection inside.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *callerConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
