entry/daemon, platform/caller: key and route are checked before a large body is read

Callers saw: clients without a key, or on paths that no route has, took an entry's memory with bodies that never end; other callers got 503.

Cause: the entry reads the whole body before the chain looks at the key and the route.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -139,6 +139,9 @@
 	Enter    func() func()
 	// Limits returns the configured limits on requests.
 	Limits func() conf.Limits
+	// Precheck returns the refusal of a request whose key or route would be refused whatever
+	// its body is. It does not change the request.
+	Precheck func(r *chain.Request) error
 }
 
 // entry holds the components of a running daemon.
@@ -147,6 +150,7 @@
 	uplink  *uplink.Uplink
 	feed    *feed.Feed
 	auth    *auth.Auth
+	routes  *match.Matcher
 	limit   *limit.Limiter
 	relay   *relay.Relay
 	direct  *direct.Filter
@@ -314,7 +318,7 @@
 	}
 	return e.daemon.NewHandler(&HandlerParts{
 		Host: e.daemon.Host, Chain: e.chain(endpointPicker), Ready: e.ready,
-		Draining: e.drain.Draining, Enter: e.drain.Enter, Limits: e.limits,
+		Draining: e.drain.Draining, Enter: e.drain.Enter, Limits: e.limits, Precheck: e.precheck,
 	})
 }
 
@@ -345,6 +349,16 @@
 	return config.Limits
 }
 
+// precheck returns the refusal of a request whose key or route would be refused whatever its
+// body is. It works on a copy, since filters change requests.
+func (e *entry) precheck(r *chain.Request) error {
+	probe := *r
+	probe.Header = r.Header.Clone()
+	accept := func(context.Context, *chain.Request, chain.Next) error { return nil }
+	checks := &chain.Chain{Filters: []chain.Filter{e.auth.StripKeys, e.routes.Do, accept}}
+	return checks.Run(context.Background(), &probe)
+}
+
 func (e *entry) front(endpointPicker *picker.Picker) *front.Front {
 	return &front.Front{
 		Host:         e.daemon.Host,
@@ -357,15 +371,15 @@
 }
 
 func (e *entry) chain(endpointPicker *picker.Picker) *chain.Chain {
-	routes := &match.Matcher{Config: e.feed.Config, Valid: e.feed.Valid}
+	e.routes = &match.Matcher{Config: e.feed.Config, Valid: e.feed.Valid}
 	e.auth.Config = e.feed.Config
-	e.auth.RoutesFor = routes.RoutesFor
+	e.auth.RoutesFor = e.routes.RoutesFor
 	claims := &once.Filter{Host: e.daemon.Host, ExchangeClaim: e.claim, ProbeAttempt: e.relay.Probe, FindAgent: endpointPicker.Lookup}
 	return &chain.Chain{Filters: []chain.Filter{
 		(&trace.Tracer{Host: e.daemon.Host, CountObjective: e.feed.CountRequest}).Do,
 		e.drain.RefuseAtExit,
 		e.auth.StripKeys,
-		routes.Do,
+		e.routes.Do,
 		e.drain.RefuseLate,
 		e.auth.WatchKey,
 		(&guard.Guard{Banned: e.feed.Quarantined}).Do,
