platform: connections to all other listeners are bounded

Seen from outside: 600 silent connections to the readiness checks, the metrics, the calls to control, a replica's or an agent's port took 612 to 620 descriptors of the 500 that the platform leaves. Where the operating system allows no more than these, metrics were not served beside them.

Cause: nothing bounds the connections to these listeners.

A session on which a stream of a known method has been opened does not give way; HTTP connections do as at the entry.

--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -52,6 +53,9 @@
 	handlers map[string]Handler
 	context  context.Context
 	cancel   context.CancelFunc
+	// markActive runs once the peer has opened a stream for a known method, which exempts the
+	// connection from giving way to others; see conns.Limiter.
+	markActive sync.Once
 }
 
 // openRequest is the first message of a stream and selects its handler.
@@ -148,6 +152,11 @@
 	if !ok {
 		return
 	}
+	s.markActive.Do(func() {
+		if bounded, ok := s.conn.Conn.(interface{ MarkActive() }); ok {
+			bounded.MarkActive()
+		}
+	})
 	_ = handler(s.context, stream)
 }
 
