entry/chain: a refused body is drained so that its refusal arrives

Callers saw: a reset connection in place of a 413 or a 503, when they sent their whole body before they read the answer; a 503 promises that the request has not run, and a 413 is not retried, but a lost answer says neither.

Cause: a refusal before the body is read closes the connection with unread bytes, which resets it. The server reads at most 256 KB of the rest, and nothing of a body that states more.

Now the refusal is written with its length and flushed, and then as much as the largest legal body is read and dropped, for at most a second.

TestRefusalArrivesAtCallerThatSendsItsWholeBody fails before (broken pipe) and passes now.

--- a/entry/chain/body.go
+++ b/entry/chain/body.go
@@ -181,9 +181,23 @@
 
 // RefuseUnread prepares the connection for a refusal that is sent before the body has been
 // read, and returns the refusal. Without the close, the server reads the rest of the body
-// before it answers.
+// before it answers. The caller writes the refusal with its length and then calls DiscardUnread.
 func RefuseUnread(w http.ResponseWriter, refusal error) error {
 	w.Header().Set("Connection", "close")
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 	return refusal
 }
+
+// DiscardUnread sends a refusal that RefuseUnread has prepared, and then reads and drops the rest
+// of the body, for a limited time and no more than maxBytes: a connection that is closed with
+// unread bytes may lose the refusal.
+func DiscardUnread(w http.ResponseWriter, r *http.Request, maxBytes int64) {
+	if w.Header().Get("Connection") != "close" {
+		return
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	if control.Flush() == nil {
+		_, _ = io.CopyN(io.Discard, r.Body, maxBytes)
+	}
+}
--- a/entry/chain/body_test.go
+++ b/entry/chain/body_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -30,8 +31,11 @@
 		body, err := chain.ReadBodyInto(hold, w, r, limits)
 		if err != nil {
 			refusal := chain.RefusalOf(err)
+			text := fmt.Sprintf("%s %s %v", refusal.Code, refusal.Ran, refusal.RetryAfter > 0)
+			w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 			w.WriteHeader(refusal.Status)
-			_, _ = fmt.Fprintf(w, "%s %s %v", refusal.Code, refusal.Ran, refusal.RetryAfter > 0)
+			_, _ = io.WriteString(w, text)
+			chain.DiscardUnread(w, r, limits.MaxBytes)
 			return
 		}
 		_, _ = fmt.Fprint(w, len(body))
@@ -180,3 +184,25 @@
 	_, err := conn.Read(make([]byte, 1))
 	require.Equal(t, io.EOF, err, "the connection is closed")
 }
+
+// Callers that sent their whole body before they read the answer saw a reset connection in place
+// of the refusal.
+func TestRefusalArrivesAtCallerThatSendsItsWholeBody(t *testing.T) {
+	pool := &buffer.Pool{Bound: testBound}
+	limits := limitsOf(5*time.Second, 0)
+	limits.MaxBytes = 4 << 20
+	address := bodyServer(t, pool, limits)
+	full := pool.NewHold()
+	full.Take(testBound)
+	for _, size := range []int{int(limits.MaxBytes) + 100, int(limits.MaxBytes)} {
+		conn := open(t, address, fmt.Sprintf("Content-Length: %d", size), "")
+		_, err := conn.Write(make([]byte, size))
+		require.NoError(t, err)
+		status, text := receive(t, conn)
+		if size > int(limits.MaxBytes) {
+			require.Equal(t, http.StatusRequestEntityTooLarge, status, text)
+		} else {
+			require.Equal(t, http.StatusServiceUnavailable, status, text)
+		}
+	}
+}
