pkg/conns: a session that is marked active stays so; entry/buffer: yielded bodies are logged

By reading, a session could return to the phase of a header after it had been marked, and give way.

Cause: the length was a field of the connection without a lock, and a read looked at the phase before it changed it.

Now both are part of the table, and change under its lock; a part of a header that arrives on an active connection is not counted.

--- a/entry/buffer/report.go
+++ b/entry/buffer/report.go
@@ -23,15 +23,16 @@
 		h.Meter.Set("memory_unread_bytes", usage.Unread)
 		h.Meter.Set("streams_buffered", int64(usage.Buffered))
 		refused, withheld := usage.BodiesRefused-former.BodiesRefused, usage.BodiesWithheld-former.BodiesWithheld
-		aborted := usage.StreamsAborted - former.StreamsAborted
+		yielded, aborted := usage.BodiesYielded-former.BodiesYielded, usage.StreamsAborted-former.StreamsAborted
 		former = usage.Counts
-		if refused+withheld+aborted == 0 {
+		if refused+yielded+withheld+aborted == 0 {
 			return
 		}
 		h.Meter.Add("bodies_refused", refused)
+		h.Meter.Add("bodies_yielded", yielded)
 		h.Meter.Add("bodies_withheld", withheld)
 		h.Meter.Add("streams_aborted_slow", aborted)
 		h.Log.Write("memory-short", "held", usage.Held, "peak", usage.Peak, "bound", p.Bound, "buffered", usage.Buffered, "unread", usage.Unread,
-			"refused", refused, "withheld", withheld, "aborted", aborted)
+			"refused", refused, "yielded", yielded, "withheld", withheld, "aborted", aborted)
 	})
 }
--- a/pkg/conns/conn.go
+++ b/pkg/conns/conn.go
@@ -53,8 +53,6 @@
 	// requested is the deadline that the server has set, ownLimit that of the phase; zero
 	// means none.
 	requested, ownLimit time.Time
-	// headerBytes is the number of bytes of the header that is arriving.
-	headerBytes int64
 }
 
 // NetConn returns the connection inside.
@@ -75,26 +73,29 @@
 
 // receive counts a part of a header.
 func (c *conn) receive(data []byte) error {
-	l := c.limiter
 	now := time.Now()
-	if phase(c.phase.Load()) != phaseHeader {
-		c.enterAt(phaseHeader, now)
-		if !bytes.Contains(data, []byte("\r\n\r\n")) {
-			c.await(phaseHeader, now)
-		}
-	}
-	c.headerBytes += int64(len(data))
-	if c.headerBytes > l.limits().MaxHeaderBytes+readAhead {
-		c.refuseHeader()
-		return &Error{Op: "read header", Kind: KindHeader}
-	}
+	var begun bool
+	var length int64
 	taken := int64(len(data))*textFactor + int64(bytes.Count(data, []byte{'\n'}))*fieldBytes
-	fits := l.change(now, func(t *table) *record {
-		t.receive(c.record, taken)
+	fits := c.limiter.change(now, func(t *table) *record {
+		if c.record.phase == phaseActive {
+			return nil
+		}
+		if begun = c.record.phase != phaseHeader; begun {
+			c.enterLocked(t, phaseHeader, now)
+		}
+		t.receive(c.record, int64(len(data)), taken)
+		length = c.record.headerLength
 		return c.record
 	})
-	if !fits {
+	switch {
+	case length > c.limiter.limits().MaxHeaderBytes+readAhead:
+		c.refuseHeader()
+		return &Error{Op: "read header", Kind: KindHeader}
+	case !fits:
 		return &Error{Op: "read header", Kind: KindMemory}
+	case begun && !bytes.Contains(data, []byte("\r\n\r\n")):
+		c.await(phaseHeader, now)
 	}
 	return nil
 }
@@ -111,20 +112,20 @@
 	}
 }
 
+// enter changes the phase.
 func (c *conn) enter(next phase) {
 	now := time.Now()
-	c.enterAt(next, now)
-	c.await(next, now)
-}
-
-// enterAt changes the phase.
-func (c *conn) enterAt(next phase, now time.Time) {
-	c.headerBytes = 0
 	c.limiter.change(now, func(t *table) *record {
-		t.enter(c.record, next, now)
-		c.phase.Store(int32(next))
+		c.enterLocked(t, next, now)
 		return c.record
 	})
+	c.await(next, now)
+}
+
+// enterLocked changes the phase while the table is locked.
+func (c *conn) enterLocked(t *table, next phase, now time.Time) {
+	t.enter(c.record, next, now)
+	c.phase.Store(int32(next))
 }
 
 // await sets the deadline of the phase.
@@ -138,7 +139,7 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if in != phaseActive && c.ownLimit.Equal(past) {
+	if phase(c.phase.Load()) != in || in != phaseActive && c.ownLimit.Equal(past) {
 		return
 	}
 	c.ownLimit = limit
--- a/pkg/conns/conns_test.go
+++ b/pkg/conns/conns_test.go
@@ -138,3 +138,43 @@
 	require.Equal(t, http.StatusOK, status(dial(t, address, request)))
 	require.Positive(t, yielded.Load())
 }
+
+// A session counted as a connection without a request again when its first stream was opened
+// while more of it was read.
+func TestMarkActiveBesideReads(t *testing.T) {
+	limiter := &conns.Limiter{Host: host.Host{Meter: meter.New()}, MaxDescriptors: 2}
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := limiter.Listen(inner)
+	t.Cleanup(func() { _ = listener.Close() })
+	peer := dial(t, inner.Addr().String(), "")
+	session, err := listener.Accept()
+	require.NoError(t, err)
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		_, _ = io.Copy(io.Discard, session)
+	}()
+	go func() {
+		for range 1000 {
+			_, _ = io.WriteString(peer, "ping")
+		}
+	}()
+	session.(interface{ MarkActive() }).MarkActive()
+	time.Sleep(50 * time.Millisecond)
+	for range 10 {
+		dial(t, inner.Addr().String(), "")
+	}
+	go func() {
+		for {
+			if _, err := listener.Accept(); err != nil {
+				return
+			}
+		}
+	}()
+	select {
+	case <-read:
+		require.Fail(t, "the session was closed")
+	case <-time.After(200 * time.Millisecond):
+	}
+}
--- a/pkg/conns/table.go
+++ b/pkg/conns/table.go
@@ -38,8 +38,9 @@
 	phase phase
 	// since is when the phase began.
 	since time.Time
-	// headerBytes is the memory of the header that is arriving.
-	headerBytes int64
+	// headerLength is the number of bytes of the header that is arriving, headerBytes the
+	// memory that it takes.
+	headerLength, headerBytes int64
 	// yields is set once the connection must be closed to make room.
 	yields bool
 }
@@ -94,7 +95,7 @@
 		return
 	}
 	t.count(r, -1)
-	r.phase, r.since, r.headerBytes = next, now, 0
+	r.phase, r.since, r.headerLength, r.headerBytes = next, now, 0, 0
 	if next == phaseActive {
 		// A header that is whole is served.
 		r.yields = false
@@ -102,12 +103,13 @@
 	t.count(r, 1)
 }
 
-// receive adds the memory of a header that is arriving.
-func (t *table) receive(r *record, bytes int64) {
+// receive adds a part of a header that is arriving, and the memory that it takes.
+func (t *table) receive(r *record, length, bytes int64) {
 	if _, open := t.records[r]; !open {
 		return
 	}
 	t.count(r, -1)
+	r.headerLength += length
 	r.headerBytes += bytes
 	t.count(r, 1)
 }
--- a/pkg/conns/table_test.go
+++ b/pkg/conns/table_test.go
@@ -34,7 +34,7 @@
 	silent, _, _ := open(table, at(1))
 	header, _, _ := open(table, at(2))
 	table.enter(header, phaseHeader, at(2))
-	table.receive(header, 4*connBytes)
+	table.receive(header, 1, 4*connBytes)
 
 	_, victims, ok := open(table, at(4))
 	require.True(t, ok)
@@ -98,11 +98,11 @@
 		table.enter(added, phaseHeader, at(float64(i)))
 		records = append(records, added)
 	}
-	table.receive(records[10], 20*connBytes)
-	table.receive(records[20], 25*connBytes)
+	table.receive(records[10], 1, 20*connBytes)
+	table.receive(records[20], 1, 25*connBytes)
 	_, ok := table.makeRoom(records[20], at(60))
 	require.True(t, ok, "95 of 100")
-	table.receive(records[30], 10*connBytes)
+	table.receive(records[30], 1, 10*connBytes)
 	victims, ok := table.makeRoom(records[30], at(60))
 	require.True(t, ok)
 	require.Equal(t, []*record{records[10]}, victims)
