entry: memory and connections of the product's own interface are bounded

Cause: entry/front reads bodies with io.ReadAll for up to a minute, and its settings name no memory limit.

Now entry/front reads into the same pool as the platform's entries. New settings of an entry: "memory" in MB, by default 512, half of it for requests, and "descriptors", by default the limit of the operating system.

--- a/entry/chain/body.go
+++ b/entry/chain/body.go
@@ -25,19 +25,6 @@
 	CodeMemory = "memory_full"
 )
 
-// ReadBody reads a request's complete body of at most maxBytes, which must arrive
-// within timeout. Its error is a Refusal.
-func ReadBody(w http.ResponseWriter, r *http.Request, maxBytes int64, timeout time.Duration) ([]byte, error) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(timeout))
-	body, err := io.ReadAll(http.MaxBytesReader(serverWriter(w), r.Body, maxBytes))
-	if err != nil {
-		return nil, RefuseUnread(w, bodyRefusal(err))
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
 // serverWriter returns the server's own writer: http.MaxBytesReader makes the server close the
 // connection after a body that is too large, but does not unwrap its writer.
 func serverWriter(w http.ResponseWriter) http.ResponseWriter {
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -367,6 +367,7 @@
 		Draining:     e.drain.Draining,
 		Enter:        e.drain.Enter,
 		MaxBodyBytes: e.daemon.MaxBodyBytes,
+		Memory:       e.memory,
 	}
 }
 
--- a/entry/front/answer.go
+++ b/entry/front/answer.go
@@ -78,8 +78,10 @@
 	if len(refusal.AllowedMethods) > 0 {
 		header.Set("Allow", strings.Join(refusal.AllowedMethods, ", "))
 	}
+	body := refusalJSON(refusal)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(refusal.Status)
-	_, _ = w.Write(refusalJSON(refusal))
+	_, _ = w.Write(body)
 }
 
 func refusalJSON(refusal *chain.Refusal) []byte {
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -12,7 +12,9 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/tanagerspindle/tanagerspindle/entry/buffer"
 	"github.com/tanagerspindle/tanagerspindle/entry/chain"
+	"github.com/tanagerspindle/tanagerspindle/pkg/conns"
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
 	"github.com/tanagerspindle/tanagerspindle/pkg/host"
 )
@@ -54,6 +56,8 @@
 	MaxBodyBytes int64
 	// MaxConcurrent limits the requests served at the same time; zero means 16,384.
 	MaxConcurrent int64
+	// Memory bounds what is held for the requests in progress; nil means no bound.
+	Memory *buffer.Pool
 
 	running atomic.Int64
 }
@@ -105,9 +109,17 @@
 			writeRefusal(w, full.WithRetryAfter(fullRetryAfter))
 			return
 		}
-		q, err := f.read(w, r, api)
+		var hold *buffer.Hold
+		if f.Memory != nil {
+			hold = f.Memory.NewHold()
+			hold.Take(conns.HeaderBytes(r.Header))
+			defer hold.Release()
+		}
+		q, err := f.read(w, r, api, hold)
 		if err != nil {
+			hold.Release()
 			writeRefusal(w, chain.RefusalOf(err))
+			chain.DiscardUnread(w, r, f.maxBodyBytes())
 			return
 		}
 		f.serve(w, r, q)
@@ -161,7 +173,7 @@
 
 // read builds the chain's request. It shares no data with the HTTP request: the header
 // is a copy.
-func (f *Front) read(w http.ResponseWriter, r *http.Request, api chain.API) (*chain.Request, error) {
+func (f *Front) read(w http.ResponseWriter, r *http.Request, api chain.API, hold *buffer.Hold) (*chain.Request, error) {
 	q := &chain.Request{
 		API:    api,
 		Method: r.Method,
@@ -174,23 +186,29 @@
 	if err := checkPath(r.URL); err != nil {
 		return nil, err
 	}
-	body, err := f.body(w, r)
+	body, err := f.body(w, r, hold)
 	if err != nil {
 		return nil, err
 	}
 	q.Body = body
 	if api == chain.APICompletion || api == chain.APIChat {
-		return q, parse(q)
+		err := parse(q)
+		hold.Take(int64(len(q.Prompt)))
+		return q, err
 	}
 	return q, nil
 }
 
-func (f *Front) body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	maxBytes := f.MaxBodyBytes
-	if maxBytes == 0 {
-		maxBytes = defaultMaxBodyBytes
+func (f *Front) body(w http.ResponseWriter, r *http.Request, hold *buffer.Hold) ([]byte, error) {
+	return chain.ReadBodyInto(hold, w, r, chain.BodyLimits{MaxBytes: f.maxBodyBytes(), Timeout: bodyTimeout})
+}
+
+// maxBodyBytes returns the size of the largest body.
+func (f *Front) maxBodyBytes() int64 {
+	if f.MaxBodyBytes == 0 {
+		return defaultMaxBodyBytes
 	}
-	return chain.ReadBody(w, r, maxBytes, bodyTimeout)
+	return f.MaxBodyBytes
 }
 
 // checkPath refuses paths that a service could resolve to another path than the one
--- a/pkg/setup/check.go
+++ b/pkg/setup/check.go
@@ -14,6 +14,10 @@
 	// maxLoads is the maximum of the settings for adapter loads: the loads per
 	// second and the loads in flight.
 	maxLoads = 100_000
+	// minMemoryMB is the least memory limit, and minDescriptors the least number of
+	// descriptors.
+	minMemoryMB    = 64
+	minDescriptors = 256
 	// maxStopTime is the maximum of the drain timeout and the shutdown delay.
 	maxStopTime = 24 * time.Hour
 )
@@ -44,6 +48,7 @@
 		c.fail("role", "must be %q, %q or %q", RoleEntry, RoleAgent, RoleControl)
 	}
 	c.checkTimeouts()
+	c.checkResources()
 	c.checkMetrics()
 	c.checkCertificates()
 	return c.diagnostics
@@ -65,6 +70,15 @@
 	}
 }
 
+func (c *checker) checkResources() {
+	if c.settings.MemoryMB < minMemoryMB {
+		c.fail("memory", "must be at least %d", minMemoryMB)
+	}
+	if c.settings.Descriptors != 0 && c.settings.Descriptors < minDescriptors {
+		c.fail("descriptors", "must be at least %d, or 0", minDescriptors)
+	}
+}
+
 func (c *checker) checkEntry() {
 	c.checkListenAddress("http", c.settings.HTTP)
 	c.checkControlAddresses()
--- a/pkg/setup/setup.go
+++ b/pkg/setup/setup.go
@@ -80,6 +80,12 @@
 	// Address on which counters are served in the format of expvar. It must be on
 	// loopback or a private network; empty means that they are not served.
 	Metrics string `json:"metrics"`
+	// Memory limit of the process in MB, of which half is for requests and their answers.
+	// Callers beyond it are refused. For entry.
+	MemoryMB int64 `json:"memory"`
+	// Number of file descriptors that the process may use; 0 means the limit of the
+	// operating system. Idle connections of callers beyond it are closed. For entry.
+	Descriptors int `json:"descriptors"`
 }
 
 // Peer is one control replica.
@@ -114,6 +120,7 @@
 		LoadsPerSecond:   2,
 		MaxLoadsInFlight: 8,
 		ShutdownDelay:    span.Duration(5 * time.Second),
+		MemoryMB:         512,
 	}
 }
 
