entry/direct: answers that nobody reads take less memory, and all of it is counted

Seen on the current code with 480 connections that read nothing of answers of 16 MB: an entry's peak was 106 MB of 96 without a contract, 123 and 142 MB with "pressure".

Cause: a plain answer of more than 64 KB is forwarded from a second buffer of 64 KB while the first bytes stay in memory, in a space that has grown to half as much again; of the three, 64 KB were counted.

Now the first space is used again for what follows and is counted as large as it is, and while the pool is more than half full an answer is buffered up to 16 KB in place of 64. Answers up to that size are still retried as a whole; larger ones are forwarded as they arrive, as those of more than 64 KB always were.

TestLargeCrowdThatReadsNoAnswers fails before and passes after, at 55 and 85 MB. entry/direct passes unchanged.

--- a/entry/buffer/hold.go
+++ b/entry/buffer/hold.go
@@ -108,6 +108,9 @@
 // arriving.
 func (h *Hold) weight(now time.Time) float64 { return float64(h.held) * float64(now.Sub(h.began)) }
 
+// IsFilling reports whether the pool is more than half full.
+func (h *Hold) IsFilling() bool { return h != nil && h.pool.IsFilling() }
+
 // Take adds bytes that are held already, whether or not the pool is full. A negative number
 // removes bytes.
 func (h *Hold) Take(bytes int64) {
--- a/entry/direct/attempt.go
+++ b/entry/direct/attempt.go
@@ -18,6 +18,8 @@
 	// maxBuffered is the largest answer that is buffered until it is complete,
 	// in bytes.
 	maxBuffered = 64 << 10
+	// maxBufferedWhenShort replaces maxBuffered while memory is short, in bytes.
+	maxBufferedWhenShort = 16 << 10
 	// streamBufferSize is the size of one read from a stream, in bytes.
 	streamBufferSize = 4 << 10
 	// maxFirstDelay and maxEventGap are how long an engine may send nothing
@@ -185,23 +187,28 @@
 // buffer reads a complete answer before forwarding it. An error answer is kept
 // and forwarded only if no further attempt succeeds.
 func (j *job) buffer(answer *Answer) (verdict, error) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
+	limit := int64(maxBuffered)
+	if j.request.Memory.IsFilling() {
+		limit = maxBufferedWhenShort
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
 	if err != nil {
 		return verdictBroken, err
 	}
 	buffered := &bufferedAnswer{status: answer.Status, header: fields(answer.Header), body: body}
-	j.request.Memory.Take(int64(len(body)))
+	if int64(len(body)) > limit {
+		return j.forwardLarge(answer, buffered)
+	}
+	space := int64(cap(body))
+	j.request.Memory.Take(space)
 	if j.failure == nil {
 		// An error answer is kept, so that its memory counts until the request ends.
 		defer func() {
 			if j.failure == nil {
-				j.request.Memory.Take(-int64(len(body)))
+				j.request.Memory.Take(-space)
 			}
 		}()
 	}
-	if len(body) > maxBuffered {
-		return j.forwardLarge(answer, buffered)
-	}
 	if answer.Status >= http.StatusInternalServerError {
 		j.failure = buffered
 		return verdictFailed, statusError(answer.Status)
@@ -212,7 +219,7 @@
 	return verdictComplete, nil
 }
 
-// forwardLarge forwards an answer that exceeds maxBuffered; start holds its
+// forwardLarge forwards an answer that is too large to be buffered; start holds its
 // head and the bytes read so far.
 func (j *job) forwardLarge(answer *Answer, start *bufferedAnswer) (verdict, error) {
 	j.headSent = true
@@ -220,7 +227,11 @@
 		return verdictCallerGone, err
 	}
 	data := start.body
-	buffer := make([]byte, maxBuffered)
+	// The parts that follow reuse the space, of which a caller that reads nothing keeps one in
+	// memory.
+	buffer := start.body[:cap(start.body)]
+	j.request.Memory.Take(int64(len(buffer)))
+	defer j.request.Memory.Take(-int64(len(buffer)))
 	for {
 		if err := j.request.Write(&call.Frame{Type: call.FramePart, Data: data}); err != nil {
 			return verdictCallerGone, err
