entry/buffer, pkg/conns: an overfull pool makes room, and ordinary bodies are spared

Callers saw: beside 3,000 headers of many fields whose bodies do not end, a small request got 503 for its whole deadline of 4 s, in one of four runs of TestLargeCrowdOfHeadersWithoutTheirBody.

Cause: connections and headers count whether or not they fit, and beyond 9/8 of the bound a request was refused without any other one giving way, so that the pool stayed full until the crowd's bodies timed out. By reading: a new connection beyond the descriptors ended any body that was arriving, an ordinary one too, before a connection that sends nothing.

Now a request that is refused makes room for the next one, and a new connection displaces first what is overdue, then connections without a request, and only then bodies in their time.

--- a/entry/buffer/arrive_test.go
+++ b/entry/buffer/arrive_test.go
@@ -120,7 +120,8 @@
 	for round := range 20 {
 		now := start.Add(time.Duration(round) * 10 * time.Second)
 		holds := crowd(pool, 100, megabyte, now)
-		require.True(t, pool.YieldRequest(now.Add(time.Second)))
+		require.False(t, pool.YieldRequest(now.Add(time.Second), true), "all are within their time")
+		require.True(t, pool.YieldRequest(now.Add(time.Second), false))
 		require.True(t, arrive(pool, megabyte, now.Add(3*time.Second)))
 		for i, hold := range holds {
 			if i%2 == 0 {
@@ -132,3 +133,19 @@
 	}
 	require.Len(t, crowd(pool, 100, 512*kilobyte, start), len(crowd(buffer.New(96*megabyte), 100, 512*kilobyte, start)))
 }
+
+// Guards against a pool that other memory of the process has filled beyond its bound: nothing gave
+// way, and all requests were refused until the crowd's bodies timed out.
+func TestOverfullPoolMakesRoom(t *testing.T) {
+	pool := buffer.New(96 * megabyte)
+	holds := crowd(pool, 2000, 48*kilobyte, start)
+	endYielded(holds)
+	pool.Account(20 * megabyte)
+	for range 10 {
+		if arrive(pool, 4*kilobyte, start.Add(time.Millisecond)) {
+			break
+		}
+		require.Positive(t, endYielded(holds), "a request that is refused makes room for the next")
+	}
+	require.True(t, arrive(pool, 4*kilobyte, start.Add(time.Millisecond)))
+}
--- a/entry/buffer/pool.go
+++ b/entry/buffer/pool.go
@@ -120,17 +120,15 @@
 }
 
 // fits reports whether the pool can hold more bytes for a request up to a share of the bound.
-// Bodies that have been arriving for at least minAge may give way.
+// Bodies that have been arriving for at least minAge may give way. Their memory is not free yet:
+// where there is too much of it, the request does not fit, but a later one will.
 func (p *Pool) fits(h *Hold, bytes int64, share float64, minAge time.Duration, now time.Time) bool {
-	if p.held+bytes > int64(float64(p.Bound)*(1+maxYieldingShare)) {
-		return false
-	}
 	for p.held-p.yielding+bytes > int64(float64(p.Bound)*share) {
 		if !p.yieldBody(h, arrivalTime, now) && !p.abortStalled(now) && !p.yieldBody(h, minAge, now) {
 			return false
 		}
 	}
-	return true
+	return p.held+bytes <= int64(float64(p.Bound)*(1+maxYieldingShare))
 }
 
 // yieldBody makes the request give way whose arriving body has held most memory for longest,
@@ -166,11 +164,14 @@
 	}
 }
 
-// YieldRequest makes a request give way whose body is arriving, and reports whether there was
-// one.
-func (p *Pool) YieldRequest(now time.Time) bool {
+// YieldRequest makes a request give way whose body is arriving, or only one whose body has had
+// its time, and reports whether there was one.
+func (p *Pool) YieldRequest(now time.Time, overdue bool) bool {
 	p.mutex.Lock()
 	defer p.unlock()
+	if overdue {
+		return p.yieldBody(nil, arrivalTime, now)
+	}
 	return p.yieldBody(nil, 0, now)
 }
 
--- a/pkg/conns/conns_test.go
+++ b/pkg/conns/conns_test.go
@@ -127,7 +127,7 @@
 func TestRequestGivesWayBeforeAConnectionIsRefused(t *testing.T) {
 	var yielded atomic.Int64
 	head, _, _ := strings.Cut(request, "body")
-	address := serve(t, &conns.Limiter{MaxDescriptors: 4, YieldRequest: func(time.Time) bool {
+	address := serve(t, &conns.Limiter{MaxDescriptors: 4, YieldRequest: func(time.Time, bool) bool {
 		yielded.Add(1)
 		return true
 	}})
--- a/pkg/conns/limiter.go
+++ b/pkg/conns/limiter.go
@@ -55,9 +55,9 @@
 	Limits func() conf.Limits
 	// Account, unless nil, is called with each change of the memory that the connections take.
 	Account func(bytes int64)
-	// YieldRequest, unless nil, ends a request whose body is arriving, and reports whether
-	// there was one.
-	YieldRequest func(now time.Time) bool
+	// YieldRequest, unless nil, ends a request whose body is arriving, or only one whose body
+	// is overdue, and reports whether there was one.
+	YieldRequest func(now time.Time, overdue bool) bool
 
 	mutex sync.Mutex
 	table table
@@ -131,30 +131,33 @@
 	})
 }
 
-// change changes the table, and makes room for the record that do returns. Others give way in
-// this order: overdue connections, a request whose body is arriving, any connection without a
-// request. It returns false if there is no room.
+// change changes the table, and makes room for the record that do returns, unless it is nil. It
+// returns false if there is no room. Others give way in this order: overdue connections, a
+// request whose body is overdue, any connection without a request, any request whose body is
+// arriving.
 func (l *Limiter) change(now time.Time, do func(t *table) *record) (fits bool) {
-	var r *record
-	makeRoom := func(choose func(r *record, now time.Time) ([]*record, bool)) {
-		l.mutex.Lock()
-		l.table.maxDescriptors, l.table.maxBytes = l.MaxDescriptors, l.MaxBytes
-		before := l.table.bytes
-		if r == nil {
-			r = do(&l.table)
-		}
-		var victims []*record
-		if fits = r == nil; !fits {
-			victims, fits = choose(r, now)
-		}
-		l.finish(before, victims, now)
-	}
-	makeRoom(l.table.makeRoom)
-	if !fits && (l.YieldRequest == nil || !l.YieldRequest(now)) {
-		makeRoom(l.table.displace)
-		return fits
+	l.mutex.Lock()
+	l.table.maxDescriptors, l.table.maxBytes = l.MaxDescriptors, l.MaxBytes
+	before := l.table.bytes
+	r := do(&l.table)
+	if r == nil {
+		l.finish(before, nil, now)
+		return true
+	}
+	victims, fits := l.table.makeRoom(r, now)
+	l.finish(before, victims, now)
+	if fits || l.yieldRequest(now, true) {
+		return true
 	}
-	return true
+	l.mutex.Lock()
+	victims, fits = l.table.displace(r, now)
+	l.finish(l.table.bytes, victims, now)
+	return fits || l.yieldRequest(now, false)
+}
+
+// yieldRequest makes a request give way, which closes its connection as well, but later.
+func (l *Limiter) yieldRequest(now time.Time, overdue bool) bool {
+	return l.YieldRequest != nil && l.YieldRequest(now, overdue)
 }
 
 // finish unlocks the mutex after a change, accounts for the memory and closes the victims.
