entry/buffer: a request with a large header is not a small request

Cause: only the body decided whether a request is small. The crowd's requests, which take 350 KB each with their headers, displaced each other at once, and took what is kept free for small ones.

TestSmallRequestsAreAcceptedBesideLargeHeaders fails before (9 bodies gave way) and passes now.

--- a/entry/buffer/arrive_test.go
+++ b/entry/buffer/arrive_test.go
@@ -149,3 +149,25 @@
 	}
 	require.True(t, arrive(pool, 4*kilobyte, start.Add(time.Millisecond)))
 }
+
+// Guards against a crowd of whole headers of many fields, whose short bodies do not end: they
+// counted as small, and so displaced each other and took what is kept free for small requests.
+func TestSmallRequestsAreAcceptedBesideLargeHeaders(t *testing.T) {
+	const header = 350 * kilobyte
+	pool := buffer.New(96 * megabyte)
+	yielded := 0
+	var holds []*buffer.Hold
+	for range 3000 {
+		hold := pool.NewHold()
+		hold.Take(header)
+		if !hold.Admit(2, start, func() { yielded++ }) || !hold.Grow(4*kilobyte, start) {
+			hold.Release()
+			continue
+		}
+		holds = append(holds, hold)
+	}
+	require.Zero(t, yielded, "none gives way to another one of its size")
+	require.NotEmpty(t, holds)
+	require.True(t, arrive(pool, 4*kilobyte, start))
+	require.Zero(t, yielded, "there is room left")
+}
--- a/entry/buffer/hold.go
+++ b/entry/buffer/hold.go
@@ -11,8 +11,6 @@
 type Hold struct {
 	pool *Pool
 	held int64
-	// body is the part of held that is the body's.
-	body int64
 	// began is when the body began to arrive.
 	began time.Time
 	// onYield is called when the body must give way while it arrives. It must not block.
@@ -38,7 +36,7 @@
 	}
 	h.pool.mutex.Lock()
 	defer h.pool.unlock()
-	share, minAge := h.pool.newBodyPolicy(length)
+	share, minAge := h.pool.newBodyPolicy(h.size()+max(length, 0), length >= 0)
 	if !h.pool.fits(h, max(length, 1), share, minAge, now) {
 		h.pool.counts.BodiesRefused++
 		return false
@@ -64,12 +62,11 @@
 	if h.yielded {
 		return false
 	}
-	share, minAge := h.pool.growingBodyPolicy(h.body + bytes)
+	share, minAge := h.pool.growingBodyPolicy(h.size() + bytes)
 	if !h.pool.fits(h, bytes, share, minAge, now) {
 		h.pool.counts.BodiesRefused++
 		return false
 	}
-	h.body += bytes
 	h.held += bytes
 	h.pool.add(bytes)
 	return true
@@ -108,6 +105,15 @@
 // arriving.
 func (h *Hold) weight(now time.Time) float64 { return float64(h.held) * float64(now.Sub(h.began)) }
 
+// size returns what the header and the body take.
+func (h *Hold) size() int64 { return h.held - requestOverhead }
+
+// IsLarge reports whether a request with a body of a stated length, negative if none is stated,
+// may be large.
+func (h *Hold) IsLarge(length int64) bool {
+	return h != nil && (length < 0 || h.size()+length > h.pool.maxSmallRequest())
+}
+
 // IsFilling reports whether the pool is more than half full.
 func (h *Hold) IsFilling() bool { return h != nil && h.pool.IsFilling() }
 
@@ -132,7 +138,7 @@
 	defer h.pool.mutex.Unlock()
 	h.arrived()
 	h.pool.add(-h.held)
-	h.held, h.body = 0, 0
+	h.held = 0
 }
 
 // BeginSend counts a body as unread by an endpoint until the returned function is called,
--- a/entry/buffer/pool.go
+++ b/entry/buffer/pool.go
@@ -31,19 +31,20 @@
 	// runtime's soft limit is at 0.7 of the memory limit; what lies between is for the
 	// process's own state and for garbage not yet collected.
 	boundShare = 0.5
-	// newBodyShare is the share of the bound up to which new large bodies are accepted. The
+	// newBodyShare is the share of the bound up to which new large requests are accepted. The
 	// rest is for bodies that have begun to arrive and for answers.
 	newBodyShare = 0.875
-	// smallReserveShare is the share of the bound by which small bodies may exceed it, so that
-	// large ones that wait for their endpoints do not keep them out.
+	// smallReserveShare is the share of the bound by which small requests may exceed it, so
+	// that large ones that wait for their endpoints do not keep them out.
 	smallReserveShare = 1.0 / 16
 	// maxYieldingShare is the share of the bound by which it may be exceeded until the bodies
 	// that have given way are freed.
 	maxYieldingShare = 1.0 / 8
-	// maxSmallBody is the size of a small body, in bytes; smallBodyShare is the share of the
-	// bound that a small body has at most, which applies to small processes.
-	maxSmallBody   = 64 << 10
-	smallBodyShare = 1.0 / 512
+	// maxSmallRequest is what the header and the body of a small request take at most, in
+	// bytes; smallRequestShare is the share of the bound that they may take, which applies to
+	// small processes.
+	maxSmallRequest   = 64 << 10
+	smallRequestShare = 1.0 / 512
 	// arrivalTime is how long a body may arrive before it gives way to any other one: as long
 	// as a caller's link needs for the largest body.
 	arrivalTime = 2 * time.Second
@@ -73,7 +74,7 @@
 // Pool is the memory that a process holds for callers and endpoints. It is safe for
 // concurrent use. The exported fields are set before use; see New.
 type Pool struct {
-	// Bound is the number of bytes that the pool may hold, but for small bodies, which may
+	// Bound is the number of bytes that the pool may hold, but for small requests, which may
 	// exceed it by smallReserveShare.
 	Bound int64
 	// StreamBound is the number of bytes that one answer may hold, EndpointBound the
@@ -183,33 +184,30 @@
 	p.add(bytes)
 }
 
-// newBodyPolicy returns the share of the bound up to which a new body is accepted, and the age
-// of the bodies that give way to it. length is negative if it is unknown.
-func (p *Pool) newBodyPolicy(length int64) (share float64, minAge time.Duration) {
+// newBodyPolicy returns the share of the bound up to which the body of a request of a size is
+// accepted, and the age of the bodies that give way to it.
+func (p *Pool) newBodyPolicy(size int64, lengthKnown bool) (share float64, minAge time.Duration) {
 	switch {
-	case length < 0:
-		return 1, 0
-	case length <= p.maxSmallBody():
+	case size > p.maxSmallRequest():
+		return newBodyShare, arrivalTime
+	case lengthKnown:
 		return 1 + smallReserveShare, 0
 	}
-	return newBodyShare, arrivalTime
+	return 1, 0
 }
 
-// growingBodyPolicy is newBodyPolicy for a body that grows to a size.
+// growingBodyPolicy is newBodyPolicy for a request that grows to a size.
 func (p *Pool) growingBodyPolicy(size int64) (share float64, minAge time.Duration) {
-	if size <= p.maxSmallBody() {
+	if size <= p.maxSmallRequest() {
 		return 1 + smallReserveShare, 0
 	}
 	return 1, arrivalTime
 }
 
-func (p *Pool) maxSmallBody() int64 {
-	return min(maxSmallBody, int64(float64(p.Bound)*smallBodyShare))
+func (p *Pool) maxSmallRequest() int64 {
+	return min(maxSmallRequest, int64(float64(p.Bound)*smallRequestShare))
 }
 
-// IsLarge reports whether a body of a stated length, negative if none is stated, may be large.
-func (p *Pool) IsLarge(length int64) bool { return length < 0 || length > p.maxSmallBody() }
-
 // IsFilling reports whether the pool is more than half full.
 func (p *Pool) IsFilling() bool {
 	p.mutex.Lock()
