--- a/entry/buffer/hold.go
+++ b/entry/buffer/hold.go
@@ -18,9 +18,12 @@
 	yielded bool
 }
 
-// NewHold returns the hold of a request in progress. The caller releases it when the
-// request has ended.
+// NewHold returns the hold of a request in progress, nil for a nil Pool. The caller releases it
+// when the request has ended.
 func (p *Pool) NewHold() *Hold {
+	if p == nil {
+		return nil
+	}
 	h := &Hold{pool: p}
 	h.Take(requestOverhead)
 	return h
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -109,12 +109,9 @@
 			writeRefusal(w, full.WithRetryAfter(fullRetryAfter))
 			return
 		}
-		var hold *buffer.Hold
-		if f.Memory != nil {
-			hold = f.Memory.NewHold()
-			hold.Take(conns.HeaderBytes(r.Header))
-			defer hold.Release()
-		}
+		hold := f.Memory.NewHold()
+		hold.Take(conns.HeaderBytes(r.Header))
+		defer hold.Release()
 		q, err := f.read(w, r, api, hold)
 		if err != nil {
 			hold.Release()
