pkg/httpc: a reset during an upload no longer ends an answer regularly

Callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was being written. The caller got that part as a complete 200; a part of a 500 was passed on in the same way, and a stream ended after whole events as if it were complete.

Cause: the end of the connection is the only mark of the end of a body without a length. A socket reports its error once. The goroutine that writes the request took the ECONNRESET, so that the reader got a plain EOF, which is the regular end of such a body.

Change: where a body ends with its connection, the writing is ended too and its result counts: any error of the connection makes the answer incomplete (KindBroken). Two errors do not. The deadline that ends the writing shows that the connection was sound. EPIPE, which Linux reports in place of ECONNRESET where the server had closed its side before the reset, shows that the end was regular. Nothing waits for a server that no longer reads: the answer is over when the server closes its side. A body with a length or chunks marks its own end and is not concerned. The error of a body is now returned again by later reads.

What follows from the error was there already: buffered answers are dropped, larger ones aborted, streams continued where their route allows it, an unsafe request is not sent again, and the lost connection counts as one.

--- a/pkg/httpc/client.go
+++ b/pkg/httpc/client.go
@@ -135,7 +135,7 @@
 	*http.Response
 	client *Client
 	conn   *persistConn
-	sent   <-chan error
+	upload *upload
 	stop   func() bool
 	ended  bool
 	// Reused reports whether the connection had carried another request before.
@@ -157,7 +157,7 @@
 	answer := &Answer{client: c, conn: pc, Reused: pc.used}
 	pc.used = true
 	answer.stop = context.AfterFunc(ctx, pc.abort)
-	answer.sent, err = send(pc, request)
+	answer.upload, err = send(pc, request)
 	if err == nil {
 		answer.Response, err = receive(pc, request, matches)
 	}
@@ -181,19 +181,6 @@
 	return &Error{Op: "exchange with " + address, Kind: KindBroken, Err: err}
 }
 
-// send writes the request, in a goroutine if its body is large. The channel
-// delivers the result of writing.
-func send(pc *persistConn, request *http.Request) (<-chan error, error) {
-	sent := make(chan error, 1)
-	if request.ContentLength >= 0 && request.ContentLength < asyncBodySize {
-		err := request.Write(pc)
-		sent <- err
-		return sent, err
-	}
-	go func() { sent <- request.Write(pc) }()
-	return sent, nil
-}
-
 // receive reads the header of the answer. It skips informational responses and
 // answers to other requests.
 func receive(pc *persistConn, request *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
@@ -225,20 +212,36 @@
 	answer *Answer
 	inner  io.ReadCloser
 	ctx    context.Context
+	// err is what Read has returned at the end of the body.
+	err error
 }
 
 // Read reads the body; at its end, the connection becomes available for reuse.
 func (b *answerBody) Read(data []byte) (int, error) {
-	n, err := b.inner.Read(data)
-	if errors.Is(err, io.EOF) {
-		b.answer.release()
-		return n, err
+	if b.err != nil {
+		return 0, b.err
 	}
+	n, err := b.inner.Read(data)
 	if err != nil {
-		b.answer.discard()
-		return n, b.answer.wrapError(b.ctx, b.answer.conn.address, err)
+		b.err = b.end(err)
 	}
-	return n, nil
+	return n, b.err
+}
+
+// end ends the exchange after the inner body has returned err, and returns the error of Read.
+func (b *answerBody) end(err error) error {
+	complete := errors.Is(err, io.EOF)
+	if complete && b.answer.EndsWithConnection {
+		if broken := b.answer.upload.connectionError(); broken != nil {
+			complete, err = false, broken
+		}
+	}
+	if complete {
+		b.answer.release()
+		return err
+	}
+	b.answer.discard()
+	return b.answer.wrapError(b.ctx, b.answer.conn.address, err)
 }
 
 // Close ends the exchange. If the body has not been read to its end, it resets the
@@ -265,13 +268,7 @@
 	if a.ended {
 		return
 	}
-	requestSent := false
-	select {
-	case err := <-a.sent:
-		requestSent = err == nil
-	default:
-	}
-	if !a.stop() || !requestSent || a.Close || a.EndsWithConnection || a.conn.reader.Buffered() > 0 {
+	if !a.stop() || !a.upload.isComplete() || a.Close || a.EndsWithConnection || a.conn.reader.Buffered() > 0 {
 		a.ended = true
 		_ = a.conn.Close()
 		return
