--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -10,11 +10,10 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/agent/idle"
+	"github.com/tanagerspindle/tanagerspindle/pkg/httpc"
 )
 
 const (
@@ -44,23 +43,15 @@
 	// Dial connects to the engine.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
-	transport *http.Transport
+	client *httpc.Client
 }
 
 // Start prepares the client; Stop closes it.
 func (e *Engine) Start() {
-	e.transport = &http.Transport{
-		DialContext: e.dial,
-		// An idle connection may have been lost unnoticed, and reconnecting within the
-		// VM is cheap.
-		DisableKeepAlives:  true,
-		DisableCompression: true,
-	}
+	e.client = &httpc.Client{Dial: e.dial, DialTimeout: dialTimeout}
 }
 
-func (e *Engine) dial(ctx context.Context, _, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
+func (e *Engine) dial(ctx context.Context, address string) (net.Conn, error) {
 	conn, err := e.Dial(ctx, address)
 	if err != nil {
 		return nil, err
@@ -69,7 +60,7 @@
 }
 
 // Stop closes idle connections.
-func (e *Engine) Stop() { e.transport.CloseIdleConnections() }
+func (e *Engine) Stop() { e.client.CloseIdle(e.Address) }
 
 // adapterOrder is the body of a load or unload order.
 type adapterOrder struct {
@@ -100,18 +91,18 @@
 	if err != nil {
 		return &Error{Op: "order", Kind: KindMalformedRequest, Err: err}
 	}
-	response, err := e.do(ctx, http.MethodPost, path, data)
+	answer, err := e.do(ctx, http.MethodPost, path, data)
 	if err != nil {
 		return err
 	}
-	defer drain(response)
-	if response.StatusCode == http.StatusOK || response.StatusCode == acceptedStatus {
+	defer drain(answer)
+	if answer.StatusCode == http.StatusOK || answer.StatusCode == acceptedStatus {
 		return nil
 	}
-	if response.StatusCode == http.StatusPreconditionFailed {
+	if answer.StatusCode == http.StatusPreconditionFailed {
 		return &Error{Op: "order " + path, Kind: KindFenced}
 	}
-	return refusalError(path, response)
+	return refusalError(path, answer)
 }
 
 // HeldAdapter is an adapter version that occupies a slot of the engine.
@@ -159,48 +150,49 @@
 func (e *Engine) getJSON(ctx context.Context, path string, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	response, err := e.do(ctx, http.MethodGet, path, nil)
+	answer, err := e.do(ctx, http.MethodGet, path, nil)
 	if err != nil {
 		return err
 	}
-	defer drain(response)
-	if response.StatusCode != http.StatusOK {
-		return refusalError(path, response)
+	defer drain(answer)
+	if answer.StatusCode != http.StatusOK {
+		return refusalError(path, answer)
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(reply); err != nil {
+	if err := json.NewDecoder(io.LimitReader(answer.Body, maxStateBytes)).Decode(reply); err != nil {
 		return &Error{Op: "read " + path, Kind: KindMalformedAnswer, Err: err}
 	}
 	return nil
 }
 
-func (e *Engine) do(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+func (e *Engine) do(ctx context.Context, method, path string, body []byte) (*httpc.Answer, error) {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+e.Address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, &Error{Op: "request " + path, Kind: KindMalformedRequest, Err: err}
 	}
 	request.Header.Set("Content-Type", "application/json")
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	response, err := e.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	// An idle connection may have been lost unnoticed, and reconnecting within the VM is
+	// cheap.
+	request.Close = true
+	answer, err := e.client.Do(ctx, e.Address, request, true, nil)
 	if err != nil {
 		kind := KindLost
-		if !connected.Load() {
+		if errors.Is(err, &httpc.Error{Kind: httpc.KindDial}) {
 			kind = KindNotSent
 		}
 		return nil, &Error{Op: "send " + path, Kind: kind, Err: err}
 	}
-	return response, nil
+	return answer, nil
 }
 
-func refusalError(path string, response *http.Response) error {
-	text, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
-	cause := &Error{Op: string(bytes.TrimSpace(text)), Kind: Kind(response.Status)}
+func refusalError(path string, answer *httpc.Answer) error {
+	text, _ := io.ReadAll(io.LimitReader(answer.Body, maxRefusalBytes))
+	cause := &Error{Op: string(bytes.TrimSpace(text)), Kind: Kind(answer.Status)}
 	return &Error{Op: "send " + path, Kind: KindRefused, Err: cause}
 }
 
-func drain(response *http.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
-	_ = response.Body.Close()
+func drain(answer *httpc.Answer) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxRefusalBytes))
+	_ = answer.Body.Close()
 }
 
 // NotSent reports whether err means that no byte of the request was sent.
--- a/agent/engine/run.go
+++ b/agent/engine/run.go
@@ -62,15 +62,15 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := e.do(ctx, http.MethodPost, "/v1/completions", body)
+	answer, err := e.do(ctx, http.MethodPost, "/v1/completions", body)
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return nil, refusalError("/v1/completions", response)
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return nil, refusalError("/v1/completions", answer)
 	}
-	return readStream(response.Body, onToken)
+	return readStream(answer.Body, onToken)
 }
 
 // requestBody overrides the fields that the agent controls and keeps the caller's other
--- /dev/null
+++ b/agent/proxy/broken_test.go
@@ -0,0 +1,110 @@
+package proxy_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerspindle/tanagerspindle/agent/proxy"
+	"github.com/tanagerspindle/tanagerspindle/pkg/call"
+)
+
+const (
+	// uploadBytes is the size of a request that exceeds the buffers of a connection.
+	uploadBytes = 4 << 20
+	// uploadTries is how often an upload is tried: which goroutine notices a reset first
+	// varies.
+	uploadTries = 32
+)
+
+// startService starts a service that reads the header of one request on each connection and
+// calls answer, and returns its client.
+func startService(t *testing.T, answer func(conn *net.TCPConn, body io.Reader)) *proxy.Client {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				reader := bufio.NewReader(conn)
+				if request, err := http.ReadRequest(reader); err == nil {
+					answer(conn.(*net.TCPConn), request.Body)
+				}
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return &proxy.Client{Address: listener.Addr().String(), Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}}
+}
+
+// run sends a request with a body of the given size and returns the status, 0 without one, and
+// the body of the answer.
+func run(t *testing.T, client *proxy.Client, size int) (status int32, body string, err error) {
+	var received strings.Builder
+	attempt := &call.Attempt{Method: http.MethodPost, Path: "/", Body: make([]byte, size)}
+	err = client.Run(t.Context(), attempt,
+		func(code int32, _ []call.Field) error { status = code; return nil },
+		func(data []byte) error { received.Write(data); return nil })
+	return status, received.String(), err
+}
+
+// A service sent a part of an answer without a length and reset the connection while the
+// request was being written. The agent passed that part on as a complete answer.
+func TestResetDuringUploadIsLost(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"at once": 0, "after a pause": 30 * time.Millisecond} {
+		for _, kind := range []string{"text/plain", "text/event-stream"} {
+			t.Run(name+" "+kind, func(t *testing.T) {
+				client := startService(t, func(conn *net.TCPConn, _ io.Reader) {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: "+kind+"\r\n\r\ndata: part\n\n")
+					time.Sleep(pause)
+					_ = conn.SetLinger(0)
+				})
+				complete := 0
+				for range uploadTries {
+					_, _, err := run(t, client, uploadBytes)
+					if err == nil {
+						complete++
+						continue
+					}
+					require.True(t, proxy.Lost(err), err)
+				}
+				require.Zero(t, complete, "of %d answers", uploadTries)
+			})
+		}
+	}
+}
+
+// An answer without a length ends where the service closes its side of the connection.
+func TestAnswerWithoutLengthToUploadIsWhole(t *testing.T) {
+	for name, readFirst := range map[string]bool{"request read first": true, "request read afterwards": false} {
+		t.Run(name, func(t *testing.T) {
+			client := startService(t, func(conn *net.TCPConn, body io.Reader) {
+				if readFirst {
+					_, _ = io.Copy(io.Discard, body)
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
+				_ = conn.CloseWrite()
+				_, _ = io.Copy(io.Discard, conn)
+			})
+			for _, size := range []int{0, 4, uploadBytes} {
+				status, body, err := run(t, client, size)
+				require.NoError(t, err)
+				require.Equal(t, int32(http.StatusOK), status)
+				require.Equal(t, "whole", body)
+			}
+		})
+	}
+}
--- a/agent/proxy/client.go
+++ b/agent/proxy/client.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/agent/idle"
@@ -37,52 +36,49 @@
 }
 
 // Run sends an attempt to the service and calls head once and then part for each piece
-// of the body, in order. Each attempt gets its own connection: a reused connection may
-// have been lost unnoticed, and net/http would send the request again on a new one.
+// of the body, in order. Each attempt gets its own connection, since a reused one may have
+// been lost unnoticed.
 func (c *Client) Run(ctx context.Context, a *call.Attempt, head func(int32, []call.Field) error, part func([]byte) error) error {
-	var connected atomic.Bool
-	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
-	transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-		defer cancel()
-		conn, err := c.Dial(ctx, address)
-		if err != nil {
-			return nil, err
-		}
-		connected.Store(true)
-		return &idle.Conn{Conn: conn, FirstReadTimeout: pieceTimeout, ReadTimeout: pieceTimeout}, nil
-	}
 	request, err := c.request(ctx, a)
 	if err != nil {
 		return err
 	}
-	response, err := transport.RoundTrip(request)
+	client := &httpc.Client{Dial: c.dial, DialTimeout: dialTimeout}
+	answer, err := client.Do(ctx, c.Address, request, true, nil)
 	if err != nil {
 		kind := KindLost
-		if !connected.Load() {
+		if errors.Is(err, &httpc.Error{Kind: httpc.KindDial}) {
 			kind = KindNotSent
 		}
 		return &Error{Op: "send", Kind: kind, Err: err}
 	}
-	defer func() { _ = response.Body.Close() }()
-	if err := head(int32(response.StatusCode), endToEndFields(response.Header)); err != nil {
+	defer func() { _ = answer.Body.Close() }()
+	if err := head(int32(answer.StatusCode), endToEndFields(answer.Header)); err != nil {
 		return err
 	}
-	end, err := copyBody(response.Body, part)
+	end, err := copyBody(answer.Body, part)
 	if err != nil {
 		return err
 	}
-	return checkEnd(response, end)
+	return checkEnd(answer, end)
+}
+
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := c.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &idle.Conn{Conn: conn, FirstReadTimeout: pieceTimeout, ReadTimeout: pieceTimeout}, nil
 }
 
 // checkEnd returns an error if the body of an event stream has ended but the stream is
 // incomplete. A service that crashes may close its connection regularly. end holds the
 // last bytes of the body.
-func checkEnd(response *http.Response, end []byte) error {
-	if !stream.IsContentType(response.Header.Get("Content-Type")) {
+func checkEnd(answer *httpc.Answer, end []byte) error {
+	if !stream.IsContentType(answer.Header.Get("Content-Type")) {
 		return nil
 	}
-	if !stream.EndsBetweenEvents(end) || len(end) == 0 && httpc.EndsWithConnection(response) {
+	if !stream.EndsBetweenEvents(end) || len(end) == 0 && answer.EndsWithConnection {
 		return &Error{Op: "read stream", Kind: KindLost, Err: io.ErrUnexpectedEOF}
 	}
 	return nil
@@ -93,8 +89,7 @@
 	if err != nil {
 		return nil, &Error{Op: "build request", Kind: KindMalformedRequest, Err: err}
 	}
-	// Without GetBody net/http cannot send the request a second time.
-	request.GetBody = nil
+	request.Close = true
 	for _, field := range a.Header {
 		request.Header.Add(field.Name, field.Value)
 	}
--- a/pkg/httpc/client.go
+++ b/pkg/httpc/client.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -123,9 +124,9 @@
 	_ = conn.Close()
 }
 
-// EndsWithConnection reports whether the end of the connection is the only mark of the
+// endsWithConnection reports whether the end of the connection is the only mark of the
 // end of a response's body, because the body has neither a length nor chunks.
-func EndsWithConnection(r *http.Response) bool {
+func endsWithConnection(r *http.Response) bool {
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
 }
 
@@ -140,7 +141,8 @@
 	ended  bool
 	// Reused reports whether the connection had carried another request before.
 	Reused bool
-	// EndsWithConnection is the result of the function EndsWithConnection.
+	// EndsWithConnection reports that the end of the connection is the only mark of the
+	// end of the body.
 	EndsWithConnection bool
 }
 
@@ -148,12 +150,15 @@
 // fresh, it opens a new connection. The function matches reports whether an answer
 // belongs to the request; others are skipped, and nil accepts every answer. Do
 // closes the request's Body. The connection is reset when ctx ends before the
-// answer's body has been read.
+// answer's body has been read. The GotConn hook of an httptrace.ClientTrace in ctx is called.
 func (c *Client) Do(ctx context.Context, address string, request *http.Request, fresh bool, matches func(*http.Response) bool) (*Answer, error) {
 	pc, err := c.acquire(ctx, address, fresh)
 	if err != nil {
 		return nil, &Error{Op: "connect to " + address, Kind: KindDial, Err: err}
 	}
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotConn != nil {
+		trace.GotConn(httptrace.GotConnInfo{Conn: pc.Conn, Reused: pc.used})
+	}
 	answer := &Answer{client: c, conn: pc, Reused: pc.used}
 	pc.used = true
 	answer.stop = context.AfterFunc(ctx, pc.abort)
@@ -165,7 +170,7 @@
 		answer.discard()
 		return nil, answer.wrapError(ctx, address, err)
 	}
-	answer.EndsWithConnection = EndsWithConnection(answer.Response)
+	answer.EndsWithConnection = endsWithConnection(answer.Response)
 	answer.Response.Body = &answerBody{answer: answer, inner: answer.Response.Body, ctx: ctx}
 	return answer, nil
 }
@@ -263,12 +268,13 @@
 
 // release ends the exchange and keeps the connection for reuse. It closes the
 // connection instead if the context has ended, the request was not completely
-// sent, the end of the answer is the end of the connection, or unread bytes remain.
+// sent, either side asked for its end, the end of the answer is the end of the
+// connection, or unread bytes remain.
 func (a *Answer) release() {
 	if a.ended {
 		return
 	}
-	if !a.stop() || !a.upload.isComplete() || a.Close || a.EndsWithConnection || a.conn.reader.Buffered() > 0 {
+	if !a.stop() || !a.upload.isComplete() || a.Request.Close || a.Close || a.EndsWithConnection || a.conn.reader.Buffered() > 0 {
 		a.ended = true
 		_ = a.conn.Close()
 		return
--- a/pkg/httpc/client_test.go
+++ b/pkg/httpc/client_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"syscall"
@@ -306,3 +307,28 @@
 		require.Len(t, body, size)
 	}
 }
+
+// A connection whose request asks for its end is not kept, even if the server keeps it, and
+// the caller learns when it has a connection.
+func TestRequestThatClosesItsConnection(t *testing.T) {
+	address := startPeer(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		require.True(t, r.Close)
+		writeAnswer(conn, "a", "whole")
+		return true
+	})
+	c, connections := client(), 0
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connections++
+		require.False(t, info.Reused)
+	}})
+	for range 2 {
+		r := request(address, "a")
+		r.Close = true
+		answer, err := c.Do(ctx, address, r, false, hasID("a"))
+		require.NoError(t, err)
+		body, err := answer.ReadAll(100)
+		require.NoError(t, err)
+		require.Equal(t, "whole", string(body))
+	}
+	require.Equal(t, 2, connections)
+}
