pkg/head: an answer needs a status code that HTTP has

Callers saw: status 000 of a worker in trouble as an answer, through an agent: its proxy passed it on with status 0, of which the entry made 200. Through the platform's entry a status from 600 to 999 came out as it was, and after a head with status 000, which was skipped like an informational one, whatever followed on the connection.

Cause: http.ReadResponse takes any three characters that strconv.Atoi reads, "+20" and "-00" too, and any byte in the reason. The client skipped each code below 200, also 101, after which another protocol would follow.

Change: head.Check decides, for each head that httpc reads and before anything in it is used, whether its status line is that of an answer (100 to 599 and not 101, which nobody requests). A malformed answer is a failure of its endpoint: the request may have run, is sent again only where its route allows it, and does not count as a crash. The agent tells it from a lost connection (KindMalformedAnswer), so that its request is not reported with a later crash.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -175,15 +175,22 @@
 	request.Close = true
 	answer, err := e.client.Do(ctx, e.Address, request, true, nil)
 	if err != nil {
-		kind := KindLost
-		if errors.Is(err, &httpc.Error{Kind: httpc.KindDial}) {
-			kind = KindNotSent
-		}
-		return nil, &Error{Op: "send " + path, Kind: kind, Err: err}
+		return nil, &Error{Op: "send " + path, Kind: kindOf(err), Err: err}
 	}
 	return answer, nil
 }
 
+// kindOf classifies an error of httpc.
+func kindOf(err error) Kind {
+	switch {
+	case errors.Is(err, &httpc.Error{Kind: httpc.KindDial}):
+		return KindNotSent
+	case errors.Is(err, &httpc.Error{Kind: httpc.KindAnswer}):
+		return KindMalformedAnswer
+	}
+	return KindLost
+}
+
 func refusalError(path string, answer *httpc.Answer) error {
 	text, _ := io.ReadAll(io.LimitReader(answer.Body, maxRefusalBytes))
 	cause := &Error{Op: string(bytes.TrimSpace(text)), Kind: Kind(answer.Status)}
--- a/agent/proxy/broken_test.go
+++ b/agent/proxy/broken_test.go
@@ -108,3 +108,25 @@
 		})
 	}
 }
+
+// A malformed head was passed on: status 000 with status 0, of which the entry made 200, and
+// names of fields as they were.
+func TestMalformedHeadIsNotPassedOn(t *testing.T) {
+	for name, answer := range map[string]string{
+		"status 000":        "HTTP/1.1 000 \r\nContent-Length: 4\r\n\r\npart",
+		"status 600":        "HTTP/1.1 600 X\r\nContent-Length: 4\r\n\r\npart",
+		"protocol switched": "HTTP/1.1 101 Switching Protocols\r\n\r\npart",
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := startService(t, func(conn *net.TCPConn, body io.Reader) {
+				_, _ = io.Copy(io.Discard, body)
+				_, _ = io.WriteString(conn, answer)
+			})
+			status, body, err := run(t, client, 4)
+			require.Error(t, err, "status %d, body %q", status, body)
+			require.False(t, proxy.NotSent(err), "the service may have run the request")
+			require.Zero(t, status)
+			require.Empty(t, body)
+		})
+	}
+}
--- a/agent/proxy/client.go
+++ b/agent/proxy/client.go
@@ -46,11 +46,7 @@
 	client := &httpc.Client{Dial: c.dial, DialTimeout: dialTimeout}
 	answer, err := client.Do(ctx, c.Address, request, true, nil)
 	if err != nil {
-		kind := KindLost
-		if errors.Is(err, &httpc.Error{Kind: httpc.KindDial}) {
-			kind = KindNotSent
-		}
-		return &Error{Op: "send", Kind: kind, Err: err}
+		return &Error{Op: "send", Kind: kindOf(err), Err: err}
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if err := head(int32(answer.StatusCode), endToEndFields(answer.Header)); err != nil {
@@ -63,6 +59,17 @@
 	return checkEnd(answer, end)
 }
 
+// kindOf classifies an error of httpc.
+func kindOf(err error) Kind {
+	switch {
+	case errors.Is(err, &httpc.Error{Kind: httpc.KindDial}):
+		return KindNotSent
+	case errors.Is(err, &httpc.Error{Kind: httpc.KindAnswer}):
+		return KindMalformedAnswer
+	}
+	return KindLost
+}
+
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	conn, err := c.Dial(ctx, address)
 	if err != nil {
--- a/agent/proxy/error.go
+++ b/agent/proxy/error.go
@@ -11,6 +11,9 @@
 	KindNotSent Kind = "request to the service not sent"
 	// KindLost means that the connection broke after the request may have been sent.
 	KindLost Kind = "connection to the service lost"
+	// KindMalformedAnswer means that the service's answer is malformed; it may have run the
+	// request.
+	KindMalformedAnswer Kind = "malformed answer"
 	// KindMalformedRequest means that no valid HTTP request can be built from the
 	// attempt.
 	KindMalformedRequest Kind = "malformed request"
--- a/agent/runner/service.go
+++ b/agent/runner/service.go
@@ -59,6 +59,8 @@
 		reason = call.ReasonCancelled
 	case errors.Is(err, &proxy.Error{Kind: proxy.KindMalformedRequest}):
 		reason, ran = call.ReasonInvalid, false
+	case errors.Is(err, &proxy.Error{Kind: proxy.KindMalformedAnswer}):
+		// The endpoint has answered, so that it has not crashed.
 	case cause == "" && !t.runner.verifyDead(ep) && ran:
 		ep.recordBroken(t.attempt.Digest)
 	}
--- /dev/null
+++ b/pkg/head/head.go
@@ -0,0 +1,50 @@
+// Package head decides which heads of HTTP answers are valid: net/http accepts status codes,
+// names of fields, versions and framings that a gateway must not pass on.
+package head
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+)
+
+// Kind classifies the failures of this package.
+type Kind string
+
+// KindStatus means that the status line is malformed or its code is none of an answer:
+// RFC 9110, 15, and RFC 9112, 4.
+const KindStatus Kind = "malformed status"
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+// minStatus and maxStatus bound the status codes.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// Check reports why a response that http.ReadResponse has returned is not valid. The response
+// may be informational.
+func Check(response *http.Response) error {
+	// No request asks for another protocol.
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return &Error{Op: "check response", Kind: KindStatus, Err: fmt.Errorf("unexpected status %d", response.StatusCode)}
+	}
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus || !validText(response.Status) {
+		return &Error{Op: "check response", Kind: KindStatus, Err: fmt.Errorf("status %q", response.Status)}
+	}
+	return nil
+}
+
+// validText reports whether a reason phrase or the value of a field has no control characters
+// but tabs.
+func validText(text string) bool {
+	for i := range len(text) {
+		if c := text[i]; c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/httpc/broken_test.go
+++ b/pkg/httpc/broken_test.go
@@ -155,3 +155,76 @@
 		require.ErrorIs(t, err, &httpc.Error{Kind: httpc.KindBroken})
 	}
 }
+
+// A head that RFC 9110 or RFC 9112 does not allow is not the head of an answer.
+func TestAnswerWithMalformedHeadIsRejected(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole"
+	for name, answer := range map[string]string{
+		"status 000":                       "HTTP/1.1 000 \r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
+		"status 000 before a sound answer": "HTTP/1.1 000 \r\nId: a\r\n\r\n" + sound,
+		"status 099 before a sound answer": "HTTP/1.1 099 X\r\nId: a\r\n\r\n" + sound,
+		"status 600":                       "HTTP/1.1 600 X\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
+		"status 999":                       "HTTP/1.1 999 X\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
+		"status with a sign":               "HTTP/1.1 +20 X\r\nId: a\r\n\r\n" + sound,
+		"status -00":                       "HTTP/1.1 -00 X\r\nId: a\r\n\r\n" + sound,
+		"status of two digits":             "HTTP/1.1 20 X\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
+		"protocol switched unasked":        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" + sound,
+		"control byte in the reason":       "HTTP/1.1 200 O\x01K\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
+		"carriage return in the reason":    "HTTP/1.1 200 O\rK\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := startRawPeer(t, func(conn *net.TCPConn, reader *bufio.Reader) {
+				_, _ = io.CopyN(io.Discard, reader, 4)
+				_, _ = io.WriteString(conn, answer)
+				_ = conn.Close()
+			})
+			matched := false
+			answer, err := client().Do(t.Context(), address, request(address, "a"), false, func(*http.Response) bool {
+				matched = true
+				return true
+			})
+			if err == nil {
+				body, _ := io.ReadAll(answer.Body)
+				t.Fatalf("accepted with status %d, header %v and body %q", answer.StatusCode, answer.Header, body)
+			}
+			require.False(t, matched, "nothing in the head is used")
+		})
+	}
+}
+
+// Heads that RFC 9112 lets a recipient accept are accepted.
+func TestUnusualSoundHeadsAreAccepted(t *testing.T) {
+	for name, answer := range map[string]string{
+		"no reason":                    "HTTP/1.1 200 \r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
+		"no blank after the status":    "HTTP/1.1 200\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
+		"informational answers first":  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.0 without a length":    "HTTP/1.0 200 OK\r\nId: a\r\n\r\nwhole",
+		"later minor version":          "HTTP/1.2 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
+		"chunks":                       "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: Chunked\r\n\r\n5\r\nwhole\r\n0\r\nTrailer: x\r\n\r\n",
+		"the same length twice":        "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nwhole",
+		"unusual name":                 "HTTP/1.1 200 OK\r\nId: a\r\n!#$%&'*+-.^_`|~9aZ: v\r\nContent-Length: 5\r\n\r\nwhole",
+		"folded value":                 "HTTP/1.1 200 OK\r\nId: a\r\nX: b\r\n Content-Length: 4\r\nContent-Length: 5\r\n\r\nwhole",
+		"bytes above 127 in a value":   "HTTP/1.1 200 OK\r\nId: a\r\nX: \xe9\r\nContent-Length: 5\r\n\r\nwhole",
+		"blanks around a value":        "HTTP/1.1 200 OK\r\nId:\t a \r\nContent-Length:5 \r\n\r\nwhole",
+		"status without registration":  "HTTP/1.1 299 X\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
+		"no length and an error":       "HTTP/1.1 599 X\r\nId: a\r\n\r\nwhole",
+		"body that looks like a head":  "HTTP/1.1 200 OK\r\nId: a\r\nX: y\r\nContent-Length: 5\r\n\r\nX y:z",
+		"header longer than one read":  "HTTP/1.1 200 OK\r\nId: a\r\nX: " + strings.Repeat("v", 20<<10) + "\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"stray answer before, chunked": "HTTP/1.1 200 OK\r\nId: b\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := startRawPeer(t, func(conn *net.TCPConn, reader *bufio.Reader) {
+				_, _ = io.CopyN(io.Discard, reader, 4)
+				_, _ = io.WriteString(conn, answer)
+				_ = conn.Close()
+			})
+			body, _, err := exchange(client(), address, "a")
+			require.NoError(t, err)
+			if name == "body that looks like a head" {
+				require.Equal(t, "X y:z", body)
+				return
+			}
+			require.Equal(t, "whole", body)
+		})
+	}
+}
--- a/pkg/httpc/client.go
+++ b/pkg/httpc/client.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/tanagerspindle/tanagerspindle/pkg/fault"
+	"github.com/tanagerspindle/tanagerspindle/pkg/head"
 )
 
 // Kind classifies the failures of this package.
@@ -31,8 +32,8 @@
 	// of it, was sent; the server may have received it.
 	KindBroken Kind = "connection broke"
 	// KindAnswer means that the server sent no usable answer to the request but
-	// only answers to other requests, or an answer that is too large. It may have
-	// received the request.
+	// only answers to other requests, or an answer that is malformed or too large. It
+	// may have received the request.
 	KindAnswer Kind = "not an answer to the request"
 	// KindCancelled means that the caller's context ended; the server may have
 	// received the request.
@@ -197,6 +198,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := head.Check(response); err != nil {
+			return nil, &Error{Op: "receive", Kind: KindAnswer, Err: err}
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
