pkg/head: the name of a header field has no blanks

Callers saw: a 200 in whose head a worker in trouble had put a blank into the name of a field. With "Content-Length : 5" or "Transfer-Encoding : chunked" the body was not the worker's: all up to the end of the connection, or the chunks with their sizes. The entry's server drops other such lines; an agent passed them on.

Cause: net/http accepts names with blanks in answers, as other names than those without, so that the field does not frame the body.

RFC 9112, 5.1, also lets a proxy remove blanks before the colon, but what such a worker meant by the rest of its answer is not known.

--- a/agent/engine/broken_test.go
+++ b/agent/engine/broken_test.go
@@ -19,7 +19,9 @@
 // load order as executed, a state as the engine's.
 func TestAnswerWithMalformedHeadIsNotBelieved(t *testing.T) {
 	for name, head := range map[string]string{
-		"status 000": "HTTP/1.1 000 \r\n",
+		"status 000":             "HTTP/1.1 000 \r\n",
+		"blank in a name":        "HTTP/1.1 200 OK\r\nX Bad: v\r\n",
+		"control byte in a name": "HTTP/1.1 200 OK\r\nX\x01: v\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			const body = "{\"boot\":7}\n\ndata: [DONE]\n\n"
--- a/agent/proxy/broken_test.go
+++ b/agent/proxy/broken_test.go
@@ -113,9 +113,13 @@
 // names of fields as they were.
 func TestMalformedHeadIsNotPassedOn(t *testing.T) {
 	for name, answer := range map[string]string{
-		"status 000":        "HTTP/1.1 000 \r\nContent-Length: 4\r\n\r\npart",
-		"status 600":        "HTTP/1.1 600 X\r\nContent-Length: 4\r\n\r\npart",
-		"protocol switched": "HTTP/1.1 101 Switching Protocols\r\n\r\npart",
+		"status 000":              "HTTP/1.1 000 \r\nContent-Length: 4\r\n\r\npart",
+		"status 600":              "HTTP/1.1 600 X\r\nContent-Length: 4\r\n\r\npart",
+		"protocol switched":       "HTTP/1.1 101 Switching Protocols\r\n\r\npart",
+		"blank in a name":         "HTTP/1.1 200 OK\r\nX Bad: v\r\nContent-Length: 4\r\n\r\npart",
+		"blank after the length":  "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\npart and more",
+		"control byte in a name":  "HTTP/1.1 200 OK\r\nX\x01: v\r\nContent-Length: 4\r\n\r\npart",
+		"control byte in a value": "HTTP/1.1 200 OK\r\nX: \x01\r\nContent-Length: 4\r\n\r\npart",
 	} {
 		t.Run(name, func(t *testing.T) {
 			client := startService(t, func(conn *net.TCPConn, body io.Reader) {
