pkg/head: version and framing of an answer are those of HTTP/1

Callers saw, by the tests of this class of faults and not in a report: the sizes of chunks as a part of the body, where a worker sent "Transfer-Encoding: chunked" in HTTP/1.0; answers of HTTP/2.0 and HTTP/0.9; answers with both a length and chunks, of which RFC 9112, 6.3, says that they ought to be errors; and a 204 that announced five bytes, with that length.

Cause: http.ReadResponse takes every version of one digit, ignores Transfer-Encoding in HTTP/1.0 and Content-Length beside it, and removes these fields, so that the header of its result does not show them.

Change: head.Check also gets the head as it was received, which httpc keeps while it reads one, and rejects these answers (RFC 9112, 2.3 and 6.1 to 6.3). Other minor versions of HTTP/1, the same length twice and a 204 with length 0 pass as before.

--- a/agent/engine/broken_test.go
+++ b/agent/engine/broken_test.go
@@ -22,6 +22,7 @@
 		"status 000":             "HTTP/1.1 000 \r\n",
 		"blank in a name":        "HTTP/1.1 200 OK\r\nX Bad: v\r\n",
 		"control byte in a name": "HTTP/1.1 200 OK\r\nX\x01: v\r\n",
+		"other version":          "HTTP/2.0 200 OK\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			const body = "{\"boot\":7}\n\ndata: [DONE]\n\n"
--- a/agent/proxy/broken_test.go
+++ b/agent/proxy/broken_test.go
@@ -119,6 +119,9 @@
 		"blank in a name":         "HTTP/1.1 200 OK\r\nX Bad: v\r\nContent-Length: 4\r\n\r\npart",
 		"blank after the length":  "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\npart and more",
 		"control byte in a name":  "HTTP/1.1 200 OK\r\nX\x01: v\r\nContent-Length: 4\r\n\r\npart",
+		"chunks in HTTP/1.0":      "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n",
+		"other version":           "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\npart",
+		"chunks and a length":     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n",
 		"control byte in a value": "HTTP/1.1 200 OK\r\nX: \x01\r\nContent-Length: 4\r\n\r\npart",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/head/head.go
+++ b/pkg/head/head.go
@@ -3,6 +3,7 @@
 package head
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strings"
@@ -21,6 +22,11 @@
 	// KindField means that a header field is malformed: RFC 9110, 5.1 and 5.5, and RFC 9112,
 	// 5.1.
 	KindField Kind = "malformed header field"
+	// KindVersion means that the response is not of HTTP/1: RFC 9112, 2.3.
+	KindVersion Kind = "unsupported version"
+	// KindFraming means that the header does not clearly say where the body ends: RFC 9112,
+	// 6.1 to 6.3.
+	KindFraming Kind = "ambiguous framing"
 )
 
 // Error is this package's error type.
@@ -33,8 +39,12 @@
 )
 
 // Check reports why a response that http.ReadResponse has returned is not valid. The response
-// may be informational.
-func Check(response *http.Response) error {
+// may be informational. text is its head as it was received, since http.ReadResponse removes
+// the fields that frame the body.
+func Check(response *http.Response, text []byte) error {
+	if response.ProtoMajor != 1 {
+		return &Error{Op: "check response", Kind: KindVersion, Err: fmt.Errorf("version %q", response.Proto)}
+	}
 	// No request asks for another protocol.
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return &Error{Op: "check response", Kind: KindStatus, Err: fmt.Errorf("unexpected status %d", response.StatusCode)}
@@ -49,7 +59,36 @@
 			}
 		}
 	}
-	return nil
+	return checkFraming(response, text)
+}
+
+// checkFraming reports why the end of a response's body is ambiguous. Other recipients may
+// ignore one of two fields that contradict each other, or a field that is not allowed.
+func checkFraming(response *http.Response, text []byte) error {
+	chunked, length := hasField(text, "Transfer-Encoding"), hasField(text, "Content-Length")
+	withoutBody := response.StatusCode < http.StatusOK || response.StatusCode == http.StatusNoContent
+	var cause string
+	switch {
+	case chunked && !response.ProtoAtLeast(1, 1):
+		cause = "Transfer-Encoding in HTTP/1.0"
+	case chunked && length:
+		cause = "Transfer-Encoding and Content-Length"
+	case withoutBody && (chunked || length && response.Header.Get("Content-Length") != "0"):
+		cause = "a body is announced that the status does not allow"
+	default:
+		return nil
+	}
+	return &Error{Op: "check response", Kind: KindFraming, Err: fmt.Errorf("%s", cause)}
+}
+
+// hasField reports whether a head has a field with the given name.
+func hasField(text []byte, name string) bool {
+	for line := range bytes.Lines(text) {
+		if found, _, ok := bytes.Cut(line, []byte(":")); ok && strings.EqualFold(string(found), name) {
+			return true
+		}
+	}
+	return false
 }
 
 // CheckField reports why a header field is not valid.
--- a/pkg/httpc/broken_test.go
+++ b/pkg/httpc/broken_test.go
@@ -171,6 +171,8 @@
 		"protocol switched unasked":                  "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" + sound,
 		"control byte in the reason":                 "HTTP/1.1 200 O\x01K\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
 		"carriage return in the reason":              "HTTP/1.1 200 O\rK\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/2.0":                                   "HTTP/2.0 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/0.9":                                   "HTTP/0.9 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
 		"blank in a name":                            "HTTP/1.1 200 OK\r\nId: a\r\nX Bad: v\r\nContent-Length: 5\r\n\r\nwhole",
 		"blank after a name":                         "HTTP/1.1 200 OK\r\nId: a\r\nX-Bad : v\r\nContent-Length: 5\r\n\r\nwhole",
 		"blank after the length's name":              "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length : 5\r\n\r\nwhole, and more",
@@ -182,6 +184,16 @@
 		"no colon":                                   "HTTP/1.1 200 OK\r\nId: a\r\nX-Bad\r\nContent-Length: 5\r\n\r\nwhole",
 		"control byte in a value":                    "HTTP/1.1 200 OK\r\nId: a\r\nX: \x00\r\nContent-Length: 5\r\n\r\nwhole",
 		"blank in a name of an informational answer": "HTTP/1.1 103 Early Hints\r\nX Bad: v\r\n\r\n" + sound,
+		"chunks in HTTP/1.0":                         "HTTP/1.0 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"chunks and a length":                        "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"chunks and a length in lower case":          "HTTP/1.1 200 OK\r\nId: a\r\ntransfer-encoding: chunked\r\ncontent-length: 5\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"other transfer encoding":                    "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: gzip\r\n\r\nwhole",
+		"two transfer encodings":                     "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"two lengths":                                "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\nContent-Length: 4\r\n\r\nwhole",
+		"length with a sign":                         "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: +5\r\n\r\nwhole",
+		"empty length":                               "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length:\r\n\r\nwhole",
+		"no content in chunks":                       "HTTP/1.1 204 No Content\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"no content with a length":                   "HTTP/1.1 204 No Content\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := startRawPeer(t, func(conn *net.TCPConn, reader *bufio.Reader) {
--- a/pkg/httpc/client.go
+++ b/pkg/httpc/client.go
@@ -88,9 +88,10 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
-	// readingHeader limits reads to headerBytesLeft.
+	// readingHeader limits reads to headerBytesLeft and keeps what was read in received.
 	readingHeader   bool
 	headerBytesLeft int
+	received        []byte
 	// reusableUntil is the time from which an idle connection is not reused.
 	reusableUntil time.Time
 	// used reports whether a request was sent on the connection.
@@ -108,6 +109,7 @@
 	}
 	n, err := pc.Conn.Read(b[:min(len(b), pc.headerBytesLeft)])
 	pc.headerBytesLeft -= n
+	pc.received = append(pc.received, b[:n]...)
 	return n, err
 }
 
@@ -192,15 +194,10 @@
 func receive(pc *persistConn, request *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
 	pc.headerBytesLeft = maxHeaderBytes
 	for strays := 0; ; {
-		pc.readingHeader = true
-		response, err := http.ReadResponse(pc.reader, request)
-		pc.readingHeader = false
+		response, err := pc.readHead(request)
 		if err != nil {
 			return nil, err
 		}
-		if err := head.Check(response); err != nil {
-			return nil, &Error{Op: "receive", Kind: KindAnswer, Err: err}
-		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -215,6 +212,25 @@
 	}
 }
 
+// readHead reads and checks the head of one answer, which may be informational.
+func (pc *persistConn) readHead(request *http.Request) (*http.Response, error) {
+	// Peek does not fail for what is buffered.
+	buffered, _ := pc.reader.Peek(pc.reader.Buffered())
+	pc.received = append([]byte(nil), buffered...)
+	pc.readingHeader = true
+	response, err := http.ReadResponse(pc.reader, request)
+	pc.readingHeader = false
+	text := pc.received[:len(pc.received)-pc.reader.Buffered()]
+	pc.received = nil
+	if err != nil {
+		return nil, err
+	}
+	if err := head.Check(response, text); err != nil {
+		return nil, &Error{Op: "receive", Kind: KindAnswer, Err: err}
+	}
+	return response, nil
+}
+
 // answerBody is the body of an Answer; it releases or resets the connection when
 // the body ends or is closed.
 type answerBody struct {
