entry/relay, entry/once: heads from other processes are checked

The entry made 200 of a head without a status, and passed on names and values of fields as an agent had sent them. A recorded answer with such a head was delivered, and given again to a request that was sent again. An answer without any head got status 200 as well.

Cause: the entry relied on the agent for the head. An agent of an earlier revision, and what control recorded with one, still hold what workers sent.

Change: a head frame checks its status and fields when it is decoded, with pkg/head, and a service's answer needs a head. Otherwise the attempt is broken: sent again only where the request may be. A recorded answer with a malformed head is no answer: the outcome of its request is unknown (502 the first time, 409 if it is sent again), and the log says so (outcome-malformed).

--- a/entry/once/follow.go
+++ b/entry/once/follow.go
@@ -58,7 +58,7 @@
 	switch {
 	case found.State == call.StateNotRun:
 		step.Verb = plane.VerbVoid
-	case found.State == call.StateDone && found.Outcome != nil:
+	case found.State == call.StateDone && found.Outcome != nil && (found.Outcome.Truncated || found.Outcome.CheckHead() == nil):
 		step.Verb = plane.VerbDone
 		step.Outcome = found.Outcome
 	default:
@@ -73,6 +73,10 @@
 		refusal := chain.Refuse(409, "answer_not_kept", "the request ran; its answer was too large to be kept")
 		return refusal.WithRanUnknown()
 	}
+	if err := outcome.CheckHead(); err != nil {
+		c.filter.Host.Log.Write("outcome-malformed", "request", c.request.ID, "err", err)
+		return refuseOutcomeUnknown()
+	}
 	header := append([]call.Field{{Name: headerReplayed, Value: "true"}}, outcome.Header...)
 	id := make([]byte, call.IDSize)
 	c.frames = []*call.Frame{
--- a/entry/relay/attempt.go
+++ b/entry/relay/attempt.go
@@ -118,6 +118,10 @@
 	if found.State != call.StateDone || found.Outcome == nil || found.Outcome.Truncated {
 		return verdictFinal, unknownOutcome(chain.CodeOutcomeUnknown)
 	}
+	if err := found.Outcome.CheckHead(); err != nil {
+		j.relay.Host.Log.Write("outcome-malformed", "attempt", a.IDString(), "err", err)
+		return verdictFinal, unknownOutcome(chain.CodeOutcomeUnknown)
+	}
 	for _, frame := range OutcomeFrames(a.ID, found.Outcome) {
 		if err := j.request.Write(frame); err != nil {
 			return verdictFinal, err
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -47,6 +47,8 @@
 	// of this attempt.
 	nextPart int64
 	tokens   int64
+	// headReceived reports whether the agent has sent the head of the answer.
+	headReceived bool
 	// buffered holds a service's answer until it is complete; forwarding
 	// reports that frames are no longer buffered.
 	buffered      []*call.Frame
@@ -232,6 +234,9 @@
 // handleFrame handles one frame of this attempt; done reports that it was the
 // last one.
 func (e *exchange) handleFrame(ctx context.Context, frame *call.Frame) (done bool, v verdict, err error) {
+	if e.lacksHead(frame) {
+		return true, verdictBroken, fmt.Errorf("received a frame of type %d before the head", frame.Type)
+	}
 	switch frame.Type {
 	case call.FrameHead:
 		err = e.handleHead(frame)
@@ -259,14 +264,18 @@
 	return false, v, nil
 }
 
+// lacksHead reports whether a frame belongs to a service's answer whose head has not been
+// received. An engine's answer has no head of its own.
+func (e *exchange) lacksHead(frame *call.Frame) bool {
+	return e.attempt.Service != "" && !e.headReceived && (frame.Type == call.FramePart || frame.Type == call.FrameEnd)
+}
+
 // handleHead forwards the head of the answer, or buffers it for a service.
 func (e *exchange) handleHead(frame *call.Frame) error {
+	e.headReceived = true
 	if e.job.headSent {
 		return nil
 	}
-	if frame.Status == 0 {
-		frame.Status = http.StatusOK
-	}
 	if e.attempt.Service != "" {
 		e.buffered = append(e.buffered, frame)
 		return nil
--- a/pkg/call/frame.go
+++ b/pkg/call/frame.go
@@ -1,5 +1,7 @@
 package call
 
+import "github.com/tanagerspindle/tanagerspindle/pkg/head"
+
 // FrameType is the type of a frame.
 type FrameType int32
 
@@ -94,6 +96,22 @@
 	if f.Index < 0 || f.Tokens < 0 {
 		return &Error{Op: "check sizes", Kind: KindField}
 	}
+	if f.Type == FrameHead {
+		return checkHead(f.Status, f.Header)
+	}
+	return nil
+}
+
+// checkHead reports why the head of an answer is not valid.
+func checkHead(status int32, header []Field) error {
+	if err := head.CheckFinal(int(status)); err != nil {
+		return &Error{Op: "check status", Kind: KindField, Err: err}
+	}
+	for _, field := range header {
+		if err := head.CheckField(field.Name, field.Value); err != nil {
+			return &Error{Op: "check header", Kind: KindField, Err: err}
+		}
+	}
 	return nil
 }
 
@@ -112,6 +130,10 @@
 	BodyDigest []byte `protobuf:"bytes,5,opt" json:"sum"`
 }
 
+// CheckHead reports why the head of a recorded answer is not valid. A truncated outcome has
+// none.
+func (o *Outcome) CheckHead() error { return checkHead(o.Status, o.Header) }
+
 // Probe asks an agent for the state of an attempt. If the agent does not know the
 // attempt, it refuses the attempt from then on.
 type Probe struct {
--- a/pkg/head/head.go
+++ b/pkg/head/head.go
@@ -32,9 +32,10 @@
 // Error is this package's error type.
 type Error = fault.Error[Kind]
 
-// minStatus and maxStatus bound the status codes.
+// minStatus and maxStatus bound the status codes; those below minFinal are informational.
 const (
 	minStatus = 100
+	minFinal  = 200
 	maxStatus = 599
 )
 
@@ -91,6 +92,14 @@
 	return false
 }
 
+// CheckFinal reports why a status code is not that of a final response.
+func CheckFinal(status int) error {
+	if status < minFinal || status > maxStatus {
+		return &Error{Op: "check response", Kind: KindStatus, Err: fmt.Errorf("status %d", status)}
+	}
+	return nil
+}
+
 // CheckField reports why a header field is not valid.
 func CheckField(name, value string) error {
 	if !validName(name) || !validText(value) {
