agent/runner: a malformed answer is no sign that an engine has died

Callers did not see it: found when the places that read answers were checked. An engine in trouble that answers the agent's question for its state with status 000 was taken for dead. All that ran there was cut, and reported to control as a possible cause of a crash, which quarantines a content after some. Since the check of heads, a blank in the name of a field did the same.

Cause: each error counted as death, also that of an answer.

Change: an engine whose answer has a malformed head is taken for alive, since the answer says nothing about a restart. A silent engine still gets no new work, and its connections, another start's number or a refusal show a death as before.

--- a/agent/runner/endpoint.go
+++ b/agent/runner/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/tanagerspindle/tanagerspindle/agent/notice"
 	"github.com/tanagerspindle/tanagerspindle/agent/proxy"
 	"github.com/tanagerspindle/tanagerspindle/agent/slots"
+	"github.com/tanagerspindle/tanagerspindle/pkg/httpc"
 	"github.com/tanagerspindle/tanagerspindle/pkg/pause"
 	"github.com/tanagerspindle/tanagerspindle/pkg/plane"
 )
@@ -153,10 +155,14 @@
 }
 
 // alive reports whether an engine answers and has not restarted, or whether a plain
-// service accepts connections.
+// service accepts connections. An engine whose answers are malformed is taken for alive:
+// they say nothing about a restart.
 func (e *endpoint) alive(ctx context.Context, r *Runner) bool {
 	if e.engine != nil {
 		state, err := e.engine.State(ctx)
+		if errors.Is(err, &httpc.Error{Kind: httpc.KindAnswer}) {
+			return true
+		}
 		return err == nil && state.Boot == e.boot
 	}
 	conn, err := r.Dial(ctx, e.address)
