entry/direct: tests for malformed answers

A malformed answer is retried only where the route allows it, ends as 502 where it must not run twice, and is not reported as a possible cause of a crash. All three held before; the tests stay.

--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -209,6 +209,7 @@
 var (
 	unreached    = reply{err: &httpc.Error{Kind: httpc.KindDial}}
 	reset        = reply{err: &httpc.Error{Kind: httpc.KindBroken}}
+	malformed    = reply{err: &httpc.Error{Kind: httpc.KindAnswer}}
 	rejected     = reply{status: 503, notExecuted: true}
 	failed       = reply{status: 500, authentic: true, body: "bad"}
 	good         = reply{status: 200, authentic: true, body: "good"}
@@ -247,11 +248,13 @@
 		"rejected everywhere":                    {nil, []reply{rejected}, 503, 3, "", chain.RanNo},
 		"unreachable everywhere":                 {nil, []reply{unreached}, 503, 3, "", chain.RanNo},
 		"may have run, must not run twice":       {nil, []reply{reset, good}, 502, 1, "", chain.RanUnknown},
+		"malformed answer, must not run twice":   {nil, []reply{malformed, good}, 502, 1, "", chain.RanUnknown},
 		"truncated, must not run twice":          {nil, []reply{truncated, good}, 502, 1, "", chain.RanUnknown},
 		"unauthentic answer, must not run twice": {nil, []reply{unauthentic, good}, 502, 1, "", chain.RanUnknown},
 		"error answer is forwarded":              {nil, []reply{failed, good}, 500, 1, "bad", ""},
 		"rejected, then lost":                    {nil, []reply{rejected, reset, good}, 502, 2, "", chain.RanUnknown},
 		"retried after a reset":                  {retryable, []reply{reset, good}, 200, 2, "good", ""},
+		"retried after a malformed answer":       {retryable, []reply{malformed, good}, 200, 2, "good", ""},
 		"retried after a truncated answer":       {retryable, []reply{truncated, good}, 200, 2, "good", ""},
 		"retried after an unauthentic answer":    {retryable, []reply{unauthentic, good}, 200, 2, "good", ""},
 		"retried after an encoded answer":        {retryable, []reply{encoded, good}, 200, 2, "good", ""},
@@ -357,6 +360,7 @@
 		"reset twice":              {retryable, []reply{reset}, 2, 0},
 		"rejected by endpoint":     {nil, []reply{rejected}, 0, 0},
 		"unreached":                {nil, []reply{unreached}, 0, 0},
+		"malformed answer":         {retryable, []reply{malformed}, 0, 0},
 		"failed":                   {nil, []reply{failed}, 0, 0},
 		"silent":                   {nil, []reply{unresponsive}, 0, 0},
 		"broken after its head":    {nil, []reply{{status: 200, authentic: true, body: "half", broken: true}}, 1, 0},
