--- a/pkg/httpc/broken_test.go
+++ b/pkg/httpc/broken_test.go
@@ -1,7 +1,6 @@
 package httpc_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -23,27 +22,13 @@
 	uploadTries = 32
 )
 
-// startRawPeer starts a server that reads the header of one request on each connection and
-// calls answer, which closes the connection, and returns the server's address.
-func startRawPeer(t *testing.T, answer func(conn *net.TCPConn, reader *bufio.Reader)) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				reader := bufio.NewReader(conn)
-				if _, err := http.ReadRequest(reader); err == nil {
-					answer(conn.(*net.TCPConn), reader)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
+// startUploadPeer starts a server that calls answer with the header of one request read on
+// each connection, then closes the connection, and returns the server's address.
+func startUploadPeer(t *testing.T, answer func(conn *net.TCPConn, body io.Reader)) string {
+	return startPeer(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		answer(conn.(*net.TCPConn), r.Body)
+		return false
+	})
 }
 
 // upload sends a request with a body of the given size and returns what was read of the
@@ -77,7 +62,7 @@
 	for name, pause := range map[string]time.Duration{"at once": 0, "after a pause": 30 * time.Millisecond} {
 		for _, kind := range []string{"text/plain", "text/event-stream"} {
 			t.Run(name+" "+kind, func(t *testing.T) {
-				address := startRawPeer(t, func(conn *net.TCPConn, _ *bufio.Reader) {
+				address := startUploadPeer(t, func(conn *net.TCPConn, _ io.Reader) {
 					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: %s\r\n\r\ndata: part\n\n", kind)
 					time.Sleep(pause)
 					closeWithReset(conn)
@@ -101,36 +86,36 @@
 // whether or not it still reads the request.
 func TestAnswerWithoutLengthToUploadIsWhole(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nId: a\r\n\r\n"
-	for name, answer := range map[string]func(conn *net.TCPConn, reader *bufio.Reader){
-		"request read first": func(conn *net.TCPConn, reader *bufio.Reader) {
-			_, _ = io.CopyN(io.Discard, reader, uploadBytes)
+	for name, answer := range map[string]func(conn *net.TCPConn, body io.Reader){
+		"request read first": func(conn *net.TCPConn, body io.Reader) {
+			_, _ = io.Copy(io.Discard, body)
 			_, _ = io.WriteString(conn, head+"whole")
 			_ = conn.Close()
 		},
-		"request read afterwards": func(conn *net.TCPConn, reader *bufio.Reader) {
+		"request read afterwards": func(conn *net.TCPConn, body io.Reader) {
 			_, _ = io.WriteString(conn, head+"whole")
 			_ = conn.CloseWrite()
-			_, _ = io.Copy(io.Discard, reader)
+			_, _ = io.Copy(io.Discard, body)
 			_ = conn.Close()
 		},
-		"request not read": func(conn *net.TCPConn, _ *bufio.Reader) {
+		"request not read": func(conn *net.TCPConn, _ io.Reader) {
 			_, _ = io.WriteString(conn, head+"whole")
 			_ = conn.CloseWrite()
 			time.Sleep(200 * time.Millisecond)
 			_ = conn.Close()
 		},
-		"reset after the end": func(conn *net.TCPConn, _ *bufio.Reader) {
+		"reset after the end": func(conn *net.TCPConn, _ io.Reader) {
 			_, _ = io.WriteString(conn, head+"whole")
 			_ = conn.CloseWrite()
 			closeWithReset(conn)
 		},
-		"with a length, then reset": func(conn *net.TCPConn, _ *bufio.Reader) {
+		"with a length, then reset": func(conn *net.TCPConn, _ io.Reader) {
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole")
 			closeWithReset(conn)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := startRawPeer(t, answer)
+			address := startUploadPeer(t, answer)
 			for range uploadTries {
 				started := time.Now()
 				body, err := upload(t, address, uploadBytes)
@@ -144,8 +129,8 @@
 
 // A reset after a small request, which is written at once, reaches the reader.
 func TestResetAfterSmallRequestCutsAnswerWithoutLength(t *testing.T) {
-	address := startRawPeer(t, func(conn *net.TCPConn, reader *bufio.Reader) {
-		_, _ = io.CopyN(io.Discard, reader, 4)
+	address := startUploadPeer(t, func(conn *net.TCPConn, body io.Reader) {
+		_, _ = io.Copy(io.Discard, body)
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart")
 		time.Sleep(10 * time.Millisecond)
 		closeWithReset(conn)
@@ -196,8 +181,8 @@
 		"no content with a length":                   "HTTP/1.1 204 No Content\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := startRawPeer(t, func(conn *net.TCPConn, reader *bufio.Reader) {
-				_, _ = io.CopyN(io.Discard, reader, 4)
+			address := startUploadPeer(t, func(conn *net.TCPConn, body io.Reader) {
+				_, _ = io.Copy(io.Discard, body)
 				_, _ = io.WriteString(conn, answer)
 				_ = conn.Close()
 			})
@@ -236,8 +221,8 @@
 		"stray answer before, chunked": "HTTP/1.1 200 OK\r\nId: b\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole",
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := startRawPeer(t, func(conn *net.TCPConn, reader *bufio.Reader) {
-				_, _ = io.CopyN(io.Discard, reader, 4)
+			address := startUploadPeer(t, func(conn *net.TCPConn, body io.Reader) {
+				_, _ = io.Copy(io.Discard, body)
 				_, _ = io.WriteString(conn, answer)
 				_ = conn.Close()
 			})
