--- /dev/null
+++ b/review/standin-3/engine.go
@@ -0,0 +1,290 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	engineModel = "daka51"
+	// adapterLoad and modelLoad are the times of a load, modelWarm that of a model that the
+	// machine has on its disk.
+	adapterLoad = 250 * time.Millisecond
+	modelWarm   = 570 * time.Millisecond
+)
+
+// engine is a sound model server. It checks an order's X-Expect-Instance and expected when it
+// carries the order out.
+type engine struct {
+	cluster *cluster
+	machine *machine
+	service string
+	runs    *runs
+	slots   int
+	// late returns how much later than now an order is carried out and left unanswered, 0 for
+	// a sound order.
+	late func(o *order) time.Duration
+
+	mutex    sync.Mutex
+	id       string
+	born     int64
+	listener net.Listener
+	server   *http.Server
+	up       bool
+	sequence uint64
+	beatSeq  uint64
+	model    bool
+	loading  bool
+	// adapters are those that are held, true once they are loaded.
+	adapters map[string]bool
+	// incarnation counts the starts.
+	incarnation int
+	overLimit   []string
+	beats       int
+}
+
+// order is the body of an order.
+type order struct {
+	Operation string `json:"operation"`
+	Model     string `json:"model"`
+	Adapter   string `json:"adapter"`
+	Version   int64  `json:"version"`
+	Expected  uint64 `json:"expected"`
+	Holder    string `json:"holder"`
+	Fence     uint64 `json:"fence"`
+}
+
+// startEngine starts a model server that holds its base model.
+func (c *cluster) startEngine(m *machine, id, service string, slots int, all *runs) (*engine, error) {
+	e := &engine{cluster: c, machine: m, service: service, slots: slots, runs: all, id: id}
+	if err := e.boot(true); err != nil {
+		return nil, err
+	}
+	go e.beat()
+	return e, nil
+}
+
+// boot starts an incarnation.
+func (e *engine) boot(holdsModel bool) error {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	listener, err := net.Listen("tcp", e.machine.address(portEndpoint))
+	if err != nil {
+		return err
+	}
+	e.incarnation++
+	e.born, e.sequence, e.beatSeq, e.model, e.loading, e.adapters, e.up = time.Now().UnixMilli(), 0, 0, holdsModel, false, map[string]bool{}, true
+	e.listener, e.server = listener, &http.Server{Handler: e}
+	e.cluster.record.write("server %s starts, born %d", e.id, e.born)
+	go func(s *http.Server) { _ = s.Serve(listener) }(e.server)
+	return nil
+}
+
+// crash ends the incarnation.
+func (e *engine) crash(reason string) {
+	e.mutex.Lock()
+	server := e.server
+	e.up = false
+	e.mutex.Unlock()
+	e.cluster.record.write("server %s crashes: %s", e.id, reason)
+	_ = server.Close()
+}
+
+// ServeHTTP answers reports, orders and requests.
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/tanagerspindle/report":
+		e.mutex.Lock()
+		text, _ := json.Marshal(e.state())
+		e.mutex.Unlock()
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(text)
+	case "/tanagerspindle/order":
+		o := &order{}
+		if json.NewDecoder(r.Body).Decode(o) != nil || o.Holder == "" {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		expect := r.Header.Get("X-Expect-Instance")
+		if e.late != nil {
+			if delay := e.late(o); delay > 0 {
+				e.cluster.record.write("order %+v (for %q) is left unanswered and carried out %v later", *o, expect, delay)
+				time.AfterFunc(delay, func() {
+					status := e.carryOut(o, expect)
+					e.cluster.record.write("late order %+v: %d", *o, status)
+				})
+				<-r.Context().Done()
+				return
+			}
+		}
+		w.WriteHeader(e.carryOut(o, expect))
+	default:
+		e.serve(w, r)
+	}
+}
+
+// state describes the server; the mutex is held.
+func (e *engine) state() map[string]any {
+	models, coming := []map[string]any{}, []string{}
+	if e.model {
+		held := []string{}
+		for name, loaded := range e.adapters {
+			if loaded {
+				held = append(held, name+"@1")
+			} else {
+				coming = append(coming, engineModel+"/"+name+"@1")
+			}
+		}
+		slices.Sort(held)
+		models = append(models, map[string]any{"name": engineModel, "version": 1, "adapters": held})
+	}
+	return map[string]any{
+		"stage": "colocated", "models": models, "coming": coming, "busy": e.loading, "sequence": e.sequence, "queued": 0, "running": 0, "kv_used": 0,
+		"kv_total": 142340, "handles": 0, "state": "ready", "runs": []any{}, "born": e.born, "at_hand": map[string]any{"in_memory": []string{}, "on_disk": []string{engineModel}},
+	}
+}
+
+// carryOut carries an order out and returns the status of its answer.
+func (e *engine) carryOut(o *order, expect string) int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	status := e.apply(o, expect)
+	e.cluster.record.write("order %s %s/%s, expected %d, for %q: %d; sequence %d, %d adapters", o.Operation, o.Model, o.Adapter, o.Expected, expect, status, e.sequence, len(e.adapters))
+	return status
+}
+
+func (e *engine) apply(o *order, expect string) int {
+	switch {
+	case !e.up:
+		return http.StatusBadGateway
+	case expect != "" && expect != e.id:
+		return http.StatusMisdirectedRequest
+	case o.Expected != e.sequence || e.loading:
+		return http.StatusConflict
+	}
+	incarnation := e.incarnation
+	after := func(delay time.Duration, do func()) {
+		time.AfterFunc(delay, func() {
+			e.mutex.Lock()
+			defer e.mutex.Unlock()
+			if e.incarnation == incarnation && e.up {
+				do()
+			}
+		})
+	}
+	if o.Adapter == "" {
+		if o.Operation != "load" || e.model {
+			return http.StatusOK
+		}
+		e.sequence++
+		e.loading = true
+		after(modelWarm, func() { e.loading, e.model = false, true })
+		return http.StatusAccepted
+	}
+	if !e.model {
+		return http.StatusMisdirectedRequest
+	}
+	_, held := e.adapters[o.Adapter]
+	if o.Operation == "unload" {
+		if !held {
+			return http.StatusOK
+		}
+		e.sequence++
+		delete(e.adapters, o.Adapter)
+		return http.StatusOK
+	}
+	if held {
+		return http.StatusOK
+	}
+	e.sequence++
+	e.adapters[o.Adapter] = false
+	if len(e.adapters) > e.slots {
+		e.overLimit = append(e.overLimit, o.Adapter)
+		e.cluster.record.write("server %s is ordered to load %s: %d adapters for %d slots", e.id, o.Adapter, len(e.adapters), e.slots)
+		go e.crash("more adapters than slots")
+		return http.StatusAccepted
+	}
+	name := o.Adapter
+	after(adapterLoad, func() {
+		if _, held := e.adapters[name]; held {
+			e.adapters[name] = true
+		}
+	})
+	return http.StatusAccepted
+}
+
+// serve runs a request: a stream of three events.
+func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
+	id, expect := r.Header.Get("X-Request-Id"), r.Header.Get("X-Expect-Instance")
+	_, adapter, _ := strings.Cut(r.Header.Get("X-Model"), "/")
+	w.Header().Set("X-Request-Id", id)
+	w.Header().Set("X-Instance-Id", e.id)
+	e.mutex.Lock()
+	present := e.model && (adapter == "" || e.adapters[adapter])
+	e.mutex.Unlock()
+	if expect != "" && expect != e.id || !present {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	e.runs.add(run{id: id, server: e.id, method: r.Method, target: r.RequestURI, path: r.URL.EscapedPath(), host: r.Host, at: time.Now()})
+	w.Header().Set("X-Response-Seal", "seal-"+id)
+	w.Header().Set("X-Weight-Versions", "1")
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := 1; i <= 3; i++ {
+		time.Sleep(20 * time.Millisecond)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: token\n\n", i)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// beat announces the server while it is up.
+func (e *engine) beat() {
+	for {
+		e.mutex.Lock()
+		body := e.state()
+		up := e.up
+		e.beatSeq++
+		body["service"], body["address"], body["zone"], body["version"] = e.service, e.machine.address(portEndpoint), "rajkot", "v1"
+		body["slots"], body["cold_left_ms"], body["sequence"] = 64, 0, e.beatSeq
+		e.mutex.Unlock()
+		if up {
+			if status, _, err := e.cluster.call(http.MethodPut, "/tanagerspindle/instances/"+e.id, body, time.Second); err == nil && status < 300 {
+				e.mutex.Lock()
+				e.beats++
+				e.mutex.Unlock()
+			}
+		}
+		time.Sleep(600 * time.Millisecond)
+	}
+}
+
+// engineConfig is a configuration with one model service.
+func engineConfig(version int, service string, adapterSlots int) map[string]any {
+	return map[string]any{
+		"version": version,
+		"routes": []map[string]any{{
+			"name": "notes", "host": "notes.example", "path_prefix": "/notes/", "route_type": "streaming", "timeout_ms": 8000, "target_latency_ms": 1000,
+			"priority": 1, "service": service, "max_attempts": 2, "public": false, "sticky": true, "resumable": true, "gap_aim_ms": 250,
+		}},
+		"services": []map[string]any{{
+			"name": service, "health_path": "/health", "max_connections": 390, "protocol": "h1", "tls": false,
+			"engine": map[string]any{
+				"slots": 64, "kv_capacity_tokens": 142340, "kv_token_bytes": 327680, "link_mbps": 180000.0, "moves": true, "backups": true, "stride": 3,
+				"max_count": 12, "host_mb": 150000.0, "disk_mb": 430000.0, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0,
+				"models":     []map[string]any{{"name": engineModel, "weights_mb": 65100.0, "load_s": 2.9, "adapters": 3000, "adapter_mb": 12.0, "warm_s": 0.57, "disk_s": 1.2}},
+				"weights_mb": 66600.0, "adapter_slots": adapterSlots, "loads_per_s": 2.2,
+			},
+		}},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{{
+			"name": "t1", "api_keys": []string{"i9n73hh2b9wu3fexd9dn"}, "priority": 1, "unit": "token_stream", "plain_tokens": 200, "rate_per_s": 82617, "burst": 82617,
+		}},
+	}
+}
