--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -27,6 +27,9 @@
 	service string
 	runs    *runs
 	slots   int
+	// weightsMB is the memory for weights and adapters, of which the model takes modelMB and each
+	// adapter adapterMB.
+	weightsMB, modelMB, adapterMB float64
 	// late returns how much later than now an order is carried out and left unanswered, 0 for
 	// a sound order.
 	late func(o *order) time.Duration
@@ -62,7 +65,7 @@
 
 // startEngine starts a model server that holds its base model.
 func (c *cluster) startEngine(m *machine, id, service string, slots int, all *runs) (*engine, error) {
-	e := &engine{cluster: c, machine: m, service: service, slots: slots, runs: all, id: id}
+	e := &engine{cluster: c, machine: m, service: service, slots: slots, weightsMB: 66600, modelMB: 65100, adapterMB: 12, runs: all, id: id}
 	if err := e.boot(true); err != nil {
 		return nil, err
 	}
@@ -204,10 +207,10 @@
 	}
 	e.sequence++
 	e.adapters[o.Adapter] = false
-	if len(e.adapters) > e.slots {
+	if weights := e.modelMB + float64(len(e.adapters))*e.adapterMB; len(e.adapters) > e.slots || weights > e.weightsMB {
 		e.overLimit = append(e.overLimit, o.Adapter)
-		e.cluster.record.write("server %s is ordered to load %s: %d adapters for %d slots", e.id, o.Adapter, len(e.adapters), e.slots)
-		go e.crash("more adapters than slots")
+		e.cluster.record.write("server %s is ordered to load %s: %d adapters for %d slots, weights of %.0f MB for %.0f MB", e.id, o.Adapter, len(e.adapters), e.slots, weights, e.weightsMB)
+		go e.crash("it is ordered to load more than it holds")
 		return http.StatusAccepted
 	}
 	name := o.Adapter
@@ -265,8 +268,8 @@
 	}
 }
 
-// engineConfig is a configuration with one model service.
-func engineConfig(version int, service string, adapterSlots int) map[string]any {
+// engineConfig is a configuration with one model service whose adapters have a size.
+func engineConfig(version int, service string, adapterSlots int, adapterMB float64) map[string]any {
 	return map[string]any{
 		"version": version,
 		"routes": []map[string]any{{
@@ -278,7 +281,7 @@
 			"engine": map[string]any{
 				"slots": 64, "kv_capacity_tokens": 142340, "kv_token_bytes": 327680, "link_mbps": 180000.0, "moves": true, "backups": true, "stride": 3,
 				"max_count": 12, "host_mb": 150000.0, "disk_mb": 430000.0, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0,
-				"models":     []map[string]any{{"name": engineModel, "weights_mb": 65100.0, "load_s": 2.9, "adapters": 3000, "adapter_mb": 12.0, "warm_s": 0.57, "disk_s": 1.2}},
+				"models":     []map[string]any{{"name": engineModel, "weights_mb": 65100.0, "load_s": 2.9, "adapters": 3000, "adapter_mb": adapterMB, "warm_s": 0.57, "disk_s": 1.2}},
 				"weights_mb": 66600.0, "adapter_slots": adapterSlots, "loads_per_s": 2.2,
 			},
 		}},
--- a/review/standin-3/limit.go
+++ b/review/standin-3/limit.go
@@ -31,7 +31,7 @@
 	if _, err := side.start("agent", func(s map[string]any) { s["app"], s["service"] = side.address(portEndpoint), "writers" }); err != nil {
 		return false, err
 	}
-	if err := c.configure(engineConfig(3, "writers", slots)); err != nil {
+	if err := c.configure(engineConfig(3, "writers", slots, 12)); err != nil {
 		return false, err
 	}
 	if err := front.awaitReady(10 * time.Second); err != nil {
@@ -47,16 +47,7 @@
 		left.Add(1)
 		return lateBy
 	}
-	ask := func(adapter string) result {
-		q := &request{
-			id: newID(), method: http.MethodPost, target: "/notes/2f", host: "notes.example", key: "i9n73hh2b9wu3fexd9dn", deadline: 8 * time.Second, body: "{}",
-			header: [][2]string{{"X-Model", engineModel + "/" + adapter}, {"X-Token-Counts", "100,20"}, {"X-Prefix-Hash", "5c1e07a2:100"}},
-		}
-		c.record.write("client sends %s for %s", q.id, adapter)
-		got, _ := q.send(front.address(portCallers), 0)
-		c.record.write("client of %s gets %d, %d bytes, %v", q.id, got.status, len(got.body), got.err)
-		return got
-	}
+	ask := func(adapter string) result { return c.askAdapter(front, adapter) }
 	fill := func() error {
 		for i := 1; i <= slots; i++ {
 			name := fmt.Sprintf("a%d", i)
@@ -98,3 +89,15 @@
 	time.Sleep(time.Until(began.Add(lateBy + 3*time.Second)))
 	return len(e.overLimit) > 0, nil
 }
+
+// askAdapter sends a request for an adapter and reads the whole stream.
+func (c *cluster) askAdapter(front *machine, adapter string) result {
+	q := &request{
+		id: newID(), method: http.MethodPost, target: "/notes/2f", host: "notes.example", key: "i9n73hh2b9wu3fexd9dn", deadline: 8 * time.Second, body: "{}",
+		header: [][2]string{{"X-Model", engineModel + "/" + adapter}, {"X-Token-Counts", "100,20"}, {"X-Prefix-Hash", "5c1e07a2:100"}},
+	}
+	c.record.write("client sends %s for %s", q.id, adapter)
+	got, _ := q.send(front.address(portCallers), 0)
+	c.record.write("client of %s gets %d, %d bytes, %v", q.id, got.status, len(got.body), got.err)
+	return got
+}
