--- a/review/standin-3/plain.go
+++ b/review/standin-3/plain.go
@@ -18,14 +18,19 @@
 // runs are the requests that any server ran.
 type runs struct {
 	record *record
-	mutex  sync.Mutex
-	list   []run
+	// quiet leaves the runs out of the record.
+	quiet bool
+	mutex sync.Mutex
+	list  []run
 }
 
 func (r *runs) add(x run) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.list = append(r.list, x)
+	if r.quiet {
+		return
+	}
 	r.record.write("server %s runs %s: %s %s (host %s), tenant %q", x.server, x.id, x.method, x.target, x.host, x.tenant)
 }
 
@@ -41,12 +46,17 @@
 	id      string
 	service string
 	address string
-	work    time.Duration
-	runs    *runs
+	// work is how long a request runs. slots run at once; queue more wait, and the rest is
+	// rejected.
+	work         time.Duration
+	slots, queue int
+	runs         *runs
 
 	server *http.Server
-	born   int64
-	stop   chan struct{}
+	// busy holds the requests that run, all those that run or wait.
+	busy, all chan struct{}
+	born      int64
+	stop      chan struct{}
 	// beats counts the heartbeats that were acknowledged.
 	mutex sync.Mutex
 	beats int
@@ -56,7 +66,8 @@
 // startPlain starts a server on a machine of its own and its heartbeats.
 func (c *cluster) startPlain(id, service string, work time.Duration, all *runs) (*plain, error) {
 	m := c.addMachine(id)
-	s := &plain{cluster: c, id: id, service: service, address: m.address(portEndpoint), work: work, runs: all, born: time.Now().UnixMilli(), stop: make(chan struct{})}
+	s := &plain{cluster: c, id: id, service: service, address: m.address(portEndpoint), work: work, slots: 6, queue: 24, runs: all, born: time.Now().UnixMilli(), stop: make(chan struct{})}
+	s.busy, s.all = make(chan struct{}, s.slots), make(chan struct{}, s.slots+s.queue)
 	listener, err := net.Listen("tcp", s.address)
 	if err != nil {
 		return nil, err
@@ -85,6 +96,20 @@
 		return
 	}
 	body, _ := io.ReadAll(r.Body)
+	select {
+	case s.all <- struct{}{}:
+	default:
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-s.all }()
+	select {
+	case s.busy <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-s.busy }()
 	s.runs.add(run{
 		id: id, server: s.id, method: r.Method, target: r.RequestURI, path: r.URL.EscapedPath(), query: r.URL.RawQuery, host: r.Host,
 		tenant: r.Header.Get("X-Tenant"), body: string(body), at: time.Now(),
@@ -99,7 +124,7 @@
 	for {
 		s.seq++
 		status, _, err := s.cluster.call(http.MethodPut, "/tanagerspindle/instances/"+s.id, map[string]any{
-			"service": s.service, "address": s.address, "zone": "rajkot", "version": "v1", "slots": 6, "state": "ready", "cold_left_ms": 0,
+			"service": s.service, "address": s.address, "zone": "rajkot", "version": "v1", "slots": s.slots, "state": "ready", "cold_left_ms": 0,
 			"sequence": s.seq, "born": s.born,
 		}, time.Second)
 		if err == nil && status < 300 {
@@ -115,6 +140,29 @@
 	}
 }
 
+// crash ends the server's process: its connections are reset and its port refuses new ones.
+func (s *plain) crash() {
+	s.cluster.record.write("server %s crashes", s.id)
+	close(s.stop)
+	_ = s.server.Close()
+}
+
+// startAgain starts a new incarnation under another id at the same address.
+func (s *plain) startAgain(id string) error {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
+	next := &plain{cluster: s.cluster, id: id, service: s.service, address: s.address, work: s.work, runs: s.runs, born: time.Now().UnixMilli(), stop: make(chan struct{})}
+	next.slots, next.queue = s.slots, s.queue
+	next.busy, next.all = make(chan struct{}, s.slots), make(chan struct{}, s.slots+s.queue)
+	next.server = &http.Server{Handler: next}
+	s.cluster.record.write("server %s starts, born %d", next.id, next.born)
+	go func() { _ = next.server.Serve(listener) }()
+	go next.beat()
+	return nil
+}
+
 // awaitBeat waits until a heartbeat was acknowledged.
 func (s *plain) awaitBeat(patience time.Duration) error {
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
