--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -30,12 +32,19 @@
 	// weightsMB is the memory for weights and adapters, of which the model takes modelMB and each
 	// adapter adapterMB.
 	weightsMB, modelMB, adapterMB float64
+	// crashes reports whether a request crashes the server that runs it; nil means that none does.
+	// The server is then down for downTime and starts again under another id.
+	crashes  func(body string) bool
+	downTime time.Duration
+	// events is how many events a stream has, one each gap.
+	events int
+	gap    time.Duration
 	// late returns how much later than now an order is carried out and left unanswered, 0 for
 	// a sound order.
 	late func(o *order) time.Duration
 
 	mutex    sync.Mutex
-	id       string
+	name, id string
 	born     int64
 	listener net.Listener
 	server   *http.Server
@@ -48,8 +57,16 @@
 	adapters map[string]bool
 	// incarnation counts the starts.
 	incarnation int
-	overLimit   []string
-	beats       int
+	// causes are the requests that crashed the server, by their bodies.
+	causes    []cause
+	overLimit []string
+	beats     int
+}
+
+// cause is a crash and the body of the request that caused it.
+type cause struct {
+	body string
+	at   time.Time
 }
 
 // order is the body of an order.
@@ -65,7 +82,7 @@
 
 // startEngine starts a model server that holds its base model.
 func (c *cluster) startEngine(m *machine, id, service string, slots int, all *runs) (*engine, error) {
-	e := &engine{cluster: c, machine: m, service: service, slots: slots, weightsMB: 66600, modelMB: 65100, adapterMB: 12, runs: all, id: id}
+	e := &engine{cluster: c, machine: m, service: service, slots: slots, weightsMB: 66600, modelMB: 65100, adapterMB: 12, events: 3, gap: 20 * time.Millisecond, runs: all, name: id, id: id}
 	if err := e.boot(true); err != nil {
 		return nil, err
 	}
@@ -228,37 +245,82 @@
 	_, adapter, _ := strings.Cut(r.Header.Get("X-Model"), "/")
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Instance-Id", e.id)
+	body, _ := io.ReadAll(r.Body)
 	e.mutex.Lock()
-	present := e.model && (adapter == "" || e.adapters[adapter])
+	present, incarnation := e.model && (adapter == "" || e.adapters[adapter]), e.incarnation
 	e.mutex.Unlock()
 	if expect != "" && expect != e.id || !present {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	e.runs.add(run{id: id, server: e.id, method: r.Method, target: r.RequestURI, path: r.URL.EscapedPath(), host: r.Host, at: time.Now()})
+	e.runs.add(run{
+		id: id, server: e.id, method: r.Method, target: r.RequestURI, path: r.URL.EscapedPath(), host: r.Host, tenant: r.Header.Get("X-Tenant"), body: string(body), at: time.Now(),
+	})
 	w.Header().Set("X-Response-Seal", "seal-"+id)
 	w.Header().Set("X-Weight-Versions", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
-	for i := 1; i <= 3; i++ {
-		time.Sleep(20 * time.Millisecond)
+	first := 1
+	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
+	crashing := e.crashes != nil && e.crashes(string(body))
+	for i := first; i <= e.events; i++ {
+		select {
+		case <-time.After(e.gap):
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+		if crashing && i == first+crashAfter {
+			e.crashOnce(incarnation, id, string(body))
+			panic(http.ErrAbortHandler)
+		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: token\n\n", i)
 		_ = http.NewResponseController(w).Flush()
 	}
 }
 
+// crashAfter is how many events a server makes of a request that crashes it.
+const crashAfter = 10
+
+// crashOnce crashes an incarnation, unless it has crashed, and starts the next one later.
+func (e *engine) crashOnce(incarnation int, id, body string) {
+	e.mutex.Lock()
+	current := e.up && e.incarnation == incarnation
+	if current {
+		e.up = false
+		e.causes = append(e.causes, cause{body: body, at: time.Now()})
+	}
+	server := e.server
+	e.mutex.Unlock()
+	if !current {
+		return
+	}
+	e.cluster.record.write("server %s crashes by request %s (%s)", e.id, id, body)
+	_ = server.Close()
+	go func() {
+		time.Sleep(e.downTime)
+		e.mutex.Lock()
+		e.id = fmt.Sprintf("%s-%d", e.name, e.incarnation+1)
+		e.mutex.Unlock()
+		if err := e.boot(false); err != nil {
+			e.cluster.record.write("server %s does not start: %v", e.id, err)
+		}
+	}()
+}
+
 // beat announces the server while it is up.
 func (e *engine) beat() {
 	for {
 		e.mutex.Lock()
 		body := e.state()
-		up := e.up
+		up, id := e.up, e.id
 		e.beatSeq++
 		body["service"], body["address"], body["zone"], body["version"] = e.service, e.machine.address(portEndpoint), "rajkot", "v1"
 		body["slots"], body["cold_left_ms"], body["sequence"] = 64, 0, e.beatSeq
 		e.mutex.Unlock()
 		if up {
-			if status, _, err := e.cluster.call(http.MethodPut, "/tanagerspindle/instances/"+e.id, body, time.Second); err == nil && status < 300 {
+			if status, _, err := e.cluster.call(http.MethodPut, "/tanagerspindle/instances/"+id, body, time.Second); err == nil && status < 300 {
 				e.mutex.Lock()
 				e.beats++
 				e.mutex.Unlock()
@@ -275,6 +337,9 @@
 		"routes": []map[string]any{{
 			"name": "notes", "host": "notes.example", "path_prefix": "/notes/", "route_type": "streaming", "timeout_ms": 8000, "target_latency_ms": 1000,
 			"priority": 1, "service": service, "max_attempts": 2, "public": false, "sticky": true, "resumable": true, "gap_aim_ms": 250,
+		}, {
+			"name": "history", "host": "notes.example", "path_prefix": "/history/", "route_type": "streaming", "timeout_ms": 25000, "target_latency_ms": 1000,
+			"priority": 1, "service": service, "max_attempts": 1, "public": false, "sticky": true, "resumable": false, "gap_aim_ms": 250,
 		}},
 		"services": []map[string]any{{
 			"name": service, "health_path": "/health", "max_connections": 390, "protocol": "h1", "tls": false,
