--- a/review/standin-3/plain.go
+++ b/review/standin-3/plain.go
@@ -119,14 +119,23 @@
 	_, _ = fmt.Fprintf(w, "done %s", id)
 }
 
+// announce sends one announcement with a state.
+func (s *plain) announce(state string) (status int, err error) {
+	s.mutex.Lock()
+	s.seq++
+	body := map[string]any{
+		"service": s.service, "address": s.address, "zone": "rajkot", "version": "v1", "slots": s.slots, "state": state, "cold_left_ms": 0,
+		"sequence": s.seq, "born": s.born,
+	}
+	s.mutex.Unlock()
+	status, _, err = s.cluster.call(http.MethodPut, "/tanagerspindle/instances/"+s.id, body, time.Second)
+	return status, err
+}
+
 // beat announces the server until it stops.
 func (s *plain) beat() {
 	for {
-		s.seq++
-		status, _, err := s.cluster.call(http.MethodPut, "/tanagerspindle/instances/"+s.id, map[string]any{
-			"service": s.service, "address": s.address, "zone": "rajkot", "version": "v1", "slots": s.slots, "state": "ready", "cold_left_ms": 0,
-			"sequence": s.seq, "born": s.born,
-		}, time.Second)
+		status, err := s.announce("ready")
 		if err == nil && status < 300 {
 			s.mutex.Lock()
 			s.beats++
@@ -140,18 +149,11 @@
 	}
 }
 
-// crash ends the server's process: its connections are reset and its port refuses new ones.
-func (s *plain) crash() {
-	s.cluster.record.write("server %s crashes", s.id)
-	close(s.stop)
-	_ = s.server.Close()
-}
-
-// startAgain starts a new incarnation under another id at the same address.
-func (s *plain) startAgain(id string) error {
+// startAgain starts a new incarnation at the same address.
+func (s *plain) startAgain(id string) (*plain, error) {
 	listener, err := net.Listen("tcp", s.address)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	next := &plain{cluster: s.cluster, id: id, service: s.service, address: s.address, work: s.work, runs: s.runs, born: time.Now().UnixMilli(), stop: make(chan struct{})}
 	next.slots, next.queue = s.slots, s.queue
@@ -160,7 +162,7 @@
 	s.cluster.record.write("server %s starts, born %d", next.id, next.born)
 	go func() { _ = next.server.Serve(listener) }()
 	go next.beat()
-	return nil
+	return next, nil
 }
 
 // awaitBeat waits until a heartbeat was acknowledged.
